Add the context that a host's services share

Services need settings, transport, store, timers, the live hosts and the catalogue; one struct keeps their constructors alike. No behaviour yet.

--- /dev/null
+++ b/src/HostContext.h
@@ -0,0 +1,48 @@
+#pragma once
+
+#include <cstdint>
+#include <functional>
+#include <memory>
+#include <string>
+#include <vector>
+
+#include "ConfigState.h"
+#include "HostSettings.h"
+
+namespace Bergamotramp
+{
+
+class EventLog;
+class StoreClient;
+class TimerService;
+class Transport;
+
+/** A host as the services of another host see it. */
+struct HostInfo {
+    std::string name;
+    std::uint64_t incarnation = 0;
+    std::string region;
+    std::string dataCentre;
+    std::string callerAddress;
+    std::string peerAddress;
+    std::string adminAddress;
+
+    bool operator==(const HostInfo &) const = default;
+};
+
+/** What the services of one host share. The owner of the context outlives the services. */
+struct HostContext {
+    HostSettings settings;
+    /** This run of the host; grows with every restart. */
+    std::uint64_t incarnation = 0;
+    Transport *transport = nullptr;
+    StoreClient *store = nullptr;
+    TimerService *timers = nullptr;
+    EventLog *events = nullptr;
+    /** Hosts that take work, this one included: alive or suspect, neither leaving nor dead. Sorted by name. */
+    std::function<std::vector<HostInfo>()> liveHosts;
+    /** The catalogue in force. */
+    std::function<std::shared_ptr<const Catalogue>()> catalogue;
+};
+
+} // namespace Bergamotramp
