--- /dev/null
+++ b/src/CallerServer.cpp
@@ -0,0 +1,365 @@
+#include "CallerServer.h"
+
+#include <httplib.h>
+
+#include <absl/strings/numbers.h>
+#include <absl/strings/str_cat.h>
+#include <glog/logging.h>
+
+#include "HttpListener.h"
+#include "SseReader.h"
+
+namespace Bergamotramp {
+
+namespace {
+
+constexpr const char *jsonType = "application/json";
+constexpr const char *jsonLinesType = "application/x-ndjson";
+constexpr int statusOk = 200;
+constexpr int statusBadRequest = 400;
+constexpr int statusPayloadTooLarge = 413;
+constexpr int statusInternalError = 500;
+constexpr int statusUnavailable = 503;
+constexpr std::size_t maxKeyLength = 256;
+constexpr std::int64_t maxDeadlineMilliseconds = 86'400'000;
+// Threads beyond the limit on connections; they only tell callers that the limit is reached.
+constexpr std::size_t spareThreads = 8;
+
+CallerError badRequest(const std::string &code, const std::string &message)
+{
+    return CallerError({statusBadRequest, code, message, RunState::NotRun});
+}
+
+void sendProblem(httplib::Response &response, const CallerProblem &problem)
+{
+    response.status = problem.status;
+    if (problem.retryAfter > absl::ZeroDuration()) {
+        const std::int64_t seconds = absl::ToInt64Seconds(absl::Ceil(problem.retryAfter, absl::Seconds(1)));
+        response.set_header("Retry-After", absl::StrCat(seconds));
+    }
+    response.set_content(problem.toJson().dump(-1, ' ', false, nlohmann::json::error_handler_t::replace), jsonType);
+}
+
+std::string organisationOf(const httplib::Request &request)
+{
+    const std::string name = request.get_header_value("X-Organisation");
+    if (name.size() > maxKeyLength || name.find('/') != std::string::npos) {
+        throw badRequest("invalid_organisation", "X-Organisation may hold up to 256 characters without '/'");
+    }
+    return name.empty() ? "default" : name;
+}
+
+std::string keyOf(const httplib::Request &request)
+{
+    std::string key = request.get_header_value("Idempotency-Key");
+    if (key.size() > maxKeyLength) {
+        throw badRequest("invalid_key", "Idempotency-Key may hold up to 256 characters");
+    }
+    return key;
+}
+
+std::optional<absl::Duration> timeLeftOf(const httplib::Request &request)
+{
+    if (!request.has_header("X-Deadline-Ms")) {
+        return std::nullopt;
+    }
+    std::int64_t milliseconds = 0;
+    if (!absl::SimpleAtoi(request.get_header_value("X-Deadline-Ms"), &milliseconds) || milliseconds < 1 || milliseconds > maxDeadlineMilliseconds) {
+        throw badRequest("invalid_deadline", "X-Deadline-Ms must be an integer from 1 to 86400000");
+    }
+    return absl::Milliseconds(milliseconds);
+}
+
+CallerRequest toCallerRequest(const httplib::Request &request, std::string body)
+{
+    CallerRequest result;
+    result.organisation = organisationOf(request);
+    result.key = keyOf(request);
+    result.method = request.method;
+    result.target = request.target;
+    result.contentType = request.get_header_value("Content-Type");
+    result.body = std::move(body);
+    result.timeLeft = timeLeftOf(request);
+    return result;
+}
+
+/** Takes the pieces of a streamed answer and tells the producer once how the stream ended. */
+class StreamPump
+{
+public:
+    StreamPump(StreamedAnswer answer, std::string first, std::shared_ptr<void> active)
+        : answer(std::move(answer)), first(std::move(first)), active(std::move(active))
+    {
+    }
+    ~StreamPump()
+    {
+        this->answer.closed(this->finished);
+    }
+    StreamPump(const StreamPump &) = delete;
+    StreamPump &operator=(const StreamPump &) = delete;
+
+    bool run(httplib::DataSink &sink)
+    {
+        bool open = sink.write(this->first.data(), this->first.size());
+        try {
+            while (open) {
+                const std::optional<std::string> piece = this->answer.next();
+                if (!piece) {
+                    this->finished = true;
+                    sink.done();
+                    return true;
+                }
+                open = sink.write(piece->data(), piece->size());
+            }
+        } catch (const CallerError &error) {
+            // The status line has left, so the error travels as an event and the end marker stays out.
+            const std::string event = sseFrame(error.problem().toJson().dump());
+            sink.write(event.data(), event.size());
+            sink.done();
+            return true;
+        }
+        return false;
+    }
+
+private:
+    StreamedAnswer answer;
+    std::string first;
+    std::shared_ptr<void> active;
+    bool finished = false;
+};
+
+void sendStream(httplib::Response &response, StreamedAnswer answer, std::shared_ptr<void> active)
+{
+    std::optional<std::string> first;
+    try {
+        first = answer.next();
+    } catch (...) {
+        answer.closed(false);
+        throw;
+    }
+    const std::string type = answer.contentType;
+    const auto pump = std::make_shared<StreamPump>(std::move(answer), first.value_or(""), std::move(active));
+    response.set_chunked_content_provider(type, [pump](std::size_t, httplib::DataSink &sink) { return pump->run(sink); });
+}
+
+void sendAnswer(httplib::Response &response, CallerAnswer answer, std::shared_ptr<void> active)
+{
+    if (auto *whole = std::get_if<WholeAnswer>(&answer)) {
+        response.status = whole->status;
+        response.set_content(std::move(whole->body), whole->contentType);
+        return;
+    }
+    sendStream(response, std::move(std::get<StreamedAnswer>(answer)), std::move(active));
+}
+
+void sendJson(httplib::Response &response, const nlohmann::json &body)
+{
+    response.set_content(body.dump(-1, ' ', false, nlohmann::json::error_handler_t::replace), jsonType);
+}
+
+} // namespace
+
+CallerServer::CallerServer(Limits limits, Hooks hooks) : limits(limits), hooks(std::move(hooks)), server(std::make_unique<httplib::Server>())
+{
+    configureServer(*this->server, this->limits.connections + spareThreads);
+    this->server->set_payload_max_length(this->limits.jobBytes);
+    this->server->set_error_handler([](const httplib::Request &request, httplib::Response &response) {
+        if (response.body.empty()) {
+            sendProblem(response, {response.status, "not_found", absl::StrCat("no route for ", request.method, " ", request.path), RunState::NotRun});
+        }
+    });
+    this->addOnlineRoutes();
+    this->addBatchRoutes();
+}
+
+CallerServer::~CallerServer()
+{
+    this->stop();
+}
+
+void CallerServer::start(const std::string &address)
+{
+    this->boundAddress = bindServer(*this->server, address);
+    this->thread = std::thread([this] { this->server->listen_after_bind(); });
+}
+
+const std::string &CallerServer::address() const
+{
+    return this->boundAddress;
+}
+
+int CallerServer::active() const
+{
+    return this->activeRequests;
+}
+
+void CallerServer::stop()
+{
+    if (this->thread.joinable()) {
+        this->server->stop();
+        this->thread.join();
+    }
+}
+
+void CallerServer::guard(httplib::Response &response, const std::function<void(ActiveRequest)> &handle)
+{
+    const int before = this->activeRequests++;
+    const ActiveRequest active(nullptr, [this](void *) { --this->activeRequests; });
+    try {
+        if (before >= static_cast<int>(this->limits.connections)) {
+            throw CallerError({statusUnavailable, "too_many_requests", "this host serves its limit of requests", RunState::NotRun, absl::Seconds(1)});
+        }
+        handle(active);
+    } catch (const CallerError &error) {
+        sendProblem(response, error.problem());
+    } catch (const std::exception &error) {
+        LOG(ERROR) << "request failed inside the host: " << error.what();
+        sendProblem(response, {statusInternalError, "internal_error", "the host failed to handle the request", RunState::Unknown});
+    }
+}
+
+std::string CallerServer::readBody(const httplib::ContentReader &reader) const
+{
+    std::string body;
+    bool tooLong = false;
+    // An over-long body is read to its end, so that the connection stays usable and the caller sees the error.
+    reader([this, &body, &tooLong](const char *data, std::size_t size) {
+        tooLong = tooLong || body.size() + size > this->limits.bodyBytes;
+        if (!tooLong) {
+            body.append(data, size);
+        }
+        return true;
+    });
+    if (tooLong) {
+        throw CallerError(
+            {statusPayloadTooLarge, "body_too_large", absl::StrCat("the body may hold up to ", this->limits.bodyBytes, " bytes"), RunState::NotRun});
+    }
+    return body;
+}
+
+void CallerServer::answer(const httplib::Request &request,
+                          httplib::Response &response,
+                          const std::function<CallerAnswer(const CallerRequest &)> &hook,
+                          std::string body,
+                          ActiveRequest active)
+{
+    sendAnswer(response, hook(toCallerRequest(request, std::move(body))), std::move(active));
+}
+
+void CallerServer::addOnlineRoutes()
+{
+    const auto model = [this](const httplib::Request &request, httplib::Response &response, const httplib::ContentReader &reader) {
+        this->guard(response, [&](ActiveRequest active) { this->answer(request, response, this->hooks.model, this->readBody(reader), std::move(active)); });
+    };
+    const auto plainWithBody = [this](const httplib::Request &request, httplib::Response &response, const httplib::ContentReader &reader) {
+        this->guard(response, [&](ActiveRequest active) { this->answer(request, response, this->hooks.plain, this->readBody(reader), std::move(active)); });
+    };
+    const auto plain = [this](const httplib::Request &request, httplib::Response &response) {
+        this->guard(response, [&](ActiveRequest active) { this->answer(request, response, this->hooks.plain, "", std::move(active)); });
+    };
+    this->server->Post("/v1/completions", model);
+    this->server->Post("/v1/chat/completions", model);
+    this->server->Get("/s/.+", plain);
+    this->server->Post("/s/.+", plainWithBody);
+    this->server->Put("/s/.+", plainWithBody);
+    this->server->Patch("/s/.+", plainWithBody);
+    this->server->Delete("/s/.+", plain);
+    this->server->Get("/v1/models", [this](const httplib::Request &, httplib::Response &response) {
+        this->guard(response, [&](const ActiveRequest &) { sendJson(response, this->hooks.models()); });
+    });
+    this->server->Get("/v1/entries", [this](const httplib::Request &, httplib::Response &response) {
+        this->guard(response, [&](const ActiveRequest &) { sendJson(response, this->hooks.entries()); });
+    });
+    this->server->Get("/v1/requests/(.+)", [this](const httplib::Request &request, httplib::Response &response) {
+        this->guard(response, [&](const ActiveRequest &) {
+            const std::string service = request.get_param_value("service");
+            if (service.empty()) {
+                throw badRequest("missing_service", "the parameter service is missing");
+            }
+            sendAnswer(response, this->hooks.recorded(organisationOf(request), service, request.matches[1]), nullptr);
+        });
+    });
+}
+
+void CallerServer::addBatchRoutes()
+{
+    this->server->Post("/v1/batches", [this](const httplib::Request &request, httplib::Response &response, const httplib::ContentReader &reader) {
+        this->guard(response, [&](const ActiveRequest &) { this->submitJob(request, response, reader); });
+    });
+    this->server->Get("/v1/batches", [this](const httplib::Request &request, httplib::Response &response) {
+        this->guard(response, [&](const ActiveRequest &) { sendJson(response, this->hooks.listJobs(organisationOf(request))); });
+    });
+    this->server->Get("/v1/batches/([^/]+)", [this](const httplib::Request &request, httplib::Response &response) {
+        this->guard(response, [&](const ActiveRequest &) { sendJson(response, this->hooks.jobStatus(organisationOf(request), request.matches[1])); });
+    });
+    this->server->Post("/v1/batches/([^/]+)/cancel", [this](const httplib::Request &request, httplib::Response &response) {
+        this->guard(response, [&](const ActiveRequest &) { sendJson(response, this->hooks.cancelJob(organisationOf(request), request.matches[1])); });
+    });
+    this->server->Get("/v1/batches/([^/]+)/results", [this](const httplib::Request &request, httplib::Response &response) {
+        this->guard(response, [&](ActiveRequest active) { this->sendResults(request, response, std::move(active)); });
+    });
+}
+
+void CallerServer::submitJob(const httplib::Request &request, httplib::Response &response, const httplib::ContentReader &reader)
+{
+    const std::string key = keyOf(request);
+    const std::string service = request.get_param_value("service");
+    if (key.empty()) {
+        throw badRequest("missing_key", "a batch job needs an Idempotency-Key, so that sending it again finds it");
+    }
+    if (service.empty()) {
+        throw badRequest("missing_service", "the parameter service is missing");
+    }
+    std::int64_t dueSeconds = 0;
+    std::optional<absl::Duration> due;
+    if (request.has_param("due_seconds")) {
+        if (!absl::SimpleAtoi(request.get_param_value("due_seconds"), &dueSeconds) || dueSeconds < 1) {
+            throw badRequest("invalid_due", "due_seconds must be a positive integer");
+        }
+        due = absl::Seconds(dueSeconds);
+    }
+    const JobUpload upload = this->hooks.openJob(organisationOf(request), service, key, due);
+    std::optional<CallerError> problem;
+    const bool whole = reader([&upload, &problem](const char *data, std::size_t size) {
+        try {
+            if (!problem) {
+                upload.append(std::string_view(data, size));
+            }
+        } catch (const CallerError &error) {
+            problem = error;
+        }
+        return true;
+    });
+    if (problem) {
+        throw CallerError(*problem);
+    }
+    if (!whole) {
+        throw CallerError({statusPayloadTooLarge,
+                           "job_too_large",
+                           absl::StrCat("the body is incomplete or larger than ", this->limits.jobBytes, " bytes"),
+                           RunState::NotRun});
+    }
+    sendJson(response, upload.commit());
+}
+
+void CallerServer::sendResults(const httplib::Request &request, httplib::Response &response, ActiveRequest active)
+{
+    const std::string organisation = organisationOf(request);
+    const std::string id = request.matches[1];
+    // Fails with a status of its own before the first line is sent.
+    this->hooks.jobStatus(organisation, id);
+    response.status = statusOk;
+    response.set_chunked_content_provider(jsonLinesType, [this, organisation, id, active = std::move(active)](std::size_t, httplib::DataSink &sink) {
+        try {
+            this->hooks.jobResults(organisation, id, [&sink](std::string_view piece) { return sink.write(piece.data(), piece.size()); });
+            sink.done();
+            return true;
+        } catch (const std::exception &error) {
+            // Without its last chunk the answer is visibly incomplete.
+            LOG(WARNING) << "results of job " << id << " broke off: " << error.what();
+            return false;
+        }
+    });
+}
+
+} // namespace Bergamotramp
--- /dev/null
+++ b/src/HttpListener.h
@@ -0,0 +1,18 @@
+#pragma once
+
+#include <cstddef>
+#include <string>
+
+namespace httplib {
+class Server;
+}
+
+namespace Bergamotramp {
+
+/** Prepares @p server for kept connections, with at most @p threads of them served at once. */
+void configureServer(httplib::Server &server, std::size_t threads);
+
+/** Binds @p server to "IP:port" (port 0 for a free one) and returns the bound address; throws ServerError. */
+std::string bindServer(httplib::Server &server, const std::string &address);
+
+} // namespace Bergamotramp
--- a/src/UpstreamClient.cpp
+++ b/src/UpstreamClient.cpp
@@ -47,8 +47,8 @@
 {
     const std::lock_guard<std::mutex> lock(this->mutex);
     this->requested = true;
-    if (this->client != nullptr) {
-        this->client->stop();
+    if (this->action) {
+        this->action();
     }
 }
 
@@ -58,17 +58,17 @@
     return this->requested;
 }
 
-bool CallCancellation::attach(httplib::Client *running)
+bool CallCancellation::attach(std::function<void()> newAction)
 {
     const std::lock_guard<std::mutex> lock(this->mutex);
-    this->client = running;
+    this->action = std::move(newAction);
     return !this->requested;
 }
 
 void CallCancellation::detach()
 {
     const std::lock_guard<std::mutex> lock(this->mutex);
-    this->client = nullptr;
+    this->action = nullptr;
 }
 
 UpstreamClient::UpstreamClient(absl::Duration connectTimeout) : connectTimeout(connectTimeout)
@@ -110,7 +110,7 @@
         lastByte = absl::Now();
         return receiver.data(std::string_view(data, size));
     };
-    if (!cancellation.attach(client.get())) {
+    if (!cancellation.attach([&client] { client->stop(); })) {
         result.outcome = CallOutcome::Cancelled;
         return result;
     }
@@ -127,13 +127,19 @@
     return result;
 }
 
-bool UpstreamClient::probe(const std::string &address, absl::Duration timeout)
+ProbeResult UpstreamClient::probe(const std::string &address, absl::Duration timeout)
 {
     httplib::Client client("http://" + address);
     client.set_connection_timeout(absl::ToChronoMicroseconds(timeout));
     client.set_read_timeout(absl::ToChronoMicroseconds(timeout));
+    const absl::Time start = absl::Now();
     const httplib::Result answer = client.Get("/health");
-    return answer && answer->status == statusOk;
+    if (answer) {
+        return answer->status == statusOk ? ProbeResult::Healthy : ProbeResult::Unresponsive;
+    }
+    // A refused connection fails at once; one that can't be made for other reasons takes the whole timeout.
+    const bool refused = answer.error() == httplib::Error::Connection && absl::Now() - start < timeout;
+    return refused ? ProbeResult::Refused : ProbeResult::Unresponsive;
 }
 
 std::unique_ptr<httplib::Client> UpstreamClient::acquire(const std::string &address)
--- a/src/UpstreamClient.h
+++ b/src/UpstreamClient.h
@@ -12,6 +12,8 @@
 
 #include <absl/time/time.h>
 
+#include "CallOutcome.h"
+
 namespace httplib {
 class Client;
 }
@@ -31,20 +33,6 @@
     bool operator==(const UpstreamCall &) const = default;
 };
 
-/** How a call ended. */
-enum class CallOutcome {
-    /** The whole response arrived. */
-    Completed,
-    /** No byte left this host. */
-    NotSent,
-    /** The connection broke before the response was complete; the upstream may have run the request. */
-    Broken,
-    /** Nothing arrived for the silence timeout; the upstream may have run the request. */
-    Silent,
-    /** Cancelled by this host. */
-    Cancelled,
-};
-
 struct CallResult {
     CallOutcome outcome = CallOutcome::NotSent;
     int status = 0;
@@ -55,22 +43,31 @@
     bool operator==(const CallResult &) const = default;
 };
 
-/** Cancels a call from another thread. One token serves one call. */
+/** What a new connection to an upstream shows. */
+enum class ProbeResult {
+    Healthy,
+    /** Nothing listens at the address: the process is gone. */
+    Refused,
+    /** No usable answer within the timeout. */
+    Unresponsive,
+};
+
+/** Cancels what one piece of work is doing, from another thread. */
 class CallCancellation
 {
 public:
-    /** Closes the call's connection; a call that has not started yet won't be sent. */
+    /** Ends the running call; a call that has not started yet won't be sent. */
     void cancel();
     [[nodiscard]] bool cancelled() const;
 
-private:
-    friend class UpstreamClient;
-
-    bool attach(httplib::Client *running);
+    /** Makes cancel() run @p action until detach(); returns false when it has been cancelled already. */
+    bool attach(std::function<void()> action);
+    /** After it returns, the action neither runs nor will run. */
     void detach();
 
+private:
     mutable std::mutex mutex;
-    httplib::Client *client = nullptr;
+    std::function<void()> action;
     bool requested = false;
 };
 
@@ -94,8 +91,8 @@
     CallResult call(const std::string &address, const UpstreamCall &call, CallCancellation &cancellation);
     /** Runs a call and passes the body on as it arrives. */
     CallResult stream(const std::string &address, const UpstreamCall &call, CallCancellation &cancellation, const Receiver &receiver);
-    /** Whether the upstream answers GET /health on a new connection within @p timeout. */
-    bool probe(const std::string &address, absl::Duration timeout);
+    /** Asks for GET /health on a new connection. */
+    ProbeResult probe(const std::string &address, absl::Duration timeout);
 
 private:
     std::unique_ptr<httplib::Client> acquire(const std::string &address);
--- /dev/null
+++ b/test/core/AttemptPolicyTest.cpp
@@ -0,0 +1,68 @@
+#include "AttemptPolicy.h"
+
+#include <gtest/gtest.h>
+#include <rapidcheck.h>
+
+namespace Bergamotramp {
+
+namespace {
+
+AttemptFacts arbitraryFacts()
+{
+    AttemptFacts facts;
+    facts.outcome = *rc::gen::element(CallOutcome::Completed, CallOutcome::NotSent, CallOutcome::Broken, CallOutcome::Silent, CallOutcome::Cancelled);
+    facts.status = *rc::gen::element(0, 200, 400, 429, 500, 503);
+    facts.idempotent = *rc::gen::arbitrary<bool>();
+    facts.attempts = *rc::gen::inRange(1, 5);
+    facts.maxAttempts = *rc::gen::inRange(1, 5);
+    facts.timeLeft = *rc::gen::arbitrary<bool>();
+    facts.budgetLeft = *rc::gen::arbitrary<bool>();
+    facts.earlierMayHaveRun = *rc::gen::arbitrary<bool>();
+    return facts;
+}
+
+// Guards against a non-idempotent request that is sent a second time after it may have run.
+TEST(AttemptPolicyTest, nonIdempotentWorkIsRepeatedOnlyWhenNothingWasSent)
+{
+    EXPECT_TRUE(rc::check([] {
+        AttemptFacts facts = arbitraryFacts();
+        facts.idempotent = false;
+        if (judgeAttempt(facts) == AttemptVerdict::Retry) {
+            RC_ASSERT(facts.outcome == CallOutcome::NotSent);
+        }
+    }));
+}
+
+// Guards against a refusal that says "not run" although an attempt may have reached an upstream.
+TEST(AttemptPolicyTest, notRunIsOnlySaidWhenNoAttemptWasSent)
+{
+    EXPECT_TRUE(rc::check([] {
+        const AttemptFacts facts = arbitraryFacts();
+        if (judgeAttempt(facts) == AttemptVerdict::FailNotRun) {
+            RC_ASSERT(facts.outcome == CallOutcome::NotSent);
+            RC_ASSERT(!facts.earlierMayHaveRun);
+        }
+    }));
+}
+
+// Guards against retries past the deadline, the limit on attempts or the budget.
+TEST(AttemptPolicyTest, noRetryPastALimit)
+{
+    EXPECT_TRUE(rc::check([] {
+        const AttemptFacts facts = arbitraryFacts();
+        if (judgeAttempt(facts) == AttemptVerdict::Retry) {
+            RC_ASSERT(facts.timeLeft && facts.budgetLeft && facts.attempts < facts.maxAttempts);
+        }
+    }));
+}
+
+TEST(AttemptPolicyTest, errorOfUpstreamIsPassedOnWhenNothingElseIsLeft)
+{
+    EXPECT_EQ(judgeAttempt({CallOutcome::Completed, 500, true, 3, 3, true, true, false}), AttemptVerdict::Answer);
+    EXPECT_EQ(judgeAttempt({CallOutcome::Completed, 500, true, 1, 3, true, true, false}), AttemptVerdict::Retry);
+    EXPECT_EQ(judgeAttempt({CallOutcome::Completed, 404, true, 1, 3, true, true, false}), AttemptVerdict::Answer);
+}
+
+} // namespace
+
+} // namespace Bergamotramp
