Wait for the HTTP listener before start() returns

A stop() that came before the accept loop ran had no effect, and the join after it never ended: CallerServerTest.addressInUseIsNamed hung on that race. start() now returns once the loop runs.

--- a/src/AdminServer.cpp
+++ b/src/AdminServer.cpp
@@ -49,7 +49,7 @@
 void AdminServer::start(const std::string &address)
 {
     this->boundAddress = bindServer(*this->server, address);
-    this->thread = std::thread([this] { this->server->listen_after_bind(); });
+    this->thread = listenOnThread(*this->server);
 }
 
 const std::string &AdminServer::address() const
--- a/src/CallerServer.cpp
+++ b/src/CallerServer.cpp
@@ -180,7 +180,7 @@
 void CallerServer::start(const std::string &address)
 {
     this->boundAddress = bindServer(*this->server, address);
-    this->thread = std::thread([this] { this->server->listen_after_bind(); });
+    this->thread = listenOnThread(*this->server);
 }
 
 const std::string &CallerServer::address() const
--- a/src/HttpListener.cpp
+++ b/src/HttpListener.cpp
@@ -53,4 +53,14 @@
     return absl::StrCat(ip, ":", port);
 }
 
+std::thread listenOnThread(httplib::Server &server)
+{
+    std::thread thread([&server] { server.listen_after_bind(); });
+    // A stop() before the loop runs would have no effect, and joining the thread would then never end.
+    while (!server.is_running()) {
+        std::this_thread::sleep_for(std::chrono::milliseconds(1));
+    }
+    return thread;
+}
+
 } // namespace Bergamotramp
