Add stand-ins for the platform, model engines and plain services

The tests of the store client, of the upstream client and of whole hosts need outside systems that lose answers, refuse calls, crash and slow down on demand. The stand-ins run cpp-httplib's request handling on connections of their own, because cpp-httplib gives a handler no way to close a connection without an answer.

--- /dev/null
+++ b/test/http/UpstreamClientTest.cpp
@@ -0,0 +1,161 @@
+#include "UpstreamClient.h"
+
+#include <algorithm>
+#include <thread>
+
+#include <absl/strings/str_split.h>
+#include <absl/time/clock.h>
+#include <gtest/gtest.h>
+#include <nlohmann/json.hpp>
+
+#include "StandinEngine.h"
+#include "StandinText.h"
+
+namespace Bergamotramp {
+
+namespace {
+
+constexpr absl::Duration generous = absl::Seconds(30);
+constexpr const char *prompt = "the prompt";
+
+UpstreamCall completion(const std::string &text, std::int64_t tokens, const std::string &id = "attempt-1")
+{
+    UpstreamCall call;
+    call.path = "/v1/completions";
+    call.headers = {{"X-Request-Id", id}};
+    call.body = nlohmann::json{{"prompt", text}, {"max_tokens", tokens}, {"stream", true}}.dump();
+    call.silenceTimeout = generous;
+    return call;
+}
+
+/** The text of the events, and whether the end marker came. */
+std::pair<std::string, bool> textOf(const std::string &body)
+{
+    std::pair<std::string, bool> result;
+    const std::vector<std::string> lines = absl::StrSplit(body, '\n');
+    for (const std::string &line : lines) {
+        if (line == "data: [DONE]") {
+            result.second = true;
+        } else if (line.starts_with("data: ")) {
+            result.first += nlohmann::json::parse(line.substr(6)).at("choices").at(0).at("text").get<std::string>();
+        }
+    }
+    return result;
+}
+
+/** Waits for a condition that another thread brings about. */
+template <typename Condition>
+bool eventually(const Condition &condition)
+{
+    const absl::Time end = absl::Now() + generous;
+    while (!condition()) {
+        if (absl::Now() > end) {
+            return false;
+        }
+        absl::SleepFor(absl::Milliseconds(2));
+    }
+    return true;
+}
+
+class UpstreamClientTest : public testing::Test
+{
+protected:
+    StandinEngine engine;
+    UpstreamClient client{generous};
+    CallCancellation cancellation;
+};
+
+TEST_F(UpstreamClientTest, passesOnTheWholeStream)
+{
+    const CallResult result = this->client.call(this->engine.address(), completion(prompt, 20), this->cancellation);
+    EXPECT_EQ(result.outcome, CallOutcome::Completed);
+    EXPECT_EQ(result.status, 200);
+    EXPECT_EQ(result.contentType, "text/event-stream");
+    EXPECT_EQ(textOf(result.body), std::make_pair(standinAnswer(prompt, 20), true));
+}
+
+// Guards against a stream that counts as complete because its connection was closed.
+TEST_F(UpstreamClientTest, crashOfTheUpstreamBreaksOtherStreams)
+{
+    std::string body;
+    bool crashed = false;
+    const auto crashOnce = [&](std::string_view piece) {
+        body.append(piece);
+        if (!crashed) {
+            crashed = true;
+            CallCancellation other;
+            EXPECT_EQ(this->client.call(this->engine.address(), completion("[[crash]]", 5, "attempt-2"), other).outcome, CallOutcome::Broken);
+        }
+        return true;
+    };
+    const CallResult result =
+        this->client.stream(this->engine.address(), completion(prompt, 100'000), this->cancellation, UpstreamClient::Receiver{nullptr, crashOnce});
+    EXPECT_EQ(result.outcome, CallOutcome::Broken);
+    EXPECT_FALSE(textOf(body).second);
+}
+
+TEST_F(UpstreamClientTest, receiverCancelsTheStream)
+{
+    const UpstreamClient::Receiver refuse{nullptr, [](std::string_view) { return false; }};
+    const CallResult result = this->client.stream(this->engine.address(), completion(prompt, 100'000), this->cancellation, refuse);
+    EXPECT_EQ(result.outcome, CallOutcome::Cancelled);
+    EXPECT_TRUE(eventually([this] { return this->engine.counters().cancelled == 1 && this->engine.counters().running == 0; }));
+}
+
+// Guards against a hedged attempt that goes on running on its upstream after the other one has won.
+TEST_F(UpstreamClientTest, anotherThreadCancelsTheStream)
+{
+    std::thread canceller([this] {
+        EXPECT_TRUE(eventually([this] { return this->engine.counters().tokens > 0; }));
+        this->cancellation.cancel();
+    });
+    const CallResult result = this->client.call(this->engine.address(), completion(prompt, 100'000), this->cancellation);
+    canceller.join();
+    EXPECT_EQ(result.outcome, CallOutcome::Cancelled);
+    EXPECT_TRUE(eventually([this] { return this->engine.counters().cancelled == 1 && this->engine.counters().running == 0; }));
+}
+
+TEST_F(UpstreamClientTest, cancelledCallIsNotSent)
+{
+    this->cancellation.cancel();
+    EXPECT_EQ(this->client.call(this->engine.address(), completion(prompt, 5), this->cancellation).outcome, CallOutcome::Cancelled);
+    EXPECT_EQ(this->engine.counters().started, 0U);
+}
+
+// Guards against an answer that misses tokens after a stream has been resumed.
+TEST_F(UpstreamClientTest, resumedStreamSendsOnlyTheRest)
+{
+    std::string first;
+    const UpstreamClient::Receiver someTokens{nullptr, [&first](std::string_view piece) {
+                                                  first.append(piece);
+                                                  return std::count(first.begin(), first.end(), '\n') < 10;
+                                              }};
+    this->client.stream(this->engine.address(), completion(prompt, 50), this->cancellation, someTokens);
+    ASSERT_TRUE(eventually([this] { return this->engine.counters().cancelled == 1; }));
+    UpstreamCall resume = completion(prompt, 50, "attempt-2");
+    resume.headers.emplace_back("X-Resume-Stream", "attempt-1");
+    CallCancellation second;
+    const CallResult rest = this->client.call(this->engine.address(), resume, second);
+    EXPECT_EQ(rest.outcome, CallOutcome::Completed);
+    const auto [text, ended] = textOf(rest.body);
+    EXPECT_TRUE(ended);
+    EXPECT_TRUE(standinAnswer(prompt, 50).ends_with(text));
+    EXPECT_LT(text.size(), standinAnswer(prompt, 50).size());
+    EXPECT_EQ(this->client.call(this->engine.address(), resume, second).status, 409);
+}
+
+TEST_F(UpstreamClientTest, absentUpstreamGetsNothing)
+{
+    std::string address;
+    {
+        const StandinEngine gone;
+        address = gone.address();
+    }
+    EXPECT_EQ(this->client.call(address, completion(prompt, 5), this->cancellation).outcome, CallOutcome::NotSent);
+    EXPECT_FALSE(this->client.probe(address, generous));
+    EXPECT_TRUE(this->client.probe(this->engine.address(), generous));
+}
+
+} // namespace
+
+} // namespace Bergamotramp
--- /dev/null
+++ b/test/standin/StandinEngine.cpp
@@ -0,0 +1,387 @@
+#include "StandinEngine.h"
+
+#include <algorithm>
+
+#include <absl/strings/numbers.h>
+#include <absl/time/clock.h>
+
+#include "StandinText.h"
+
+namespace Bergamotramp {
+
+/** A running or cancelled stream. */
+struct StandinEngine::Stream {
+    std::string id;
+    std::string prompt;
+    std::int64_t maxTokens = 0;
+    std::int64_t produced = 0;
+    bool chat = false;
+    bool resumed = false;
+    bool holdsSlot = false;
+    bool finished = false;
+    absl::Time due;
+    EngineScheduler::Gone gone;
+};
+
+namespace {
+
+constexpr std::int64_t defaultMaxTokens = 16;
+constexpr std::size_t maxResumable = 1000;
+constexpr const char *okBody = R"({"status":"ok"})";
+
+void answerError(httplib::Response &response, int status, const std::string &message)
+{
+    answerJson(response, status, nlohmann::json{{"error", {{"message", message}}}}.dump());
+}
+
+nlohmann::json choiceOf(bool chat, bool whole, const std::string &text, bool last)
+{
+    nlohmann::json choice = {{"index", 0}, {"finish_reason", nullptr}};
+    if (last) {
+        choice["finish_reason"] = "stop";
+    }
+    if (!chat) {
+        choice["text"] = text;
+    } else if (whole) {
+        choice["message"] = {{"role", "assistant"}, {"content", text}};
+    } else {
+        choice["delta"] = text.empty() ? nlohmann::json::object() : nlohmann::json{{"content", text}};
+    }
+    return choice;
+}
+
+nlohmann::json usageOf(const std::string &prompt, std::int64_t tokens)
+{
+    const auto promptTokens = static_cast<std::int64_t>(prompt.size() / 4 + 1);
+    return {{"prompt_tokens", promptTokens}, {"completion_tokens", tokens}, {"total_tokens", promptTokens + tokens}};
+}
+
+std::string eventText(const nlohmann::json &json)
+{
+    return "data: " + json.dump() + "\n\n";
+}
+
+} // namespace
+
+StandinEngine::StandinEngine(StandinEngineSettings settings) : settings(std::move(settings)), scheduler(this->settings.speed), cache(this->settings.cacheBlocks)
+{
+    this->server = std::make_unique<StandinServer>(
+        this->settings.port,
+        [this](const httplib::Request &request, httplib::Response &response, StandinConnection &connection) { this->handle(request, response, connection); });
+}
+
+StandinEngine::~StandinEngine()
+{
+    this->scheduler.stop();
+    this->server->stop();
+}
+
+std::string StandinEngine::address() const
+{
+    return this->server->address();
+}
+
+StandinEngineCounters StandinEngine::counters()
+{
+    const EngineLoad load = this->scheduler.loadAt(absl::Now());
+    const std::int64_t peak = this->scheduler.maxRunning();
+    const std::lock_guard<std::mutex> lock(this->mutex);
+    StandinEngineCounters result = this->counts;
+    result.running = load.running;
+    result.waiting = load.waiting;
+    result.maxRunning = peak;
+    return result;
+}
+
+void StandinEngine::handle(const httplib::Request &request, httplib::Response &response, StandinConnection &connection)
+{
+    try {
+        const bool completion = request.path == "/v1/completions" || request.path == "/v1/chat/completions";
+        if (completion && request.method == "POST") {
+            this->handleCompletion(request, response, connection);
+        } else if (request.path == "/admin/orders" && request.method == "POST") {
+            this->handleOrder(request, response);
+        } else if (request.path == "/control" && request.method == "POST") {
+            this->setControl(request.body);
+            answerJson(response, 200, "{}");
+        } else {
+            this->handleReport(request, response);
+        }
+    } catch (const nlohmann::json::exception &error) {
+        answerError(response, 400, error.what());
+    }
+}
+
+void StandinEngine::handleReport(const httplib::Request &request, httplib::Response &response)
+{
+    if (request.path == "/health") {
+        answerJson(response, 200, okBody);
+    } else if (request.path == "/load") {
+        answerJson(response, 200, this->loadJson());
+    } else if (request.path == "/cache-events") {
+        std::uint64_t since = 0;
+        answerJson(response, 200, this->cacheEventsJson(absl::SimpleAtoi(request.get_param_value("since"), &since) ? since : 0));
+    } else if (request.path == "/control/counters") {
+        answerJson(response, 200, this->countersJson());
+    } else if (request.path == "/control/orders") {
+        const std::lock_guard<std::mutex> lock(this->mutex);
+        answerJson(response, 200, this->orders.dump());
+    } else {
+        answerError(response, 404, "no such path");
+    }
+}
+
+void StandinEngine::handleCompletion(const httplib::Request &request, httplib::Response &response, StandinConnection &connection)
+{
+    const nlohmann::json body = nlohmann::json::parse(request.body);
+    const StreamPointer stream = this->openStream(request, body, response);
+    if (!stream) {
+        return;
+    }
+    stream->gone = [&connection] { return connection.peerClosed(); };
+    if (!this->begin(*stream)) {
+        this->cancel(*stream);
+        connection.drop();
+        return;
+    }
+    if (stream->prompt.find(crashMarker) != std::string::npos) {
+        this->cancel(*stream);
+        this->crash();
+        return;
+    }
+    if (stream->prompt.find(failMarker) != std::string::npos) {
+        this->finish(*stream);
+        answerError(response, 500, "the prompt asks for a failure");
+        return;
+    }
+    if (body.value("stream", false)) {
+        this->answerStream(stream, response);
+    } else {
+        this->answerWhole(*stream, response);
+        if (!stream->finished) {
+            connection.drop();
+        }
+    }
+}
+
+StandinEngine::StreamPointer StandinEngine::openStream(const httplib::Request &request, const nlohmann::json &body, httplib::Response &response)
+{
+    const std::lock_guard<std::mutex> lock(this->mutex);
+    if (this->refuse) {
+        answerError(response, 503, "refused");
+        return nullptr;
+    }
+    auto stream = std::make_shared<Stream>();
+    const std::string resumeId = request.get_header_value("X-Resume-Stream");
+    if (resumeId.empty()) {
+        stream->prompt = standinPrompt(body);
+        stream->maxTokens = body.value("max_tokens", defaultMaxTokens);
+    } else {
+        const auto found = std::find_if(this->resumable.begin(), this->resumable.end(), [&](const auto &kept) { return kept.second.id == resumeId; });
+        if (found == this->resumable.end() || found->first < absl::Now()) {
+            answerError(response, 409, "the stream's state is gone");
+            return nullptr;
+        }
+        *stream = std::move(found->second);
+        this->resumable.erase(found);
+        stream->resumed = true;
+        ++this->counts.resumed;
+    }
+    stream->id = request.get_header_value("X-Request-Id");
+    stream->chat = request.path == "/v1/chat/completions";
+    ++this->counts.started;
+    return stream;
+}
+
+bool StandinEngine::begin(Stream &stream)
+{
+    if (!this->scheduler.admit(stream.gone)) {
+        return false;
+    }
+    stream.holdsSlot = true;
+    std::size_t uncached = 0;
+    if (!stream.resumed) {
+        const std::lock_guard<std::mutex> lock(this->mutex);
+        uncached = stream.prompt.size() - this->cache.store(stream.prompt, absl::Now());
+    }
+    stream.due = absl::Now() + this->scheduler.promptTime(uncached);
+    return this->scheduler.waitUntil(stream.due, stream.gone);
+}
+
+bool StandinEngine::produce(Stream &stream, std::string &text)
+{
+    stream.due = this->scheduler.nextToken(stream.due);
+    if (!this->scheduler.waitUntil(stream.due, stream.gone)) {
+        return false;
+    }
+    text = standinToken(stream.prompt, stream.produced);
+    ++stream.produced;
+    const std::lock_guard<std::mutex> lock(this->mutex);
+    ++this->counts.tokens;
+    return true;
+}
+
+// The slot is free before the client sees the end, so that a client that sends its next request at once finds it.
+void StandinEngine::finish(Stream &stream)
+{
+    stream.finished = true;
+    stream.holdsSlot = false;
+    this->scheduler.release();
+    const std::lock_guard<std::mutex> lock(this->mutex);
+    ++this->counts.finished;
+}
+
+void StandinEngine::cancel(const Stream &stream)
+{
+    if (stream.holdsSlot) {
+        this->scheduler.release();
+    }
+    const std::lock_guard<std::mutex> lock(this->mutex);
+    ++this->counts.cancelled;
+    if (stream.id.empty()) {
+        return;
+    }
+    Stream kept = stream;
+    kept.gone = nullptr;
+    kept.holdsSlot = false;
+    this->resumable.emplace_back(absl::Now() + this->settings.resumeRetention, std::move(kept));
+    if (this->resumable.size() > maxResumable) {
+        this->resumable.pop_front();
+    }
+}
+
+void StandinEngine::answerStream(const StreamPointer &stream, httplib::Response &response)
+{
+    const auto provide = [this, stream](std::size_t, httplib::DataSink &sink) {
+        if (stream->produced >= stream->maxTokens) {
+            this->finish(*stream);
+            const std::string end = eventText({{"id", stream->id},
+                                               {"choices", nlohmann::json::array({choiceOf(stream->chat, false, "", true)})},
+                                               {"usage", usageOf(stream->prompt, stream->produced)}})
+                                    + "data: [DONE]\n\n";
+            sink.write(end.data(), end.size());
+            sink.done();
+            return true;
+        }
+        std::string text;
+        if (!this->produce(*stream, text)) {
+            return false;
+        }
+        const std::string event = eventText(
+            {{"id", stream->id}, {"choices", nlohmann::json::array({choiceOf(stream->chat, false, text, false)})}, {"token_index", stream->produced - 1}});
+        return sink.write(event.data(), event.size());
+    };
+    response.status = 200;
+    response.set_chunked_content_provider("text/event-stream", provide, [this, stream](bool) {
+        if (!stream->finished) {
+            this->cancel(*stream);
+        }
+    });
+}
+
+void StandinEngine::answerWhole(Stream &stream, httplib::Response &response)
+{
+    std::string answer;
+    std::string text;
+    while (stream.produced < stream.maxTokens) {
+        if (!this->produce(stream, text)) {
+            this->cancel(stream);
+            return;
+        }
+        answer += text;
+    }
+    this->finish(stream);
+    const nlohmann::json body = {
+        {"id", stream.id}, {"choices", nlohmann::json::array({choiceOf(stream.chat, true, answer, true)})}, {"usage", usageOf(stream.prompt, stream.produced)}};
+    answerJson(response, 200, body.dump());
+}
+
+void StandinEngine::handleOrder(const httplib::Request &request, httplib::Response &response)
+{
+    std::int64_t token = 0;
+    const bool hasToken = absl::SimpleAtoi(request.get_header_value("X-Fencing-Token"), &token);
+    const nlohmann::json order = nlohmann::json::parse(request.body);
+    const std::lock_guard<std::mutex> lock(this->mutex);
+    const bool stale = this->settings.honourFencing && (!hasToken || token < this->highestToken);
+    this->highestToken = std::max(this->highestToken, token);
+    this->orders.push_back({{"token", token}, {"order", order}, {"accepted", !stale}});
+    if (stale) {
+        answerError(response, 409, "the fencing token is stale");
+    } else {
+        answerJson(response, 200, okBody);
+    }
+}
+
+void StandinEngine::crash()
+{
+    {
+        const std::lock_guard<std::mutex> lock(this->mutex);
+        ++this->counts.crashes;
+    }
+    if (this->settings.onCrash) {
+        this->settings.onCrash();
+    }
+    this->server->dropConnections();
+}
+
+void StandinEngine::setControl(const std::string &body)
+{
+    const nlohmann::json json = nlohmann::json::parse(body);
+    this->scheduler.change([&json](EngineSpeed &speed) {
+        speed.slowFactor = json.value("slowFactor", speed.slowFactor);
+        speed.slots = json.value("slots", speed.slots);
+        speed.growth = json.value("growth", speed.growth);
+        speed.tokenInterval = absl::Microseconds(json.value("tokenIntervalUs", absl::ToInt64Microseconds(speed.tokenInterval)));
+        speed.promptByte = absl::Microseconds(json.value("promptByteUs", absl::ToInt64Microseconds(speed.promptByte)));
+    });
+    const auto milliseconds = [&json](const char *key, absl::Duration &value) {
+        value = absl::Milliseconds(json.value(key, absl::ToInt64Milliseconds(value)));
+    };
+    const std::lock_guard<std::mutex> lock(this->mutex);
+    this->refuse = json.value("refuse", this->refuse);
+    this->settings.honourFencing = json.value("honourFencing", this->settings.honourFencing);
+    this->settings.eventGap = json.value("eventGap", this->settings.eventGap);
+    milliseconds("loadLagMs", this->settings.loadLag);
+    milliseconds("eventLagMs", this->settings.eventLag);
+    milliseconds("resumeRetentionMs", this->settings.resumeRetention);
+}
+
+std::string StandinEngine::cacheEventsJson(std::uint64_t since)
+{
+    const std::lock_guard<std::mutex> lock(this->mutex);
+    nlohmann::json events = nlohmann::json::array();
+    std::uint64_t next = since;
+    for (const CacheEvent &event : this->cache.events(since, absl::Now() - this->settings.eventLag, this->settings.eventGap)) {
+        events.push_back({{"sequence", event.sequence}, {"kind", event.stored ? "stored" : "evicted"}, {"block", event.block}});
+        next = event.sequence;
+    }
+    return nlohmann::json{{"events", events}, {"next", next}}.dump();
+}
+
+std::string StandinEngine::loadJson()
+{
+    absl::Duration lag;
+    {
+        const std::lock_guard<std::mutex> lock(this->mutex);
+        lag = this->settings.loadLag;
+    }
+    const EngineLoad load = this->scheduler.loadAt(absl::Now() - lag);
+    return nlohmann::json{{"running", load.running}, {"waiting", load.waiting}, {"slots", this->scheduler.current().slots}}.dump();
+}
+
+std::string StandinEngine::countersJson()
+{
+    const StandinEngineCounters current = this->counters();
+    return nlohmann::json{{"started", current.started},
+                          {"finished", current.finished},
+                          {"cancelled", current.cancelled},
+                          {"resumed", current.resumed},
+                          {"crashes", current.crashes},
+                          {"tokens", current.tokens},
+                          {"running", current.running},
+                          {"waiting", current.waiting},
+                          {"maxRunning", current.maxRunning}}
+        .dump();
+}
+
+} // namespace Bergamotramp
