Resume cancelled streams after the last received token

A cancelled stream may have sent tokens that never arrived; resuming after the last one sent would leave a hole in the answer. The host names the tokens it has with X-Resume-From. The probe now tells a refused connection from a silent one, and its test checks which.

--- a/test/http/UpstreamClientTest.cpp
+++ b/test/http/UpstreamClientTest.cpp
@@ -152,8 +152,8 @@
         address = gone.address();
     }
     EXPECT_EQ(this->client.call(address, completion(prompt, 5), this->cancellation).outcome, CallOutcome::NotSent);
-    EXPECT_FALSE(this->client.probe(address, generous));
-    EXPECT_TRUE(this->client.probe(this->engine.address(), generous));
+    EXPECT_EQ(this->client.probe(address, generous), ProbeResult::Refused);
+    EXPECT_EQ(this->client.probe(this->engine.address(), generous), ProbeResult::Healthy);
 }
 
 } // namespace
--- a/test/standin/StandinEngine.cpp
+++ b/test/standin/StandinEngine.cpp
@@ -185,6 +185,11 @@
         *stream = std::move(found->second);
         this->resumable.erase(found);
         stream->resumed = true;
+        // Tokens that were sent but never received have to be sent again.
+        const std::string received = request.get_header_value("X-Resume-From");
+        if (!received.empty()) {
+            stream->produced = std::min<std::int64_t>(stream->produced, std::atoll(received.c_str()));
+        }
         ++this->counts.resumed;
     }
     stream->id = request.get_header_value("X-Request-Id");
