Bind HTTP addresses before serving them

A host tells its peers the addresses it has bound, which are known only after the bind when the settings ask for a free port.

--- a/src/AdminServer.cpp
+++ b/src/AdminServer.cpp
@@ -46,9 +46,13 @@
     this->stop();
 }
 
-void AdminServer::start(const std::string &address)
+void AdminServer::bind(const std::string &address)
 {
     this->boundAddress = bindServer(*this->server, address);
+}
+
+void AdminServer::start()
+{
     this->thread = listenOnThread(*this->server);
 }
 
--- a/src/AdminServer.h
+++ b/src/AdminServer.h
@@ -33,8 +33,10 @@
     AdminServer(const AdminServer &) = delete;
     AdminServer &operator=(const AdminServer &) = delete;
 
-    /** Binds "IP:port" (port 0 for a free one) and serves; throws ServerError. */
-    void start(const std::string &address);
+    /** Binds "IP:port" (port 0 for a free one); throws ServerError. */
+    void bind(const std::string &address);
+    /** Serves the bound address on threads of its own. */
+    void start();
     [[nodiscard]] const std::string &address() const;
     void stop();
 
--- a/src/CallerServer.cpp
+++ b/src/CallerServer.cpp
@@ -177,9 +177,13 @@
     this->stop();
 }
 
-void CallerServer::start(const std::string &address)
+void CallerServer::bind(const std::string &address)
 {
     this->boundAddress = bindServer(*this->server, address);
+}
+
+void CallerServer::start()
+{
     this->thread = listenOnThread(*this->server);
 }
 
--- a/src/CallerServer.h
+++ b/src/CallerServer.h
@@ -103,8 +103,10 @@
     CallerServer(const CallerServer &) = delete;
     CallerServer &operator=(const CallerServer &) = delete;
 
-    /** Binds "IP:port" (port 0 for a free one) and serves on threads of its own; throws ServerError. */
-    void start(const std::string &address);
+    /** Binds "IP:port" (port 0 for a free one); throws ServerError. */
+    void bind(const std::string &address);
+    /** Serves the bound address on threads of its own. */
+    void start();
     [[nodiscard]] const std::string &address() const;
     /** Requests in progress. */
     [[nodiscard]] int active() const;
--- a/test/http/CallerServerTest.cpp
+++ b/test/http/CallerServerTest.cpp
@@ -19,7 +19,8 @@
     void start(CallerServer::Hooks hooks, std::size_t connections = 8)
     {
         this->server = std::make_unique<CallerServer>(CallerServer::Limits{bodyLimit, jobLimit, connections}, std::move(hooks));
-        this->server->start("127.0.0.1:0");
+        this->server->bind("127.0.0.1:0");
+        this->server->start();
     }
     [[nodiscard]] httplib::Client client() const
     {
@@ -131,7 +132,7 @@
 {
     this->start(echoHooks());
     CallerServer second({bodyLimit, jobLimit, 4}, echoHooks());
-    EXPECT_THROW(second.start(this->server->address()), ServerError);
+    EXPECT_THROW(second.bind(this->server->address()), ServerError);
 }
 
 } // namespace
