Add the fault proxy

A TCP proxy with a route per link that can delay, limit, cut, freeze, lose one direction or drop an answer, set at run time. The port of a cut route is kept by a bound socket that never listens, so that nothing else takes it before the route is restored. One-way loss holds the bytes back, as TCP retransmits them once the link works again.

--- a/test/http/UpstreamClientTest.cpp
+++ b/test/http/UpstreamClientTest.cpp
@@ -8,6 +8,7 @@
 #include <gtest/gtest.h>
 #include <nlohmann/json.hpp>
 
+#include "FaultProxy.h"
 #include "StandinEngine.h"
 #include "StandinText.h"
 
@@ -156,6 +157,88 @@
     EXPECT_EQ(this->client.probe(this->engine.address(), generous), ProbeResult::Healthy);
 }
 
+class ProxiedUpstreamClientTest : public UpstreamClientTest
+{
+protected:
+    void setFaults(const std::function<void(RouteFaults &)> &change)
+    {
+        RouteFaults faults = this->proxy.faults("engine");
+        change(faults);
+        this->proxy.setFaults("engine", faults);
+    }
+
+    FaultProxy proxy;
+    std::string address = this->proxy.addRoute("engine", this->engine.address());
+};
+
+TEST_F(ProxiedUpstreamClientTest, reusesItsConnection)
+{
+    for (int number = 0; number < 3; ++number) {
+        const CallResult result = this->client.call(this->address, completion(prompt, 3), this->cancellation);
+        EXPECT_EQ(textOf(result.body), std::make_pair(standinAnswer(prompt, 3), true));
+    }
+    EXPECT_EQ(this->proxy.counters("engine").connections, 1U);
+}
+
+// Guards against a connection that went silent being mistaken for a broken one, or for an upstream that is gone.
+TEST_F(ProxiedUpstreamClientTest, frozenConnectionIsSilentWhileNewOnesWork)
+{
+    UpstreamCall call = completion(prompt, 100'000);
+    call.silenceTimeout = absl::Milliseconds(200);
+    const UpstreamClient::Receiver freezeAtOnce{nullptr, [this](std::string_view) {
+                                                    this->proxy.freeze("engine", RouteFreeze::Existing);
+                                                    return true;
+                                                }};
+    EXPECT_EQ(this->client.stream(this->address, call, this->cancellation, freezeAtOnce).outcome, CallOutcome::Silent);
+    EXPECT_EQ(this->client.probe(this->address, generous), ProbeResult::Healthy);
+    CallCancellation second;
+    EXPECT_EQ(this->client.call(this->address, completion(prompt, 3), second).outcome, CallOutcome::Completed);
+}
+
+// Guards against a request whose answer was lost being reported as not run.
+TEST_F(ProxiedUpstreamClientTest, droppedAnswerIsBroken)
+{
+    this->setFaults([](RouteFaults &faults) { faults.dropAnswers = 1; });
+    EXPECT_EQ(this->client.call(this->address, completion(prompt, 3), this->cancellation).outcome, CallOutcome::Broken);
+    EXPECT_EQ(this->engine.counters().started, 1U);
+    EXPECT_EQ(this->client.call(this->address, completion(prompt, 3), this->cancellation).outcome, CallOutcome::Completed);
+}
+
+TEST_F(ProxiedUpstreamClientTest, cutRouteRefusesUntilItIsRestored)
+{
+    const UpstreamClient::Receiver cutAtOnce{nullptr, [this](std::string_view) {
+                                                 this->setFaults([](RouteFaults &faults) { faults.cut = true; });
+                                                 return true;
+                                             }};
+    EXPECT_EQ(this->client.stream(this->address, completion(prompt, 100'000), this->cancellation, cutAtOnce).outcome, CallOutcome::Broken);
+    EXPECT_EQ(this->client.call(this->address, completion(prompt, 3), this->cancellation).outcome, CallOutcome::NotSent);
+    this->setFaults([](RouteFaults &faults) { faults.cut = false; });
+    EXPECT_EQ(this->client.call(this->address, completion(prompt, 3), this->cancellation).outcome, CallOutcome::Completed);
+}
+
+TEST_F(ProxiedUpstreamClientTest, oneWayLossIsSilent)
+{
+    this->setFaults([](RouteFaults &faults) { faults.lossToClient = true; });
+    UpstreamCall call = completion(prompt, 3);
+    call.silenceTimeout = absl::Milliseconds(200);
+    EXPECT_EQ(this->client.call(this->address, call, this->cancellation).outcome, CallOutcome::Silent);
+    EXPECT_TRUE(eventually([this] { return this->engine.counters().started == 1; }));
+}
+
+// Guards against a proxy that damages what it delays or slows down.
+TEST_F(ProxiedUpstreamClientTest, slowRouteKeepsTheAnswerWhole)
+{
+    this->proxy.addRoute("slow", this->engine.address(), 0, "region");
+    this->proxy.setGroupLimit("region", 200'000);
+    this->setFaults([](RouteFaults &faults) {
+        faults.delayToTarget = absl::Milliseconds(12);
+        faults.delayToClient = absl::Milliseconds(12);
+        faults.bytesPerSecond = 100'000;
+    });
+    const CallResult result = this->client.call(this->address, completion(prompt, 200), this->cancellation);
+    EXPECT_EQ(textOf(result.body), std::make_pair(standinAnswer(prompt, 200), true));
+}
+
 } // namespace
 
 } // namespace Bergamotramp
--- a/test/standin/StandinEngine.cpp
+++ b/test/standin/StandinEngine.cpp
@@ -188,7 +188,7 @@
         // Tokens that were sent but never received have to be sent again.
         const std::string received = request.get_header_value("X-Resume-From");
         if (!received.empty()) {
-            stream->produced = std::min<std::int64_t>(stream->produced, std::atoll(received.c_str()));
+            stream->produced = std::min<std::int64_t>(stream->produced, std::strtoll(received.c_str(), nullptr, 10));
         }
         ++this->counts.resumed;
     }
