Add the command line: publish, state, jobs and requests

Operators and callers need one program that publishes service files, shows the state of the system and sends jobs and requests. Exit codes tell a failure from a conflict, an unreachable system and an unknown outcome, so that scripts can react.

--- /dev/null
+++ b/apps/bergamotramp.cpp
@@ -0,0 +1,12 @@
+#include <iostream>
+
+#include <unistd.h>
+
+#include "Cli.h"
+
+int main(int argc, char **argv)
+{
+    const std::vector<std::string> arguments(argv + 1, argv + argc);
+    const Bergamotramp::CliEnvironment environment{std::cout, std::cerr, isatty(STDOUT_FILENO) != 0, {}};
+    return Bergamotramp::runCli(arguments, environment);
+}
--- /dev/null
+++ b/src/EntryDirectory.cpp
@@ -0,0 +1,107 @@
+#include "EntryDirectory.h"
+
+#include <algorithm>
+
+#include <absl/strings/str_cat.h>
+#include <absl/strings/str_join.h>
+#include <absl/time/clock.h>
+#include <nlohmann/json.hpp>
+
+#include "CliError.h"
+
+namespace Bergamotramp {
+
+namespace {
+
+constexpr absl::Duration answerTimeout = absl::Seconds(3);
+constexpr absl::Duration refreshRetryPeriod = absl::Seconds(1);
+constexpr std::int64_t defaultTimeToLiveMs = 15'000;
+constexpr int statusOk = 200;
+
+std::vector<std::string> parseEntries(const nlohmann::json &answer)
+{
+    std::vector<std::string> entries;
+    for (const nlohmann::json &entry : answer.at("entries")) {
+        entries.push_back(entry.at("address"));
+    }
+    return entries;
+}
+
+} // namespace
+
+EntryDirectory::EntryDirectory(std::vector<std::string> seeds, absl::Duration connectTimeout) : seeds(std::move(seeds)), client(connectTimeout)
+{
+}
+
+std::vector<std::string> EntryDirectory::addresses()
+{
+    if (this->beginRefresh()) {
+        this->refresh();
+    }
+    const std::lock_guard<std::mutex> lock(this->mutex);
+    if (this->entries.empty()) {
+        throw CliError(ExitCode::Unreachable, absl::StrCat("none of these entries answers /v1/entries: ", absl::StrJoin(this->seeds, ", ")));
+    }
+    return this->entries;
+}
+
+// Only one thread reads the list again; the others go on with the expired one.
+bool EntryDirectory::beginRefresh()
+{
+    const std::lock_guard<std::mutex> lock(this->mutex);
+    const bool expired = absl::Now() >= this->expiry;
+    if (!expired || (this->refreshing && !this->entries.empty())) {
+        return false;
+    }
+    this->refreshing = true;
+    return true;
+}
+
+void EntryDirectory::refresh()
+{
+    std::vector<std::string> candidates;
+    {
+        const std::lock_guard<std::mutex> lock(this->mutex);
+        candidates = this->entries;
+    }
+    for (const std::string &seed : this->seeds) {
+        if (std::find(candidates.begin(), candidates.end(), seed) == candidates.end()) {
+            candidates.push_back(seed);
+        }
+    }
+    const bool found = std::any_of(candidates.begin(), candidates.end(), [this](const std::string &host) { return this->readFrom(host); });
+    const std::lock_guard<std::mutex> lock(this->mutex);
+    this->refreshing = false;
+    if (!found) {
+        this->expiry = absl::Now() + refreshRetryPeriod;
+    }
+}
+
+bool EntryDirectory::readFrom(const std::string &host)
+{
+    UpstreamCall call;
+    call.method = "GET";
+    call.path = "/v1/entries";
+    call.silenceTimeout = answerTimeout;
+    CallCancellation cancellation;
+    const CallResult result = this->client.call(host, call, cancellation);
+    if (result.outcome != CallOutcome::Completed || result.status != statusOk) {
+        return false;
+    }
+    try {
+        const nlohmann::json answer = nlohmann::json::parse(result.body);
+        std::vector<std::string> listed = parseEntries(answer);
+        const std::int64_t timeToLive = answer.value("ttl_ms", defaultTimeToLiveMs);
+        if (listed.empty()) {
+            return false;
+        }
+        const std::lock_guard<std::mutex> lock(this->mutex);
+        this->entries = std::move(listed);
+        this->expiry = absl::Now() + absl::Milliseconds(timeToLive);
+        return true;
+    } catch (const nlohmann::json::exception &) {
+        return false;
+    }
+}
+
+} // namespace Bergamotramp
