--- a/src/HostContext.h
+++ b/src/HostContext.h
@@ -7,29 +7,16 @@
 #include <vector>
 
 #include "ConfigState.h"
+#include "HostInfo.h"
 #include "HostSettings.h"
 
-namespace Bergamotramp
-{
+namespace Bergamotramp {
 
 class EventLog;
 class StoreClient;
 class TimerService;
 class Transport;
 
-/** A host as the services of another host see it. */
-struct HostInfo {
-    std::string name;
-    std::uint64_t incarnation = 0;
-    std::string region;
-    std::string dataCentre;
-    std::string callerAddress;
-    std::string peerAddress;
-    std::string adminAddress;
-
-    bool operator==(const HostInfo &) const = default;
-};
-
 /** What the services of one host share. The owner of the context outlives the services. */
 struct HostContext {
     HostSettings settings;
