Add Membership, a SWIM state machine with suspicion and healing

Claims are ordered by incarnation and state, so merging them is independent of order and duplication. Dead members are probed at a low rate and told what is believed of them, which lets healed partitions merge. A member called dead in a digest is not removed on that word alone, because the digest may come from the other side of a partition.

--- /dev/null
+++ b/src/Membership.cpp
@@ -0,0 +1,576 @@
+#include "Membership.h"
+
+#include <algorithm>
+#include <cmath>
+
+namespace Bergamotramp {
+
+namespace {
+
+// Sends of one update by each host: 3 * log2(members + 1) reaches all members with high probability under loss.
+constexpr double sendsFactor = 3;
+constexpr std::size_t maxDigestsDue = 8;
+constexpr std::size_t maxRelays = 1024;
+constexpr std::size_t joinProbes = 3;
+// Digest pages carry no sequence, because they need no answer.
+constexpr std::uint64_t noSequence = 0;
+
+bool isLiveState(wire::MemberState state)
+{
+    return state == wire::MEMBER_STATE_ALIVE || state == wire::MEMBER_STATE_SUSPECT;
+}
+
+bool carriesOther(const google::protobuf::RepeatedPtrField<wire::MemberUpdate> &updates, const std::string &name, const MemberClaim &known)
+{
+    return std::any_of(updates.begin(), updates.end(), [&](const wire::MemberUpdate &update) { return update.name() == name && claimOf(update) != known; });
+}
+
+} // namespace
+
+Membership::Membership(HostInfo self, MembershipSettings settings, std::mt19937_64 random, absl::Time now)
+    : selfInfo(std::move(self)), settings(settings), random(random), now(now), lastTick(now), nextPeriod(now), nextDigest(now)
+{
+    this->queue.add(this->selfInfo.name);
+}
+
+MembershipActions Membership::tick(absl::Time now)
+{
+    this->now = now;
+    const absl::Duration gap = now - this->lastTick;
+    this->lastTick = now;
+    // After a pause the answers may still wait to be read, so no verdict is reached from the time that passed.
+    if (gap < absl::ZeroDuration() || gap > this->settings.period / 2) {
+        this->skipGap(gap);
+    }
+    this->expireSuspicions();
+    if (this->probe && !this->probe->acked && !this->probe->indirectSent && now >= this->probe->directDeadline) {
+        this->sendIndirectProbes();
+    }
+    if (now >= this->nextPeriod) {
+        this->startPeriod();
+    }
+    this->sendDigests();
+    return this->finish();
+}
+
+void Membership::skipGap(absl::Duration gap)
+{
+    const bool paused = gap > this->settings.period;
+    this->nextPeriod += gap;
+    this->nextDigest = std::min(this->nextDigest, this->now + this->settings.period * this->settings.digestPeriods);
+    if (paused) {
+        this->probe.reset();
+    } else if (this->probe) {
+        this->probe->directDeadline += gap;
+    }
+    for (auto &[name, member] : this->peers) {
+        if (member.suspicionEnds != absl::InfiniteFuture()) {
+            member.suspicionEnds = paused ? this->now + this->suspicionTimeout() : member.suspicionEnds + gap;
+        }
+    }
+}
+
+void Membership::startPeriod()
+{
+    this->nextPeriod = this->now + this->settings.period;
+    ++this->periods;
+    this->finishProbe();
+    this->forgetOldDead();
+    std::erase_if(this->relays, [this](const auto &relay) { return relay.second.expires <= this->now; });
+    this->startProbe();
+    // A host without live peers is joining or cut off and looks for others every period.
+    if (!this->probe || this->periods % this->settings.deadProbePeriods == 0) {
+        this->probeDead();
+    }
+}
+
+void Membership::finishProbe()
+{
+    if (!this->probe) {
+        return;
+    }
+    const Probe ended = *std::exchange(this->probe, std::nullopt);
+    Member *member = this->find(ended.target);
+    if (ended.acked || member == nullptr) {
+        return;
+    }
+    if (member->state == wire::MEMBER_STATE_ALIVE) {
+        this->changeState(*member, wire::MEMBER_STATE_SUSPECT);
+        // Carries the suspicion, so that a member that lives can refute it at once.
+        this->sendPing(*member, this->nextSequence++);
+    } else if (member->state == wire::MEMBER_STATE_LEAVING && member->suspicionEnds == absl::InfiniteFuture()) {
+        // A suspect state would hide that the member is leaving, so the suspicion stays local.
+        member->suspicionEnds = this->now + this->suspicionTimeout();
+    }
+}
+
+void Membership::startProbe()
+{
+    const std::string target = this->liveOrder.next([this](const std::string &name) { return !this->isDead(name); }, this->random);
+    const Member *member = this->find(target);
+    if (member == nullptr) {
+        return;
+    }
+    this->probe = Probe{target, this->nextSequence++, this->now + this->ackTimeout(*member), this->selfInfo.incarnation, false, false};
+    this->sendPing(*member, this->probe->sequence);
+}
+
+void Membership::probeDead()
+{
+    const std::string target = this->deadOrder.next([this](const std::string &name) { return this->isDead(name); }, this->random);
+    const Member *member = this->find(target);
+    if (member != nullptr) {
+        this->sendPing(*member, this->nextSequence++);
+    }
+}
+
+void Membership::sendIndirectProbes()
+{
+    this->probe->indirectSent = true;
+    const Member *target = this->find(this->probe->target);
+    if (target == nullptr) {
+        return;
+    }
+    std::vector<const Member *> helpers;
+    for (const auto &[name, member] : this->peers) {
+        if (member.state == wire::MEMBER_STATE_ALIVE && name != this->probe->target) {
+            helpers.push_back(&member);
+        }
+    }
+    std::shuffle(helpers.begin(), helpers.end(), this->random);
+    helpers.resize(std::min(helpers.size(), this->settings.indirectProbes));
+    for (const Member *helper : helpers) {
+        wire::Envelope envelope;
+        wire::PingRequest *request = envelope.mutable_ping_request();
+        request->set_sequence(this->probe->sequence);
+        request->set_target(this->probe->target);
+        // Gives the helper the target's address in case it has not heard of it.
+        *request->add_updates() = toUpdate(target->host, target->state);
+        this->addUpdates(request->mutable_updates(), *helper, false);
+        this->send(*helper, std::move(envelope));
+    }
+}
+
+void Membership::expireSuspicions()
+{
+    for (auto &[name, member] : this->peers) {
+        if (member.suspicionEnds <= this->now) {
+            this->changeState(member, wire::MEMBER_STATE_DEAD);
+        }
+    }
+}
+
+void Membership::forgetOldDead()
+{
+    for (auto peer = this->peers.begin(); peer != this->peers.end();) {
+        const Member &member = peer->second;
+        if (member.state != wire::MEMBER_STATE_DEAD || member.host.incarnation == 0 || this->now - member.since < this->settings.deadRetention) {
+            ++peer;
+            continue;
+        }
+        this->liveOrder.remove(peer->first);
+        this->deadOrder.remove(peer->first);
+        this->queue.remove(peer->first);
+        peer = this->peers.erase(peer);
+    }
+}
+
+void Membership::sendDigests()
+{
+    if (this->digestsDue.empty() || this->now < this->nextDigest) {
+        return;
+    }
+    const Member *member = this->find(this->digestsDue.front());
+    this->digestsDue.pop_front();
+    if (member != nullptr) {
+        this->nextDigest = this->now + this->settings.period * this->settings.digestPeriods;
+        this->sendDigest(*member);
+    }
+}
+
+void Membership::sendDigest(const Member &member)
+{
+    wire::Envelope envelope;
+    const auto add = [&](const HostInfo &host, wire::MemberState state) {
+        *envelope.mutable_ping()->add_updates() = toUpdate(host, state);
+        if (envelope.ping().updates_size() >= static_cast<int>(this->settings.digestPageSize)) {
+            this->send(member, std::move(envelope));
+            envelope = wire::Envelope();
+        }
+    };
+    add(this->selfInfo, this->selfState());
+    for (const auto &[name, peer] : this->peers) {
+        if (peer.host.incarnation > 0 && !peer.secondHand) {
+            add(peer.host, peer.state);
+        }
+    }
+    if (envelope.has_ping()) {
+        this->send(member, std::move(envelope));
+    }
+}
+
+MembershipActions Membership::ping(const std::string &from, const wire::Ping &message, absl::Time now)
+{
+    this->now = now;
+    const bool wasAbsent = !this->peers.contains(from) || this->isDead(from);
+    const bool digest = message.sequence() == noSequence;
+    this->mergeAll(message.updates(), digest);
+    const Member *member = this->find(from);
+    if (member != nullptr && !digest) {
+        wire::Envelope envelope;
+        wire::PingAck *ack = envelope.mutable_ping_ack();
+        ack->set_sequence(message.sequence());
+        ack->set_target(this->selfInfo.name);
+        const bool outdated = carriesOther(message.updates(), this->selfInfo.name, {this->selfInfo.incarnation, this->selfState()});
+        // A restarted host whose clock went back has to learn the incarnation of its earlier run.
+        if (member->state == wire::MEMBER_STATE_ALIVE && carriesOther(message.updates(), from, {member->host.incarnation, member->state})) {
+            *ack->add_updates() = toUpdate(member->host, member->state);
+        }
+        this->addUpdates(ack->mutable_updates(), *member, outdated || this->isLeaving());
+        this->send(*member, std::move(envelope));
+    }
+    this->noteContact(from, wasAbsent);
+    return this->finish();
+}
+
+MembershipActions Membership::ack(const std::string &from, const wire::PingAck &message, absl::Time now)
+{
+    this->now = now;
+    const bool wasAbsent = !this->peers.contains(from) || this->isDead(from);
+    this->mergeAll(message.updates(), false);
+    this->relayAck(from, message);
+    if (this->probe && this->probe->sequence == message.sequence() && this->probe->target == message.target()) {
+        this->probe->acked = true;
+        Member *target = this->find(this->probe->target);
+        if (target != nullptr && target->state == wire::MEMBER_STATE_LEAVING) {
+            target->suspicionEnds = absl::InfiniteFuture();
+        }
+        if (target != nullptr && from == this->probe->target) {
+            target->confirmedSelf = std::max(target->confirmedSelf, this->probe->selfIncarnation);
+        }
+    }
+    this->noteContact(from, wasAbsent);
+    return this->finish();
+}
+
+void Membership::relayAck(const std::string &from, const wire::PingAck &message)
+{
+    const auto relay = this->relays.find(message.sequence());
+    if (relay == this->relays.end() || relay->second.target != from) {
+        return;
+    }
+    if (const Member *requester = this->find(relay->second.requester)) {
+        wire::Envelope envelope;
+        envelope.mutable_ping_ack()->set_sequence(relay->second.requesterSequence);
+        envelope.mutable_ping_ack()->set_target(from);
+        this->addUpdates(envelope.mutable_ping_ack()->mutable_updates(), *requester, false);
+        this->send(*requester, std::move(envelope));
+    }
+    this->relays.erase(relay);
+}
+
+MembershipActions Membership::pingRequest(const std::string &from, const wire::PingRequest &message, absl::Time now)
+{
+    this->now = now;
+    this->mergeAll(message.updates(), false);
+    const Member *target = this->find(message.target());
+    if (target != nullptr && this->relays.size() < maxRelays) {
+        const std::uint64_t sequence = this->nextSequence++;
+        this->relays[sequence] = {from, message.sequence(), message.target(), now + this->settings.period};
+        this->sendPing(*target, sequence);
+    }
+    return this->finish();
+}
+
+MembershipActions Membership::hostList(const std::vector<HostNotice> &notices, absl::Time now)
+{
+    this->now = now;
+    std::set<std::string> listed;
+    for (const HostNotice &notice : notices) {
+        listed.insert(notice.host.name);
+        if (notice.host.name == this->selfInfo.name) {
+            this->noteSelfListed(notice.leaving);
+            continue;
+        }
+        Member *known = this->find(notice.host.name);
+        this->noteListed(known != nullptr ? *known : this->addMember(notice.host, now), notice);
+    }
+    this->dropUnlistedCandidates(listed);
+    const bool alone = std::none_of(this->peers.begin(), this->peers.end(), [](const auto &peer) { return isLiveState(peer.second.state); });
+    for (std::size_t count = 0; alone && count < std::min(joinProbes, this->peers.size()); ++count) {
+        this->probeDead();
+    }
+    return this->finish();
+}
+
+void Membership::noteListed(Member &member, const HostNotice &notice)
+{
+    if (member.host.incarnation == 0) {
+        member.host = notice.host;
+        member.host.incarnation = 0;
+    }
+    // The list lags, so a notice seen first in state leaving may be about an earlier run of the host. Only the change counts.
+    const bool becameLeaving = notice.leaving && member.listedLeaving == false;
+    member.listedLeaving = notice.leaving;
+    if (becameLeaving && isLiveState(member.state)) {
+        this->changeState(member, wire::MEMBER_STATE_LEAVING);
+    }
+}
+
+void Membership::noteSelfListed(bool leaving)
+{
+    const bool becameLeaving = leaving && this->listedSelfLeaving == false;
+    const bool withdrawn = !leaving && this->leaveListed;
+    this->listedSelfLeaving = leaving;
+    if (becameLeaving && !this->isLeaving()) {
+        this->leaveListed = true;
+        this->announceSelf();
+    } else if (withdrawn) {
+        this->leaveListed = false;
+        if (!this->leaveAnnounced) {
+            ++this->selfInfo.incarnation;
+            this->announceSelf();
+        }
+    }
+}
+
+void Membership::dropUnlistedCandidates(const std::set<std::string> &listed)
+{
+    for (auto peer = this->peers.begin(); peer != this->peers.end();) {
+        if (peer->second.host.incarnation > 0 || listed.contains(peer->first)) {
+            ++peer;
+            continue;
+        }
+        this->liveOrder.remove(peer->first);
+        this->deadOrder.remove(peer->first);
+        peer = this->peers.erase(peer);
+    }
+}
+
+MembershipActions Membership::leave(absl::Time now)
+{
+    this->now = now;
+    if (!std::exchange(this->leaveAnnounced, true) && !this->leaveListed) {
+        this->announceSelf();
+    }
+    return this->finish();
+}
+
+void Membership::mergeAll(const Updates &updates, bool digest)
+{
+    for (const wire::MemberUpdate &update : updates) {
+        if (!isUsable(update)) {
+            continue;
+        }
+        if (update.name() == this->selfInfo.name) {
+            this->refute(update);
+        } else {
+            this->merge(update, digest);
+        }
+    }
+}
+
+void Membership::merge(const wire::MemberUpdate &update, bool digest)
+{
+    Member *member = this->find(update.name());
+    const bool unknown = member == nullptr || member->host.incarnation == 0;
+    if (member == nullptr) {
+        member = &this->addMember(hostOf(update), this->now);
+    }
+    MemberClaim claim = claimOf(update);
+    if (digest && claim.state == wire::MEMBER_STATE_DEAD && !unknown && member->state != wire::MEMBER_STATE_DEAD) {
+        // A digest sent after a partition calls every member of the other side dead. This side's own probes decide.
+        if (claim.incarnation <= member->host.incarnation) {
+            return;
+        }
+        claim.state = wire::MEMBER_STATE_SUSPECT;
+    }
+    if (claim > MemberClaim{member->host.incarnation, member->state}) {
+        this->adopt(*member, hostOf(update), claim.state);
+        member->secondHand = unknown && digest && claim.state == wire::MEMBER_STATE_DEAD;
+    }
+}
+
+void Membership::adopt(Member &member, const HostInfo &host, wire::MemberState state)
+{
+    if (member.host.incarnation != host.incarnation) {
+        member.confirmedSelf = 0;
+    }
+    member.host = host;
+    this->changeState(member, state);
+}
+
+void Membership::changeState(Member &member, wire::MemberState state)
+{
+    member.state = state;
+    member.since = this->now;
+    member.suspicionEnds = state == wire::MEMBER_STATE_SUSPECT ? this->now + this->suspicionTimeout() : absl::InfiniteFuture();
+    member.secondHand = false;
+    if (state == wire::MEMBER_STATE_DEAD) {
+        member.confirmedSelf = 0;
+    }
+    this->queue.add(member.host.name);
+    this->actions.emplace_back(MemberChanged{member.host, state});
+}
+
+void Membership::refute(const wire::MemberUpdate &update)
+{
+    const MemberClaim own{this->selfInfo.incarnation, this->selfState()};
+    if (claimOf(update) > own) {
+        this->selfInfo.incarnation = update.incarnation() + 1;
+        this->announceSelf();
+    }
+}
+
+void Membership::announceSelf()
+{
+    for (auto &[name, member] : this->peers) {
+        member.confirmedSelf = 0;
+    }
+    // An ack to a probe sent before the change does not confirm the new state.
+    if (this->probe) {
+        this->probe->selfIncarnation = 0;
+    }
+    this->queue.add(this->selfInfo.name);
+    this->actions.emplace_back(MemberChanged{this->selfInfo, this->selfState()});
+}
+
+void Membership::noteContact(const std::string &from, bool wasAbsent)
+{
+    const bool due = std::find(this->digestsDue.begin(), this->digestsDue.end(), from) != this->digestsDue.end();
+    if (wasAbsent && this->isLive(from) && !due && this->digestsDue.size() < maxDigestsDue) {
+        this->digestsDue.push_back(from);
+        this->sendDigests();
+    }
+}
+
+void Membership::sendPing(const Member &member, std::uint64_t sequence)
+{
+    wire::Envelope envelope;
+    wire::Ping *ping = envelope.mutable_ping();
+    ping->set_sequence(sequence);
+    this->addUpdates(ping->mutable_updates(), member, false);
+    this->send(member, std::move(envelope));
+}
+
+void Membership::addUpdates(Updates *updates, const Member &recipient, bool withSelf)
+{
+    const auto isFull = [&] { return updates->size() >= static_cast<int>(this->settings.maxPiggyback); };
+    const auto isIncluded = [&](const std::string &name) {
+        return std::any_of(updates->begin(), updates->end(), [&](const wire::MemberUpdate &update) { return update.name() == name; });
+    };
+    // A member has to hear that it is believed to be gone before it can refute that.
+    if (recipient.host.incarnation > 0 && recipient.state != wire::MEMBER_STATE_ALIVE) {
+        *updates->Add() = toUpdate(recipient.host, recipient.state);
+    }
+    if (withSelf || recipient.confirmedSelf < this->selfInfo.incarnation) {
+        *updates->Add() = toUpdate(this->selfInfo, this->selfState());
+    }
+    const auto maxSends = static_cast<std::size_t>(std::ceil(sendsFactor * std::log2(static_cast<double>(this->peers.size()) + 2)));
+    for (const std::string &name : this->queue.take(this->settings.maxPiggyback - static_cast<std::size_t>(updates->size()), maxSends)) {
+        if (isFull() || isIncluded(name)) {
+            continue;
+        }
+        const Member *member = this->find(name);
+        if (name == this->selfInfo.name) {
+            *updates->Add() = toUpdate(this->selfInfo, this->selfState());
+        } else if (member != nullptr) {
+            *updates->Add() = toUpdate(member->host, member->state);
+        }
+    }
+}
+
+void Membership::send(const Member &member, wire::Envelope envelope)
+{
+    this->actions.emplace_back(SendMessage{member.host.name, member.host.peerAddress, std::move(envelope)});
+}
+
+MembershipActions Membership::finish()
+{
+    return std::exchange(this->actions, {});
+}
+
+Membership::Member *Membership::find(const std::string &name)
+{
+    const auto found = this->peers.find(name);
+    return found == this->peers.end() ? nullptr : &found->second;
+}
+
+Membership::Member &Membership::addMember(const HostInfo &host, absl::Time now)
+{
+    Member &member = this->peers[host.name];
+    member.host = host;
+    member.host.incarnation = 0;
+    member.since = now;
+    this->liveOrder.add(host.name, this->random);
+    this->deadOrder.add(host.name, this->random);
+    return member;
+}
+
+bool Membership::isLive(const std::string &name) const
+{
+    const auto found = this->peers.find(name);
+    return found != this->peers.end() && isLiveState(found->second.state);
+}
+
+bool Membership::isDead(const std::string &name) const
+{
+    const auto found = this->peers.find(name);
+    return found != this->peers.end() && found->second.state == wire::MEMBER_STATE_DEAD;
+}
+
+absl::Duration Membership::suspicionTimeout() const
+{
+    const auto live = std::count_if(this->peers.begin(), this->peers.end(), [](const auto &peer) { return isLiveState(peer.second.state); });
+    const double scale = std::log10(static_cast<double>(live) + 2);
+    return std::max(this->settings.minSuspicion, this->settings.period * (this->settings.suspicionPeriods * scale));
+}
+
+absl::Duration Membership::ackTimeout(const Member &member) const
+{
+    return this->settings.period / (member.host.region == this->selfInfo.region ? 4 : 2);
+}
+
+wire::MemberState Membership::selfState() const
+{
+    return this->isLeaving() ? wire::MEMBER_STATE_LEAVING : wire::MEMBER_STATE_ALIVE;
+}
+
+Membership::Members Membership::members() const
+{
+    Members result{{this->selfInfo, this->selfState()}};
+    for (const auto &[name, member] : this->peers) {
+        if (member.host.incarnation > 0) {
+            result.emplace_back(member.host, member.state);
+        }
+    }
+    std::sort(result.begin(), result.end(), [](const auto &left, const auto &right) { return left.first.name < right.first.name; });
+    return result;
+}
+
+const HostInfo &Membership::self() const
+{
+    return this->selfInfo;
+}
+
+bool Membership::isLeaving() const
+{
+    return this->leaveAnnounced || this->leaveListed;
+}
+
+std::optional<MemberClaim> Membership::claim(const std::string &name) const
+{
+    const auto found = this->peers.find(name);
+    if (found == this->peers.end() || found->second.host.incarnation == 0) {
+        return std::nullopt;
+    }
+    return MemberClaim{found->second.host.incarnation, found->second.state};
+}
+
+std::string Membership::addressOf(const std::string &name) const
+{
+    const auto found = this->peers.find(name);
+    return found == this->peers.end() ? "" : found->second.host.peerAddress;
+}
+
+} // namespace Bergamotramp
