--- /dev/null
+++ b/src/ConfigService.cpp
@@ -0,0 +1,509 @@
+#include "ConfigService.h"
+
+#include <algorithm>
+#include <condition_variable>
+#include <deque>
+#include <exception>
+#include <mutex>
+#include <random>
+#include <thread>
+
+#include <absl/strings/str_cat.h>
+#include <absl/time/clock.h>
+#include <glog/logging.h>
+
+#include "ConfigCopy.h"
+#include "ConfigPublisher.h"
+#include "EventLog.h"
+#include "RendezvousHash.h"
+#include "StoreClient.h"
+#include "Transport.h"
+
+namespace Bergamotramp {
+
+namespace {
+
+// Also the longest time that the destructor waits for the watch.
+constexpr absl::Duration watchWait = absl::Seconds(1);
+constexpr absl::Duration pollPeriod = absl::Seconds(30);
+constexpr absl::Duration idleWait = absl::Seconds(1);
+constexpr absl::Duration firstBackoff = absl::Milliseconds(200);
+constexpr absl::Duration maxBackoff = absl::Seconds(5);
+constexpr absl::Duration pullTimeout = absl::Seconds(1);
+constexpr absl::Duration publishPatience = absl::Seconds(8);
+constexpr std::size_t maxQueuedTasks = 32;
+constexpr std::size_t announcedPeers = 3;
+constexpr std::size_t announcedInRegion = 2;
+constexpr std::size_t askedPeers = 3;
+
+wire::Envelope pushOf(std::uint64_t generation, std::string catalogue)
+{
+    wire::Envelope envelope;
+    envelope.mutable_config_push()->set_generation(generation);
+    envelope.mutable_config_push()->set_catalogue(std::move(catalogue));
+    return envelope;
+}
+
+} // namespace
+
+class ConfigService::Implementation
+{
+public:
+    explicit Implementation(const HostContext &context);
+    ~Implementation();
+    Implementation(const Implementation &) = delete;
+    Implementation &operator=(const Implementation &) = delete;
+
+    [[nodiscard]] std::shared_ptr<const Catalogue> catalogue() const;
+    void addHook(std::function<void()> hook);
+    PublishResult publish(std::uint64_t baseGeneration, const std::vector<ServiceSpec> &services);
+    void handle(const wire::Envelope &envelope);
+    void seenGreater(const std::string &peerAddress, std::uint64_t generation);
+    [[nodiscard]] nlohmann::json status() const;
+
+private:
+    /** Something for the peer thread: a peer to pull from, or a received catalogue to parse. */
+    struct PeerTask {
+        std::string address;
+        std::uint64_t generation = 0;
+        std::string catalogue;
+    };
+
+    [[nodiscard]] wire::Envelope answerTo(const wire::ConfigPull &pull) const;
+    void addTask(PeerTask task);
+    void runPeerTasks();
+    void runPeerTask(const PeerTask &task);
+    bool pullFrom(const std::string &peerAddress);
+    void offerText(const std::string &text, const std::string &source);
+    bool adopt(const Catalogue &offered, const std::string &source);
+    void saveCopy();
+    void announce(std::uint64_t generation);
+
+    void runStore();
+    void start();
+    bool askPeers();
+    void followStore();
+    [[nodiscard]] bool isWatcher() const;
+    void watchOnce();
+    void readStore();
+    void sleepFor(absl::Duration length);
+    [[nodiscard]] bool isStopping() const;
+    [[nodiscard]] absl::Duration jittered(absl::Duration length);
+    [[nodiscard]] std::vector<HostInfo> otherHosts() const;
+
+    const HostContext &context;
+    const ConfigCopy copy;
+
+    mutable std::mutex mutex;
+    std::condition_variable wake;
+    bool stopping = false;
+    ConfigState state;
+    std::string text;
+    std::string source = "none";
+    bool watching = false;
+    absl::Time lastRead = absl::InfinitePast();
+    std::vector<std::function<void()>> hooks;
+    std::deque<PeerTask> tasks;
+    std::uint64_t publications = 0;
+    std::mt19937_64 random{std::random_device()()};
+
+    std::mutex publishMutex;
+    std::mutex copyMutex;
+    std::optional<std::uint64_t> watchRevision;
+    absl::Time nextPoll = absl::InfinitePast();
+    std::thread peerThread;
+    std::thread storeThread;
+};
+
+ConfigService::Implementation::Implementation(const HostContext &context) : context(context), copy(context.settings.dataFolder)
+{
+    this->peerThread = std::thread([this] { this->runPeerTasks(); });
+    this->storeThread = std::thread([this] { this->runStore(); });
+}
+
+ConfigService::Implementation::~Implementation()
+{
+    {
+        const std::lock_guard<std::mutex> lock(this->mutex);
+        this->stopping = true;
+    }
+    this->wake.notify_all();
+    this->peerThread.join();
+    this->storeThread.join();
+}
+
+std::shared_ptr<const Catalogue> ConfigService::Implementation::catalogue() const
+{
+    const std::lock_guard<std::mutex> lock(this->mutex);
+    return this->state.current();
+}
+
+void ConfigService::Implementation::addHook(std::function<void()> hook)
+{
+    const std::lock_guard<std::mutex> lock(this->mutex);
+    this->hooks.push_back(std::move(hook));
+}
+
+ConfigService::PublishResult ConfigService::Implementation::publish(std::uint64_t baseGeneration, const std::vector<ServiceSpec> &services)
+{
+    const std::lock_guard<std::mutex> publishing(this->publishMutex);
+    const std::string writer = absl::StrCat(this->context.settings.name, "/", this->context.incarnation, "/", ++this->publications);
+    const Catalogue catalogue{baseGeneration + 1, services};
+    PublishResult result = ConfigPublisher(*this->context.store, writer, publishPatience).publish(baseGeneration, catalogue);
+    if (result.outcome == PublishResult::Outcome::Accepted) {
+        this->adopt(catalogue, "publication");
+    }
+    return result;
+}
+
+void ConfigService::Implementation::handle(const wire::Envelope &envelope)
+{
+    if (envelope.has_config_push()) {
+        const wire::ConfigPush &push = envelope.config_push();
+        if (push.generation() > this->catalogue()->generation) {
+            // A push without a catalogue only announces its generation.
+            std::string address;
+            for (const HostInfo &host : this->otherHosts()) {
+                address = host.name == envelope.from().name() ? host.peerAddress : address;
+            }
+            this->addTask({address, push.generation(), push.catalogue()});
+        }
+        return;
+    }
+    for (const HostInfo &host : this->otherHosts()) {
+        if (!envelope.has_config_pull() || host.name != envelope.from().name()) {
+            continue;
+        }
+        this->context.transport->reply(host.peerAddress, envelope.correlation(), this->answerTo(envelope.config_pull()));
+    }
+}
+
+wire::Envelope ConfigService::Implementation::answerTo(const wire::ConfigPull &pull) const
+{
+    const std::lock_guard<std::mutex> lock(this->mutex);
+    const std::uint64_t generation = this->state.generation();
+    return pushOf(generation, generation > pull.known_generation() ? this->text : "");
+}
+
+void ConfigService::Implementation::seenGreater(const std::string &peerAddress, std::uint64_t generation)
+{
+    this->addTask({peerAddress, generation, ""});
+}
+
+void ConfigService::Implementation::addTask(PeerTask task)
+{
+    {
+        const std::lock_guard<std::mutex> lock(this->mutex);
+        const bool known = std::any_of(this->tasks.begin(), this->tasks.end(), [&task](const PeerTask &queued) {
+            return queued.address == task.address && queued.generation >= task.generation;
+        });
+        // A dropped task is replaced by the next ping of a host with the greater generation.
+        if (known || this->tasks.size() >= maxQueuedTasks || task.generation <= this->state.generation()) {
+            return;
+        }
+        this->tasks.push_back(std::move(task));
+    }
+    this->wake.notify_all();
+}
+
+void ConfigService::Implementation::runPeerTasks()
+{
+    std::unique_lock<std::mutex> lock(this->mutex);
+    while (true) {
+        this->wake.wait(lock, [this] { return this->stopping || !this->tasks.empty(); });
+        if (this->stopping) {
+            return;
+        }
+        const PeerTask task = std::move(this->tasks.front());
+        this->tasks.pop_front();
+        if (task.generation <= this->state.generation()) {
+            continue;
+        }
+        lock.unlock();
+        try {
+            this->runPeerTask(task);
+        } catch (const std::exception &error) {
+            LOG(WARNING) << "configuration from peer " << task.address << ": " << error.what();
+        }
+        lock.lock();
+    }
+}
+
+void ConfigService::Implementation::runPeerTask(const PeerTask &task)
+{
+    if (!task.catalogue.empty()) {
+        this->offerText(task.catalogue, "peer");
+    } else if (!task.address.empty()) {
+        this->pullFrom(task.address);
+    }
+}
+
+bool ConfigService::Implementation::pullFrom(const std::string &peerAddress)
+{
+    wire::Envelope pull;
+    pull.mutable_config_pull()->set_known_generation(this->catalogue()->generation);
+    const std::optional<wire::Envelope> answer = this->context.transport->request(peerAddress, std::move(pull), pullTimeout);
+    if (!answer || !answer->has_config_push()) {
+        return false;
+    }
+    if (!answer->config_push().catalogue().empty()) {
+        this->offerText(answer->config_push().catalogue(), "peer");
+    }
+    return true;
+}
+
+void ConfigService::Implementation::offerText(const std::string &text, const std::string &source)
+{
+    this->adopt(Catalogue::fromJsonText(text), source);
+}
+
+bool ConfigService::Implementation::adopt(const Catalogue &offered, const std::string &source)
+{
+    std::vector<std::function<void()>> toCall;
+    {
+        const std::lock_guard<std::mutex> lock(this->mutex);
+        if (!this->state.offer(offered)) {
+            return false;
+        }
+        this->text = offered.toJsonText();
+        this->source = source;
+        toCall = this->hooks;
+    }
+    this->saveCopy();
+    if (this->context.events != nullptr) {
+        this->context.events->record("config", {{"generation", offered.generation}, {"source", source}});
+    }
+    this->announce(offered.generation);
+    for (const std::function<void()> &hook : toCall) {
+        hook();
+    }
+    return true;
+}
+
+void ConfigService::Implementation::saveCopy()
+{
+    // Reads the catalogue again under the lock, so that an older generation can't replace a newer copy.
+    const std::lock_guard<std::mutex> lock(this->copyMutex);
+    this->copy.save(*this->catalogue());
+}
+
+// Pings alone take several periods to reach hundreds of hosts; announcements at once make it a few message delays.
+void ConfigService::Implementation::announce(std::uint64_t generation)
+{
+    std::vector<HostInfo> hosts = this->otherHosts();
+    {
+        const std::lock_guard<std::mutex> lock(this->mutex);
+        std::shuffle(hosts.begin(), hosts.end(), this->random);
+    }
+    // The receivers pull the catalogue from here, so most of them are chosen where traffic is cheap.
+    std::size_t near = 0;
+    std::stable_partition(
+        hosts.begin(), hosts.end(), [&](const HostInfo &host) { return host.region == this->context.settings.region && near++ < announcedInRegion; });
+    hosts.resize(std::min(hosts.size(), announcedPeers));
+    for (const HostInfo &host : hosts) {
+        this->context.transport->send(host.peerAddress, pushOf(generation, ""));
+    }
+}
+
+void ConfigService::Implementation::runStore()
+{
+    this->start();
+    absl::Duration backoff = firstBackoff;
+    while (!this->isStopping()) {
+        try {
+            this->followStore();
+            backoff = firstBackoff;
+        } catch (const std::exception &error) {
+            LOG(WARNING) << "configuration: " << error.what();
+            this->watchRevision.reset();
+            this->sleepFor(this->jittered(backoff));
+            backoff = std::min(backoff * 2, maxBackoff);
+        }
+    }
+}
+
+void ConfigService::Implementation::start()
+{
+    try {
+        this->readStore();
+        this->nextPoll = absl::Now() + this->jittered(pollPeriod);
+        return;
+    } catch (const std::exception &error) {
+        LOG(WARNING) << "configuration at the start: " << error.what();
+    }
+    try {
+        if (this->askPeers()) {
+            return;
+        }
+        if (const std::optional<Catalogue> kept = this->copy.load()) {
+            this->adopt(*kept, "data folder");
+        }
+    } catch (const std::exception &error) {
+        LOG(WARNING) << "configuration at the start: " << error.what();
+    }
+}
+
+bool ConfigService::Implementation::askPeers()
+{
+    std::vector<std::string> addresses;
+    for (const HostInfo &host : this->otherHosts()) {
+        addresses.push_back(host.peerAddress);
+    }
+    if (addresses.empty()) {
+        for (const ListedHost &listed : this->context.store->hosts()) {
+            if (listed.name != this->context.settings.name) {
+                addresses.push_back(listed.peerAddress);
+            }
+        }
+    }
+    {
+        const std::lock_guard<std::mutex> lock(this->mutex);
+        std::shuffle(addresses.begin(), addresses.end(), this->random);
+    }
+    addresses.resize(std::min(addresses.size(), askedPeers));
+    bool answered = false;
+    for (const std::string &address : addresses) {
+        answered = this->pullFrom(address) || answered;
+    }
+    return answered && this->catalogue()->generation > 0;
+}
+
+void ConfigService::Implementation::followStore()
+{
+    const bool watches = this->isWatcher();
+    {
+        const std::lock_guard<std::mutex> lock(this->mutex);
+        this->watching = watches;
+    }
+    if (absl::Now() >= this->nextPoll) {
+        this->readStore();
+        this->nextPoll = absl::Now() + this->jittered(pollPeriod);
+    }
+    if (watches) {
+        this->watchOnce();
+    } else {
+        this->watchRevision.reset();
+        this->sleepFor(idleWait);
+    }
+}
+
+bool ConfigService::Implementation::isWatcher() const
+{
+    const HostSettings &settings = this->context.settings;
+    std::vector<std::string> names;
+    for (const HostInfo &host : this->context.liveHosts()) {
+        if (host.dataCentre == settings.dataCentre) {
+            names.push_back(host.name);
+        }
+    }
+    // A host that is leaving is not in the list; one that is alone watches even then.
+    return names.empty() || rendezvousPick("config-watch/" + settings.dataCentre, names) == settings.name;
+}
+
+void ConfigService::Implementation::watchOnce()
+{
+    if (!this->watchRevision) {
+        const ListPage page = this->context.store->list(configCurrentKey, "", 1, false);
+        this->readStore();
+        this->watchRevision = page.revision;
+    }
+    const WatchResult result = this->context.store->watch(configPrefix, *this->watchRevision, watchWait);
+    if (!result.changedKeys.empty()) {
+        this->readStore();
+    }
+    this->watchRevision = result.revision;
+}
+
+void ConfigService::Implementation::readStore()
+{
+    const StoredPointer current = readConfigPointer(*this->context.store);
+    if (current.pointer.generation() > this->catalogue()->generation) {
+        const ConfigEntry &entry = current.pointer.entries.front();
+        const std::optional<StoredObject> object = this->context.store->get(entry.key);
+        if (!object) {
+            throw StoreError(absl::StrCat("the catalogue object ", entry.key, " is missing"));
+        }
+        this->offerText(object->value, "store");
+    }
+    const std::lock_guard<std::mutex> lock(this->mutex);
+    this->lastRead = absl::Now();
+}
+
+void ConfigService::Implementation::sleepFor(absl::Duration length)
+{
+    std::unique_lock<std::mutex> lock(this->mutex);
+    this->wake.wait_for(lock, absl::ToChronoMicroseconds(length), [this] { return this->stopping; });
+}
+
+bool ConfigService::Implementation::isStopping() const
+{
+    const std::lock_guard<std::mutex> lock(this->mutex);
+    return this->stopping;
+}
+
+absl::Duration ConfigService::Implementation::jittered(absl::Duration length)
+{
+    const std::lock_guard<std::mutex> lock(this->mutex);
+    return length * std::uniform_real_distribution<>(0.5, 1.5)(this->random);
+}
+
+std::vector<HostInfo> ConfigService::Implementation::otherHosts() const
+{
+    std::vector<HostInfo> hosts = this->context.liveHosts();
+    std::erase_if(hosts, [this](const HostInfo &host) { return host.name == this->context.settings.name; });
+    return hosts;
+}
+
+nlohmann::json ConfigService::Implementation::status() const
+{
+    const std::lock_guard<std::mutex> lock(this->mutex);
+    nlohmann::json json = {
+        {"generation", this->state.generation()}, {"services", this->state.current()->services.size()}, {"source", this->source}, {"watching", this->watching}};
+    if (this->lastRead != absl::InfinitePast()) {
+        json["secondsSinceStoreRead"] = absl::ToDoubleSeconds(absl::Now() - this->lastRead);
+    }
+    return json;
+}
+
+ConfigService::ConfigService(const HostContext &context) : implementation(std::make_unique<Implementation>(context))
+{
+}
+
+ConfigService::~ConfigService() = default;
+
+std::shared_ptr<const Catalogue> ConfigService::catalogue() const
+{
+    return this->implementation->catalogue();
+}
+
+std::uint64_t ConfigService::generation() const
+{
+    return this->implementation->catalogue()->generation;
+}
+
+void ConfigService::onChange(std::function<void()> hook)
+{
+    this->implementation->addHook(std::move(hook));
+}
+
+ConfigService::PublishResult ConfigService::publish(std::uint64_t baseGeneration, const std::vector<ServiceSpec> &services)
+{
+    return this->implementation->publish(baseGeneration, services);
+}
+
+void ConfigService::handle(const wire::Envelope &envelope)
+{
+    this->implementation->handle(envelope);
+}
+
+void ConfigService::seenGreater(const std::string &peerAddress, std::uint64_t generation)
+{
+    this->implementation->seenGreater(peerAddress, generation);
+}
+
+nlohmann::json ConfigService::status() const
+{
+    return this->implementation->status();
+}
+
+} // namespace Bergamotramp
--- a/src/ConfigService.h
+++ b/src/ConfigService.h
@@ -39,7 +39,7 @@
         std::string message;
     };
 
-    /** Starts reading the configuration at once; @p context outlives the service. */
+    /** Starts reading the configuration at once; @p context outlives the service and its liveHosts hook is set. */
     explicit ConfigService(const HostContext &context);
     ~ConfigService();
     ConfigService(const ConfigService &) = delete;
@@ -48,7 +48,7 @@
     /** The catalogue in force; generation 0 without services until one is known. Never null. */
     [[nodiscard]] std::shared_ptr<const Catalogue> catalogue() const;
     [[nodiscard]] std::uint64_t generation() const;
-    /** Calls @p hook after each adoption, on a thread of the service; must not block. */
+    /** Calls @p hook after each adoption, on a thread of the service or of publish(); must not block. */
     void onChange(std::function<void()> hook);
     /** Publishes @p services as the generation after @p baseGeneration. Blocks for a few store calls. */
     PublishResult publish(std::uint64_t baseGeneration, const std::vector<ServiceSpec> &services);
--- a/src/MembershipService.h
+++ b/src/MembershipService.h
@@ -16,7 +16,8 @@
 
 /**
  * Runs Membership over the transport, the timers and the host list. Thread-safe.
- * Hooks run on the transport's or the timers' thread and must not block.
+ * Hooks run on the transport's, the timers' or the service's own thread and must not block. handle() must not be called once
+ * the destructor runs.
  */
 class MembershipService
 {
