--- a/src/HostSettings.cpp
+++ b/src/HostSettings.cpp
@@ -31,6 +31,21 @@
     return absl::Milliseconds(reader.optionalInteger(key, absl::ToInt64Milliseconds(fallback), range));
 }
 
+RoutingMode readRouting(JsonReader &reader)
+{
+    const std::string name = reader.choice("routing", {"pool", "random", "roundRobin", "leastInFlight", "twoChoices"}, "pool");
+    if (name == "random") {
+        return RoutingMode::Random;
+    }
+    if (name == "roundRobin") {
+        return RoutingMode::RoundRobin;
+    }
+    if (name == "leastInFlight") {
+        return RoutingMode::LeastInFlight;
+    }
+    return name == "twoChoices" ? RoutingMode::TwoChoices : RoutingMode::Pool;
+}
+
 void readLimits(JsonReader &reader, CallerLimits &limits)
 {
     limits.bodyBytes = reader.optionalInteger("bodyBytes", limits.bodyBytes, {1024, 64 * mebibyte});
@@ -59,6 +74,7 @@
     settings.journalShards = reader.optionalInteger("journalShards", settings.journalShards, {1, 4096});
     settings.batchConcurrency = reader.optionalInteger("batchConcurrency", settings.batchConcurrency, {1, 4096});
     settings.slotReplyTimeout = readMilliseconds(reader, "slotReplyTimeoutMs", settings.slotReplyTimeout, timeoutRange);
+    settings.routing = readRouting(reader);
     reader.optionalObject("limits", [&settings](JsonReader &nested) { readLimits(nested, settings.limits); });
     reader.finish();
     return settings;
--- a/src/HostSettings.h
+++ b/src/HostSettings.h
@@ -7,6 +7,8 @@
 
 #include <absl/time/time.h>
 
+#include "LocalRouting.h"
+
 namespace Bergamotramp {
 
 /** The settings file can't be used; the message names the file, the key's path and what is accepted. */
@@ -50,6 +52,7 @@
     std::int64_t batchConcurrency = 64;
     /** Wait for the reply of a pool holder before the host falls back to its own share. */
     absl::Duration slotReplyTimeout = absl::Milliseconds(50);
+    RoutingMode routing = RoutingMode::Pool;
     CallerLimits limits;
 
     bool operator==(const HostSettings &) const = default;
