Add the slot pool, latency scores, budgets and crash quarantine

SlotPool shares the slots of one service and region among all hosts: online before batch with preemption, fair queueing between organisations, a cap for long streams, probes for ejected upstreams and isolation of crash suspects.

The first property runs found a revocation for the dying grant itself and an online request that relied on a revoked grant of an ejected upstream; both are fixed here.

--- /dev/null
+++ b/src/CrashSuspects.h
@@ -0,0 +1,52 @@
+#pragma once
+
+#include <cstddef>
+#include <cstdint>
+#include <map>
+#include <utility>
+#include <vector>
+
+#include <absl/container/flat_hash_map.h>
+#include <absl/time/time.h>
+
+namespace Bergamotramp {
+
+/**
+ * Fingerprints of requests that were in flight when an upstream of one service died. One crash makes a suspect, a second
+ * one convicts it. Fingerprint 0 stands for an unknown request and is ignored.
+ */
+class CrashSuspects
+{
+public:
+    /** Fingerprints kept at once; the one whose last crash is oldest is dropped first, a suspect before a convicted one. */
+    static constexpr std::size_t maxFingerprints = 8192;
+    static constexpr absl::Duration suspectLifetime = absl::Minutes(10);
+    static constexpr absl::Duration convictionLifetime = absl::Hours(24);
+
+    /** Counts one crash against each of @p fingerprints and returns them with their new counts. */
+    std::vector<std::pair<std::uint64_t, std::uint32_t>> crashed(std::vector<std::uint64_t> fingerprints, absl::Time now);
+    /** Takes the count that another host announced; 0 clears a suspect. Returns whether anything changed. */
+    bool merge(std::uint64_t fingerprint, std::uint32_t crashes, absl::Time now);
+    /** Clears a suspect that completed alone; a convicted fingerprint stays. Returns whether it was a suspect. */
+    bool clear(std::uint64_t fingerprint);
+
+    [[nodiscard]] bool suspect(std::uint64_t fingerprint, absl::Time now) const;
+    [[nodiscard]] bool convicted(std::uint64_t fingerprint, absl::Time now) const;
+    [[nodiscard]] std::size_t size() const;
+    /** Fingerprints and crash counts, for status and for a host that joins. */
+    [[nodiscard]] std::vector<std::pair<std::uint64_t, std::uint32_t>> list() const;
+
+private:
+    struct Record {
+        std::uint32_t crashes = 0;
+        absl::Time lastCrash;
+    };
+
+    [[nodiscard]] const Record *find(std::uint64_t fingerprint, absl::Time now) const;
+    void store(std::uint64_t fingerprint, std::uint32_t crashes, absl::Time now);
+    void makeRoom();
+
+    absl::flat_hash_map<std::uint64_t, Record> records;
+};
+
+} // namespace Bergamotramp
--- /dev/null
+++ b/src/LatencyScore.cpp
@@ -0,0 +1,168 @@
+#include "LatencyScore.h"
+
+#include <algorithm>
+#include <cmath>
+#include <optional>
+
+namespace Bergamotramp {
+
+namespace {
+
+constexpr double sampleWeight = 0.2;
+// An ejected upstream gets few requests; a greater weight lets three good probes readmit it after a fivefold slowdown.
+constexpr double probeWeight = 0.5;
+constexpr double ejectScore = 2.5;
+// Lower than ejectScore, so that an upstream near the limit does not alternate between the two states.
+constexpr double readmitScore = 1.5;
+constexpr std::size_t minSamplesToEject = 4;
+constexpr double failurePenalty = 3.0;
+constexpr double minScore = 0.5;
+constexpr double maxScore = 50.0;
+// Without new samples a score approaches 1, or an avoided upstream would never be tried again.
+constexpr absl::Duration scoreHalfLife = absl::Seconds(10);
+constexpr std::size_t ejectableFraction = 3;
+
+std::optional<double> median(std::vector<double> values)
+{
+    if (values.empty()) {
+        return std::nullopt;
+    }
+    const auto middle = values.begin() + static_cast<std::ptrdiff_t>((values.size() - 1) / 2);
+    std::nth_element(values.begin(), middle, values.end());
+    return *middle;
+}
+
+} // namespace
+
+void LatencyScore::Average::add(absl::Duration value, double weight)
+{
+    if (value <= absl::ZeroDuration()) {
+        return;
+    }
+    const double observed = std::log(absl::ToDoubleSeconds(value));
+    this->logSeconds = this->samples == 0 ? observed : this->logSeconds + weight * (observed - this->logSeconds);
+    ++this->samples;
+}
+
+void LatencyScore::setUpstreams(const std::vector<std::string> &names)
+{
+    std::map<std::string, History, std::less<>> kept;
+    for (const std::string &name : names) {
+        const auto found = this->histories.find(name);
+        kept.emplace(name, found == this->histories.end() ? History() : found->second);
+    }
+    this->histories = std::move(kept);
+    this->refresh();
+}
+
+void LatencyScore::record(std::string_view upstream, absl::Duration firstToken, absl::Duration betweenTokens, absl::Time now)
+{
+    History *history = this->find(upstream);
+    if (history == nullptr) {
+        return;
+    }
+    const double weight = history->slow || history->dead ? probeWeight : sampleWeight;
+    history->firstToken.add(firstToken, weight);
+    history->betweenTokens.add(betweenTokens, weight);
+    history->failureShare *= 1.0 - weight;
+    history->lastSample = now;
+    history->dead = false;
+    ++history->samples;
+    this->refresh();
+}
+
+void LatencyScore::recordFailure(std::string_view upstream, absl::Time now)
+{
+    History *history = this->find(upstream);
+    if (history == nullptr) {
+        return;
+    }
+    history->failureShare += sampleWeight * (1.0 - history->failureShare);
+    history->lastSample = now;
+    ++history->samples;
+    this->refresh();
+}
+
+void LatencyScore::recordDeath(std::string_view upstream, absl::Time now)
+{
+    History *history = this->find(upstream);
+    if (history != nullptr) {
+        history->dead = true;
+        history->lastSample = now;
+    }
+}
+
+double LatencyScore::score(std::string_view upstream, absl::Time now) const
+{
+    const History *history = this->find(upstream);
+    if (history == nullptr) {
+        return 1.0;
+    }
+    const double halfLives = std::max(0.0, absl::FDivDuration(now - history->lastSample, scoreHalfLife));
+    return 1.0 + (history->score - 1.0) * std::exp2(-halfLives);
+}
+
+bool LatencyScore::ejected(std::string_view upstream) const
+{
+    const History *history = this->find(upstream);
+    return history != nullptr && (history->slow || history->dead);
+}
+
+LatencyScore::History *LatencyScore::find(std::string_view upstream)
+{
+    const auto found = this->histories.find(upstream);
+    return found == this->histories.end() ? nullptr : &found->second;
+}
+
+const LatencyScore::History *LatencyScore::find(std::string_view upstream) const
+{
+    const auto found = this->histories.find(upstream);
+    return found == this->histories.end() ? nullptr : &found->second;
+}
+
+void LatencyScore::refresh()
+{
+    std::vector<double> first;
+    std::vector<double> between;
+    for (const auto &[name, history] : this->histories) {
+        if (history.firstToken.samples > 0) {
+            first.push_back(history.firstToken.logSeconds);
+        }
+        if (history.betweenTokens.samples > 0) {
+            between.push_back(history.betweenTokens.logSeconds);
+        }
+    }
+    const std::optional<double> firstMedian = median(std::move(first));
+    const std::optional<double> betweenMedian = median(std::move(between));
+    for (auto &[name, history] : this->histories) {
+        std::vector<double> ratios;
+        if (firstMedian.has_value() && history.firstToken.samples > 0) {
+            ratios.push_back(std::exp(history.firstToken.logSeconds - *firstMedian));
+        }
+        if (betweenMedian.has_value() && history.betweenTokens.samples > 0) {
+            ratios.push_back(std::exp(history.betweenTokens.logSeconds - *betweenMedian));
+        }
+        const double ratio = ratios.empty() ? 1.0 : *std::max_element(ratios.begin(), ratios.end());
+        history.score = std::clamp(ratio * (1.0 + failurePenalty * history.failureShare), minScore, maxScore);
+    }
+    this->refreshEjection();
+}
+
+// At most a third of the pool is ejected for slowness, because a slow majority is better than an overloaded rest.
+void LatencyScore::refreshEjection()
+{
+    std::vector<History *> slow;
+    for (auto &[name, history] : this->histories) {
+        const double limit = history.slow ? readmitScore : ejectScore;
+        history.slow = history.samples >= minSamplesToEject && history.score >= limit;
+        if (history.slow) {
+            slow.push_back(&history);
+        }
+    }
+    std::stable_sort(slow.begin(), slow.end(), [](const History *left, const History *right) { return left->score > right->score; });
+    for (std::size_t index = this->histories.size() / ejectableFraction; index < slow.size(); ++index) {
+        slow[index]->slow = false;
+    }
+}
+
+} // namespace Bergamotramp
--- /dev/null
+++ b/src/RetryBudget.cpp
@@ -0,0 +1,50 @@
+#include "RetryBudget.h"
+
+#include <algorithm>
+
+namespace Bergamotramp {
+
+namespace {
+
+// Bounds how many repeats an outage can cause at once after a quiet period.
+constexpr double maxTokens = 20.0;
+constexpr double initialTokens = 3.0;
+// Lets a service with few requests repeat one now and then.
+constexpr double tokensPerSecond = 0.1;
+
+} // namespace
+
+RetryBudget::RetryBudget(double share) : share(share), tokens(share > 0.0 ? initialTokens : 0.0)
+{
+}
+
+void RetryBudget::onRequest(absl::Time now)
+{
+    this->refill(now);
+    this->tokens = std::min(maxTokens, this->tokens + this->share);
+}
+
+bool RetryBudget::tryRepeat(absl::Time now, absl::Time deadline)
+{
+    this->refill(now);
+    if (now >= deadline || this->tokens < 1.0) {
+        return false;
+    }
+    this->tokens -= 1.0;
+    return true;
+}
+
+double RetryBudget::balance() const
+{
+    return this->tokens;
+}
+
+void RetryBudget::refill(absl::Time now)
+{
+    if (this->share > 0.0 && now > this->lastRefill && this->lastRefill != absl::InfinitePast()) {
+        this->tokens = std::min(maxTokens, this->tokens + tokensPerSecond * absl::ToDoubleSeconds(now - this->lastRefill));
+    }
+    this->lastRefill = std::max(this->lastRefill, now);
+}
+
+} // namespace Bergamotramp
--- /dev/null
+++ b/src/RetryBudget.h
@@ -0,0 +1,28 @@
+#pragma once
+
+#include <absl/time/time.h>
+
+namespace Bergamotramp {
+
+/** Limits repeated attempts to a share of the requests of one service. */
+class RetryBudget
+{
+public:
+    /** @p share is of the requests, 0 to 1. */
+    explicit RetryBudget(double share);
+
+    /** Counts a first attempt. */
+    void onRequest(absl::Time now);
+    /** Takes one repeat out of the budget; false when there is none or @p deadline has passed. */
+    bool tryRepeat(absl::Time now, absl::Time deadline);
+    [[nodiscard]] double balance() const;
+
+private:
+    void refill(absl::Time now);
+
+    double share;
+    double tokens;
+    absl::Time lastRefill = absl::InfinitePast();
+};
+
+} // namespace Bergamotramp
--- /dev/null
+++ b/src/SlotPool.cpp
@@ -0,0 +1,791 @@
+#include "SlotPool.h"
+
+#include <algorithm>
+#include <iterator>
+
+namespace Bergamotramp {
+
+namespace {
+
+// Share of the slots that long online streams may hold, so that stragglers never take the whole pool from short requests.
+constexpr double longStreamShare = 0.5;
+constexpr double tokensPerCostUnit = 256.0;
+// A revocation that got lost on the network is repeated.
+constexpr absl::Duration revokeRepeatPeriod = absl::Milliseconds(250);
+// A longer gap between ticks means that this process was paused, while the reports of the hosts waited in its sockets.
+constexpr absl::Duration pauseGap = absl::Seconds(1);
+constexpr absl::Duration minRetryAfter = absl::Milliseconds(100);
+constexpr absl::Duration overloadedRetryAfter = absl::Seconds(1);
+// Shorter progress intervals say more about buffering on the way than about the upstream.
+constexpr absl::Duration minProgressInterval = absl::Milliseconds(500);
+
+double costOf(const PoolRequest &request)
+{
+    return 1.0 + request.expectedTokens / tokensPerCostUnit;
+}
+
+// Coarse, so that fairness between organisations decides among jobs that are about equally pressed.
+int laxityRank(absl::Duration laxity)
+{
+    constexpr absl::Duration limits[] = {absl::ZeroDuration(), absl::Minutes(1), absl::Minutes(10), absl::Hours(1), absl::Hours(8)};
+    return static_cast<int>(std::lower_bound(std::begin(limits), std::end(limits), laxity) - std::begin(limits));
+}
+
+bool isOnline(const PoolRequest &request)
+{
+    return request.workClass == wire::WORK_CLASS_ONLINE;
+}
+
+} // namespace
+
+SlotPool::SlotPool(const ServiceSpec &spec) : spec(spec)
+{
+}
+
+SlotActions SlotPool::configure(const ServiceSpec &newSpec, const std::vector<PoolUpstream> &upstreams, absl::Time now)
+{
+    this->spec = newSpec;
+    this->load.setUpstreams(upstreams);
+    return this->finish(now);
+}
+
+void SlotPool::holdBatchUntil(absl::Time time)
+{
+    this->batchFrom = time;
+}
+
+SlotActions SlotPool::request(const PoolRequest &request, absl::Time now)
+{
+    const auto held = this->grants.find(request.id);
+    if (held != this->grants.end()) {
+        const auto upstream = this->load.entries().find(held->second.upstream);
+        const std::string address = upstream == this->load.entries().end() ? "" : upstream->second.spec.address;
+        this->pending.emplace_back(SlotGranted{request.id, held->second.upstream, address});
+        return this->finish(now);
+    }
+    if (this->ended.contains(request.id) || this->waiting.contains(request.id)) {
+        return this->finish(now);
+    }
+    if (isOnline(request)) {
+        this->demand.onArrival(now, request.expectedTokens);
+    }
+    if (!this->refuse(request, now)) {
+        this->waiting.emplace(request.id, Waiting{request, Stage::Queued, {}, this->nextArrival++});
+        ++(isOnline(request) ? this->onlineWaiting : this->batchWaiting);
+        this->deadlines.emplace(request.deadline, request.id);
+        this->route(request.id, now);
+        this->dispatch(now);
+        this->denyIfTooLate(request.id, now);
+    }
+    return this->finish(now);
+}
+
+bool SlotPool::refuse(const PoolRequest &request, absl::Time now)
+{
+    if (this->crashes.convicted(request.fingerprint, now)) {
+        this->deny(request.id, SlotDenialCode::quarantined, absl::ZeroDuration());
+    } else if (request.deadline <= now) {
+        this->deny(request.id, SlotDenialCode::deadline, absl::ZeroDuration());
+    } else if (!this->load.anyTakesWork()) {
+        this->deny(request.id, SlotDenialCode::noUpstream, overloadedRetryAfter);
+    } else if (isOnline(request) ? this->onlineWaiting >= maxOnlineWaiting : this->batchWaiting >= maxBatchWaiting) {
+        this->deny(request.id, SlotDenialCode::overloaded, overloadedRetryAfter);
+    } else {
+        return false;
+    }
+    return true;
+}
+
+void SlotPool::deny(const GrantId &id, const char *code, absl::Duration retryAfter)
+{
+    ++this->denialCount;
+    this->pending.emplace_back(SlotDenied{id, code, retryAfter});
+}
+
+// Denies at once what would expire in the queue, so that the caller can go elsewhere while there is time.
+void SlotPool::denyIfTooLate(const GrantId &id, absl::Time now)
+{
+    const auto found = this->waiting.find(id);
+    if (found == this->waiting.end() || !isOnline(found->second.request) || found->second.stage != Stage::Queued) {
+        return;
+    }
+    const std::size_t ahead = this->onlineQueue.aheadOfLast(found->second.request.organisation);
+    const auto revoking = static_cast<std::size_t>(
+        std::count_if(this->grants.begin(), this->grants.end(), [](const auto &item) { return item.second.revokedAt != absl::InfinitePast(); }));
+    if (ahead < revoking) {
+        return;
+    }
+    const absl::Duration wait = this->demand.expectedWait(ahead - revoking, this->load.usableSlots());
+    if (now + wait > found->second.request.deadline) {
+        this->dropWaiting(id, now);
+        this->deny(id, SlotDenialCode::deadline, std::max(minRetryAfter, wait));
+    }
+}
+
+void SlotPool::route(const GrantId &id, absl::Time now)
+{
+    Waiting &entry = this->waiting.at(id);
+    const PoolRequest &request = entry.request;
+    const std::pair<wire::WorkClass, std::uint64_t> linePlace(request.workClass, entry.arrival);
+    if (this->crashes.suspect(request.fingerprint, now)) {
+        entry.stage = Stage::Suspect;
+        this->suspectLine.emplace(linePlace, id);
+        return;
+    }
+    if (!this->copyAllowed(request)) {
+        entry.stage = Stage::Parked;
+        this->parked[request.fingerprint].emplace(linePlace, id);
+        return;
+    }
+    entry.stage = Stage::Queued;
+    const bool expectedLong = isOnline(request) && this->demand.expectedLong(request.expectedTokens);
+    const FairQueue::Lane lane = expectedLong ? FairQueue::Lane::Long : FairQueue::Lane::Short;
+    if (isOnline(request)) {
+        entry.place = this->onlineQueue.push(request.organisation, lane, absl::UnixEpoch(), id);
+        this->countCopy(request, &Copies::onlineQueued, 1);
+    } else {
+        const absl::Time latestStart = request.due - request.expectedTokens * this->spec.online.betweenTokens;
+        entry.place = this->batchQueue.push(request.organisation, lane, latestStart, id);
+        this->countCopy(request, &Copies::batchQueued, 1);
+    }
+}
+
+// Takes an entry out of its line or queue; it stays in the map of waiting requests.
+void SlotPool::detach(const GrantId &id)
+{
+    const Waiting &entry = this->waiting.at(id);
+    const PoolRequest &request = entry.request;
+    const std::pair<wire::WorkClass, std::uint64_t> linePlace(request.workClass, entry.arrival);
+    if (entry.stage == Stage::Suspect) {
+        this->suspectLine.erase(linePlace);
+    } else if (entry.stage == Stage::Parked) {
+        Line &line = this->parked[request.fingerprint];
+        line.erase(linePlace);
+        if (line.empty()) {
+            this->parked.erase(request.fingerprint);
+        }
+    } else if (isOnline(request)) {
+        this->onlineQueue.erase(entry.place);
+        this->countCopy(request, &Copies::onlineQueued, -1);
+    } else {
+        this->batchQueue.erase(entry.place);
+        this->countCopy(request, &Copies::batchQueued, -1);
+    }
+}
+
+void SlotPool::dropWaiting(const GrantId &id, absl::Time now)
+{
+    this->detach(id);
+    const auto found = this->waiting.find(id);
+    const std::uint64_t fingerprint = found->second.request.fingerprint;
+    this->deadlines.erase({found->second.request.deadline, id});
+    --(isOnline(found->second.request) ? this->onlineWaiting : this->batchWaiting);
+    this->waiting.erase(found);
+    this->unpark(fingerprint, now);
+}
+
+void SlotPool::reroute(std::uint64_t fingerprint, absl::Time now)
+{
+    std::vector<std::pair<std::uint64_t, GrantId>> affected;
+    for (const auto &[id, entry] : this->waiting) {
+        if (entry.request.fingerprint == fingerprint) {
+            affected.emplace_back(entry.arrival, id);
+        }
+    }
+    std::sort(affected.begin(), affected.end());
+    const bool convicted = this->crashes.convicted(fingerprint, now);
+    for (const auto &[arrival, id] : affected) {
+        if (convicted) {
+            // Another entry may have become parked or queued meanwhile, but none has left the map.
+            this->dropWaiting(id, now);
+            this->deny(id, SlotDenialCode::quarantined, absl::ZeroDuration());
+        } else {
+            this->detach(id);
+            this->route(id, now);
+        }
+    }
+}
+
+void SlotPool::unpark(std::uint64_t fingerprint, absl::Time now)
+{
+    while (true) {
+        const auto line = this->parked.find(fingerprint);
+        if (line == this->parked.end()) {
+            return;
+        }
+        const GrantId id = line->second.begin()->second;
+        if (!this->copyAllowed(this->waiting.at(id).request)) {
+            return;
+        }
+        this->detach(id);
+        this->route(id, now);
+    }
+}
+
+// Queued batch copies do not count against online requests, which must not wait behind them.
+bool SlotPool::copyAllowed(const PoolRequest &request) const
+{
+    const auto found = this->copies.find(request.fingerprint);
+    if (request.fingerprint == 0 || found == this->copies.end()) {
+        return true;
+    }
+    const Copies &known = found->second;
+    return known.inFlight + known.onlineQueued + (isOnline(request) ? 0 : known.batchQueued) < maxCopies;
+}
+
+void SlotPool::countCopy(const PoolRequest &request, std::size_t Copies::*counter, int change)
+{
+    if (request.fingerprint == 0) {
+        return;
+    }
+    Copies &known = this->copies[request.fingerprint];
+    known.*counter += static_cast<std::size_t>(change);
+    if (known.inFlight + known.onlineQueued + known.batchQueued == 0) {
+        this->copies.erase(request.fingerprint);
+    }
+}
+
+void SlotPool::grant(const GrantId &id, const UpstreamLoad::Choice &choice, bool isolated, absl::Time now)
+{
+    const auto found = this->waiting.find(id);
+    Grant grant;
+    grant.request = std::move(found->second.request);
+    grant.upstream = choice.upstream;
+    grant.grantedAt = now;
+    grant.lastReported = now;
+    grant.tokensAt = now;
+    grant.probe = choice.probe;
+    grant.isolated = isolated;
+    grant.longStream = isOnline(grant.request) && this->demand.expectedLong(grant.request.expectedTokens);
+    this->deadlines.erase({grant.request.deadline, id});
+    --(isOnline(grant.request) ? this->onlineWaiting : this->batchWaiting);
+    this->waiting.erase(found);
+    this->insertGrant(std::move(grant), now);
+    ++this->grantCount;
+    this->pending.emplace_back(SlotGranted{id, choice.upstream, choice.address});
+}
+
+void SlotPool::insertGrant(Grant grant, absl::Time now)
+{
+    this->load.add(grant.upstream, grant.probe, now);
+    if (grant.isolated) {
+        this->load.setIsolated(grant.upstream, true);
+    }
+    this->countCopy(grant.request, &Copies::inFlight, 1);
+    this->onlineInFlight += isOnline(grant.request) ? 1 : 0;
+    this->longInFlight += grant.longStream ? 1 : 0;
+    GrantId id = grant.request.id;
+    this->grants.emplace(std::move(id), std::move(grant));
+}
+
+void SlotPool::endGrant(const GrantId &id, absl::Time now)
+{
+    const auto found = this->grants.find(id);
+    const Grant ending = std::move(found->second);
+    this->grants.erase(found);
+    if (ending.isolated) {
+        this->load.setIsolated(ending.upstream, false);
+    }
+    this->load.remove(ending.upstream, ending.probe);
+    this->countCopy(ending.request, &Copies::inFlight, -1);
+    this->onlineInFlight -= isOnline(ending.request) ? 1 : 0;
+    this->longInFlight -= ending.longStream ? 1 : 0;
+    this->unpark(ending.request.fingerprint, now);
+}
+
+SlotActions SlotPool::release(const GrantId &id, const GrantOutcome &outcome, absl::Time now)
+{
+    const auto held = this->grants.find(id);
+    if (held != this->grants.end()) {
+        const Grant ending = held->second;
+        if (outcome.result == wire::SLOT_RESULT_UPSTREAM_DIED) {
+            this->onDeath(ending, now);
+        }
+        this->observe(ending, outcome, now);
+        this->endGrant(id, now);
+    } else if (this->waiting.contains(id)) {
+        this->dropWaiting(id, now);
+    }
+    this->remember(id);
+    return this->finish(now);
+}
+
+void SlotPool::observe(const Grant &grant, const GrantOutcome &outcome, absl::Time now)
+{
+    if (outcome.result == wire::SLOT_RESULT_FAILED) {
+        this->load.latency().recordFailure(grant.upstream, now);
+    } else if (outcome.result == wire::SLOT_RESULT_COMPLETED) {
+        this->load.latency().record(grant.upstream, outcome.firstToken, outcome.betweenTokens, now);
+        if (isOnline(grant.request)) {
+            this->demand.onServed(now - grant.grantedAt, outcome.tokens);
+        }
+        if (grant.isolated && this->crashes.clear(grant.request.fingerprint)) {
+            this->suspectChanged(grant.request.fingerprint, 0, now);
+        }
+    } else if (outcome.result == wire::SLOT_RESULT_CANCELLED && outcome.firstToken > absl::ZeroDuration()) {
+        this->load.latency().record(grant.upstream, outcome.firstToken, outcome.betweenTokens, now);
+    }
+}
+
+// Several hosts report the same death, each for its own requests; only the first report counts.
+void SlotPool::onDeath(const Grant &grant, absl::Time now)
+{
+    if (grant.crashCounted) {
+        return;
+    }
+    std::vector<std::uint64_t> inFlight;
+    for (auto &[id, other] : this->grants) {
+        if (other.upstream == grant.upstream && !other.crashCounted) {
+            other.crashCounted = true;
+            inFlight.push_back(other.request.fingerprint);
+        }
+    }
+    this->load.latency().recordDeath(grant.upstream, now);
+    for (const auto &[fingerprint, count] : this->crashes.crashed(std::move(inFlight), now)) {
+        this->suspectChanged(fingerprint, count, now);
+    }
+}
+
+void SlotPool::suspectChanged(std::uint64_t fingerprint, std::uint32_t crashCount, absl::Time now)
+{
+    this->pending.emplace_back(SuspectChanged{fingerprint, crashCount});
+    // Batch copies of a suspect that share their upstream are stopped before they crash it too.
+    for (auto &[id, grant] : this->grants) {
+        if (crashCount > 0 && !grant.crashCounted && grant.request.fingerprint == fingerprint && !isOnline(grant.request)) {
+            this->revoke(grant, now);
+        }
+    }
+    this->reroute(fingerprint, now);
+}
+
+void SlotPool::remember(const GrantId &id)
+{
+    if (!this->ended.insert(id).second) {
+        return;
+    }
+    this->endedOrder.push_back(id);
+    if (this->endedOrder.size() > maxEnded) {
+        this->ended.erase(this->endedOrder.front());
+        this->endedOrder.pop_front();
+    }
+}
+
+SlotActions SlotPool::adopt(const std::string &host, const std::vector<HeldGrant> &held, absl::Time now)
+{
+    for (const HeldGrant &slot : held) {
+        this->adoptOne({host, slot.number}, slot, now);
+    }
+    return this->finish(now);
+}
+
+void SlotPool::adoptOne(const GrantId &id, const HeldGrant &held, absl::Time now)
+{
+    const auto known = this->grants.find(id);
+    if (known != this->grants.end()) {
+        known->second.lastReported = now;
+        this->updateTokens(known->second, held.tokens, now);
+        return;
+    }
+    if (this->ended.contains(id) || this->grants.size() >= maxGrants) {
+        return;
+    }
+    if (this->waiting.contains(id)) {
+        this->dropWaiting(id, now);
+    }
+    Grant adopted;
+    adopted.request.id = id;
+    adopted.request.workClass = held.workClass;
+    adopted.request.organisation = held.organisation;
+    adopted.request.fingerprint = held.fingerprint;
+    adopted.upstream = held.upstream;
+    adopted.grantedAt = now;
+    adopted.lastReported = now;
+    adopted.tokens = held.tokens;
+    adopted.tokensAt = now;
+    adopted.longStream = isOnline(adopted.request) && this->demand.runningLong(held.tokens);
+    adopted.isolated = this->crashes.suspect(held.fingerprint, now);
+    this->insertGrant(std::move(adopted), now);
+}
+
+void SlotPool::updateTokens(Grant &grant, std::uint32_t tokens, absl::Time now)
+{
+    if (tokens <= grant.tokens) {
+        return;
+    }
+    // Progress of running streams shows a slowdown earlier than their ends do.
+    const absl::Duration elapsed = now - grant.tokensAt;
+    if (grant.tokens > 0 && elapsed >= minProgressInterval) {
+        this->load.latency().record(grant.upstream, absl::ZeroDuration(), elapsed / static_cast<double>(tokens - grant.tokens), now);
+    }
+    grant.tokens = tokens;
+    grant.tokensAt = now;
+    if (isOnline(grant.request) && !grant.longStream && this->demand.runningLong(tokens)) {
+        grant.longStream = true;
+        ++this->longInFlight;
+    }
+}
+
+SlotActions SlotPool::removeHost(const std::string &host, absl::Time now)
+{
+    std::vector<GrantId> gone;
+    for (const auto &[id, entry] : this->waiting) {
+        if (id.host == host) {
+            gone.push_back(id);
+        }
+    }
+    for (const GrantId &id : gone) {
+        this->dropWaiting(id, now);
+    }
+    gone.clear();
+    for (const auto &[id, grant] : this->grants) {
+        if (id.host == host) {
+            gone.push_back(id);
+        }
+    }
+    for (const GrantId &id : gone) {
+        this->endGrant(id, now);
+    }
+    return this->finish(now);
+}
+
+SlotActions SlotPool::suspectNotice(std::uint64_t fingerprint, std::uint32_t crashCount, absl::Time now)
+{
+    if (this->crashes.merge(fingerprint, crashCount, now)) {
+        this->reroute(fingerprint, now);
+    }
+    return this->finish(now);
+}
+
+SlotActions SlotPool::tick(absl::Time now)
+{
+    this->expireWaiting(now);
+    this->expireGrants(now);
+    this->repeatRevocations(now);
+    this->onlineQueue.prune();
+    this->batchQueue.prune();
+    this->lastTick = now;
+    return this->finish(now);
+}
+
+void SlotPool::expireWaiting(absl::Time now)
+{
+    while (!this->deadlines.empty() && this->deadlines.begin()->first <= now) {
+        const GrantId id = this->deadlines.begin()->second;
+        this->dropWaiting(id, now);
+        this->deny(id, SlotDenialCode::deadline, minRetryAfter);
+    }
+}
+
+void SlotPool::expireGrants(absl::Time now)
+{
+    const bool paused = this->lastTick != absl::InfinitePast() && now - this->lastTick > pauseGap;
+    std::vector<GrantId> expired;
+    for (auto &[id, grant] : this->grants) {
+        if (paused) {
+            grant.lastReported = now;
+        } else if (now - grant.lastReported > grantLease) {
+            expired.push_back(id);
+        }
+    }
+    for (const GrantId &id : expired) {
+        this->endGrant(id, now);
+    }
+}
+
+void SlotPool::repeatRevocations(absl::Time now)
+{
+    for (auto &[id, grant] : this->grants) {
+        if (grant.revokedAt != absl::InfinitePast() && now - grant.revokedAt >= revokeRepeatPeriod) {
+            grant.revokedAt = now;
+            this->pending.emplace_back(SlotRevoked{id});
+        }
+    }
+}
+
+SlotActions SlotPool::finish(absl::Time now)
+{
+    this->dispatch(now);
+    return std::exchange(this->pending, {});
+}
+
+void SlotPool::dispatch(absl::Time now)
+{
+    if (this->waiting.empty()) {
+        this->load.setDraining("");
+        return;
+    }
+    if (!this->load.anyTakesWork()) {
+        this->denyAllWithoutUpstream(now);
+        return;
+    }
+    this->serveSuspect(now);
+    this->serveOnline(now);
+    this->revokeForCopies(now);
+    this->revokeForOnline(now);
+    this->serveBatch(now);
+}
+
+void SlotPool::denyAllWithoutUpstream(absl::Time now)
+{
+    std::vector<GrantId> ids;
+    for (const auto &[id, entry] : this->waiting) {
+        ids.push_back(id);
+    }
+    std::sort(ids.begin(), ids.end());
+    for (const GrantId &id : ids) {
+        this->dropWaiting(id, now);
+        this->deny(id, SlotDenialCode::noUpstream, overloadedRetryAfter);
+    }
+}
+
+std::optional<GrantId> SlotPool::nextSuspect() const
+{
+    if (this->suspectLine.empty()) {
+        return std::nullopt;
+    }
+    const auto &[place, id] = *this->suspectLine.begin();
+    // A batch suspect takes a whole upstream, which online requests that wait need more.
+    if (place.first == wire::WORK_CLASS_BATCH && this->onlineQueue.size() > 0) {
+        return std::nullopt;
+    }
+    return id;
+}
+
+// Requests that became suspect while they ran count too. Revokes them when they are batch work and @p online is set.
+bool SlotPool::suspectRunning(bool online, absl::Time now)
+{
+    bool running = false;
+    for (auto &[id, grant] : this->grants) {
+        if (grant.isolated || this->crashes.suspect(grant.request.fingerprint, now)) {
+            running = true;
+            if (online && !isOnline(grant.request)) {
+                this->revoke(grant, now);
+            }
+        }
+    }
+    return running;
+}
+
+void SlotPool::serveSuspect(absl::Time now)
+{
+    const std::optional<GrantId> next = this->nextSuspect();
+    if (!next.has_value() || this->suspectRunning(isOnline(this->waiting.at(*next).request), now)) {
+        this->load.setDraining("");
+        return;
+    }
+    const std::optional<UpstreamLoad::Choice> idle = this->load.chooseIdle();
+    if (idle.has_value()) {
+        this->load.setDraining("");
+        this->detach(*next);
+        this->grant(*next, *idle, true, now);
+        return;
+    }
+    const std::optional<std::string> target = this->load.chooseToDrain();
+    this->load.setDraining(target.value_or(""));
+    for (auto &[id, grant] : this->grants) {
+        if (target.has_value() && grant.upstream == *target && !isOnline(grant.request)) {
+            this->revoke(grant, now);
+        }
+    }
+}
+
+std::int64_t SlotPool::longCap() const
+{
+    return std::max<std::int64_t>(1, static_cast<std::int64_t>(longStreamShare * static_cast<double>(this->load.usableSlots())));
+}
+
+bool SlotPool::longAllowed() const
+{
+    return static_cast<std::int64_t>(this->longInFlight) < this->longCap();
+}
+
+void SlotPool::serveOnline(absl::Time now)
+{
+    while (this->onlineQueue.size() > 0 && this->load.hasRoom(wire::WORK_CLASS_ONLINE, now)) {
+        std::optional<UpstreamLoad::Choice> choice;
+        FairQueue::Filter filter;
+        filter.longLane = this->longAllowed();
+        filter.accept = [&](const GrantId &id) {
+            const PoolRequest &request = this->waiting.at(id).request;
+            const auto known = this->copies.find(request.fingerprint);
+            if (known != this->copies.end() && known->second.inFlight >= maxCopies) {
+                return false;
+            }
+            choice = this->load.choose(wire::WORK_CLASS_ONLINE, request.excludedUpstreams, now);
+            return choice.has_value();
+        };
+        const std::optional<GrantId> id = this->onlineQueue.pop(filter, [this](const GrantId &taken) { return costOf(this->waiting.at(taken).request); });
+        if (!id.has_value()) {
+            return;
+        }
+        this->countCopy(this->waiting.at(*id).request, &Copies::onlineQueued, -1);
+        this->grant(*id, *choice, false, now);
+    }
+}
+
+bool SlotPool::batchAllowed(absl::Time now) const
+{
+    const std::int64_t reserve =
+        this->demand.reserve(this->load.usableSlots(), static_cast<std::int64_t>(this->onlineInFlight), this->spec.online.reserveShare, now);
+    return now >= this->batchFrom && this->load.freeSlots() > reserve;
+}
+
+void SlotPool::serveBatch(absl::Time now)
+{
+    while (this->batchQueue.size() > 0 && this->load.hasRoom(wire::WORK_CLASS_BATCH, now)) {
+        const bool probeOnly = !this->batchAllowed(now);
+        std::optional<UpstreamLoad::Choice> choice;
+        FairQueue::Filter filter;
+        filter.rank = [now](absl::Time latestStart) { return laxityRank(latestStart - now); };
+        filter.accept = [&](const GrantId &id) {
+            const PoolRequest &request = this->waiting.at(id).request;
+            const auto known = this->copies.find(request.fingerprint);
+            if (known != this->copies.end() && known->second.inFlight + known->second.onlineQueued >= maxCopies) {
+                return false;
+            }
+            choice = probeOnly ? this->load.chooseProbe(wire::WORK_CLASS_BATCH, request.excludedUpstreams, now)
+                               : this->load.choose(wire::WORK_CLASS_BATCH, request.excludedUpstreams, now);
+            return choice.has_value();
+        };
+        const std::optional<GrantId> id = this->batchQueue.pop(filter, [this](const GrantId &taken) { return costOf(this->waiting.at(taken).request); });
+        if (!id.has_value()) {
+            return;
+        }
+        this->countCopy(this->waiting.at(*id).request, &Copies::batchQueued, -1);
+        this->grant(*id, *choice, false, now);
+    }
+}
+
+void SlotPool::revoke(Grant &grant, absl::Time now)
+{
+    if (grant.revokedAt == absl::InfinitePast()) {
+        grant.revokedAt = now;
+        ++this->revocationCount;
+        this->pending.emplace_back(SlotRevoked{grant.request.id});
+    }
+}
+
+// An online request that waits only for a batch copy of itself gets that copy's place.
+void SlotPool::revokeForCopies(absl::Time now)
+{
+    if (this->parked.empty()) {
+        return;
+    }
+    for (auto &[id, grant] : this->grants) {
+        const auto line = this->parked.find(grant.request.fingerprint);
+        const bool onlineParked = line != this->parked.end() && line->second.begin()->first.first == wire::WORK_CLASS_ONLINE;
+        if (onlineParked && !isOnline(grant.request)) {
+            this->revoke(grant, now);
+        }
+    }
+}
+
+void SlotPool::revokeForOnline(absl::Time now)
+{
+    if (this->onlineQueue.size() == 0) {
+        return;
+    }
+    std::vector<Grant *> available = this->victims(now);
+    std::map<std::string, std::int64_t> excess;
+    for (const Grant *grant : available) {
+        excess.emplace(grant->upstream, this->load.excess(grant->upstream));
+    }
+    std::int64_t longLeft = this->longCap() - static_cast<std::int64_t>(this->longInFlight);
+    this->onlineQueue.forEach(this->longAllowed(), [&](const GrantId &id) {
+        const Waiting &entry = this->waiting.at(id);
+        if (entry.place.lane == FairQueue::Lane::Short || longLeft-- > 0) {
+            this->assignVictim(entry.request, available, excess, now);
+        }
+        return !available.empty();
+    });
+}
+
+// Batch grants in the order in which they are taken: those already revoked, then those that lose the least work.
+std::vector<SlotPool::Grant *> SlotPool::victims(absl::Time now)
+{
+    std::vector<std::pair<double, Grant *>> costs;
+    for (auto &[id, grant] : this->grants) {
+        if (!isOnline(grant.request)) {
+            costs.emplace_back(grant.revokedAt != absl::InfinitePast() ? -1.0 : this->workLost(grant, now), &grant);
+        }
+    }
+    std::sort(costs.begin(), costs.end(), [](const auto &left, const auto &right) {
+        return left.first != right.first ? left.first < right.first : left.second->request.id < right.second->request.id;
+    });
+    std::vector<Grant *> ordered;
+    for (const auto &[cost, grant] : costs) {
+        ordered.push_back(grant);
+    }
+    return ordered;
+}
+
+// Revokes the first batch grant whose slot the request can use. On an upstream with more requests than slots, a
+// revocation only removes the excess, so the next one is taken as well.
+void SlotPool::assignVictim(const PoolRequest &request, std::vector<Grant *> &victims, std::map<std::string, std::int64_t> &excess, absl::Time now)
+{
+    auto victim = victims.begin();
+    while (victim != victims.end()) {
+        Grant &grant = **victim;
+        if (!this->load.useful(grant.upstream, request.excludedUpstreams)) {
+            ++victim;
+            continue;
+        }
+        this->revoke(grant, now);
+        victim = victims.erase(victim);
+        std::int64_t &over = excess.at(grant.upstream);
+        if (over == 0) {
+            return;
+        }
+        --over;
+    }
+}
+
+double SlotPool::workLost(const Grant &grant, absl::Time now) const
+{
+    const double sinceReport = absl::FDivDuration(now - grant.tokensAt, this->spec.online.betweenTokens);
+    return grant.tokens + std::max(0.0, sinceReport);
+}
+
+SlotPoolStatus SlotPool::status(absl::Time now) const
+{
+    SlotPoolStatus status;
+    for (const auto &[name, entry] : this->load.entries()) {
+        status.upstreams.push_back({name,
+                                    entry.inFlight,
+                                    entry.spec.slots,
+                                    this->load.latency().score(name, now),
+                                    this->load.latency().ejected(name),
+                                    entry.spec.leaving || entry.removed,
+                                    entry.isolated});
+    }
+    status.onlineInFlight = this->onlineInFlight;
+    status.batchInFlight = this->grants.size() - this->onlineInFlight;
+    status.onlineQueued = this->onlineQueue.size();
+    status.batchQueued = this->batchQueue.size();
+    status.suspectsQueued = this->suspectLine.size();
+    status.parked = this->waiting.size() - status.onlineQueued - status.batchQueued - status.suspectsQueued;
+    status.reserve = this->demand.reserve(this->load.usableSlots(), static_cast<std::int64_t>(this->onlineInFlight), this->spec.online.reserveShare, now);
+    status.grants = this->grantCount;
+    status.denials = this->denialCount;
+    status.revocations = this->revocationCount;
+    return status;
+}
+
+const CrashSuspects &SlotPool::suspects() const
+{
+    return this->crashes;
+}
+
+std::set<std::string> SlotPool::hosts() const
+{
+    std::set<std::string> names;
+    for (const auto &[id, entry] : this->waiting) {
+        names.insert(id.host);
+    }
+    for (const auto &[id, grant] : this->grants) {
+        names.insert(id.host);
+    }
+    return names;
+}
+
+} // namespace Bergamotramp
