Add batch jobs: records, segments, input and the service that runs them

Items are finished only by a conditional update of their segment's progress, so claims may move and answers may be lost without losing or doubling an item. Found by BatchServiceTest.cancelledJobStopsAndCommitsNothingMore: a holder whose items were all running learned of a cancellation only at its next commit, and the items ran on (the test waited 60 s in vain). Holders now check jobs that have left the list of active ones.

--- /dev/null
+++ b/src/BatchStore.h
@@ -0,0 +1,55 @@
+#pragma once
+
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include <absl/time/time.h>
+
+#include "BatchRecords.h"
+#include "StoreClient.h"
+
+namespace Bergamotramp {
+
+/** A manifest with the version at which it stands. */
+struct StoredManifest {
+    JobManifest manifest;
+    std::uint64_t version = 0;
+};
+
+/** Reads and writes the records of batch jobs. Thread-safe; calls block and throw StoreError when the store doesn't answer. */
+class BatchStore
+{
+public:
+    explicit BatchStore(StoreClient &client);
+
+    std::optional<StoredManifest> readManifest(const JobId &job);
+    /** Progress records by segment; a segment that was never claimed has none. */
+    std::map<std::int64_t, StoredObject> readProgress(const JobId &job);
+    std::optional<StoredObject> readSegmentProgress(const JobId &job, std::int64_t segment);
+    std::vector<JobItem> readSegment(const JobManifest &manifest, std::int64_t segment);
+    std::string readOutput(const JobId &job, std::int64_t segment, const std::string &part);
+    /** Jobs that are not finished. */
+    std::vector<JobId> activeJobs();
+    /** Ids of an organisation's jobs. */
+    std::vector<std::string> jobIds(const std::string &organisation);
+
+    /** Writes an object whose name is used for this content only, again until the store answers; throws StoreError after a few tries. */
+    void writeUnique(const std::string &key, const std::string &value);
+    /** Writes the index entries and then the manifest; returns the manifest that stands, which may be of an earlier submission. */
+    JobManifest createJob(const JobManifest &manifest);
+    /** Moves a job from one state to another; returns what stands afterwards. */
+    JobManifest changeState(const JobId &job, JobState from, JobState to, std::int64_t completed, std::int64_t failed);
+    void removeActive(const JobId &job);
+    void removeInput(const JobId &job, const std::string &upload, std::int64_t segments);
+    WriteResult putProgress(const JobId &job, std::int64_t segment, const SegmentProgress &progress, Precondition precondition);
+    /** Closes a segment of a cancelled job against further commits. */
+    void closeSegment(const JobManifest &manifest, std::int64_t segment, std::optional<StoredObject> stored);
+
+private:
+    StoreClient &client;
+};
+
+} // namespace Bergamotramp
--- /dev/null
+++ b/test/host/BatchServiceTest.cpp
@@ -0,0 +1,260 @@
+#include "BatchService.h"
+
+#include <atomic>
+#include <map>
+#include <sstream>
+
+#include <absl/time/clock.h>
+#include <gtest/gtest.h>
+#include <httplib.h>
+
+#include "EventLog.h"
+#include "StandinPlatform.h"
+#include "StoreClient.h"
+#include "TimerService.h"
+
+namespace Bergamotramp {
+
+namespace {
+
+constexpr absl::Duration generous = absl::Seconds(60);
+
+bool eventually(const std::function<bool()> &condition)
+{
+    const absl::Time limit = absl::Now() + generous;
+    while (absl::Now() < limit) {
+        if (condition()) {
+            return true;
+        }
+        absl::SleepFor(absl::Milliseconds(10));
+    }
+    return false;
+}
+
+/** One host's batch service, with the live hosts that the test decides. */
+struct BatchHost {
+    BatchHost(const std::string &name, const std::string &storeAddress, std::function<std::vector<HostInfo>()> live, BatchService::RunItem runItem)
+        : events(name, ""), store(StoreSettings{storeAddress, absl::Seconds(2)})
+    {
+        this->context.settings.name = name;
+        this->context.settings.batchConcurrency = 8;
+        this->context.incarnation = 1;
+        this->context.store = &this->store;
+        this->context.timers = &this->timers;
+        this->context.events = &this->events;
+        this->context.liveHosts = std::move(live);
+        this->context.catalogue = [] { return std::make_shared<const Catalogue>(); };
+        this->service = std::make_unique<BatchService>(this->context, std::move(runItem));
+    }
+
+    EventLog events;
+    TimerService timers;
+    StoreClient store;
+    HostContext context;
+    std::unique_ptr<BatchService> service;
+};
+
+class BatchServiceTest : public testing::Test
+{
+protected:
+    BatchHost &addHost(const std::string &name, BatchService::RunItem runItem)
+    {
+        {
+            const std::lock_guard<std::mutex> lock(this->mutex);
+            HostInfo host;
+            host.name = name;
+            host.incarnation = 1;
+            this->live.push_back(host);
+        }
+        const auto liveHosts = [this] {
+            const std::lock_guard<std::mutex> lock(this->mutex);
+            return this->live;
+        };
+        this->hosts.push_back(std::make_unique<BatchHost>(name, this->platform.address(), liveHosts, std::move(runItem)));
+        return *this->hosts.back();
+    }
+
+    void markDead(const std::string &name)
+    {
+        const std::lock_guard<std::mutex> lock(this->mutex);
+        std::erase_if(this->live, [&name](const HostInfo &host) { return host.name == name; });
+    }
+
+    static std::string inputOf(int items)
+    {
+        std::string input;
+        for (int item = 0; item < items; ++item) {
+            input += nlohmann::json({{"custom_id", std::to_string(item)}, {"body", {{"n", item}}}}).dump() + "\n";
+        }
+        return input;
+    }
+
+    static JobStatus submit(BatchHost &host, const std::string &input, const std::string &key = "night")
+    {
+        const auto submission = host.service->open({"coop", "modelo", key, absl::Now() + absl::Hours(1)});
+        submission->append(input);
+        return submission->commit();
+    }
+
+    static std::map<std::string, int> resultsOf(BatchHost &host, const std::string &id)
+    {
+        std::string text;
+        host.service->writeResults("coop", id, [&text](std::string_view piece) {
+            text.append(piece);
+            return true;
+        });
+        std::map<std::string, int> counts;
+        std::istringstream lines(text);
+        for (std::string line; std::getline(lines, line);) {
+            ++counts[nlohmann::json::parse(line).at("custom_id").get<std::string>()];
+        }
+        return counts;
+    }
+
+    static bool ends(BatchHost &host, const std::string &id, const std::string &state)
+    {
+        return eventually([&] {
+            try {
+                return host.service->status("coop", id).state == state;
+            } catch (const BatchError &) {
+                return false;
+            }
+        });
+    }
+
+    void setFaults(const nlohmann::json &faults)
+    {
+        httplib::Client control("http://" + this->platform.address());
+        ASSERT_EQ(control.Post("/control/faults", faults.dump(), "application/json")->status, 200);
+    }
+
+    StandinPlatform platform;
+    std::mutex mutex;
+    std::vector<HostInfo> live;
+    std::vector<std::unique_ptr<BatchHost>> hosts;
+};
+
+ItemResult complete(const JobHeader &, const std::string &, const std::string &body, CallCancellation &)
+{
+    return {true, false, body, ""};
+}
+
+// Guards against lost or doubled items when two hosts share a job.
+TEST_F(BatchServiceTest, twoHostsFinishEveryItemOnce)
+{
+    BatchHost &first = this->addHost("host-1", complete);
+    BatchHost &second = this->addHost("host-2", complete);
+    const JobStatus job = submit(first, inputOf(2000));
+    ASSERT_TRUE(ends(second, job.id, "completed"));
+    EXPECT_EQ(second.service->status("coop", job.id).completed, 2000);
+    const std::map<std::string, int> results = resultsOf(second, job.id);
+    EXPECT_EQ(results.size(), 2000U);
+    EXPECT_TRUE(std::all_of(results.begin(), results.end(), [](const auto &entry) { return entry.second == 1; }));
+}
+
+// Guards against a resent job that runs a second time, and against another body that is taken for the first one.
+TEST_F(BatchServiceTest, resentJobFindsTheFirstOne)
+{
+    BatchHost &first = this->addHost("host-1", complete);
+    BatchHost &second = this->addHost("host-2", complete);
+    const JobStatus job = submit(first, inputOf(30));
+    EXPECT_EQ(submit(second, inputOf(30)).id, job.id);
+    try {
+        submit(second, inputOf(31));
+        FAIL() << "another body was accepted under the key";
+    } catch (const BatchError &error) {
+        EXPECT_EQ(error.code(), "conflict");
+    }
+    EXPECT_EQ(first.service->list("coop").size(), 1U);
+}
+
+// Guards against a job that stands still because the host that had claimed its segments is gone.
+TEST_F(BatchServiceTest, segmentsOfALostHostAreTakenOver)
+{
+    std::atomic<bool> stuck{true};
+    BatchHost &first = this->addHost("host-1", [&stuck](const JobHeader &, const std::string &, const std::string &body, CallCancellation &cancellation) {
+        while (stuck && !cancellation.cancelled()) {
+            absl::SleepFor(absl::Milliseconds(5));
+        }
+        return ItemResult{true, false, body, ""};
+    });
+    const JobStatus job = submit(first, inputOf(40));
+    ASSERT_TRUE(eventually([&first] { return first.service->statusJson().at("running_items") > 0; }));
+    this->markDead("host-1");
+    BatchHost &second = this->addHost("host-2", complete);
+    EXPECT_TRUE(ends(second, job.id, "completed"));
+    stuck = false;
+    const std::map<std::string, int> results = resultsOf(second, job.id);
+    EXPECT_EQ(results.size(), 40U);
+    EXPECT_TRUE(std::all_of(results.begin(), results.end(), [](const auto &entry) { return entry.second == 1; }));
+}
+
+// Guards against a cancelled job whose items still complete.
+TEST_F(BatchServiceTest, cancelledJobStopsAndCommitsNothingMore)
+{
+    std::atomic<int> started{0};
+    BatchHost &first = this->addHost("host-1", [&started](const JobHeader &, const std::string &, const std::string &body, CallCancellation &cancellation) {
+        ++started;
+        while (!cancellation.cancelled()) {
+            absl::SleepFor(absl::Milliseconds(5));
+        }
+        return ItemResult{true, false, body, ""};
+    });
+    BatchHost &second = this->addHost("host-2", complete);
+    this->markDead("host-2");
+    const JobStatus job = submit(first, inputOf(40));
+    ASSERT_TRUE(eventually([&started] { return started > 0; }));
+    const JobStatus cancelled = second.service->cancel("coop", job.id);
+    EXPECT_EQ(cancelled.state, "cancelled");
+    ASSERT_TRUE(eventually([&first] { return first.service->statusJson().at("segments").empty(); }));
+    const JobStatus later = first.service->status("coop", job.id);
+    EXPECT_EQ(later.completed, cancelled.completed);
+    EXPECT_EQ(later.state, "cancelled");
+}
+
+// Guards against jobs that are lost or doubled when the store's answers are lost after the write took effect.
+TEST_F(BatchServiceTest, lostAnswersOfTheStoreLoseNothing)
+{
+    BatchHost &first = this->addHost("host-1", complete);
+    // Fewer in a row than a submission tries, so that it has to be accepted.
+    this->setFaults({{"loseAnswers", 4}});
+    const JobStatus job = submit(first, inputOf(100));
+    this->setFaults({{"loseAnswers", 4}});
+    ASSERT_TRUE(ends(first, job.id, "completed"));
+    EXPECT_EQ(resultsOf(first, job.id).size(), 100U);
+}
+
+// Guards against a job that is acknowledged although it isn't durable, and against one that doesn't go on after an outage.
+TEST_F(BatchServiceTest, outageRefusesNewJobsAndDelaysAcceptedOnes)
+{
+    BatchHost &first = this->addHost("host-1", complete);
+    const JobStatus job = submit(first, inputOf(100));
+    this->setFaults({{"outage", true}});
+    try {
+        submit(first, inputOf(10), "refused");
+        FAIL() << "a job was acknowledged during the outage";
+    } catch (const BatchError &error) {
+        EXPECT_EQ(error.code(), "store_unavailable");
+        EXPECT_EQ(error.state(), "not_run");
+    }
+    this->setFaults({{"outage", false}});
+    EXPECT_TRUE(ends(first, job.id, "completed"));
+}
+
+// Guards against items that never succeed and hold up their job.
+TEST_F(BatchServiceTest, itemsThatNeverSucceedEndAsFailed)
+{
+    BatchHost &first = this->addHost("host-1", [](const JobHeader &, const std::string &customId, const std::string &body, CallCancellation &) {
+        const bool bad = customId == "3" || customId == "4";
+        return bad ? ItemResult{false, customId == "3", "", "broken"} : ItemResult{true, false, body, ""};
+    });
+    const JobStatus job = submit(first, inputOf(10));
+    ASSERT_TRUE(ends(first, job.id, "completed"));
+    const JobStatus status = first.service->status("coop", job.id);
+    EXPECT_EQ(status.completed, 8);
+    EXPECT_EQ(status.failed, 2);
+}
+
+} // namespace
+
+} // namespace Bergamotramp
