--- a/src/ConfigService.cpp
+++ b/src/ConfigService.cpp
@@ -307,7 +307,11 @@
 
 void ConfigService::Implementation::runStore()
 {
-    this->start();
+    try {
+        this->start();
+    } catch (const std::exception &error) {
+        LOG(ERROR) << "configuration at the start: " << error.what();
+    }
     absl::Duration backoff = firstBackoff;
     while (!this->isStopping()) {
         try {
@@ -335,12 +339,12 @@
         if (this->askPeers()) {
             return;
         }
-        if (const std::optional<Catalogue> kept = this->copy.load()) {
-            this->adopt(*kept, "data folder");
-        }
     } catch (const std::exception &error) {
         LOG(WARNING) << "configuration at the start: " << error.what();
     }
+    if (const std::optional<Catalogue> kept = this->copy.load()) {
+        this->adopt(*kept, "data folder");
+    }
 }
 
 bool ConfigService::Implementation::askPeers()
--- a/src/MembershipService.cpp
+++ b/src/MembershipService.cpp
@@ -160,6 +160,8 @@
 void MembershipService::Implementation::setGenerationHooks(std::function<std::uint64_t()> current,
                                                            std::function<void(const std::string &, std::uint64_t)> seenGreater)
 {
+    // Waits for an event in progress, which may be using the former hooks.
+    const std::lock_guard<std::mutex> event(this->eventMutex);
     const std::lock_guard<std::mutex> lock(this->mutex);
     this->generationHook = std::move(current);
     this->seenGreaterHook = std::move(seenGreater);
--- a/src/MembershipService.h
+++ b/src/MembershipService.h
@@ -36,6 +36,7 @@
     void onChange(std::function<void()> hook);
     /**
      * @p current gives the generation to send with probes; @p seenGreater is called when a peer's probe carries a greater one.
+     * Empty functions detach the hooks; once this returns and handle() is no longer called, the former ones are not used any more.
      */
     void setGenerationHooks(std::function<std::uint64_t()> current, std::function<void(const std::string &peerAddress, std::uint64_t generation)> seenGreater);
     /** Takes Ping, PingAck and PingRequest; does not block. */
