--- a/src/MemberUpdate.cpp
+++ b/src/MemberUpdate.cpp
@@ -31,4 +31,18 @@
     return !update.name().empty() && !update.peer_address().empty() && update.incarnation() > 0 && wire::MemberState_IsValid(update.state());
 }
 
+std::string memberStateName(wire::MemberState state)
+{
+    switch (state) {
+    case wire::MEMBER_STATE_ALIVE:
+        return "alive";
+    case wire::MEMBER_STATE_SUSPECT:
+        return "suspect";
+    case wire::MEMBER_STATE_LEAVING:
+        return "leaving";
+    default:
+        return "dead";
+    }
+}
+
 } // namespace Bergamotramp
--- a/src/MemberUpdate.h
+++ b/src/MemberUpdate.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <cstdint>
+#include <string>
 
 #include "HostInfo.h"
 #include "bergamotramp.pb.h"
@@ -20,5 +21,7 @@
 MemberClaim claimOf(const wire::MemberUpdate &update);
 /** False for updates without name, address, incarnation or a known state. */
 bool isUsable(const wire::MemberUpdate &update);
+/** "alive", "suspect", "leaving" or "dead". */
+std::string memberStateName(wire::MemberState state);
 
 } // namespace Bergamotramp
--- a/src/MembershipService.cpp
+++ b/src/MembershipService.cpp
@@ -11,6 +11,7 @@
 #include <glog/logging.h>
 
 #include "EventLog.h"
+#include "MemberUpdate.h"
 #include "Membership.h"
 #include "StoreClient.h"
 #include "TimerService.h"
@@ -26,20 +27,6 @@
 constexpr absl::Duration listPeriodPerHost = absl::Milliseconds(75);
 constexpr absl::Duration firstListRetry = absl::Milliseconds(500);
 
-std::string stateName(wire::MemberState state)
-{
-    switch (state) {
-    case wire::MEMBER_STATE_ALIVE:
-        return "alive";
-    case wire::MEMBER_STATE_SUSPECT:
-        return "suspect";
-    case wire::MEMBER_STATE_LEAVING:
-        return "leaving";
-    default:
-        return "dead";
-    }
-}
-
 HostInfo selfOf(const HostContext &context)
 {
     const HostSettings &settings = context.settings;
@@ -228,7 +215,8 @@
 void MembershipService::Implementation::recordChange(const MemberChanged &change)
 {
     if (this->context.events != nullptr) {
-        this->context.events->record("member", {{"member", change.host.name}, {"incarnation", change.host.incarnation}, {"state", stateName(change.state)}});
+        this->context.events->record("member",
+                                     {{"member", change.host.name}, {"incarnation", change.host.incarnation}, {"state", memberStateName(change.state)}});
     }
 }
 
@@ -373,7 +361,7 @@
     for (const auto &[host, state] : snapshot->members) {
         list.push_back({{"name", host.name},
                         {"incarnation", host.incarnation},
-                        {"state", stateName(state)},
+                        {"state", memberStateName(state)},
                         {"region", host.region},
                         {"dataCentre", host.dataCentre},
                         {"callerAddress", host.callerAddress},
