Add the scenario runner

Runs scenarios in a small line-based language over real processes, keeps the history of calls and answers, and compares it at the end with what the stand-ins counted: whole answers, postings at most once, accurate "not run", jobs complete with every item exactly once. A broken guarantee is reported with the events that led there. Engines count requests by the hash of their prompt for this.

No scenario is registered yet.

--- /dev/null
+++ b/test/scenario/Fleet.cpp
@@ -0,0 +1,318 @@
+#include "Fleet.h"
+
+#include <algorithm>
+#include <csignal>
+#include <deque>
+#include <fstream>
+
+#include <absl/strings/numbers.h>
+#include <absl/strings/str_cat.h>
+#include <absl/strings/str_replace.h>
+
+#include "ScenarioHttp.h"
+
+namespace Bergamotramp {
+
+namespace {
+
+constexpr absl::Duration startLimit = absl::Seconds(60);
+constexpr std::size_t logTailLines = 15;
+constexpr std::size_t hostPorts = 3;
+
+bool isPlacement(const std::string &key)
+{
+    return key == "region" || key == "dc";
+}
+
+// Options of a stand-in are those of its program.
+void addOptions(Member &member, const Statement &statement)
+{
+    for (const auto &[key, value] : statement.options) {
+        if (!isPlacement(key)) {
+            member.command.push_back("--" + key);
+            member.command.push_back(value);
+        }
+    }
+    if (statement.flag("honour-fencing")) {
+        member.command.emplace_back("--honour-fencing");
+    }
+}
+
+nlohmann::json valueOf(const std::string &text)
+{
+    std::int64_t number = 0;
+    return absl::SimpleAtoi(text, &number) ? nlohmann::json(number) : nlohmann::json(text);
+}
+
+/** Routes are given as PATH:yes or PATH:no, yes for idempotent ones. */
+nlohmann::json routesOfService(const std::string &text)
+{
+    nlohmann::json routes = nlohmann::json::array();
+    for (const std::string &route : splitList(text, ',')) {
+        const std::size_t colon = route.find(':');
+        routes.push_back({{"path", route.substr(0, colon)}, {"idempotent", colon != std::string::npos && route.substr(colon + 1) == "yes"}});
+    }
+    return routes;
+}
+
+} // namespace
+
+std::string Member::address() const
+{
+    return this->ports.at(0).address();
+}
+
+std::string Member::adminAddress() const
+{
+    return this->ports.at(2).address();
+}
+
+bool Member::responsive() const
+{
+    return this->process && this->process->alive() && !this->frozen;
+}
+
+Fleet::Fleet(FleetPrograms programs, std::string folder) : programs(std::move(programs)), folder(std::move(folder))
+{
+}
+
+Member &Fleet::add(const Statement &statement, MemberKind kind, std::size_t ports)
+{
+    const std::string name = kind == MemberKind::Platform ? "platform" : statement.word(0);
+    if (this->has(name)) {
+        throw ScenarioError(absl::StrCat(name, " exists already"));
+    }
+    Member &member = this->byName[name];
+    member.kind = kind;
+    member.name = name;
+    member.region = statement.option("region", "nordeste");
+    member.dataCentre = statement.option("dc", "recife-a");
+    for (std::size_t index = 0; index < ports; ++index) {
+        member.ports.emplace_back();
+    }
+    member.shownAddress = member.address();
+    return member;
+}
+
+void Fleet::addPlatform(const Statement &statement)
+{
+    Member &member = this->add(statement, MemberKind::Platform, 1);
+    const std::string port = member.address().substr(member.address().rfind(':') + 1);
+    member.command = {this->programs.standins + "/standin-platform", "--port", port, "--file", this->folder + "/platform.objects"};
+    addOptions(member, statement);
+    this->start(member);
+}
+
+void Fleet::addUpstream(const Statement &statement, MemberKind kind)
+{
+    Member &member = this->add(statement, kind, 1);
+    const std::string port = member.address().substr(member.address().rfind(':') + 1);
+    member.command = {this->programs.standins + (kind == MemberKind::Engine ? "/standin-engine" : "/standin-plain"), "--port", port};
+    addOptions(member, statement);
+    if (statement.flag("via-proxy")) {
+        member.shownAddress = this->route(member.name, member.address());
+    }
+    this->start(member);
+}
+
+void Fleet::addHost(const Statement &statement)
+{
+    Member &member = this->add(statement, MemberKind::Host, hostPorts);
+    member.command = {this->programs.daemon, "--settings", this->writeSettings(member, statement)};
+    this->showHost(member.name, "live");
+    this->start(member);
+}
+
+void Fleet::addService(const Statement &statement)
+{
+    nlohmann::json service = {{"name", statement.word(0)}, {"kind", statement.option("kind", "model")}};
+    for (const std::string &name : splitList(statement.option("upstreams", ""), ',')) {
+        const Member &upstream = this->member(name);
+        service["upstreams"][upstream.region + "/" + upstream.dataCentre].push_back(
+            {{"name", name}, {"address", upstream.shownAddress}, {"leaving", statement.option("leaving", "") == name}});
+    }
+    if (statement.options.contains("routes")) {
+        service["routes"] = routesOfService(statement.option("routes", ""));
+    }
+    for (const auto &[key, value] : statement.options) {
+        // A dot leads into a nested object, for example online.deadlineMs=5000.
+        if (key != "kind" && key != "upstreams" && key != "routes" && key != "leaving") {
+            service[nlohmann::json::json_pointer("/" + absl::StrReplaceAll(key, {{".", "/"}}))] = valueOf(value);
+        }
+    }
+    this->services[statement.word(0)] = service;
+}
+
+std::string Fleet::writeSettings(const Member &member, const Statement &statement)
+{
+    std::string store = this->member("platform").address();
+    if (statement.flag("via-proxy")) {
+        store = this->route(member.name + "-store", store);
+    }
+    nlohmann::json settings = {{"name", member.name},
+                               {"region", member.region},
+                               {"dataCentre", member.dataCentre},
+                               {"callerAddress", member.ports.at(0).address()},
+                               {"peerAddress", member.ports.at(1).address()},
+                               {"adminAddress", member.ports.at(2).address()},
+                               {"storeAddress", store},
+                               {"storeTimeoutMs", 1000},
+                               {"entryTimeToLiveMs", 1000},
+                               {"membershipPeriodMs", 200},
+                               {"eventLog", this->folder + "/" + member.name + ".events"}};
+    for (const auto &[key, value] : statement.options) {
+        if (!isPlacement(key)) {
+            settings[nlohmann::json::json_pointer("/" + absl::StrReplaceAll(key, {{".", "/"}}))] = valueOf(value);
+        }
+    }
+    std::string file = this->folder + "/" + member.name + ".json";
+    std::ofstream(file) << settings.dump(2) << '\n';
+    return file;
+}
+
+void Fleet::start(Member &member)
+{
+    ++member.starts;
+    const std::string log = absl::StrCat(this->folder, "/", member.name, ".", member.starts, ".log");
+    member.process = std::make_unique<ChildProcess>(member.command, log);
+    if (!member.process->waitForLine("listening ", startLimit)) {
+        throw ScenarioError(absl::StrCat(member.name, " doesn't start:\n", this->logTail(member)));
+    }
+}
+
+Member &Fleet::member(const std::string &name)
+{
+    const auto found = this->byName.find(name);
+    if (found == this->byName.end()) {
+        throw ScenarioError(absl::StrCat("no process is named ", name));
+    }
+    return found->second;
+}
+
+bool Fleet::has(const std::string &name) const
+{
+    return this->byName.contains(name);
+}
+
+std::vector<Member *> Fleet::members(MemberKind kind)
+{
+    std::vector<Member *> result;
+    for (auto &[name, member] : this->byName) {
+        if (member.kind == kind) {
+            result.push_back(&member);
+        }
+    }
+    return result;
+}
+
+void Fleet::restart(const std::string &name)
+{
+    Member &member = this->member(name);
+    member.process->kill();
+    member.frozen = false;
+    this->start(member);
+}
+
+void Fleet::setFrozen(const std::string &name, bool frozen)
+{
+    Member &member = this->member(name);
+    member.process->sendSignal(frozen ? SIGSTOP : SIGCONT);
+    member.frozen = frozen;
+}
+
+void Fleet::showHost(const std::string &name, const std::string &state)
+{
+    this->hostStates[this->member(name).name] = state;
+    this->sendHostList();
+}
+
+void Fleet::sendHostList()
+{
+    nlohmann::json list = nlohmann::json::array();
+    for (const auto &[name, state] : this->hostStates) {
+        const Member &host = this->member(name);
+        if (state != "gone") {
+            list.push_back({{"name", name},
+                            {"region", host.region},
+                            {"dataCentre", host.dataCentre},
+                            {"callerAddress", host.ports.at(0).address()},
+                            {"peerAddress", host.ports.at(1).address()},
+                            {"adminAddress", host.ports.at(2).address()},
+                            {"state", state}});
+        }
+    }
+    const std::optional<HttpAnswer> answer = httpCall("PUT", this->member("platform").address(), "/control/hosts", list.dump());
+    if (!answer || answer->status != 200) {
+        throw ScenarioError("the platform doesn't take the host list");
+    }
+}
+
+std::string Fleet::route(const std::string &name, const std::string &target)
+{
+    this->routes.push_back(name);
+    return this->proxy.addRoute(name, target);
+}
+
+std::vector<std::string> Fleet::routesOf(const std::string &name) const
+{
+    std::vector<std::string> found;
+    std::copy_if(this->routes.begin(), this->routes.end(), std::back_inserter(found), [&name](const std::string &route) {
+        return route == name || route.starts_with(name + "-");
+    });
+    if (found.empty()) {
+        throw ScenarioError(absl::StrCat(name, " is not reached through the proxy; give it the word via-proxy"));
+    }
+    return found;
+}
+
+void Fleet::setFaults(const std::string &name, const std::function<void(RouteFaults &)> &change)
+{
+    for (const std::string &route : this->routesOf(name)) {
+        RouteFaults faults = this->proxy.faults(route);
+        change(faults);
+        this->proxy.setFaults(route, faults);
+    }
+}
+
+void Fleet::freezeConnections(const std::string &name, RouteFreeze freeze)
+{
+    for (const std::string &route : this->routesOf(name)) {
+        this->proxy.freeze(route, freeze);
+    }
+}
+
+const nlohmann::json &Fleet::service(const std::string &name) const
+{
+    const auto found = this->services.find(name);
+    if (found == this->services.end()) {
+        throw ScenarioError(absl::StrCat("no service is named ", name));
+    }
+    return found->second;
+}
+
+void Fleet::control(const std::string &name, const std::string &path, const nlohmann::json &body)
+{
+    const std::optional<HttpAnswer> answer = httpCall("POST", this->member(name).address(), path, body.dump());
+    if (!answer || answer->status != 200) {
+        throw ScenarioError(absl::StrCat(name, " doesn't take ", body.dump(), " at ", path));
+    }
+}
+
+std::string Fleet::logTail(const Member &member) const
+{
+    std::deque<std::string> lines;
+    std::ifstream stream(member.process ? member.process->logFile() : "");
+    for (std::string line; std::getline(stream, line);) {
+        lines.push_back(line);
+        if (lines.size() > logTailLines) {
+            lines.pop_front();
+        }
+    }
+    std::string text;
+    for (const std::string &line : lines) {
+        absl::StrAppend(&text, "    ", line, "\n");
+    }
+    return text;
+}
+
+} // namespace Bergamotramp
--- /dev/null
+++ b/test/scenario/ScenarioRunner.cpp
@@ -0,0 +1,480 @@
+#include "ScenarioRunner.h"
+
+#include <algorithm>
+#include <csignal>
+#include <numeric>
+
+#include <absl/strings/numbers.h>
+#include <absl/strings/str_cat.h>
+#include <absl/strings/str_replace.h>
+#include <absl/time/clock.h>
+
+#include "ScenarioHttp.h"
+
+namespace Bergamotramp {
+
+namespace {
+
+constexpr absl::Duration waitLimit = absl::Seconds(90);
+constexpr absl::Duration pollPeriod = absl::Milliseconds(50);
+constexpr std::size_t maxViolationsShown = 5;
+
+bool compareNumbers(double left, const std::string &operation, double right)
+{
+    if (operation == "==") {
+        return left == right;
+    }
+    if (operation == "!=") {
+        return left != right;
+    }
+    if (operation == "<") {
+        return left < right;
+    }
+    if (operation == "<=") {
+        return left <= right;
+    }
+    if (operation == ">") {
+        return left > right;
+    }
+    if (operation == ">=") {
+        return left >= right;
+    }
+    throw ScenarioError(absl::StrCat("\"", operation, "\" is not one of: == != < <= > >="));
+}
+
+std::string textOf(const nlohmann::json &json)
+{
+    return json.is_string() ? json.get<std::string>() : json.dump();
+}
+
+/** A word as a JSON value: a number, true, false, or a text. */
+nlohmann::json literal(const std::string &word)
+{
+    double number = 0;
+    if (absl::SimpleAtod(word, &number)) {
+        return number;
+    }
+    return word == "true" || word == "false" ? nlohmann::json(word == "true") : nlohmann::json(word);
+}
+
+std::int64_t countOf(const std::vector<Call> &calls, const std::function<bool(const Call &)> &matches)
+{
+    return std::count_if(calls.begin(), calls.end(), matches);
+}
+
+} // namespace
+
+ScenarioRunner::ScenarioRunner(FleetPrograms programs, const std::string &folder)
+    : fleet(std::move(programs), folder), jobs(this->fleet, this->history), caller(std::make_unique<Caller>(this->history))
+{
+    this->addTopology();
+    this->addTraffic();
+    this->addFaults();
+    this->addProcesses();
+    this->addVerdicts();
+}
+
+ScenarioRunner::~ScenarioRunner()
+{
+    // The processes end first, so that no call keeps its thread waiting.
+    this->caller->stop();
+    for (const MemberKind kind : {MemberKind::Host, MemberKind::Engine, MemberKind::Plain, MemberKind::Platform}) {
+        for (Member *member : this->fleet.members(kind)) {
+            member->process.reset();
+        }
+    }
+    this->caller.reset();
+}
+
+void ScenarioRunner::addTopology()
+{
+    this->handlers["platform"] = [this](const Statement &statement) { this->fleet.addPlatform(statement); };
+    this->handlers["engine"] = [this](const Statement &statement) { this->fleet.addUpstream(statement, MemberKind::Engine); };
+    this->handlers["plain"] = [this](const Statement &statement) { this->fleet.addUpstream(statement, MemberKind::Plain); };
+    this->handlers["host"] = [this](const Statement &statement) { this->fleet.addHost(statement); };
+    this->handlers["service"] = [this](const Statement &statement) { this->fleet.addService(statement); };
+    this->handlers["publish"] = [this](const Statement &statement) { this->publish(statement); };
+}
+
+void ScenarioRunner::addTraffic()
+{
+    this->handlers["call"] = [this](const Statement &statement) { this->call(statement); };
+    this->handlers["submit"] = [this](const Statement &statement) { this->submit(statement); };
+    this->handlers["resubmit"] = [this](const Statement &statement) { this->jobs.submit(this->jobs.find(statement.word(0)), statement.option("via", "h1")); };
+    this->handlers["cancel"] = [this](const Statement &statement) {
+        if (!this->jobs.cancel(statement.word(0), statement.option("via", "h1"))) {
+            throw ScenarioError("the cancellation was not acknowledged");
+        }
+    };
+}
+
+void ScenarioRunner::addFaults()
+{
+    const auto platformFaults = [this](const nlohmann::json &faults) { this->fleet.control("platform", "/control/faults", faults); };
+    this->handlers["outage"] = [platformFaults](const Statement &statement) { platformFaults({{"outage", statement.word(0) == "on"}}); };
+    this->handlers["lose-answer"] = [platformFaults](const Statement &statement) {
+        platformFaults({{"loseAnswers", statement.number("count", 1)}, {"loseAnswersPrefix", statement.option("prefix", "")}});
+    };
+    this->handlers["slow"] = [this](const Statement &statement) { this->slow(statement); };
+    this->handlers["refuse"] = [this](const Statement &statement) {
+        this->fleet.control(statement.word(0), "/control", {{"refuse", statement.word(1) == "on"}});
+    };
+    this->handlers["cut"] = [this](const Statement &statement) { this->fleet.setFaults(statement.word(0), [](RouteFaults &faults) { faults.cut = true; }); };
+    this->handlers["restore"] = [this](const Statement &statement) {
+        this->fleet.setFaults(statement.word(0), [](RouteFaults &faults) { faults = RouteFaults(); });
+        this->fleet.freezeConnections(statement.word(0), RouteFreeze::None);
+    };
+    this->handlers["silence"] = [this](const Statement &statement) {
+        this->fleet.freezeConnections(statement.word(0), statement.flag("all") ? RouteFreeze::All : RouteFreeze::Existing);
+    };
+    this->handlers["lose-direction"] = [this](const Statement &statement) {
+        const bool toTarget = statement.word(1) == "to-target";
+        this->fleet.setFaults(statement.word(0), [toTarget](RouteFaults &faults) { (toTarget ? faults.lossToTarget : faults.lossToClient) = true; });
+    };
+    this->handlers["drop-answer"] = [this](const Statement &statement) {
+        const std::int64_t count = statement.number("count", 1);
+        this->fleet.setFaults(statement.word(0), [count](RouteFaults &faults) { faults.dropAnswers = count; });
+    };
+}
+
+void ScenarioRunner::addProcesses()
+{
+    this->handlers["kill"] = [this](const Statement &statement) { this->fleet.member(statement.word(0)).process->kill(); };
+    this->handlers["restart"] = [this](const Statement &statement) { this->fleet.restart(statement.word(0)); };
+    this->handlers["freeze"] = [this](const Statement &statement) { this->fleet.setFrozen(statement.word(0), true); };
+    this->handlers["thaw"] = [this](const Statement &statement) { this->fleet.setFrozen(statement.word(0), false); };
+    this->handlers["stop"] = [this](const Statement &statement) { this->fleet.member(statement.word(0)).process->sendSignal(SIGTERM); };
+    this->handlers["drain"] = [this](const Statement &statement) { this->drain(statement); };
+    this->handlers["list"] = [this](const Statement &statement) { this->fleet.showHost(statement.word(0), statement.word(1)); };
+}
+
+void ScenarioRunner::addVerdicts()
+{
+    this->handlers["remember"] = [this](const Statement &statement) { this->remembered[statement.word(0)] = this->valueOf(statement.word(1)); };
+    this->handlers["wait-until"] = [this](const Statement &statement) { this->waitUntil(statement.text); };
+    this->handlers["expect"] = [this](const Statement &statement) {
+        std::string shown;
+        if (!this->holds(statement.text, shown)) {
+            throw ScenarioError(absl::StrCat("expected ", statement.text, ", found ", shown));
+        }
+    };
+}
+
+std::string ScenarioRunner::run(const std::string &file, const std::vector<Statement> &statements)
+{
+    for (const Statement &statement : statements) {
+        const std::string place = absl::StrCat(file, ":", statement.line, ": ");
+        this->history.note(absl::StrCat("line ", statement.line, ": ", statement.verb, " ", statement.text));
+        const auto handler = this->handlers.find(statement.verb);
+        if (handler == this->handlers.end()) {
+            return absl::StrCat(place, "unknown statement ", statement.verb, "\n");
+        }
+        try {
+            handler->second(statement);
+        } catch (const std::exception &error) {
+            std::string report = absl::StrCat(place, error.what(), "\n");
+            const std::string subject = splitList(statement.text.substr(0, statement.text.find(' ')), '.').empty()
+                                            ? ""
+                                            : splitList(statement.text.substr(0, statement.text.find(' ')), '.').front();
+            for (const std::string &line : this->history.linesAbout(subject)) {
+                absl::StrAppend(&report, "  ", line, "\n");
+            }
+            return report + this->logs();
+        }
+    }
+    return this->finalReport();
+}
+
+std::string ScenarioRunner::finalReport()
+{
+    std::string report;
+    try {
+        this->waitUntil("calls.open == 0");
+    } catch (const ScenarioError &error) {
+        absl::StrAppend(&report, "calls don't end: ", error.what(), "\n");
+    }
+    std::size_t shown = 0;
+    for (const Violation &violation : GuaranteeCheck(this->fleet, this->jobs, this->history).run()) {
+        if (++shown > maxViolationsShown) {
+            absl::StrAppend(&report, "further violations are not shown\n");
+            break;
+        }
+        absl::StrAppend(&report, "broken guarantee: ", violation.guarantee, "\n  ", violation.subject, ": ", violation.detail, "\n");
+        for (const std::string &line : this->history.linesAbout(violation.subject)) {
+            absl::StrAppend(&report, "  ", line, "\n");
+        }
+    }
+    return report.empty() ? report : report + this->logs();
+}
+
+std::string ScenarioRunner::logs()
+{
+    std::string text;
+    for (Member *host : this->fleet.members(MemberKind::Host)) {
+        absl::StrAppend(&text, "  log of ", host->name, ":\n", this->fleet.logTail(*host));
+    }
+    return text;
+}
+
+void ScenarioRunner::call(const Statement &statement)
+{
+    const std::int64_t count = statement.number("count", 1);
+    for (std::int64_t number = 0; number < count; ++number) {
+        this->caller->start(this->planOf(statement, number));
+    }
+}
+
+CallPlan ScenarioRunner::planOf(const Statement &statement, std::int64_t number)
+{
+    const std::string group = statement.label.empty() ? absl::StrCat("line-", statement.line) : statement.label;
+    CallPlan plan;
+    plan.call.group = group;
+    plan.call.id = statement.number("count", 1) == 1 ? group : absl::StrCat(group, "/", number);
+    plan.call.service = statement.option("service", "");
+    const nlohmann::json &service = this->fleet.service(plan.call.service);
+    plan.call.plain = service.value("kind", "model") == "plain";
+    plan.path = statement.option("path", "/");
+    for (const nlohmann::json &route : service.value("routes", nlohmann::json::array())) {
+        if (plan.path.starts_with(route.value("path", ""))) {
+            plan.call.idempotent = route.value("idempotent", false);
+        }
+    }
+    plan.call.idempotent = !plan.call.plain || (service.contains("routes") && plan.call.idempotent);
+    const bool keyed = statement.flag("keyed") || (plan.call.plain && !plan.call.idempotent);
+    plan.call.key = statement.option("key", keyed ? "key-" + plan.call.id : "");
+    plan.call.prompt = statement.option("prompt", absl::StrCat("the prompt of call ", plan.call.id));
+    plan.call.tokens = statement.number("tokens", 10);
+    plan.attempts = statement.number("attempts", 1);
+    plan.stream = statement.option("stream", "yes") == "yes";
+    plan.chat = statement.flag("chat");
+    plan.organisation = statement.option("organisation", "");
+    plan.deadline = statement.number("deadline-ms", 0);
+    std::vector<std::string> hosts = splitList(statement.word(0), ',');
+    std::rotate(hosts.begin(), hosts.begin() + number % static_cast<std::int64_t>(hosts.size()), hosts.end());
+    for (const std::string &host : hosts) {
+        plan.hosts.emplace_back(host, this->fleet.member(host).address());
+    }
+    return plan;
+}
+
+void ScenarioRunner::submit(const Statement &statement)
+{
+    Job job;
+    job.label = statement.word(0);
+    job.service = statement.option("service", "");
+    job.key = statement.option("key", "job-key-" + job.label);
+    job.items = statement.number("items", 1);
+    job.tokens = statement.number("tokens", 3);
+    job.failing = statement.number("failing", 0);
+    this->jobs.submit(this->jobs.add(std::move(job)), statement.option("via", "h1"));
+}
+
+void ScenarioRunner::publish(const Statement &statement)
+{
+    nlohmann::json publication = {{"base_generation", statement.number("base", this->generation)}, {"services", nlohmann::json::array()}};
+    for (const std::string &name : statement.words) {
+        publication["services"].push_back(this->fleet.service(name));
+    }
+    const Member &host = this->fleet.member(statement.option("via", "h1"));
+    const std::optional<HttpAnswer> answer = httpCall("POST", host.adminAddress(), "/admin/publish", publication.dump());
+    const nlohmann::json json = answer ? answer->json() : nlohmann::json();
+    const std::int64_t status = answer ? answer->status : 0;
+    this->history.note(absl::StrCat("publication at ", host.name, ": status ", status, " ", answer ? answer->body : "no answer"));
+    const std::int64_t published = json.is_object() ? json.value("generation", std::int64_t{0}) : 0;
+    if (status == 200) {
+        this->generation = std::max(this->generation, published);
+    }
+    if (!statement.label.empty()) {
+        this->publications[statement.label] = {{"status", status}, {"generation", published}};
+    } else if (status != 200) {
+        throw ScenarioError(absl::StrCat("the publication got status ", status));
+    }
+}
+
+void ScenarioRunner::slow(const Statement &statement)
+{
+    const std::string &name = statement.word(0);
+    if (name == "platform") {
+        this->fleet.control("platform", "/control/faults", {{"slowMs", statement.number("ms", 0)}});
+    } else if (statement.options.contains("factor")) {
+        this->fleet.control(name, "/control", {{"slowFactor", statement.number("factor", 1)}});
+    } else if (this->fleet.member(name).kind == MemberKind::Plain) {
+        this->fleet.control(name, "/control", {{"delayMs", statement.number("ms", 0)}});
+    } else {
+        const absl::Duration delay = absl::Milliseconds(statement.number("ms", 0));
+        this->fleet.setFaults(name, [delay](RouteFaults &faults) { faults.delayToTarget = faults.delayToClient = delay; });
+    }
+}
+
+void ScenarioRunner::drain(const Statement &statement)
+{
+    const Member &host = this->fleet.member(statement.word(0));
+    const std::optional<HttpAnswer> answer = httpCall("POST", host.adminAddress(), "/admin/drain");
+    if (!answer || answer->status >= 300) {
+        throw ScenarioError(absl::StrCat(host.name, " doesn't take the drain"));
+    }
+}
+
+void ScenarioRunner::waitUntil(const std::string &expression)
+{
+    const absl::Time end = absl::Now() + waitLimit;
+    std::string shown;
+    while (!this->holds(expression, shown)) {
+        if (absl::Now() > end) {
+            throw ScenarioError(absl::StrCat("waited in vain until ", expression, ", found ", shown));
+        }
+        absl::SleepFor(pollPeriod);
+    }
+}
+
+bool ScenarioRunner::holds(const std::string &expression, std::string &shown)
+{
+    const std::vector<std::string> words = splitList(expression, ' ');
+    shown.clear();
+    bool all = true;
+    for (std::size_t index = 0; index < words.size(); index += 4) {
+        if (index + 2 >= words.size() || (index + 3 < words.size() && words[index + 3] != "and")) {
+            throw ScenarioError(absl::StrCat("\"", expression, "\" has not the form A OP B and C OP D"));
+        }
+        all = this->compare(words[index], words[index + 1], words[index + 2], shown) && all;
+    }
+    return all;
+}
+
+bool ScenarioRunner::compare(const std::string &left, const std::string &operation, const std::string &right, std::string &shown)
+{
+    const nlohmann::json found = this->valueOf(left);
+    const std::size_t dot = right.find('.');
+    const bool isPath = dot != std::string::npos && (this->fleet.has(right.substr(0, dot)) || this->jobs.has(right.substr(0, dot)));
+    const auto kept = this->remembered.find(right);
+    const nlohmann::json expected = kept != this->remembered.end() ? kept->second : isPath ? this->valueOf(right) : literal(right);
+    absl::StrAppend(&shown, shown.empty() ? "" : ", ", left, " = ", textOf(found));
+    if (found.is_number() && expected.is_number()) {
+        return compareNumbers(found.get<double>(), operation, expected.get<double>());
+    }
+    const bool equal = textOf(found) == textOf(expected);
+    if (operation != "==" && operation != "!=") {
+        return false;
+    }
+    return equal == (operation == "==");
+}
+
+nlohmann::json ScenarioRunner::valueOf(const std::string &path)
+{
+    const std::size_t dot = path.find('.');
+    const std::string name = path.substr(0, dot);
+    const std::string field = dot == std::string::npos ? "" : path.substr(dot + 1);
+    if (this->fleet.has(name)) {
+        return this->valueOfMember(this->fleet.member(name), field);
+    }
+    if (this->jobs.has(name)) {
+        return this->valueOfJob(this->jobs.find(name), field);
+    }
+    if (path == "engines.alive") {
+        const std::vector<Member *> engines = this->fleet.members(MemberKind::Engine);
+        return std::count_if(engines.begin(), engines.end(), [](Member *engine) { return engine->process->alive(); });
+    }
+    if (this->publications.contains(name)) {
+        return this->publications[name].value(field, nlohmann::json());
+    }
+    const std::vector<Call> calls = name == "calls" ? this->history.calls() : this->history.group(name);
+    if (calls.empty() && name != "calls") {
+        throw ScenarioError(absl::StrCat("nothing is named ", name));
+    }
+    return this->valueOfGroup(calls, field);
+}
+
+nlohmann::json ScenarioRunner::valueOfGroup(const std::vector<Call> &calls, const std::string &field)
+{
+    if (field == "total") {
+        return calls.size();
+    }
+    if (field == "open") {
+        return countOf(calls, [](const Call &call) { return !call.ended; });
+    }
+    if (field == "completed") {
+        return countOf(calls, [](const Call &call) { return call.ended && call.completed(); });
+    }
+    if (field == "not_run" || field == "unknown" || field == "run") {
+        return countOf(calls, [&field](const Call &call) { return call.ended && !call.completed() && call.state() == field; });
+    }
+    if (field == "attempts") {
+        return std::accumulate(calls.begin(), calls.end(), std::size_t{0}, [](std::size_t sum, const Call &call) { return sum + call.answers.size(); });
+    }
+    const CallAnswer last = calls.empty() || calls.front().answers.empty() ? CallAnswer() : calls.front().answers.back();
+    if (field == "status") {
+        return last.status;
+    }
+    if (field == "code") {
+        return last.error;
+    }
+    if (field == "state") {
+        return last.state;
+    }
+    throw ScenarioError(absl::StrCat("calls have no field ", field));
+}
+
+nlohmann::json ScenarioRunner::valueOfJob(const Job &job, const std::string &field)
+{
+    if (field == "acknowledged") {
+        return job.acknowledged;
+    }
+    if (field == "answer") {
+        return job.status;
+    }
+    if (field == "answer-state") {
+        return job.state;
+    }
+    if (!job.acknowledged) {
+        return nullptr;
+    }
+    const nlohmann::json status = this->jobs.status(job);
+    return status.is_object() ? status.value(field, nlohmann::json()) : status;
+}
+
+nlohmann::json ScenarioRunner::valueOfMember(Member &member, const std::string &field)
+{
+    if (field == "alive") {
+        return member.process->alive();
+    }
+    if (field == "exit") {
+        const std::optional<int> code = member.process->exitCode();
+        return code ? nlohmann::json(*code) : nlohmann::json("running");
+    }
+    if (!member.responsive()) {
+        return nullptr;
+    }
+    if (member.kind == MemberKind::Host) {
+        return this->valueOfHost(member, field);
+    }
+    const std::optional<HttpAnswer> answer = httpCall("GET", member.address(), "/control/counters");
+    const nlohmann::json json = answer ? answer->json() : nlohmann::json();
+    const nlohmann::json::json_pointer pointer("/" + absl::StrReplaceAll(field, {{".", "/"}}));
+    return json.is_object() && json.contains(pointer) ? json[pointer] : nlohmann::json();
+}
+
+nlohmann::json ScenarioRunner::valueOfHost(Member &host, const std::string &field)
+{
+    if (field == "ready") {
+        const std::optional<HttpAnswer> answer = httpCall("GET", host.adminAddress(), "/readyz");
+        return answer && answer->status == 200;
+    }
+    const bool isGeneration = field == "generation";
+    const std::string path = isGeneration ? "status.generation" : field;
+    const std::size_t dot = path.find('.');
+    const std::optional<HttpAnswer> answer = httpCall("GET", host.adminAddress(), "/admin/" + path.substr(0, dot));
+    nlohmann::json value = answer ? answer->json() : nlohmann::json();
+    for (const std::string &part : splitList(dot == std::string::npos ? "" : path.substr(dot + 1), '.')) {
+        value = value.is_object() ? value.value(part, nlohmann::json()) : nlohmann::json();
+    }
+    if (isGeneration && value.is_number_integer()) {
+        std::int64_t &seen = this->generationsSeen[absl::StrCat(host.name, "/", host.starts)];
+        if (value.get<std::int64_t>() < seen) {
+            throw ScenarioError(absl::StrCat("an accepted configuration never reverts: ", host.name, " went from ", seen, " back to ", value.dump()));
+        }
+        seen = value.get<std::int64_t>();
+    }
+    return value;
+}
+
+} // namespace Bergamotramp
--- /dev/null
+++ b/test/scenario/ScenarioRunnerMain.cpp
@@ -0,0 +1,66 @@
+#include <filesystem>
+#include <fstream>
+#include <iostream>
+#include <sstream>
+
+#include <CLI/CLI.hpp>
+#include <unistd.h>
+
+#include "ScenarioRunner.h"
+
+namespace {
+
+using namespace Bergamotramp;
+
+/** Folder of one scenario's settings, logs and objects; removed unless the scenario failed. */
+std::string makeFolder()
+{
+    std::string pattern = (std::filesystem::temp_directory_path() / "bergamotramp-scenario-XXXXXX").string();
+    if (::mkdtemp(pattern.data()) == nullptr) {
+        throw ScenarioError(pattern + ": cannot be created");
+    }
+    return pattern;
+}
+
+bool runFile(const FleetPrograms &programs, const std::string &file)
+{
+    std::ifstream stream(file);
+    if (!stream) {
+        throw ScenarioError(file + ": cannot be read");
+    }
+    std::ostringstream text;
+    text << stream.rdbuf();
+    const std::vector<Statement> statements = parseScenario(file, text.str());
+    const std::string folder = makeFolder();
+    const std::string report = ScenarioRunner(programs, folder).run(file, statements);
+    if (report.empty()) {
+        std::filesystem::remove_all(folder);
+        std::cout << file << ": all guarantees held" << std::endl;
+        return true;
+    }
+    std::cout << file << ": failed; settings and logs are in " << folder << "\n" << report << std::endl;
+    return false;
+}
+
+} // namespace
+
+int main(int argc, char **argv)
+{
+    CLI::App app("Runs scenarios over real processes and checks the guarantees.");
+    FleetPrograms programs;
+    std::vector<std::string> files;
+    app.add_option("--daemon", programs.daemon, "Path of bergamotrampd")->required();
+    app.add_option("--standins", programs.standins, "Folder of the stand-in programs")->required();
+    app.add_option("FILE", files, "Scenario files")->required();
+    CLI11_PARSE(app, argc, argv);
+    bool held = true;
+    try {
+        for (const std::string &file : files) {
+            held = runFile(programs, file) && held;
+        }
+    } catch (const std::exception &error) {
+        std::cerr << "scenario-runner: " << error.what() << '\n';
+        return 2;
+    }
+    return held ? 0 : 1;
+}
--- a/test/standin/StandinEngine.cpp
+++ b/test/standin/StandinEngine.cpp
@@ -123,6 +123,8 @@
         answerJson(response, 200, this->cacheEventsJson(absl::SimpleAtoi(request.get_param_value("since"), &since) ? since : 0));
     } else if (request.path == "/control/counters") {
         answerJson(response, 200, this->countersJson());
+    } else if (request.path == "/control/runs") {
+        answerJson(response, 200, this->runsJson(request.get_param_value("hash")));
     } else if (request.path == "/control/orders") {
         const std::lock_guard<std::mutex> lock(this->mutex);
         answerJson(response, 200, this->orders.dump());
@@ -195,6 +197,7 @@
     stream->id = request.get_header_value("X-Request-Id");
     stream->chat = request.path == "/v1/chat/completions";
     ++this->counts.started;
+    ++this->runs[standinHash(stream->prompt)];
     return stream;
 }
 
@@ -389,4 +392,15 @@
         .dump();
 }
 
+std::string StandinEngine::runsJson(const std::string &hash)
+{
+    std::uint64_t number = 0;
+    if (!absl::SimpleAtoi(hash, &number)) {
+        return R"({"runs":0})";
+    }
+    const std::lock_guard<std::mutex> lock(this->mutex);
+    const auto found = this->runs.find(number);
+    return nlohmann::json{{"runs", found == this->runs.end() ? 0 : found->second}}.dump();
+}
+
 } // namespace Bergamotramp
--- a/test/standin/StandinEngine.h
+++ b/test/standin/StandinEngine.h
@@ -7,6 +7,7 @@
 #include <memory>
 #include <mutex>
 #include <string>
+#include <unordered_map>
 #include <vector>
 
 #include <absl/time/time.h>
@@ -55,7 +56,7 @@
  *
  * Each event of a stream also carries "token_index". Control interface: POST /control with "slowFactor", "refuse", "slots",
  * "tokenIntervalUs", "growth", "promptByteUs", "loadLagMs", "eventLagMs", "eventGap", "resumeRetentionMs" or "honourFencing";
- * GET /control/counters; GET /control/orders.
+ * GET /control/counters; GET /control/orders; GET /control/runs?hash=H counts the requests whose prompt has that standinHash().
  */
 class StandinEngine
 {
@@ -89,6 +90,7 @@
     std::string cacheEventsJson(std::uint64_t since);
     std::string loadJson();
     std::string countersJson();
+    std::string runsJson(const std::string &hash);
 
     std::mutex mutex;
     StandinEngineSettings settings;
@@ -98,6 +100,8 @@
     bool refuse = false;
     /** Cancelled streams with the end of their retention, the oldest first. */
     std::deque<std::pair<absl::Time, Stream>> resumable;
+    /** Requests that arrived, by the hash of their prompt. */
+    std::unordered_map<std::uint64_t, std::uint64_t> runs;
     nlohmann::json orders = nlohmann::json::array();
     std::int64_t highestToken = 0;
     std::unique_ptr<StandinServer> server;
