Send an engine's headers with its first token

The time to the first byte of the stand-in was that of an empty header, long before the first token. Engines and plain services can also be told to give wrong answers or to count twice, so that the checker of the scenarios can be proved.

--- a/test/scenario/ScenarioRunner.cpp
+++ b/test/scenario/ScenarioRunner.cpp
@@ -116,8 +116,12 @@
         platformFaults({{"loseAnswers", statement.number("count", 1)}, {"loseAnswersPrefix", statement.option("prefix", "")}});
     };
     this->handlers["slow"] = [this](const Statement &statement) { this->slow(statement); };
-    this->handlers["refuse"] = [this](const Statement &statement) {
-        this->fleet.control(statement.word(0), "/control", {{"refuse", statement.word(1) == "on"}});
+    this->handlers["control"] = [this](const Statement &statement) {
+        nlohmann::json settings = nlohmann::json::object();
+        for (const auto &[key, value] : statement.options) {
+            settings[key] = literal(value);
+        }
+        this->fleet.control(statement.word(0), "/control", settings);
     };
     this->handlers["cut"] = [this](const Statement &statement) { this->fleet.setFaults(statement.word(0), [](RouteFaults &faults) { faults.cut = true; }); };
     this->handlers["restore"] = [this](const Statement &statement) {
--- a/test/standin/StandinEngine.cpp
+++ b/test/standin/StandinEngine.cpp
@@ -156,13 +156,10 @@
         answerError(response, 500, "the prompt asks for a failure");
         return;
     }
-    if (body.value("stream", false)) {
-        this->answerStream(stream, response);
-    } else {
-        this->answerWhole(*stream, response);
-        if (!stream->finished) {
-            connection.drop();
-        }
+    const bool answered = body.value("stream", false) ? this->answerStream(stream, response) : this->answerWhole(*stream, response);
+    if (!answered) {
+        this->cancel(*stream);
+        connection.drop();
     }
 }
 
@@ -198,6 +195,9 @@
     stream->chat = request.path == "/v1/chat/completions";
     ++this->counts.started;
     ++this->runs[standinHash(stream->prompt)];
+    if (this->corruptEach > 0 && this->counts.started % this->corruptEach == 0) {
+        stream->prompt += " of somebody else";
+    }
     return stream;
 }
 
@@ -258,21 +258,23 @@
     }
 }
 
-void StandinEngine::answerStream(const StreamPointer &stream, httplib::Response &response)
+bool StandinEngine::answerStream(const StreamPointer &stream, httplib::Response &response)
 {
-    const auto provide = [this, stream](std::size_t, httplib::DataSink &sink) {
-        if (stream->produced >= stream->maxTokens) {
+    // The headers leave with the first token, so that the time to the first byte is that to the first token.
+    std::string first;
+    if (stream->produced < stream->maxTokens && !this->produce(*stream, first)) {
+        return false;
+    }
+    const auto provide = [this, stream, first](std::size_t offset, httplib::DataSink &sink) {
+        std::string text = offset == 0 ? first : "";
+        if (text.empty() && stream->produced >= stream->maxTokens) {
             this->finish(*stream);
-            const std::string end = eventText({{"id", stream->id},
-                                               {"choices", nlohmann::json::array({choiceOf(stream->chat, false, "", true)})},
-                                               {"usage", usageOf(stream->prompt, stream->produced)}})
-                                    + "data: [DONE]\n\n";
+            const std::string end = endOf(*stream);
             sink.write(end.data(), end.size());
             sink.done();
             return true;
         }
-        std::string text;
-        if (!this->produce(*stream, text)) {
+        if (text.empty() && !this->produce(*stream, text)) {
             return false;
         }
         const std::string event = eventText(
@@ -285,16 +287,22 @@
             this->cancel(*stream);
         }
     });
+    return true;
 }
 
-void StandinEngine::answerWhole(Stream &stream, httplib::Response &response)
+std::string StandinEngine::endOf(const Stream &stream)
+{
+    const nlohmann::json choices = nlohmann::json::array({choiceOf(stream.chat, false, "", true)});
+    return eventText({{"id", stream.id}, {"choices", choices}, {"usage", usageOf(stream.prompt, stream.produced)}}) + "data: [DONE]\n\n";
+}
+
+bool StandinEngine::answerWhole(Stream &stream, httplib::Response &response)
 {
     std::string answer;
     std::string text;
     while (stream.produced < stream.maxTokens) {
         if (!this->produce(stream, text)) {
-            this->cancel(stream);
-            return;
+            return false;
         }
         answer += text;
     }
@@ -302,6 +310,7 @@
     const nlohmann::json body = {
         {"id", stream.id}, {"choices", nlohmann::json::array({choiceOf(stream.chat, true, answer, true)})}, {"usage", usageOf(stream.prompt, stream.produced)}};
     answerJson(response, 200, body.dump());
+    return true;
 }
 
 void StandinEngine::handleOrder(const httplib::Request &request, httplib::Response &response)
@@ -347,6 +356,7 @@
     };
     const std::lock_guard<std::mutex> lock(this->mutex);
     this->refuse = json.value("refuse", this->refuse);
+    this->corruptEach = json.value("corruptEach", this->corruptEach);
     this->settings.honourFencing = json.value("honourFencing", this->settings.honourFencing);
     this->settings.eventGap = json.value("eventGap", this->settings.eventGap);
     milliseconds("loadLagMs", this->settings.loadLag);
--- a/test/standin/StandinEngine.h
+++ b/test/standin/StandinEngine.h
@@ -55,7 +55,8 @@
  * Stand-in for a model engine with continuous batching. StandinText.h computes the answers it gives.
  *
  * Each event of a stream also carries "token_index". Control interface: POST /control with "slowFactor", "refuse", "slots",
- * "tokenIntervalUs", "growth", "promptByteUs", "loadLagMs", "eventLagMs", "eventGap", "resumeRetentionMs" or "honourFencing";
+ * "tokenIntervalUs", "growth", "promptByteUs", "loadLagMs", "eventLagMs", "eventGap", "resumeRetentionMs", "honourFencing" or
+ * "corruptEach" (each n-th answer is that of another prompt, to prove that a check notices it);
  * GET /control/counters; GET /control/orders; GET /control/runs?hash=H counts the requests whose prompt has that standinHash().
  */
 class StandinEngine
@@ -83,8 +84,10 @@
     bool produce(Stream &stream, std::string &text);
     void finish(Stream &stream);
     void cancel(const Stream &stream);
-    void answerStream(const StreamPointer &stream, httplib::Response &response);
-    void answerWhole(Stream &stream, httplib::Response &response);
+    /** Both return false when the client has gone. */
+    bool answerStream(const StreamPointer &stream, httplib::Response &response);
+    bool answerWhole(Stream &stream, httplib::Response &response);
+    static std::string endOf(const Stream &stream);
     void crash();
     void setControl(const std::string &body);
     std::string cacheEventsJson(std::uint64_t since);
@@ -98,6 +101,7 @@
     EngineCache cache;
     StandinEngineCounters counts;
     bool refuse = false;
+    std::uint64_t corruptEach = 0;
     /** Cancelled streams with the end of their retention, the oldest first. */
     std::deque<std::pair<absl::Time, Stream>> resumable;
     /** Requests that arrived, by the hash of their prompt. */
--- a/test/standin/StandinPlain.cpp
+++ b/test/standin/StandinPlain.cpp
@@ -56,7 +56,7 @@
     const std::string key = request.get_header_value("Idempotency-Key");
     if (request.method == "POST" && !key.empty()) {
         const std::lock_guard<std::mutex> lock(this->mutex);
-        ++this->postings[key];
+        this->postings[key] += this->countTwice ? 2 : 1;
     }
     if (request.body.find(crashMarker) != std::string::npos) {
         this->crash();
@@ -92,6 +92,7 @@
     const nlohmann::json json = nlohmann::json::parse(body);
     this->delay = json.value("delayMs", this->delay.load());
     this->refuse = json.value("refuse", this->refuse.load());
+    this->countTwice = json.value("countTwice", this->countTwice.load());
 }
 
 void StandinPlain::crash()
--- a/test/standin/StandinPlain.h
+++ b/test/standin/StandinPlain.h
@@ -25,7 +25,8 @@
 /**
  * Stand-in for a plain service: answers any call with its method, path, key and body as JSON and counts postings by Idempotency-Key.
  *
- * Control interface: POST /control with "delayMs" or "refuse"; GET /control/counts gives the postings by key; GET /control/counters.
+ * Control interface: POST /control with "delayMs", "refuse" or "countTwice" (to prove that a check notices it); GET /control/counts gives the postings by key;
+ * GET /control/counters.
  */
 class StandinPlain
 {
@@ -47,6 +48,7 @@
     std::function<void()> onCrash;
     std::atomic<std::int64_t> delay; // ms
     std::atomic<bool> refuse{false};
+    std::atomic<bool> countTwice{false};
     std::atomic<bool> stopping{false};
     std::atomic<std::uint64_t> calls{0};
     std::mutex mutex;
