--- a/test/standin/StandinEngine.h
+++ b/test/standin/StandinEngine.h
@@ -7,6 +7,7 @@
 #include <memory>
 #include <mutex>
 #include <string>
+#include <unordered_map>
 #include <vector>
 
 #include <absl/time/time.h>
@@ -54,8 +55,9 @@
  * Stand-in for a model engine with continuous batching. StandinText.h computes the answers it gives.
  *
  * Each event of a stream also carries "token_index". Control interface: POST /control with "slowFactor", "refuse", "slots",
- * "tokenIntervalUs", "growth", "promptByteUs", "loadLagMs", "eventLagMs", "eventGap", "resumeRetentionMs" or "honourFencing";
- * GET /control/counters; GET /control/orders.
+ * "tokenIntervalUs", "growth", "promptByteUs", "loadLagMs", "eventLagMs", "eventGap", "resumeRetentionMs", "honourFencing" or
+ * "corruptEach" (each n-th answer is that of another prompt, to prove that a check notices it);
+ * GET /control/counters; GET /control/orders; GET /control/runs?hash=H counts the requests whose prompt has that standinHash().
  */
 class StandinEngine
 {
@@ -82,13 +84,16 @@
     bool produce(Stream &stream, std::string &text);
     void finish(Stream &stream);
     void cancel(const Stream &stream);
-    void answerStream(const StreamPointer &stream, httplib::Response &response);
-    void answerWhole(Stream &stream, httplib::Response &response);
+    /** Both return false when the client has gone. */
+    bool answerStream(const StreamPointer &stream, httplib::Response &response);
+    bool answerWhole(Stream &stream, httplib::Response &response);
+    static std::string endOf(const Stream &stream);
     void crash();
     void setControl(const std::string &body);
     std::string cacheEventsJson(std::uint64_t since);
     std::string loadJson();
     std::string countersJson();
+    std::string runsJson(const std::string &hash);
 
     std::mutex mutex;
     StandinEngineSettings settings;
@@ -96,8 +101,11 @@
     EngineCache cache;
     StandinEngineCounters counts;
     bool refuse = false;
+    std::uint64_t corruptEach = 0;
     /** Cancelled streams with the end of their retention, the oldest first. */
     std::deque<std::pair<absl::Time, Stream>> resumable;
+    /** Requests that arrived, by the hash of their prompt. */
+    std::unordered_map<std::uint64_t, std::uint64_t> runs;
     nlohmann::json orders = nlohmann::json::array();
     std::int64_t highestToken = 0;
     std::unique_ptr<StandinServer> server;
