Add the open-loop load generator

Measurements need a load whose latencies count from the intended send times: a closed loop sends less while the system stalls and so hides the stall. Options that take one address no longer swallow a following argument.

--- a/src/CommandContext.cpp
+++ b/src/CommandContext.cpp
@@ -96,14 +96,16 @@
 
 void CommandContext::addEntryOptions(CLI::App &command)
 {
-    command.add_option("--entry", this->entries, "Entry host, IP:port; repeatable. Any one is asked for the list of entries")->check(checkAddress);
+    command.add_option("--entry", this->entries, "Entry host, IP:port; repeatable. Any one is asked for the list of entries")
+        ->check(checkAddress)
+        ->allow_extra_args(false);
     command.add_option("--config", this->configFile, R"(JSON file {"entries": ["IP:port"], "admin": ["IP:port"]}; options override it)");
     this->addOutputOption(command);
 }
 
 void CommandContext::addAdminOptions(CLI::App &command)
 {
-    command.add_option("--admin", this->admins, "Admin address of a host, IP:port; repeatable, tried in order")->check(checkAddress);
+    command.add_option("--admin", this->admins, "Admin address of a host, IP:port; repeatable, tried in order")->check(checkAddress)->allow_extra_args(false);
     command.add_option("--config", this->configFile, R"(JSON file {"entries": ["IP:port"], "admin": ["IP:port"]}; options override it)");
     this->addOutputOption(command);
 }
--- /dev/null
+++ b/src/JobObserver.cpp
@@ -0,0 +1,74 @@
+#include "JobObserver.h"
+
+#include <absl/time/clock.h>
+
+#include "JobClient.h"
+
+namespace Bergamotramp {
+
+namespace {
+
+constexpr absl::Duration samplePeriod = absl::Milliseconds(250);
+constexpr absl::Duration connectTimeout = absl::Seconds(2);
+
+} // namespace
+
+JobObserver::JobObserver(const LoadPlan &plan, HostClient::AddressSource entries) : plan(plan), lines(jobLines(plan)), hosts(std::move(entries), connectTimeout)
+{
+}
+
+JobObserver::~JobObserver()
+{
+    if (this->thread.joinable()) {
+        this->thread.join();
+    }
+}
+
+void JobObserver::start(absl::Time loadStart)
+{
+    this->thread = std::thread([this, loadStart] {
+        try {
+            this->observe(loadStart);
+        } catch (const std::exception &error) {
+            this->observation.problem = error.what();
+        }
+    });
+}
+
+JobObservation JobObserver::finish()
+{
+    this->thread.join();
+    return this->observation;
+}
+
+void JobObserver::observe(absl::Time loadStart)
+{
+    absl::SleepFor(loadStart + this->plan.job->submitAt - absl::Now());
+    JobClient jobs(this->hosts, this->plan.job->organisation);
+    const JobStatus submitted = jobs.submit({this->plan.job->service, this->plan.run + "-job", this->lines});
+    this->observation.id = submitted.id;
+    this->observation.finalState = submitted.state;
+    this->sampleUntil(submitted.id, loadStart);
+    if (this->plan.job->cancelAtEnd) {
+        this->observation.finalState = jobs.cancel(submitted.id).state;
+    }
+}
+
+void JobObserver::sampleUntil(const std::string &id, absl::Time loadStart)
+{
+    JobClient jobs(this->hosts, this->plan.job->organisation);
+    const absl::Time end = loadStart + this->plan.duration;
+    for (bool ended = false; !ended && absl::Now() < end;) {
+        try {
+            const JobStatus status = jobs.status(id);
+            this->observation.samples.push_back({absl::ToDoubleSeconds(absl::Now() - loadStart), status.completed, status.failed});
+            this->observation.finalState = status.state;
+            ended = status.ended();
+        } catch (const CliError &) {
+            // A gap in the samples; the next one shows the progress again.
+        }
+        absl::SleepFor(samplePeriod);
+    }
+}
+
+} // namespace Bergamotramp
--- /dev/null
+++ b/src/Percentiles.h
@@ -0,0 +1,28 @@
+#pragma once
+
+#include <cstddef>
+#include <vector>
+
+#include <nlohmann/json.hpp>
+
+namespace Bergamotramp {
+
+/** Percentiles of a set of measurements by nearest rank, in the unit of the measurements. */
+struct Percentiles {
+    std::size_t count = 0;
+    double p50 = 0;
+    double p90 = 0;
+    double p95 = 0;
+    double p99 = 0;
+    double max = 0;
+
+    bool operator==(const Percentiles &) const = default;
+
+    static Percentiles of(std::vector<double> values);
+    [[nodiscard]] nlohmann::json toJson() const;
+};
+
+/** Smallest value such that at least @p percent of the ascending @p sorted values are not above it; 0 when there is none. */
+double nearestRank(const std::vector<double> &sorted, double percent);
+
+} // namespace Bergamotramp
--- a/test/cli/PublishTest.cpp
+++ b/test/cli/PublishTest.cpp
@@ -120,7 +120,8 @@
 TEST_F(PublishTest, secondAdminAddressIsTried)
 {
     this->write("vitrine.service.json", vitrine);
-    const CliRun run = runWith({"publish", this->folder.string(), "--admin", deadAddress(), "--admin", this->host.address()});
+    // The folder follows the option: an option that takes several values would swallow it.
+    const CliRun run = runWith({"publish", "--admin", deadAddress(), "--admin", this->host.address(), this->folder.string()});
     EXPECT_EQ(run.code, 0) << run.err;
 }
 
