--- /dev/null
+++ b/bench/fleet.py
@@ -0,0 +1,260 @@
+"""Starts stand-ins and hosts as processes on free loopback ports, for the benches."""
+
+import json
+import os
+import shutil
+import socket
+import statistics
+import subprocess
+import tempfile
+import time
+import urllib.error
+import urllib.request
+
+REGIONS = ("nordeste", "sudeste")
+DATA_CENTRES = {"nordeste": ("recife-a", "fortaleza-b"), "sudeste": ("saopaulo-a",)}
+STORE_REGION = "nordeste"
+REGION_DELAY_MS = 12  # one way
+REGION_LINK_BYTES_PER_SECOND = 30_000_000 // 8
+START_TIMEOUT_S = 30
+STOP_TIMEOUT_S = 5
+
+
+class BenchError(RuntimeError):
+    """A process of the bench failed or didn't start in time."""
+
+
+def free_ports(count):
+    """Ports that were free a moment ago; all are held until all are drawn, so that they differ."""
+    held = []
+    for _ in range(count):
+        holder = socket.socket()
+        holder.bind(("127.0.0.1", 0))
+        held.append(holder)
+    ports = [holder.getsockname()[1] for holder in held]
+    for holder in held:
+        holder.close()
+    return ports
+
+
+def http(method, url, body=None, timeout=5):
+    """Calls a control interface; returns the status and the text of the answer."""
+    data = None if body is None else json.dumps(body).encode()
+    request = urllib.request.Request("http://" + url, data=data, method=method)
+    try:
+        with urllib.request.urlopen(request, timeout=timeout) as answer:
+            return answer.status, answer.read().decode()
+    except urllib.error.HTTPError as error:
+        return error.code, error.read().decode()
+
+
+class Process:
+    """A program of the build with its log file."""
+
+    def __init__(self, name, arguments, folder):
+        self.name = name
+        self.log = os.path.join(folder, name + ".log")
+        with open(self.log, "wb") as log:
+            self.child = subprocess.Popen(arguments, stdout=log, stderr=subprocess.STDOUT, cwd=folder)
+
+    def announced(self):
+        """Words after "listening" in the line that the program prints when it serves."""
+        deadline = time.monotonic() + START_TIMEOUT_S
+        while time.monotonic() < deadline:
+            with open(self.log, errors="replace") as log:
+                for line in log:
+                    if line.startswith("listening ") and line.endswith("\n"):
+                        return line.split()[1:]
+            if self.child.poll() is not None:
+                break
+            time.sleep(0.02)
+        with open(self.log, errors="replace") as log:
+            raise BenchError(f"{self.name} did not start:\n{log.read()[-2000:]}")
+
+    def cpu_seconds(self):
+        """User and system time used so far."""
+        with open(f"/proc/{self.child.pid}/stat") as stat:
+            fields = stat.read().rpartition(")")[2].split()
+        return (int(fields[11]) + int(fields[12])) / os.sysconf("SC_CLK_TCK")
+
+    def stop(self, gently=True):
+        if self.child.poll() is None:
+            if gently:
+                self.child.terminate()
+                try:
+                    self.child.wait(STOP_TIMEOUT_S)
+                    return
+                except subprocess.TimeoutExpired:
+                    pass
+            self.child.kill()
+            self.child.wait()
+
+
+class Fleet:
+    """Stand-ins, hosts and published services; a context manager that ends every process it started, by its pid."""
+
+    def __init__(self, build):
+        self.build = os.path.abspath(build)
+        self.folder = tempfile.mkdtemp(prefix="bergamotramp-bench-")
+        self.processes = []
+        self.hosts = []
+        self.engines = {}
+        self.plains = {}
+        self.store = None
+
+    def __enter__(self):
+        return self
+
+    def __exit__(self, kind, error, trace):
+        # The hosts end first, without a drain: the fleet is thrown away.
+        daemons = [host.get("process") for host in self.hosts]
+        for process in reversed(self.processes):
+            process.stop(gently=process not in daemons)
+        if kind is None:
+            shutil.rmtree(self.folder, ignore_errors=True)
+        else:
+            print(f"logs are kept in {self.folder}", flush=True)
+
+    def program(self, name):
+        for folder in ("apps", "test/standin", "bench"):
+            path = os.path.join(self.build, folder, name)
+            if os.path.exists(path):
+                return path
+        raise BenchError(f"{name} is not built in {self.build}")
+
+    def start(self, name, program, *options):
+        process = Process(name, [self.program(program), *options], self.folder)
+        self.processes.append(process)
+        return process
+
+    def start_platform(self):
+        self.store = self.start("platform", "standin-platform").announced()[0]
+
+    def start_engines(self, count_by_region, *options):
+        started = []
+        for region, count in count_by_region.items():
+            for index in range(count):
+                started.append((region, self.start(f"engine-{region}-{index}", "standin-engine", *options)))
+        for region, process in started:
+            self.engines[process.announced()[0]] = region
+
+    def start_plains(self, count_by_region, *options):
+        for region, count in count_by_region.items():
+            for index in range(count):
+                process = self.start(f"plain-{region}-{index}", "standin-plain", *options)
+                self.plains[process.announced()[0]] = region
+
+    def link_regions(self):
+        """A proxied address of the store for the regions away from it, with the delay and rate of the link between regions."""
+        proxy = self.start("proxy", "fault-proxy").announced()[0]
+        status, text = http("POST", proxy + "/control/routes", {"route": "store", "target": self.store, "group": "regions"})
+        if status != 200:
+            raise BenchError(f"fault-proxy: {text}")
+        http("POST", proxy + "/control/faults", {"route": "store", "delayToTargetMs": REGION_DELAY_MS, "delayToClientMs": REGION_DELAY_MS})
+        http("POST", proxy + "/control/groups", {"group": "regions", "bytesPerSecond": REGION_LINK_BYTES_PER_SECOND})
+        return json.loads(text)["address"]
+
+    def start_hosts(self, count_by_region, extra_settings=None):
+        remote_store = self.link_regions() if any(region != STORE_REGION for region in count_by_region) else self.store
+        total = sum(count_by_region.values())
+        ports = iter(free_ports(3 * total))
+        for region, count in count_by_region.items():
+            for index in range(count):
+                centres = DATA_CENTRES[region]
+                settings = {
+                    "name": f"{region}-{index}",
+                    "region": region,
+                    "dataCentre": centres[index % len(centres)],
+                    "storeAddress": self.store if region == STORE_REGION else remote_store,
+                    **{key: f"127.0.0.1:{next(ports)}" for key in ("callerAddress", "peerAddress", "adminAddress")},
+                    **(extra_settings or {}),
+                }
+                self.hosts.append({"settings": settings})
+        self.publish_host_list()
+        for host in self.hosts:
+            self.start_host(host)
+        for host in self.hosts:
+            host["process"].announced()
+
+    def publish_host_list(self):
+        keys = ("name", "region", "dataCentre", "callerAddress", "peerAddress", "adminAddress")
+        hosts = [{**{key: host["settings"][key] for key in keys}, "state": "live"} for host in self.hosts]
+        status, text = http("PUT", self.store + "/control/hosts", {"hosts": hosts})
+        if status != 200:
+            raise BenchError(f"host list: {text}")
+
+    def start_host(self, host):
+        path = os.path.join(self.folder, host["settings"]["name"] + ".json")
+        with open(path, "w") as file:
+            json.dump(host["settings"], file)
+        host["process"] = self.start(host["settings"]["name"], "bergamotrampd", "--settings", path)
+
+    def upstreams(self, addresses):
+        by_place = {}
+        for index, (address, region) in enumerate(addresses.items()):
+            centres = DATA_CENTRES[region]
+            place = f"{region}/{centres[index % len(centres)]}"
+            by_place.setdefault(place, []).append(address)
+        return by_place
+
+    def publish(self, services):
+        folder = os.path.join(self.folder, "services")
+        os.makedirs(folder, exist_ok=True)
+        for service in services:
+            with open(os.path.join(folder, service["name"] + ".service.json"), "w") as file:
+                json.dump(service, file)
+        admins = [option for host in self.hosts for option in ("--admin", host["settings"]["adminAddress"])]
+        self.command("publish", folder, *admins)
+        for host in self.hosts:
+            self.wait_ready(host["settings"]["adminAddress"])
+
+    def wait_ready(self, admin):
+        deadline = time.monotonic() + START_TIMEOUT_S
+        while time.monotonic() < deadline:
+            try:
+                if http("GET", admin + "/readyz")[0] == 200:
+                    return
+            except OSError:
+                pass
+            time.sleep(0.05)
+        raise BenchError(f"{admin} is not ready after {START_TIMEOUT_S} s")
+
+    def command(self, *arguments, timeout=120):
+        """Runs the command line and returns its output."""
+        done = subprocess.run([self.program("bergamotramp"), *arguments], capture_output=True, text=True, timeout=timeout, check=False)
+        if done.returncode != 0:
+            raise BenchError(f"bergamotramp {arguments[0]} ended with {done.returncode}: {done.stderr}")
+        return done.stdout
+
+    def load(self, plan, entries=None, direct=False):
+        """Runs a load plan and returns its summary."""
+        path = os.path.join(self.folder, "plan.json")
+        with open(path, "w") as file:
+            json.dump(plan, file)
+        addresses = entries or [host["settings"]["callerAddress"] for host in self.hosts]
+        options = [option for address in addresses for option in ("--entry", address)]
+        return json.loads(self.command("load", "--plan", path, "--output", "json", *(["--direct"] if direct else []), *options))
+
+    def running_streams(self):
+        """Streams that run on all engines now."""
+        return sum(json.loads(http("GET", address + "/control/counters")[1])["running"] for address in self.engines)
+
+    def wait_idle(self, seconds=15):
+        deadline = time.monotonic() + seconds
+        while self.running_streams() > 0 and time.monotonic() < deadline:
+            time.sleep(0.2)
+
+
+def spread(values, digits=1):
+    """Median with the least and greatest value."""
+    if not values:
+        return "-"
+    return f"{statistics.median(values):.{digits}f} [{min(values):.{digits}f}..{max(values):.{digits}f}]"
+
+
+def print_table(title, header, rows):
+    widths = [max(len(str(row[column])) for row in [header, *rows]) for column in range(len(header))]
+    print(f"\n{title}")
+    for row in [header, ["-" * width for width in widths], *rows]:
+        print("  ".join(str(cell).ljust(width) for cell, width in zip(row, widths)).rstrip())
+    print(flush=True)
--- a/src/Cli.cpp
+++ b/src/Cli.cpp
@@ -16,6 +16,7 @@
     addAdminCommands(app, context);
     addJobCommand(app, context);
     addRequestCommand(app, context);
+    addTimelineCommand(app, context);
     addLoadCommand(app, context);
     app.footer("Each command has its own help: bergamotramp COMMAND --help");
 }
--- a/src/Cli.h
+++ b/src/Cli.h
@@ -15,6 +15,7 @@
 void addAdminCommands(CLI::App &app, CommandContext &context);
 void addJobCommand(CLI::App &app, CommandContext &context);
 void addRequestCommand(CLI::App &app, CommandContext &context);
+void addTimelineCommand(CLI::App &app, CommandContext &context);
 void addLoadCommand(CLI::App &app, CommandContext &context);
 
 } // namespace Bergamotramp
--- a/test/cli/CommandsTest.cpp
+++ b/test/cli/CommandsTest.cpp
@@ -1,3 +1,4 @@
+#include <algorithm>
 #include <atomic>
 #include <filesystem>
 #include <fstream>
@@ -28,8 +29,17 @@
 
 TEST(CommandsTest, everyCommandHasHelpWithExitCodes)
 {
-    for (const std::vector<std::string> &command : std::vector<std::vector<std::string>>{
-             {"publish"}, {"services"}, {"hosts"}, {"upstreams"}, {"drain"}, {"request"}, {"job", "submit"}, {"job", "status"}, {"job", "list"}}) {
+    for (const std::vector<std::string> &command : std::vector<std::vector<std::string>>{{"publish"},
+                                                                                         {"services"},
+                                                                                         {"hosts"},
+                                                                                         {"upstreams"},
+                                                                                         {"drain"},
+                                                                                         {"request"},
+                                                                                         {"timeline"},
+                                                                                         {"load"},
+                                                                                         {"job", "submit"},
+                                                                                         {"job", "status"},
+                                                                                         {"job", "list"}}) {
         std::vector<std::string> arguments = command;
         arguments.emplace_back("--help");
         const CliRun run = runWith(arguments);
@@ -181,6 +191,23 @@
     EXPECT_EQ(codeOf(504, "deadline_exceeded", "not_run"), ExitCode::Failed);
 }
 
+TEST(CommandsTest, timelineMergesFilesAndCountsBrokenLines)
+{
+    const TestHost host;
+    const std::string first = writeFile(host, "{\"t\":30,\"c\":0,\"host\":\"a\",\"event\":\"answered\"}\n{\"t\":40,\"c\"");
+    const std::string second = first + "-second";
+    std::ofstream(second) << "{\"t\":20,\"c\":0,\"host\":\"b\",\"event\":\"granted\"}\n";
+    const CliRun run = runWith({"timeline", first, second, "--output", "json"});
+    EXPECT_EQ(run.code, 0);
+    EXPECT_LT(run.out.find("granted"), run.out.find("answered"));
+    EXPECT_NE(run.err.find("1 lines"), std::string::npos) << run.err;
+    const CliRun last = runWith({"timeline", first, second, "--last", "1"});
+    EXPECT_EQ(std::count(last.out.begin(), last.out.end(), '\n'), 1);
+    EXPECT_NE(last.out.find("answered"), std::string::npos) << last.out;
+    EXPECT_EQ(runWith({"timeline", "/nonexistent"}).code, 2);
+    std::filesystem::remove(second);
+}
+
 } // namespace
 
 } // namespace Bergamotramp
