--- /dev/null
+++ b/src/JournalService.cpp
@@ -0,0 +1,421 @@
+#include "JournalService.h"
+
+#include <atomic>
+#include <condition_variable>
+#include <deque>
+#include <functional>
+#include <future>
+#include <map>
+#include <mutex>
+#include <optional>
+#include <thread>
+
+#include <absl/strings/str_cat.h>
+
+#include "JournalBodies.h"
+#include "JournalHolder.h"
+#include "RendezvousHash.h"
+#include "Transport.h"
+
+namespace Bergamotramp {
+
+namespace {
+
+/** Longer than the holder's wait for the store, so that its answer arrives. */
+constexpr absl::Duration replyTimeout = absl::Milliseconds(2500);
+/** Covers the time until a lost holder's shards have moved. */
+constexpr absl::Duration beginWait = absl::Seconds(8);
+constexpr absl::Duration readWait = absl::Seconds(4);
+constexpr absl::Duration finishWait = absl::Seconds(4);
+constexpr absl::Duration retryPause = absl::Milliseconds(100);
+constexpr absl::Duration backgroundPause = absl::Milliseconds(500);
+/** How long a result or a cancelled intent is retried in the background. */
+constexpr absl::Duration backgroundLimit = absl::Hours(1);
+constexpr absl::Duration drainWait = absl::Seconds(6);
+constexpr std::size_t peerThreads = 4;
+
+bool isSettled(wire::JournalState state)
+{
+    return state != wire::JOURNAL_STATE_NOT_HOLDER && state != wire::JOURNAL_STATE_UNAVAILABLE;
+}
+
+void sleepFor(absl::Duration duration)
+{
+    std::this_thread::sleep_for(absl::ToChronoMicroseconds(duration));
+}
+
+} // namespace
+
+class JournalService::Implementation
+{
+public:
+    explicit Implementation(const HostContext &context)
+        : context(context)
+        , bodies(context.store)
+        , holder(context, [this](std::uint32_t shard) { return this->holderOf(shard).name == this->context.settings.name; })
+        , peers(peerThreads)
+        , background([this] { this->runBackground(); })
+    {
+    }
+
+    ~Implementation()
+    {
+        {
+            const std::lock_guard<std::mutex> lock(this->mutex);
+            this->stopping = true;
+        }
+        this->changed.notify_all();
+        this->background.join();
+        this->peers.stop();
+    }
+
+    Implementation(const Implementation &) = delete;
+    Implementation &operator=(const Implementation &) = delete;
+
+    wire::JournalBegun begin(const std::string &key, std::uint64_t fingerprint, bool idempotent, absl::Duration timeLeft)
+    {
+        const absl::Time started = absl::Now();
+        wire::JournalBegin message;
+        message.set_shard(this->shardOf(key));
+        message.set_key(key);
+        message.set_fingerprint(fingerprint);
+        message.set_idempotent(idempotent);
+        message.set_request(this->nextCall());
+        wire::JournalBegun begun = this->beginUntil(message, started + timeLeft, started + std::min(timeLeft, beginWait));
+        const bool late = absl::Now() >= started + timeLeft;
+        if (begun.state() == wire::JOURNAL_STATE_NEW && late) {
+            this->later({message.key(), begun.attempt(), {}, true, "", std::nullopt, absl::Now() + backgroundLimit});
+            begun.Clear();
+            begun.set_state(wire::JOURNAL_STATE_UNAVAILABLE);
+        } else if (begun.state() == wire::JOURNAL_STATE_UNAVAILABLE && !begun.never_started()) {
+            this->later({message.key(), 0, {}, true, "", message, absl::Now() + backgroundLimit});
+        }
+        if (begun.state() == wire::JOURNAL_STATE_FINISHED && !this->bodies.load(*begun.mutable_result())) {
+            begun.Clear();
+            begun.set_state(wire::JOURNAL_STATE_UNAVAILABLE);
+        }
+        return begun;
+    }
+
+    wire::JournalFinished finish(const std::string &key, std::uint32_t attempt, const wire::RecordedResult &result, bool notRun)
+    {
+        Unrecorded work{key, attempt, result, notRun, this->bodyKey(key), std::nullopt, absl::Now() + backgroundLimit};
+        wire::JournalFinished finished = this->tryFinish(work, absl::Now() + finishWait);
+        if (!isSettled(finished.state())) {
+            this->later(std::move(work));
+        } else if (finished.state() == wire::JOURNAL_STATE_FINISHED && !this->bodies.load(*finished.mutable_result())) {
+            finished.Clear();
+            finished.set_state(wire::JOURNAL_STATE_UNAVAILABLE);
+        }
+        return finished;
+    }
+
+    wire::JournalRecord read(const std::string &key)
+    {
+        wire::Envelope message;
+        message.mutable_journal_read()->set_shard(this->shardOf(key));
+        message.mutable_journal_read()->set_key(key);
+        const absl::Time limit = absl::Now() + readWait;
+        wire::JournalRecord record;
+        record.set_state(wire::JOURNAL_STATE_UNAVAILABLE);
+        while (absl::Now() < limit) {
+            const std::optional<wire::Envelope> answer = this->ask(message.journal_read().shard(), message, limit - absl::Now());
+            if (answer.has_value() && answer->has_journal_record() && answer->journal_record().state() != wire::JOURNAL_STATE_NOT_HOLDER) {
+                record = answer->journal_record();
+                break;
+            }
+            sleepFor(retryPause);
+        }
+        if (record.state() == wire::JOURNAL_STATE_FINISHED && !this->bodies.load(*record.mutable_result())) {
+            record.Clear();
+            record.set_state(wire::JOURNAL_STATE_UNAVAILABLE);
+        }
+        return record;
+    }
+
+    void handle(const wire::Envelope &envelope)
+    {
+        this->peers.post([this, envelope] {
+            this->serve(envelope, envelope.from().name(), [this, envelope](wire::Envelope answer) {
+                const std::string address = this->addressOf(envelope.from().name());
+                if (!address.empty()) {
+                    this->context.transport->reply(address, envelope.correlation(), std::move(answer));
+                }
+            });
+        });
+    }
+
+    nlohmann::json status() const
+    {
+        const std::lock_guard<std::mutex> lock(this->mutex);
+        return {{"shards", this->holder.status()}, {"unrecorded", this->unrecorded.size()}};
+    }
+
+    void drain()
+    {
+        this->holder.release();
+        const absl::Time limit = absl::Now() + drainWait;
+        const auto busy = [this] {
+            const std::lock_guard<std::mutex> lock(this->mutex);
+            return !this->unrecorded.empty();
+        };
+        while (absl::Now() < limit && (this->holder.activeShards() > 0 || busy())) {
+            sleepFor(retryPause);
+        }
+    }
+
+private:
+    /** A finish that could not be recorded yet, or an intent of which the outcome is unknown and that won't be used. */
+    struct Unrecorded {
+        std::string key;
+        std::uint32_t attempt = 0;
+        wire::RecordedResult result;
+        bool notRun = false;
+        std::string bodyKey;
+        std::optional<wire::JournalBegin> intent;
+        absl::Time limit;
+    };
+    using Answered = std::function<void(wire::Envelope)>;
+
+    std::uint32_t shardOf(const std::string &key) const
+    {
+        return static_cast<std::uint32_t>(stableHash(key) % static_cast<std::uint64_t>(this->context.settings.journalShards));
+    }
+
+    std::uint64_t nextCall()
+    {
+        return stableHash(absl::StrCat(this->context.settings.name, "/", this->context.incarnation, "/", ++this->calls)) | 1U;
+    }
+
+    std::string bodyKey(const std::string &key)
+    {
+        const std::string name = absl::StrCat(absl::Hex(stableHash(key), absl::kZeroPad16), "-", absl::Hex(this->nextCall(), absl::kZeroPad16));
+        return absl::StrCat("journal/", this->shardOf(key), "/results/", name);
+    }
+
+    HostInfo holderOf(std::uint32_t shard)
+    {
+        const std::vector<HostInfo> hosts = this->knownHosts();
+        std::vector<std::string> names;
+        for (const HostInfo &host : hosts) {
+            names.push_back(host.name);
+        }
+        const std::string picked = rendezvousPick(absl::StrCat("journal/", shard), names);
+        for (const HostInfo &host : hosts) {
+            if (host.name == picked) {
+                return host;
+            }
+        }
+        return {};
+    }
+
+    std::vector<HostInfo> knownHosts()
+    {
+        std::vector<HostInfo> hosts = this->context.liveHosts();
+        const std::lock_guard<std::mutex> lock(this->addressMutex);
+        for (const HostInfo &host : hosts) {
+            this->addresses[host.name] = host.peerAddress;
+        }
+        return hosts;
+    }
+
+    // A leaving host is no longer live, but it still finishes its requests and needs the answers.
+    std::string addressOf(const std::string &name)
+    {
+        this->knownHosts();
+        const std::lock_guard<std::mutex> lock(this->addressMutex);
+        const auto found = this->addresses.find(name);
+        return found == this->addresses.end() ? "" : found->second;
+    }
+
+    wire::JournalBegun beginUntil(wire::JournalBegin message, absl::Time deadline, absl::Time limit)
+    {
+        wire::JournalBegun begun;
+        begun.set_state(wire::JOURNAL_STATE_UNAVAILABLE);
+        do {
+            wire::Envelope envelope;
+            message.set_time_left_us(absl::ToInt64Microseconds(deadline - absl::Now()));
+            *envelope.mutable_journal_begin() = message;
+            const std::optional<wire::Envelope> answer = this->ask(message.shard(), envelope, limit - absl::Now());
+            if (answer.has_value() && answer->has_journal_begun() && answer->journal_begun().state() != wire::JOURNAL_STATE_NOT_HOLDER) {
+                return answer->journal_begun();
+            }
+            sleepFor(retryPause);
+        } while (absl::Now() < limit && !this->stopping);
+        return begun;
+    }
+
+    wire::JournalFinished tryFinish(Unrecorded &work, absl::Time limit)
+    {
+        wire::JournalFinished finished;
+        finished.set_state(wire::JOURNAL_STATE_UNAVAILABLE);
+        do {
+            if (work.notRun || !JournalBodies::needsObject(work.result) || this->bodies.store(work.bodyKey, work.result)) {
+                wire::Envelope envelope;
+                wire::JournalFinish &message = *envelope.mutable_journal_finish();
+                message.set_shard(this->shardOf(work.key));
+                message.set_key(work.key);
+                message.set_attempt(work.attempt);
+                *message.mutable_result() = work.result;
+                message.set_not_run(work.notRun);
+                const std::optional<wire::Envelope> answer = this->ask(message.shard(), envelope, limit - absl::Now());
+                if (answer.has_value() && answer->has_journal_finished() && isSettled(answer->journal_finished().state())) {
+                    this->removeUnusedBody(work, answer->journal_finished());
+                    return answer->journal_finished();
+                }
+            }
+            sleepFor(retryPause);
+        } while (absl::Now() < limit && !this->stopping);
+        return finished;
+    }
+
+    void removeUnusedBody(const Unrecorded &work, const wire::JournalFinished &finished)
+    {
+        const std::string &own = work.result.body_object();
+        if (!own.empty() && finished.result().body_object() != own) {
+            this->bodies.remove(own);
+        }
+    }
+
+    /** Sends a request to the shard's holder, or handles it here; returns nothing when no answer came in time. */
+    std::optional<wire::Envelope> ask(std::uint32_t shard, const wire::Envelope &request, absl::Duration wait)
+    {
+        const absl::Duration timeout = std::max(absl::Milliseconds(1), std::min(wait, replyTimeout));
+        const HostInfo target = this->holderOf(shard);
+        if (target.name.empty()) {
+            return std::nullopt;
+        }
+        if (target.name != this->context.settings.name) {
+            return this->context.transport->request(target.peerAddress, request, timeout);
+        }
+        const auto promise = std::make_shared<std::promise<wire::Envelope>>();
+        std::future<wire::Envelope> answer = promise->get_future();
+        this->serve(request, target.name, [promise](wire::Envelope envelope) { promise->set_value(std::move(envelope)); });
+        if (answer.wait_for(absl::ToChronoMicroseconds(timeout)) != std::future_status::ready) {
+            return std::nullopt;
+        }
+        return answer.get();
+    }
+
+    void serve(const wire::Envelope &request, const std::string &from, const Answered &answered)
+    {
+        const auto onAnswer = [answered](const JournalAnswer &answer) { answered(envelopeOf(answer)); };
+        const auto shards = static_cast<std::uint32_t>(this->context.settings.journalShards);
+        if (request.has_journal_begin() && request.journal_begin().shard() < shards) {
+            const wire::JournalBegin &begin = request.journal_begin();
+            const JournalIntent intent{begin.key(), begin.fingerprint(), begin.idempotent(), from, begin.request(), absl::Microseconds(begin.time_left_us())};
+            this->holder.begin(begin.shard(), intent, onAnswer);
+        } else if (request.has_journal_finish() && request.journal_finish().shard() < shards) {
+            const wire::JournalFinish &finish = request.journal_finish();
+            this->holder.finish(finish.shard(), {finish.key(), finish.attempt(), finish.result(), finish.not_run()}, onAnswer);
+        } else if (request.has_journal_read() && request.journal_read().shard() < shards) {
+            this->holder.read(request.journal_read().shard(), request.journal_read().key(), onAnswer);
+        }
+    }
+
+    static wire::Envelope envelopeOf(const JournalAnswer &answer)
+    {
+        wire::Envelope envelope;
+        if (const auto *begun = std::get_if<wire::JournalBegun>(&answer)) {
+            *envelope.mutable_journal_begun() = *begun;
+        } else if (const auto *finished = std::get_if<wire::JournalFinished>(&answer)) {
+            *envelope.mutable_journal_finished() = *finished;
+        } else {
+            *envelope.mutable_journal_record() = std::get<wire::JournalRecord>(answer);
+        }
+        return envelope;
+    }
+
+    void later(Unrecorded work)
+    {
+        const std::lock_guard<std::mutex> lock(this->mutex);
+        this->unrecorded.push_back(std::move(work));
+        this->changed.notify_all();
+    }
+
+    void runBackground()
+    {
+        std::unique_lock<std::mutex> lock(this->mutex);
+        while (!this->stopping) {
+            if (this->unrecorded.empty()) {
+                this->changed.wait(lock);
+                continue;
+            }
+            Unrecorded work = this->unrecorded.front();
+            lock.unlock();
+            const bool done = this->record(work) || absl::Now() >= work.limit;
+            lock.lock();
+            this->unrecorded.pop_front();
+            if (!done) {
+                this->unrecorded.push_back(std::move(work));
+                this->changed.wait_for(lock, absl::ToChronoMilliseconds(backgroundPause));
+            }
+        }
+    }
+
+    // Repeating the call tells whether its intent was recorded; if so, the key is freed at once instead of at its deadline.
+    bool record(Unrecorded &work)
+    {
+        if (work.intent.has_value()) {
+            const absl::Time limit = absl::Now() + replyTimeout;
+            const wire::JournalBegun begun = this->beginUntil(*work.intent, absl::Now() + absl::Seconds(10), limit);
+            if (begun.state() != wire::JOURNAL_STATE_NEW) {
+                return begun.state() != wire::JOURNAL_STATE_UNAVAILABLE;
+            }
+            work.attempt = begun.attempt();
+            work.intent.reset();
+        }
+        return isSettled(this->tryFinish(work, absl::Now()).state());
+    }
+
+    const HostContext context;
+    JournalBodies bodies;
+    std::atomic<std::uint64_t> calls{0};
+    std::mutex addressMutex;
+    std::map<std::string, std::string> addresses;
+    mutable std::mutex mutex;
+    std::condition_variable changed;
+    std::deque<Unrecorded> unrecorded;
+    std::atomic<bool> stopping{false};
+    JournalHolder holder;
+    WorkerPool peers;
+    std::thread background;
+};
+
+JournalService::JournalService(const HostContext &context) : implementation(std::make_unique<Implementation>(context))
+{
+}
+
+JournalService::~JournalService() = default;
+
+wire::JournalBegun JournalService::begin(const std::string &key, std::uint64_t fingerprint, bool idempotent, absl::Duration timeLeft)
+{
+    return this->implementation->begin(key, fingerprint, idempotent, timeLeft);
+}
+
+wire::JournalFinished JournalService::finish(const std::string &key, std::uint32_t attempt, const wire::RecordedResult &result, bool notRun)
+{
+    return this->implementation->finish(key, attempt, result, notRun);
+}
+
+wire::JournalRecord JournalService::read(const std::string &key)
+{
+    return this->implementation->read(key);
+}
+
+void JournalService::handle(const wire::Envelope &envelope)
+{
+    this->implementation->handle(envelope);
+}
+
+nlohmann::json JournalService::status() const
+{
+    return this->implementation->status();
+}
+
+void JournalService::drain()
+{
+    this->implementation->drain();
+}
+
+} // namespace Bergamotramp
--- /dev/null
+++ b/test/host/JournalServiceTest.cpp
@@ -0,0 +1,158 @@
+#include "JournalService.h"
+
+#include <thread>
+
+#include <absl/strings/str_cat.h>
+#include <gtest/gtest.h>
+
+#include "TestFleet.h"
+
+namespace Bergamotramp {
+
+namespace {
+
+wire::RecordedResult resultOf(const std::string &body)
+{
+    wire::RecordedResult result;
+    result.set_status(200);
+    result.set_content_type("application/json");
+    result.set_body(body);
+    return result;
+}
+
+/** Two hosts with a journal each. */
+class JournalServiceTest : public testing::Test
+{
+protected:
+    JournalServiceTest()
+    {
+        for (const std::string name : {"first", "second"}) {
+            TestFleet::Host &host = this->fleet.add(name);
+            this->services.push_back(std::make_unique<JournalService>(host.context));
+            this->fleet.receive(host, [service = this->services.back().get()](const wire::Envelope &envelope) { service->handle(envelope); });
+            this->hosts.push_back(&host);
+        }
+    }
+    ~JournalServiceTest() override
+    {
+        for (TestFleet::Host *host : this->hosts) {
+            this->fleet.receive(*host, nullptr);
+        }
+    }
+
+    void kill(std::size_t host)
+    {
+        this->fleet.receive(*this->hosts[host], nullptr);
+        this->services[host].reset();
+        this->fleet.setDead(this->hosts[host]->name);
+    }
+
+    static constexpr int keyCount = 12;
+    TestFleet fleet{absl::Milliseconds(500)};
+    std::vector<TestFleet::Host *> hosts;
+    std::vector<std::unique_ptr<JournalService>> services;
+};
+
+// Guards against a key that two hosts may run, and against results that are readable on one host only.
+TEST_F(JournalServiceTest, bothHostsSeeOneKey)
+{
+    for (int count = 0; count < keyCount; ++count) {
+        const std::string key = absl::StrCat("key", count);
+        const wire::JournalBegun begun = this->services[0]->begin(key, 7, false, absl::Seconds(30));
+        ASSERT_EQ(begun.state(), wire::JOURNAL_STATE_NEW);
+        EXPECT_EQ(this->services[1]->begin(key, 7, false, absl::Seconds(30)).state(), wire::JOURNAL_STATE_IN_PROGRESS);
+        EXPECT_EQ(this->services[1]->begin(key, 8, false, absl::Seconds(30)).state(), wire::JOURNAL_STATE_CONFLICT);
+        EXPECT_EQ(this->services[0]->finish(key, begun.attempt(), resultOf(key), false).state(), wire::JOURNAL_STATE_FINISHED);
+        EXPECT_EQ(this->services[1]->read(key).result().body(), key);
+        EXPECT_EQ(this->services[1]->begin(key, 7, false, absl::Seconds(30)).result().body(), key);
+    }
+    EXPECT_EQ(this->services[1]->read("absent").state(), wire::JOURNAL_STATE_NOT_FOUND);
+}
+
+// Guards against acknowledged records that are lost with their holder.
+TEST_F(JournalServiceTest, takeoverKeepsRecords)
+{
+    for (int count = 0; count < keyCount; ++count) {
+        const std::string key = absl::StrCat("key", count);
+        const wire::JournalBegun begun = this->services[1]->begin(key, 7, false, absl::Seconds(30));
+        ASSERT_EQ(begun.state(), wire::JOURNAL_STATE_NEW);
+        if (count % 2 == 0) {
+            ASSERT_EQ(this->services[1]->finish(key, begun.attempt(), resultOf(key), false).state(), wire::JOURNAL_STATE_FINISHED);
+        }
+    }
+    this->kill(0);
+    for (int count = 0; count < keyCount; ++count) {
+        const wire::JournalBegun begun = this->services[1]->begin(absl::StrCat("key", count), 7, false, absl::Seconds(30));
+        EXPECT_EQ(begun.state(), count % 2 == 0 ? wire::JOURNAL_STATE_FINISHED : wire::JOURNAL_STATE_IN_PROGRESS);
+    }
+}
+
+// Guards against a drained host that keeps shards, and against begins that fail while shards move.
+TEST_F(JournalServiceTest, drainHandsShardsOver)
+{
+    const wire::JournalBegun begun = this->services[0]->begin("key", 7, false, absl::Seconds(30));
+    ASSERT_EQ(begun.state(), wire::JOURNAL_STATE_NEW);
+    this->fleet.setDead("first");
+    this->services[0]->drain();
+    EXPECT_TRUE(this->services[0]->status().at("shards").empty());
+    EXPECT_EQ(this->services[0]->finish("key", begun.attempt(), resultOf("done"), false).state(), wire::JOURNAL_STATE_FINISHED);
+    EXPECT_EQ(this->services[1]->read("key").result().body(), "done");
+}
+
+// Guards against a lost answer of the store that is taken for a failure or for another holder's write.
+TEST_F(JournalServiceTest, lostAnswersAreReadBack)
+{
+    ASSERT_EQ(this->services[0]->begin("warm", 7, false, absl::Seconds(30)).state(), wire::JOURNAL_STATE_NEW);
+    for (int count = 0; count < keyCount; ++count) {
+        const std::string key = absl::StrCat("key", count);
+        this->fleet.setFaults({{"loseAnswers", 1}, {"loseAnswersPrefix", "journal/"}});
+        const wire::JournalBegun begun = this->services[count % 2]->begin(key, 7, false, absl::Seconds(30));
+        ASSERT_EQ(begun.state(), wire::JOURNAL_STATE_NEW);
+        ASSERT_EQ(this->services[0]->finish(key, begun.attempt(), resultOf(key), false).state(), wire::JOURNAL_STATE_FINISHED);
+    }
+    this->fleet.setFaults({{"loseAnswers", 0}});
+}
+
+// Guards against new work accepted during an outage, against answers in memory that an outage hides, and against lost results.
+TEST_F(JournalServiceTest, outageIsBridged)
+{
+    const wire::JournalBegun begun = this->services[0]->begin("key", 7, false, absl::Seconds(30));
+    ASSERT_EQ(begun.state(), wire::JOURNAL_STATE_NEW);
+    this->fleet.setFaults({{"outage", true}});
+    EXPECT_EQ(this->services[1]->begin("other", 7, false, absl::Seconds(30)).state(), wire::JOURNAL_STATE_UNAVAILABLE);
+    EXPECT_EQ(this->services[1]->begin("key", 7, false, absl::Seconds(30)).state(), wire::JOURNAL_STATE_IN_PROGRESS);
+    EXPECT_EQ(this->services[0]->finish("key", begun.attempt(), resultOf("late"), false).state(), wire::JOURNAL_STATE_UNAVAILABLE);
+    this->fleet.setFaults({{"outage", false}});
+    wire::JournalRecord record;
+    for (int count = 0; count < 200 && record.state() != wire::JOURNAL_STATE_FINISHED; ++count) {
+        record = this->services[1]->read("key");
+        std::this_thread::sleep_for(std::chrono::milliseconds(50));
+    }
+    EXPECT_EQ(record.result().body(), "late");
+    EXPECT_EQ(this->services[1]->begin("other", 7, false, absl::Seconds(30)).state(), wire::JOURNAL_STATE_NEW);
+}
+
+// Guards against results that are too large for one object of the store.
+TEST_F(JournalServiceTest, largeResultsAreKeptApart)
+{
+    const std::string body(2'500'000, 'x');
+    const wire::JournalBegun begun = this->services[0]->begin("key", 7, true, absl::Seconds(30));
+    const wire::JournalFinished finished = this->services[0]->finish("key", begun.attempt(), resultOf(body), false);
+    ASSERT_EQ(finished.state(), wire::JOURNAL_STATE_FINISHED);
+    EXPECT_EQ(finished.result().body(), body);
+    EXPECT_EQ(this->services[1]->read("key").result().body(), body);
+}
+
+// Guards against a key that stays taken although its attempt sent nothing.
+TEST_F(JournalServiceTest, notRunFreesKey)
+{
+    const wire::JournalBegun begun = this->services[0]->begin("key", 7, false, absl::Seconds(30));
+    this->services[0]->finish("key", begun.attempt(), {}, true);
+    const wire::JournalBegun again = this->services[1]->begin("key", 8, false, absl::Seconds(30));
+    EXPECT_EQ(again.state(), wire::JOURNAL_STATE_NEW);
+    EXPECT_EQ(again.attempt(), 2U);
+}
+
+} // namespace
+
+} // namespace Bergamotramp
