--- a/apps/bergamotrampd.cpp
+++ b/apps/bergamotrampd.cpp
@@ -1,8 +1,44 @@
+#include <csignal>
 #include <iostream>
+#include <thread>
 
 #include <CLI/CLI.hpp>
+#include <glog/logging.h>
 
-#include "HostSettings.h"
+#include "Host.h"
+
+namespace {
+
+constexpr int exitFailed = 1;
+constexpr int exitInvalid = 2;
+
+/** Blocks the signals that ask for a planned shutdown, so that sigwait can take them. */
+sigset_t blockShutdownSignals()
+{
+    sigset_t signals;
+    sigemptyset(&signals);
+    sigaddset(&signals, SIGTERM);
+    sigaddset(&signals, SIGINT);
+    pthread_sigmask(SIG_BLOCK, &signals, nullptr);
+    return signals;
+}
+
+void run(const Bergamotramp::HostSettings &settings)
+{
+    const sigset_t signals = blockShutdownSignals();
+    std::signal(SIGPIPE, SIG_IGN);
+    Bergamotramp::Host host(settings);
+    std::thread waiter([&host, signals] {
+        int signal = 0;
+        sigwait(&signals, &signal);
+        host.startDrain();
+    });
+    waiter.detach();
+    std::cout << "listening " << host.callerAddress() << ' ' << host.adminAddress() << std::endl;
+    host.waitUntilDrained();
+}
+
+} // namespace
 
 int main(int argc, char **argv)
 {
@@ -12,15 +48,21 @@
     app.add_option("--settings", settingsFile, "Settings file (JSON)")->required();
     app.add_flag("--check-settings", checkOnly, "Check the settings file and exit");
     CLI11_PARSE(app, argc, argv);
+    google::InitGoogleLogging(argv[0]);
+    FLAGS_logtostderr = true;
     try {
         const Bergamotramp::HostSettings settings = Bergamotramp::HostSettings::load(settingsFile);
         if (checkOnly) {
             std::cout << settingsFile << ": ok\n";
             return 0;
         }
+        run(settings);
+        return 0;
     } catch (const Bergamotramp::SettingsError &error) {
         std::cerr << "bergamotrampd: " << error.what() << '\n';
-        return 2;
+        return exitInvalid;
+    } catch (const std::exception &error) {
+        std::cerr << "bergamotrampd: " << error.what() << '\n';
+        return exitFailed;
     }
-    return 0;
 }
--- /dev/null
+++ b/src/ModelAttempt.cpp
@@ -0,0 +1,174 @@
+#include "ModelAttempt.h"
+
+#include <algorithm>
+#include <atomic>
+
+#include <absl/strings/str_cat.h>
+#include <absl/time/clock.h>
+
+#include "SseReader.h"
+
+namespace Bergamotramp {
+
+namespace {
+
+constexpr int statusOk = 200;
+constexpr int statusConflict = 409;
+constexpr absl::Duration probeTimeout = absl::Milliseconds(500);
+constexpr absl::Duration minSilenceTimeout = absl::Milliseconds(500);
+// A stream this many times slower than its objective is taken for a silent connection and probed.
+constexpr int silenceFactor = 10;
+
+/** The parts of one attempt: its slot, its call and what it measures. */
+class AttemptRun
+{
+public:
+    AttemptRun(const AttemptPlan &plan, const ExchangeParts &parts, CallCancellation &cancellation, const std::function<void(AttemptEvent)> &report)
+        : plan(plan), parts(parts), cancellation(cancellation), report(report)
+    {
+    }
+
+    void run()
+    {
+        // The holder may revoke from another thread while the call runs.
+        const auto held = this->parts.slots->acquire(this->plan.demand, [this] {
+            this->preempted = true;
+            this->cancellation.cancel();
+        });
+        if (const auto *denial = std::get_if<SlotDenial>(&held)) {
+            AttemptEvent event = this->newEvent(AttemptEvent::Kind::Denied);
+            event.denial = *denial;
+            this->report(std::move(event));
+            return;
+        }
+        this->ticket = std::get<SlotTicket>(held);
+        this->start = absl::Now();
+        const bool resumes = !this->plan.resumeId.empty() && this->plan.resumeUpstream == this->ticket.upstream;
+        CallResult result = this->call(resumes);
+        if (resumes && result.outcome == CallOutcome::Completed && result.status == statusConflict) {
+            result = this->call(false);
+        }
+        this->end(std::move(result));
+    }
+
+private:
+    AttemptEvent newEvent(AttemptEvent::Kind kind) const
+    {
+        AttemptEvent event;
+        event.attempt = this->plan.index;
+        event.kind = kind;
+        event.upstream = this->ticket.upstream;
+        event.preempted = this->preempted;
+        return event;
+    }
+
+    UpstreamCall buildCall(bool resumes) const
+    {
+        UpstreamCall call;
+        call.path = this->plan.request.path;
+        nlohmann::json body = this->plan.request.body;
+        body["stream"] = true;
+        call.body = body.dump(-1, ' ', false, nlohmann::json::error_handler_t::replace);
+        call.headers = {{"X-Request-Id", this->plan.id}, {"Accept", "text/event-stream"}};
+        if (resumes) {
+            call.headers.emplace_back("X-Resume-Stream", this->plan.resumeId);
+            call.headers.emplace_back("X-Resume-From", absl::StrCat(this->plan.resumeTokens));
+        }
+        const OnlineObjective &objective = this->plan.request.service.online;
+        call.silenceTimeout = std::max({minSilenceTimeout, objective.firstToken * silenceFactor, objective.betweenTokens * silenceFactor});
+        return call;
+    }
+
+    CallResult call(bool resumes)
+    {
+        std::string errorBody;
+        int status = 0;
+        SseReader reader([this, resumes](std::string_view data) { this->takeEvent(data, resumes); });
+        const UpstreamClient::Receiver receiver{[&status](int received, const std::string &) { status = received; },
+                                                [&](std::string_view piece) {
+                                                    if (status == statusOk) {
+                                                        reader.feed(piece);
+                                                    } else {
+                                                        errorBody.append(piece);
+                                                    }
+                                                    return true;
+                                                }};
+        CallResult result = this->parts.upstreams->stream(this->ticket.address, this->buildCall(resumes), this->cancellation, receiver);
+        result.body = std::move(errorBody);
+        return result;
+    }
+
+    void takeEvent(std::string_view data, bool resumed)
+    {
+        if (data == sseEndMarker) {
+            this->done = true;
+            return;
+        }
+        if (this->tokens == 0) {
+            this->firstToken = absl::Now() - this->start;
+            this->parts.repeats->recordFirstToken(this->plan.request.service, this->firstToken);
+        }
+        ++this->tokens;
+        this->lastToken = absl::Now();
+        this->parts.slots->progress(this->ticket, this->tokens);
+        AttemptEvent event = this->newEvent(AttemptEvent::Kind::Data);
+        event.data = std::string(data);
+        event.resumed = resumed;
+        this->report(std::move(event));
+    }
+
+    void end(CallResult result)
+    {
+        const bool whole = result.outcome == CallOutcome::Completed && this->done;
+        if (result.outcome == CallOutcome::Completed && result.status == statusOk && !this->done) {
+            result.outcome = CallOutcome::Broken;
+        }
+        this->parts.slots->release(this->ticket, this->outcome(result, whole));
+        AttemptEvent event = this->newEvent(whole ? AttemptEvent::Kind::Done : AttemptEvent::Kind::Ended);
+        event.result = std::move(result);
+        this->report(std::move(event));
+    }
+
+    SlotOutcome outcome(const CallResult &result, bool whole) const
+    {
+        SlotOutcome outcome{};
+        outcome.result = whole ? wire::SLOT_RESULT_COMPLETED : this->failure(result.outcome);
+        outcome.firstToken = this->firstToken;
+        outcome.tokens = this->tokens;
+        if (this->tokens > 1) {
+            outcome.betweenTokens = (this->lastToken - this->start - this->firstToken) / (this->tokens - 1);
+        }
+        return outcome;
+    }
+
+    wire::SlotResult failure(CallOutcome outcome) const
+    {
+        if (outcome == CallOutcome::Cancelled) {
+            return wire::SLOT_RESULT_CANCELLED;
+        }
+        // Only a refused new connection shows a dead process; a cut or silent link must not make its requests suspect.
+        const bool died = outcome == CallOutcome::Broken && this->parts.upstreams->probe(this->ticket.address, probeTimeout) == ProbeResult::Refused;
+        return died ? wire::SLOT_RESULT_UPSTREAM_DIED : wire::SLOT_RESULT_FAILED;
+    }
+
+    const AttemptPlan &plan;
+    const ExchangeParts &parts;
+    CallCancellation &cancellation;
+    const std::function<void(AttemptEvent)> &report;
+    SlotTicket ticket{};
+    absl::Time start;
+    absl::Time lastToken;
+    absl::Duration firstToken = absl::ZeroDuration();
+    std::uint32_t tokens = 0;
+    bool done = false;
+    std::atomic<bool> preempted{false};
+};
+
+} // namespace
+
+void runModelAttempt(const AttemptPlan &plan, const ExchangeParts &parts, CallCancellation &cancellation, const std::function<void(AttemptEvent)> &report)
+{
+    AttemptRun(plan, parts, cancellation, report).run();
+}
+
+} // namespace Bergamotramp
--- /dev/null
+++ b/src/ModelExchange.cpp
@@ -0,0 +1,365 @@
+#include "ModelExchange.h"
+
+#include <algorithm>
+
+#include <absl/strings/str_cat.h>
+#include <absl/time/clock.h>
+#include <glog/logging.h>
+
+#include "EventLog.h"
+#include "ModelAttempt.h"
+
+namespace Bergamotramp {
+
+namespace {
+
+constexpr int statusBadGateway = 502;
+constexpr int statusUnavailable = 503;
+constexpr int statusGatewayTimeout = 504;
+constexpr int statusClientClosed = 499;
+
+} // namespace
+
+/** Events of all attempts on their way to the pulling thread; outlives the exchange while attempts run. */
+struct ModelExchange::Channel {
+    std::mutex mutex;
+    std::condition_variable changed;
+    std::deque<AttemptEvent> events;
+    bool cancelled = false;
+};
+
+struct ModelExchange::Attempt {
+    AttemptPlan plan;
+    CallCancellation cancellation;
+    std::string upstream;
+    /** Characters of the answer that this attempt has sent or had from the one it resumes. */
+    std::size_t position = 0;
+    std::uint32_t tokens = 0;
+    bool running = true;
+    bool hedge = false;
+};
+
+ModelExchange::ModelExchange(ModelRequest request, ExchangeParts parts)
+    : request(std::move(request))
+    , parts(std::move(parts))
+    , channel(std::make_shared<Channel>())
+    , forwarded(this->request.kind)
+    , mayHaveRun(this->request.earlierMayHaveRun)
+{
+}
+
+ModelExchange::~ModelExchange()
+{
+    for (const std::shared_ptr<Attempt> &attempt : this->attempts) {
+        if (attempt->running) {
+            attempt->cancellation.cancel();
+        }
+    }
+}
+
+const ModelAnswer &ModelExchange::answer() const
+{
+    return this->forwarded;
+}
+
+void ModelExchange::cancel()
+{
+    const std::lock_guard<std::mutex> lock(this->channel->mutex);
+    this->channel->cancelled = true;
+    this->channel->changed.notify_all();
+}
+
+std::optional<std::string> ModelExchange::next()
+{
+    if (this->attempts.empty()) {
+        this->startAttempt(false);
+    }
+    while (!this->complete) {
+        const std::optional<AttemptEvent> event = this->waitForEvent();
+        if (!event) {
+            this->maybeHedge();
+            continue;
+        }
+        if (event->kind == AttemptEvent::Kind::Data) {
+            std::optional<std::string> data = this->takeData(*event);
+            if (data) {
+                return data;
+            }
+            continue;
+        }
+        this->finishWith(*event);
+    }
+    return std::nullopt;
+}
+
+void ModelExchange::startAttempt(bool hedge)
+{
+    auto attempt = std::make_shared<Attempt>();
+    attempt->hedge = hedge;
+    AttemptPlan &plan = attempt->plan;
+    plan.index = this->attempts.size();
+    plan.id = absl::StrCat(this->request.id, "-", plan.index + 1);
+    plan.request = this->request;
+    plan.demand.service = this->request.service.name;
+    plan.demand.workClass = this->request.workClass;
+    plan.demand.organisation = this->request.organisation;
+    plan.demand.deadline = this->request.deadline;
+    plan.demand.due = this->request.due;
+    plan.demand.fingerprint = this->request.fingerprint;
+    plan.demand.expectedTokens = this->request.body.value("max_tokens", 0U);
+    plan.demand.excludedUpstreams = this->excluded;
+    if (this->resumeFrom) {
+        plan.resumeId = this->resumeFrom->plan.id;
+        plan.resumeUpstream = this->resumeFrom->upstream;
+        plan.resumeTokens = this->resumeFrom->tokens;
+    }
+    ++this->counted;
+    this->attempts.push_back(attempt);
+    // The worker shares the channel and the attempt, so that the exchange may go away while the call ends.
+    this->parts.workers->post([attempt, channel = this->channel, parts = this->parts] {
+        runModelAttempt(attempt->plan, parts, attempt->cancellation, [&channel](AttemptEvent event) {
+            const std::lock_guard<std::mutex> lock(channel->mutex);
+            channel->events.push_back(std::move(event));
+            channel->changed.notify_all();
+        });
+    });
+    if (plan.index == 0) {
+        this->firstAttemptAt = absl::Now();
+        this->parts.repeats->onRequest(this->request.service);
+        const bool online = this->request.workClass == wire::WORK_CLASS_ONLINE;
+        this->hedgeAt = online ? this->firstAttemptAt + this->parts.repeats->hedgeDelay(this->request.service) : absl::InfiniteFuture();
+    }
+}
+
+absl::Duration ModelExchange::nextWakeUp() const
+{
+    const bool mayHedge = !this->winner && this->attempts.size() == 1;
+    return std::min(this->request.deadline, mayHedge ? this->hedgeAt : absl::InfiniteFuture()) - absl::Now();
+}
+
+std::optional<AttemptEvent> ModelExchange::waitForEvent()
+{
+    std::unique_lock<std::mutex> lock(this->channel->mutex);
+    const auto ready = [this] { return !this->channel->events.empty() || this->channel->cancelled; };
+    const absl::Duration wait = this->nextWakeUp();
+    if (wait == absl::InfiniteDuration()) {
+        this->channel->changed.wait(lock, ready);
+    } else if (wait > absl::ZeroDuration()) {
+        this->channel->changed.wait_for(lock, absl::ToChronoMicroseconds(wait), ready);
+    }
+    if (this->channel->cancelled) {
+        throw CallerError({statusClientClosed, "cancelled", "the request was cancelled", this->mayHaveRun ? RunState::Unknown : RunState::NotRun});
+    }
+    if (this->channel->events.empty()) {
+        if (absl::Now() >= this->request.deadline) {
+            lock.unlock();
+            this->failAtDeadline();
+        }
+        return std::nullopt;
+    }
+    AttemptEvent event = std::move(this->channel->events.front());
+    this->channel->events.pop_front();
+    return event;
+}
+
+void ModelExchange::failAtDeadline()
+{
+    // An attempt that has a slot may be running, even if it has sent nothing yet.
+    const bool anyStarted = std::any_of(this->attempts.begin(), this->attempts.end(), [](const auto &attempt) { return attempt->running; });
+    throw CallerError({statusGatewayTimeout,
+                       "deadline_exceeded",
+                       "the answer was not complete at the deadline",
+                       anyStarted || this->mayHaveRun ? RunState::Unknown : RunState::NotRun});
+}
+
+void ModelExchange::maybeHedge()
+{
+    if (absl::Now() < this->hedgeAt || this->winner || this->attempts.size() != 1) {
+        return;
+    }
+    this->hedgeAt = absl::InfiniteFuture();
+    if (!this->parts.repeats->takeHedge(this->request.service, absl::Now() - this->firstAttemptAt, this->request.deadline)) {
+        return;
+    }
+    this->parts.events->record("hedge", {{"request", this->request.id}, {"service", this->request.service.name}});
+    this->startAttempt(true);
+}
+
+std::optional<std::string> ModelExchange::takeData(const AttemptEvent &event)
+{
+    Attempt &attempt = *this->attempts[event.attempt];
+    this->mayHaveRun = true;
+    if (!attempt.running) {
+        return std::nullopt;
+    }
+    if (!this->winner) {
+        this->winner = event.attempt;
+        this->cancelOthers(event.attempt);
+    }
+    if (*this->winner != event.attempt) {
+        return std::nullopt;
+    }
+    attempt.upstream = event.upstream;
+    if (event.resumed && attempt.tokens == 0) {
+        attempt.position = this->forwarded.text().size();
+        attempt.tokens = attempt.plan.resumeTokens;
+    }
+    ++attempt.tokens;
+    try {
+        return this->forwardRemainder(attempt, event.data);
+    } catch (const nlohmann::json::exception &error) {
+        LOG(WARNING) << "request " << this->request.id << ": upstream " << event.upstream << " sent an unusable event: " << error.what();
+        throw CallerError({statusBadGateway, "bad_upstream_answer", "the upstream's answer can't be read", RunState::Run});
+    }
+}
+
+std::optional<std::string> ModelExchange::forwardRemainder(Attempt &attempt, const std::string &data)
+{
+    const std::string text = ModelAnswer::textOf(this->request.kind, data);
+    const std::string &sent = this->forwarded.text();
+    const std::size_t position = attempt.position;
+    attempt.position += text.size();
+    if (position >= sent.size()) {
+        this->forwarded.add(data);
+        return data;
+    }
+    // A later attempt repeats what the caller already has; an answer may only be continued if both agree.
+    const std::size_t overlap = std::min(text.size(), sent.size() - position);
+    if (sent.compare(position, overlap, text, 0, overlap) != 0) {
+        throw CallerError(
+            {statusBadGateway, "answer_interrupted", "the upstream failed in mid-answer and another attempt gave a different answer", RunState::Run});
+    }
+    if (overlap == text.size()) {
+        return std::nullopt;
+    }
+    std::string remainder = ModelAnswer::withText(this->request.kind, data, text.substr(overlap));
+    this->forwarded.add(remainder);
+    return remainder;
+}
+
+void ModelExchange::finishWith(const AttemptEvent &event)
+{
+    Attempt &attempt = *this->attempts[event.attempt];
+    const bool wasRunning = attempt.running;
+    attempt.running = false;
+    attempt.upstream = event.upstream;
+    if (!wasRunning) {
+        return;
+    }
+    switch (event.kind) {
+    case AttemptEvent::Kind::Done:
+        this->mayHaveRun = true;
+        if (!this->winner || *this->winner == event.attempt) {
+            this->cancelOthers(event.attempt);
+            this->complete = true;
+        }
+        return;
+    case AttemptEvent::Kind::Denied:
+        this->handleDenial(event);
+        return;
+    default:
+        this->handleEnd(event);
+    }
+}
+
+void ModelExchange::handleDenial(const AttemptEvent &event)
+{
+    if (this->othersRunning(event.attempt)) {
+        return;
+    }
+    this->recordEvent("denied", event);
+    throw CallerError({statusUnavailable,
+                       event.denial.code,
+                       absl::StrCat("no slot for service ", this->request.service.name, ": ", event.denial.code),
+                       this->mayHaveRun ? RunState::Unknown : RunState::NotRun,
+                       event.denial.retryAfter});
+}
+
+void ModelExchange::handleEnd(const AttemptEvent &event)
+{
+    this->recordEvent("attempt-ended", event);
+    this->mayHaveRun = this->mayHaveRun || event.result.outcome != CallOutcome::NotSent;
+    if (event.preempted) {
+        this->restartPreempted(event);
+        return;
+    }
+    if (this->winner && *this->winner == event.attempt) {
+        this->winner.reset();
+    }
+    this->excluded.push_back(event.upstream);
+    if (this->othersRunning(event.attempt)) {
+        return;
+    }
+    this->decideAfter(event, event.result.outcome);
+}
+
+void ModelExchange::restartPreempted(const AttemptEvent &event)
+{
+    const std::shared_ptr<Attempt> previous = this->attempts[event.attempt];
+    this->winner.reset();
+    --this->counted;
+    this->resumeFrom = previous;
+    this->startAttempt(false);
+    this->resumeFrom.reset();
+}
+
+void ModelExchange::decideAfter(const AttemptEvent &event, CallOutcome outcome)
+{
+    AttemptFacts facts;
+    facts.outcome = outcome;
+    facts.status = event.result.status;
+    facts.idempotent = true;
+    facts.attempts = this->counted;
+    facts.maxAttempts = this->request.service.repeat.maxAttempts;
+    facts.timeLeft = absl::Now() < this->request.deadline;
+    facts.earlierMayHaveRun = this->mayHaveRun;
+    const bool repeatable = facts.attempts < facts.maxAttempts && facts.timeLeft && (outcome != CallOutcome::Completed || isRetryableStatus(facts.status));
+    facts.budgetLeft = repeatable && this->parts.repeats->takeRetry(this->request.service, this->request.deadline);
+    switch (judgeAttempt(facts)) {
+    case AttemptVerdict::Retry:
+        this->startAttempt(false);
+        return;
+    case AttemptVerdict::Answer:
+        throw CallerError({facts.status, "upstream_error", event.result.body.substr(0, 500), RunState::Run});
+    case AttemptVerdict::FailNotRun:
+        throw CallerError({statusUnavailable, "upstream_unreachable", "no upstream could be reached", RunState::NotRun, absl::Seconds(1)});
+    case AttemptVerdict::FailUnknown:
+        break;
+    }
+    throw CallerError({statusBadGateway, "upstream_failed", "the upstream failed before its answer was complete", RunState::Unknown, absl::Seconds(1)});
+}
+
+bool ModelExchange::othersRunning(std::size_t attempt) const
+{
+    for (const std::shared_ptr<Attempt> &other : this->attempts) {
+        if (other->running && other->plan.index != attempt) {
+            return true;
+        }
+    }
+    return false;
+}
+
+void ModelExchange::cancelOthers(std::size_t winnerIndex)
+{
+    for (const std::shared_ptr<Attempt> &attempt : this->attempts) {
+        if (attempt->running && attempt->plan.index != winnerIndex) {
+            attempt->running = false;
+            attempt->cancellation.cancel();
+        }
+    }
+}
+
+void ModelExchange::recordEvent(const char *name, const AttemptEvent &event) const
+{
+    this->parts.events->record(name,
+                               {{"request", this->request.id},
+                                {"attempt", event.attempt + 1},
+                                {"service", this->request.service.name},
+                                {"upstream", event.upstream},
+                                {"outcome", static_cast<int>(event.result.outcome)},
+                                {"status", event.result.status},
+                                {"preempted", event.preempted},
+                                {"denial", event.denial.code}});
+}
+
+} // namespace Bergamotramp
--- /dev/null
+++ b/src/RequestPath.cpp
@@ -0,0 +1,359 @@
+#include "RequestPath.h"
+
+#include <absl/strings/str_cat.h>
+#include <absl/time/clock.h>
+#include <glog/logging.h>
+
+#include "EventLog.h"
+#include "RendezvousHash.h"
+#include "SseReader.h"
+
+namespace Bergamotramp {
+
+namespace {
+
+constexpr int statusBadRequest = 400;
+constexpr int statusNotFound = 404;
+constexpr int statusConflict = 409;
+constexpr int statusServerError = 500;
+constexpr const char *eventStreamType = "text/event-stream";
+constexpr const char *jsonType = "application/json";
+constexpr std::string_view plainPrefix = "/s/";
+// Bounds one attempt at a batch item, which has no deadline of its own.
+constexpr absl::Duration itemTimeout = absl::Minutes(30);
+
+CallerError badRequest(const std::string &code, const std::string &message)
+{
+    return CallerError({statusBadRequest, code, message, RunState::NotRun});
+}
+
+nlohmann::json parseModelBody(const std::string &body)
+{
+    nlohmann::json json = nlohmann::json::parse(body, nullptr, false);
+    if (!json.is_object()) {
+        throw badRequest("invalid_body", "the body must be a JSON object");
+    }
+    if (!json.contains("model") || !json["model"].is_string()) {
+        throw badRequest("invalid_body", "the field model must name a service");
+    }
+    for (const char *field : {"stream"}) {
+        if (json.contains(field) && !json[field].is_boolean()) {
+            throw badRequest("invalid_body", absl::StrCat("the field ", field, " must be true or false"));
+        }
+    }
+    if (json.contains("max_tokens") && !json["max_tokens"].is_number_unsigned()) {
+        throw badRequest("invalid_body", "the field max_tokens must be a non-negative integer");
+    }
+    return json;
+}
+
+ModelInterface interfaceOf(const std::string &path)
+{
+    return path.starts_with("/v1/chat/") ? ModelInterface::ChatCompletions : ModelInterface::Completions;
+}
+
+std::uint64_t fingerprintOf(const std::string &service, const std::string &target, const std::string &body)
+{
+    return stableHash(stableHash(stableHash(service), target), body);
+}
+
+std::string lastEvent()
+{
+    return sseFrame(sseEndMarker);
+}
+
+} // namespace
+
+/** An answer under way, with the journal's record of it. Finishes in the background when a keyed caller goes away. */
+class RequestPath::KeyedStream : public std::enable_shared_from_this<KeyedStream>
+{
+public:
+    KeyedStream(ModelRequest request, const ExchangeParts &parts, JournalledRequest journalled, bool keyed)
+        : kind(request.kind), exchange(std::move(request), parts), journalled(std::move(journalled)), workers(parts.workers), keyed(keyed)
+    {
+    }
+
+    /** Next piece for a streaming caller. */
+    std::optional<std::string> nextPiece()
+    {
+        if (this->finished) {
+            return std::nullopt;
+        }
+        const std::optional<std::string> event = this->nextEvent();
+        if (event) {
+            return sseFrame(*event);
+        }
+        this->finished = true;
+        // The end marker says that the answer is whole and, under a key, durable.
+        const WholeAnswer own{200, jsonType, this->exchange.answer().toResponse()};
+        if (this->journalled.finish(own) != own) {
+            throw CallerError({statusConflict, "superseded", "the recorded result comes from another attempt; read it under its key", RunState::Run});
+        }
+        return lastEvent();
+    }
+
+    /** Runs to the end and returns the answer that stands. */
+    WholeAnswer runToEnd()
+    {
+        while (this->nextEvent()) {
+        }
+        this->finished = true;
+        return this->journalled.finish({200, jsonType, this->exchange.answer().toResponse()});
+    }
+
+    /** The caller takes no more pieces. */
+    void close()
+    {
+        if (this->finished || this->failed || !this->keyed) {
+            return;
+        }
+        this->workers->post([self = this->shared_from_this()] {
+            try {
+                self->runToEnd();
+            } catch (const CallerError &error) {
+                LOG(WARNING) << "a request whose caller went away failed: " << error.what();
+            }
+        });
+    }
+
+private:
+    std::optional<std::string> nextEvent()
+    {
+        try {
+            return this->exchange.next();
+        } catch (const CallerError &error) {
+            this->failed = true;
+            this->journalled.abandon(error.problem().state);
+            throw;
+        }
+    }
+
+    ModelInterface kind;
+    ModelExchange exchange;
+    JournalledRequest journalled;
+    WorkerPool *workers;
+    bool keyed;
+    bool finished = false;
+    bool failed = false;
+};
+
+RequestPath::RequestPath(const HostContext &context, ExchangeParts parts, JournalService &journal) : context(context), parts(std::move(parts)), journal(journal)
+{
+}
+
+ServiceSpec RequestPath::findService(const std::string &name, ServiceKind kind) const
+{
+    const std::shared_ptr<const Catalogue> catalogue = this->context.catalogue();
+    const ServiceSpec *service = catalogue->find(name);
+    if (service == nullptr || service->kind != kind) {
+        throw CallerError({statusNotFound, "service_not_found", absl::StrCat("there is no such service: ", name), RunState::NotRun});
+    }
+    return *service;
+}
+
+std::string RequestPath::nextId()
+{
+    return absl::StrCat(this->context.settings.name, "-", this->context.incarnation, "-", ++this->requestCount);
+}
+
+ModelRequest RequestPath::buildModelRequest(const CallerRequest &request, nlohmann::json body)
+{
+    ModelRequest result;
+    result.id = this->nextId();
+    result.service = this->findService(body.at("model").get<std::string>(), ServiceKind::Model);
+    result.kind = interfaceOf(request.target);
+    result.path = request.target;
+    result.organisation = request.organisation;
+    result.fingerprint = fingerprintOf(result.service.name, request.target, request.body);
+    result.deadline = absl::Now() + request.timeLeft.value_or(result.service.online.deadline);
+    result.due = absl::InfiniteFuture();
+    body["model"] = result.service.model;
+    result.body = std::move(body);
+    return result;
+}
+
+CallerAnswer RequestPath::model(const CallerRequest &request)
+{
+    nlohmann::json body = parseModelBody(request.body);
+    const bool streams = body.value("stream", false);
+    ModelRequest model = this->buildModelRequest(request, std::move(body));
+    const ModelInterface kind = model.kind;
+    JournalledRequest journalled(this->journal, request.organisation, model.service.name, request.key);
+    const std::optional<WholeAnswer> standing = journalled.begin(model.fingerprint, true, model.deadline - absl::Now());
+    if (standing) {
+        if (!streams) {
+            return *standing;
+        }
+        auto pieces = std::make_shared<std::deque<std::string>>();
+        *pieces = {sseFrame(ModelAnswer::toEvent(kind, standing->body)), lastEvent()};
+        return StreamedAnswer{eventStreamType,
+                              [pieces]() -> std::optional<std::string> {
+                                  if (pieces->empty()) {
+                                      return std::nullopt;
+                                  }
+                                  std::string piece = std::move(pieces->front());
+                                  pieces->pop_front();
+                                  return piece;
+                              },
+                              [](bool) {}};
+    }
+    model.earlierMayHaveRun = journalled.earlierMayHaveRun();
+    const auto stream = std::make_shared<KeyedStream>(std::move(model), this->parts, std::move(journalled), !request.key.empty());
+    if (!streams) {
+        return stream->runToEnd();
+    }
+    return StreamedAnswer{eventStreamType, [stream] { return stream->nextPiece(); }, [stream](bool) { stream->close(); }};
+}
+
+PlainRequest RequestPath::buildPlainRequest(const CallerRequest &request)
+{
+    std::string rest = request.target.substr(plainPrefix.size());
+    const std::size_t slash = rest.find_first_of("/?");
+    PlainRequest plain;
+    plain.id = this->nextId();
+    plain.service = this->findService(rest.substr(0, slash), ServiceKind::Plain);
+    plain.target = slash == std::string::npos ? "/" : rest.substr(slash);
+    if (plain.target.front() == '?') {
+        plain.target.insert(0, "/");
+    }
+    plain.method = request.method;
+    plain.contentType = request.contentType;
+    plain.body = request.body;
+    plain.key = request.key;
+    plain.organisation = request.organisation;
+    plain.fingerprint = fingerprintOf(plain.service.name, plain.target, request.body);
+    plain.deadline = absl::Now() + request.timeLeft.value_or(plain.service.online.deadline);
+    plain.idempotent = plain.service.isIdempotent(plain.target);
+    if (!plain.idempotent && plain.key.empty()) {
+        throw badRequest("missing_key", "a request that may run only once needs an Idempotency-Key");
+    }
+    return plain;
+}
+
+CallerAnswer RequestPath::plain(const CallerRequest &request)
+{
+    PlainRequest plain = this->buildPlainRequest(request);
+    JournalledRequest journalled(this->journal, request.organisation, plain.service.name, request.key);
+    const std::optional<WholeAnswer> standing = journalled.begin(plain.fingerprint, plain.idempotent, plain.deadline - absl::Now());
+    if (standing) {
+        return *standing;
+    }
+    plain.earlierMayHaveRun = journalled.earlierMayHaveRun();
+    try {
+        CallCancellation cancellation;
+        return journalled.finish(runPlainRequest(plain, this->parts, cancellation));
+    } catch (const CallerError &error) {
+        journalled.abandon(error.problem().state);
+        throw;
+    }
+}
+
+WholeAnswer RequestPath::recorded(const std::string &organisation, const std::string &service, const std::string &key)
+{
+    const wire::JournalRecord record = this->journal.read(JournalledRequest::scopedKey(organisation, service, key));
+    switch (record.state()) {
+    case wire::JOURNAL_STATE_FINISHED:
+        return {static_cast<int>(record.result().status()), record.result().content_type(), record.result().body()};
+    case wire::JOURNAL_STATE_NOT_FOUND:
+        throw CallerError({statusNotFound, "key_not_found", "no request is recorded under this key", RunState::NotRun});
+    case wire::JOURNAL_STATE_IN_PROGRESS:
+        throw CallerError({statusConflict, "request_in_progress", "an attempt under this key is in progress", RunState::Unknown, absl::Seconds(1)});
+    case wire::JOURNAL_STATE_UNKNOWN:
+        throw CallerError({statusConflict, "outcome_unknown", "the outcome of the request under this key was lost", RunState::Unknown});
+    default:
+        break;
+    }
+    throw CallerError({503, "journal_unavailable", "the record can't be read now", RunState::Unknown, absl::Seconds(2)});
+}
+
+ItemResult RequestPath::runItem(const JobHeader &job, const std::string &customId, const std::string &body, CallCancellation &cancellation)
+{
+    const std::shared_ptr<const Catalogue> catalogue = this->context.catalogue();
+    const ServiceSpec *service = catalogue->find(job.service);
+    if (service == nullptr) {
+        return {false, true, "", "there is no such service: " + job.service};
+    }
+    try {
+        return service->kind == ServiceKind::Model ? this->runModelItem(job, *service, body, cancellation)
+                                                   : this->runPlainItem(job, *service, customId, body, cancellation);
+    } catch (const CallerError &error) {
+        const CallerProblem &problem = error.problem();
+        const bool retryable = problem.status == 429 || problem.status >= statusServerError || problem.status == statusConflict;
+        return {false, retryable, "", absl::StrCat(problem.code, ": ", problem.message)};
+    } catch (const std::exception &error) {
+        LOG(ERROR) << "batch item " << customId << " failed inside the host: " << error.what();
+        return {false, true, "", "internal error"};
+    }
+}
+
+ItemResult RequestPath::runModelItem(const JobHeader &job, const ServiceSpec &service, const std::string &body, CallCancellation &cancellation)
+{
+    nlohmann::json json = nlohmann::json::parse(body, nullptr, false);
+    if (!json.is_object()) {
+        return {false, false, "", "invalid_body: the body must be a JSON object"};
+    }
+    const bool chat = json.contains("messages");
+    ModelRequest request;
+    request.id = this->nextId();
+    request.service = service;
+    request.kind = chat ? ModelInterface::ChatCompletions : ModelInterface::Completions;
+    request.path = chat ? "/v1/chat/completions" : "/v1/completions";
+    request.organisation = job.organisation;
+    request.workClass = wire::WORK_CLASS_BATCH;
+    request.fingerprint = fingerprintOf(service.name, request.path, body);
+    request.deadline = absl::Now() + itemTimeout;
+    request.due = job.due;
+    json["model"] = service.model;
+    request.body = std::move(json);
+    ModelExchange exchange(std::move(request), this->parts);
+    if (!cancellation.attach([&exchange] { exchange.cancel(); })) {
+        return {false, true, "", "cancelled"};
+    }
+    try {
+        while (exchange.next()) {
+        }
+    } catch (...) {
+        cancellation.detach();
+        throw;
+    }
+    cancellation.detach();
+    return {true, false, exchange.answer().toResponse(), ""};
+}
+
+ItemResult RequestPath::runPlainItem(
+    const JobHeader &job, const ServiceSpec &service, const std::string &customId, const std::string &body, CallCancellation &cancellation)
+{
+    const nlohmann::json json = nlohmann::json::parse(body, nullptr, false);
+    if (!json.is_object() || !json.contains("path") || !json["path"].is_string() || !json["path"].get_ref<const std::string &>().starts_with("/")) {
+        return {false, false, "", "invalid_body: an item for a plain service needs a path that starts with '/'"};
+    }
+    PlainRequest request;
+    request.id = this->nextId();
+    request.service = service;
+    request.method = json.value("method", "POST");
+    request.target = json["path"].get<std::string>();
+    request.contentType = jsonType;
+    request.body = json.contains("body") ? json["body"].dump() : "";
+    request.organisation = job.organisation;
+    request.workClass = wire::WORK_CLASS_BATCH;
+    request.fingerprint = fingerprintOf(service.name, request.target, request.body);
+    request.deadline = absl::Now() + service.online.deadline;
+    request.idempotent = service.isIdempotent(request.target);
+    // The key makes a second run of the item, after a crash of its host, find the first one.
+    request.key = request.idempotent ? "" : absl::StrCat("batch:", job.key, ":", customId);
+    JournalledRequest journalled(this->journal, job.organisation, service.name, request.key);
+    const std::optional<WholeAnswer> standing = journalled.begin(request.fingerprint, request.idempotent, request.deadline - absl::Now());
+    WholeAnswer answer;
+    try {
+        answer = standing ? *standing : journalled.finish(runPlainRequest(request, this->parts, cancellation));
+    } catch (const CallerError &error) {
+        journalled.abandon(error.problem().state);
+        throw;
+    }
+    if (answer.status >= statusBadRequest) {
+        return {false, isRetryableStatus(answer.status), "", absl::StrCat("status ", answer.status, ": ", answer.body.substr(0, 200))};
+    }
+    return {true, false, answer.body, ""};
+}
+
+} // namespace Bergamotramp
--- a/src/UpstreamLoad.cpp
+++ b/src/UpstreamLoad.cpp
@@ -91,17 +91,12 @@
     if (probe.has_value()) {
         return probe;
     }
-    // Exclusions are a preference: a repeated attempt on the same upstream is better than none.
-    const bool exclude = this->anyUsable(excluded);
     const Entry *best = nullptr;
     double bestWait = 0.0;
-    for (const auto &[name, entry] : this->upstreams) {
-        if (!this->usable(entry) || entry.inFlight >= entry.spec.slots || (exclude && contains(excluded, name))) {
-            continue;
-        }
-        const double wait = static_cast<double>(entry.inFlight + 1) / static_cast<double>(entry.spec.slots) * this->scores.score(name, now);
+    for (const Entry *entry : this->candidates(excluded)) {
+        const double wait = this->expectedWait(*entry, now);
         if (best == nullptr || wait < bestWait) {
-            best = &entry;
+            best = entry;
             bestWait = wait;
         }
     }
@@ -111,6 +106,25 @@
     return Choice{best->spec.name, best->spec.address, false};
 }
 
+std::optional<UpstreamLoad::Choice> UpstreamLoad::chooseOfTwo(
+    wire::WorkClass workClass, const std::vector<std::string> &excluded, std::uint64_t firstRandom, std::uint64_t secondRandom, absl::Time now) const
+{
+    std::optional<Choice> probe = this->chooseProbe(workClass, excluded, now);
+    if (probe.has_value()) {
+        return probe;
+    }
+    const std::vector<const Entry *> found = this->candidates(excluded);
+    if (found.empty()) {
+        return std::nullopt;
+    }
+    const std::size_t first = firstRandom % found.size();
+    // Skipping the first choice makes the two different whenever there are two.
+    const std::size_t second = found.size() == 1 ? first : (first + 1 + secondRandom % (found.size() - 1)) % found.size();
+    const bool firstBetter = this->expectedWait(*found[first], now) <= this->expectedWait(*found[second], now);
+    const Entry &best = firstBetter ? *found[first] : *found[second];
+    return Choice{best.spec.name, best.spec.address, false};
+}
+
 // A repeated attempt is no probe, because it already lost time.
 std::optional<UpstreamLoad::Choice> UpstreamLoad::chooseProbe(wire::WorkClass workClass, const std::vector<std::string> &excluded, absl::Time now) const
 {
@@ -232,6 +246,24 @@
     return now - entry.lastProbe >= period;
 }
 
+// Exclusions are a preference: a repeated attempt on the same upstream is better than none.
+std::vector<const UpstreamLoad::Entry *> UpstreamLoad::candidates(const std::vector<std::string> &excluded) const
+{
+    const bool exclude = this->anyUsable(excluded);
+    std::vector<const Entry *> found;
+    for (const auto &[name, entry] : this->upstreams) {
+        if (this->usable(entry) && entry.inFlight < entry.spec.slots && !(exclude && contains(excluded, name))) {
+            found.push_back(&entry);
+        }
+    }
+    return found;
+}
+
+double UpstreamLoad::expectedWait(const Entry &entry, absl::Time now) const
+{
+    return static_cast<double>(entry.inFlight + 1) / static_cast<double>(entry.spec.slots) * this->scores.score(entry.spec.name, now);
+}
+
 bool UpstreamLoad::anyUsable(const std::vector<std::string> &excluded) const
 {
     return std::any_of(
--- a/src/UpstreamLoad.h
+++ b/src/UpstreamLoad.h
@@ -49,6 +49,9 @@
     [[nodiscard]] std::optional<Choice> choose(wire::WorkClass workClass, const std::vector<std::string> &excluded, absl::Time now) const;
     /** As choose(), among ejected upstreams whose probe is due only. */
     [[nodiscard]] std::optional<Choice> chooseProbe(wire::WorkClass workClass, const std::vector<std::string> &excluded, absl::Time now) const;
+    /** As choose(), but the better one of two upstreams that the random numbers select. */
+    [[nodiscard]] std::optional<Choice> chooseOfTwo(
+        wire::WorkClass workClass, const std::vector<std::string> &excluded, std::uint64_t firstRandom, std::uint64_t secondRandom, absl::Time now) const;
     /** An idle upstream for a request that has to run alone. */
     [[nodiscard]] std::optional<Choice> chooseIdle() const;
     /** The upstream that is emptied soonest; the one already being drained is kept. */
@@ -72,6 +75,8 @@
 private:
     [[nodiscard]] bool usable(const Entry &entry) const;
     [[nodiscard]] bool probeDue(const Entry &entry, wire::WorkClass workClass, absl::Time now) const;
+    [[nodiscard]] std::vector<const Entry *> candidates(const std::vector<std::string> &excluded) const;
+    [[nodiscard]] double expectedWait(const Entry &entry, absl::Time now) const;
     [[nodiscard]] bool anyUsable(const std::vector<std::string> &excluded) const;
 
     std::map<std::string, Entry, std::less<>> upstreams;
