Add bench/control-cost

Runs one control plane per process over loopback and prints, by number of hosts, message and wire traffic, CPU time, resident memory and the time until a new generation is in force everywhere. Wire traffic is read from the open TCP connections, so that framing, heartbeats and store calls count.

--- /dev/null
+++ b/bench/control-cost-host.cpp
@@ -0,0 +1,157 @@
+#include <linux/tcp.h>
+#include <netinet/in.h>
+#include <sys/resource.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#include <atomic>
+#include <filesystem>
+#include <fstream>
+#include <iostream>
+
+#include <CLI/CLI.hpp>
+#include <absl/strings/str_cat.h>
+#include <absl/time/clock.h>
+#include <glog/logging.h>
+
+#include "ControlPlane.h"
+
+// The control plane of one host in a process of its own, for control-cost.py. Commands come from standard input, one a line;
+// each is answered by one line.
+
+namespace Bergamotramp {
+
+namespace {
+
+// The design scale has 18 models with 820 replicas.
+constexpr int services = 18;
+constexpr int upstreamsPerService = 45;
+
+double cpuSeconds()
+{
+    rusage usage{};
+    getrusage(RUSAGE_SELF, &usage);
+    const auto seconds = [](const timeval &time) { return static_cast<double>(time.tv_sec) + static_cast<double>(time.tv_usec) / 1e6; };
+    return seconds(usage.ru_utime) + seconds(usage.ru_stime);
+}
+
+std::int64_t residentBytes()
+{
+    std::ifstream file("/proc/self/statm");
+    std::int64_t size = 0;
+    std::int64_t resident = 0;
+    file >> size >> resident;
+    return resident * sysconf(_SC_PAGESIZE);
+}
+
+// Ethernet, IPv4 and TCP with timestamps.
+constexpr std::uint64_t headerBytes = 14 + 20 + 32;
+
+/** What the open TCP connections have put on the wire, with the framing and heartbeats of ZeroMQ and the calls to the store. */
+std::uint64_t wireBytesSent()
+{
+    std::uint64_t bytes = 0;
+    for (const auto &entry : std::filesystem::directory_iterator("/proc/self/fd")) {
+        tcp_info info{};
+        socklen_t length = sizeof(info);
+        if (getsockopt(std::stoi(entry.path().filename().string()), IPPROTO_TCP, TCP_INFO, &info, &length) == 0 && length >= offsetof(tcp_info, tcpi_segs_in)) {
+            bytes += info.tcpi_bytes_acked + info.tcpi_segs_out * headerBytes;
+        }
+    }
+    return bytes;
+}
+
+std::vector<ServiceSpec> benchServices(std::uint64_t generation)
+{
+    std::vector<ServiceSpec> specs;
+    for (int index = 0; index < services; ++index) {
+        nlohmann::json addresses = nlohmann::json::array();
+        for (int upstream = 0; upstream < upstreamsPerService; ++upstream) {
+            addresses.push_back(absl::StrCat("10.", index, ".", upstream, ".", generation % 250, ":8000"));
+        }
+        specs.push_back(ServiceSpec::fromJson({{"name", absl::StrCat("service-", index)}, {"upstreams", {{"nordeste/recife-a", addresses}}}}, ""));
+    }
+    return specs;
+}
+
+/** Adoption time of the latest generation. */
+struct Adoption {
+    std::atomic<std::uint64_t> generation{0};
+    std::atomic<std::int64_t> microseconds{0};
+};
+
+nlohmann::json report(const ControlPlane &host, const Adoption &adoption)
+{
+    const TransportCounts counts = host.transport.counts();
+    const StoreCallCounts calls = host.store.callCounts();
+    return {{"wall", absl::ToUnixMicros(absl::Now())},
+            {"live", host.membership->liveHosts().size()},
+            {"messagesSent", counts.messagesSent},
+            {"bytesSent", counts.bytesSent},
+            {"bytesReceived", counts.bytesReceived},
+            {"wireBytesSent", wireBytesSent()},
+            {"storeCalls", calls.reads + calls.writes},
+            {"cpuSeconds", cpuSeconds()},
+            {"residentBytes", residentBytes()},
+            {"generation", adoption.generation.load()},
+            {"adopted", adoption.microseconds.load()}};
+}
+
+nlohmann::json publish(ControlPlane &host)
+{
+    const std::uint64_t base = host.config->generation();
+    const std::int64_t started = absl::ToUnixMicros(absl::Now());
+    const ConfigService::PublishResult result = host.config->publish(base, benchServices(base + 1));
+    return {{"accepted", result.outcome == ConfigService::PublishResult::Outcome::Accepted},
+            {"generation", result.generation},
+            {"message", result.message},
+            {"started", started}};
+}
+
+void serve(ControlPlane &host)
+{
+    Adoption adoption;
+    std::string command;
+    while (std::getline(std::cin, command)) {
+        nlohmann::json answer = nlohmann::json::object();
+        if (command == "start") {
+            host.start();
+            host.config->onChange([&] {
+                adoption.microseconds = absl::ToUnixMicros(absl::Now());
+                adoption.generation = host.config->generation();
+            });
+        } else if (command == "report") {
+            answer = report(host, adoption);
+        } else if (command == "publish") {
+            answer = publish(host);
+        }
+        std::cout << answer.dump() << std::endl;
+    }
+    host.stop();
+}
+
+} // namespace
+
+} // namespace Bergamotramp
+
+int main(int argc, char **argv)
+{
+    CLI::App app("Control plane of one host, driven by control-cost.py.");
+    Bergamotramp::HostSettings settings;
+    std::int64_t period = 500; // ms
+    app.add_option("--name", settings.name)->required();
+    app.add_option("--region", settings.region)->required();
+    app.add_option("--data-centre", settings.dataCentre)->required();
+    app.add_option("--store", settings.storeAddress)->required();
+    app.add_option("--period-ms", period);
+    CLI11_PARSE(app, argc, argv);
+    google::InitGoogleLogging(argv[0]);
+    settings.callerAddress = "127.0.0.1:1";
+    settings.peerAddress = "127.0.0.1:0";
+    settings.adminAddress = "127.0.0.1:2";
+    settings.membershipPeriod = absl::Milliseconds(period);
+    Bergamotramp::ControlPlane host(settings, static_cast<std::uint64_t>(absl::ToUnixMicros(absl::Now())));
+    std::cout << host.listed().dump() << std::endl;
+    Bergamotramp::serve(host);
+    return 0;
+}
--- a/test/host/ControlPlane.cpp
+++ b/test/host/ControlPlane.cpp
@@ -27,6 +27,11 @@
 }
 
 ControlPlane::~ControlPlane()
+{
+    this->stop();
+}
+
+void ControlPlane::stop()
 {
     {
         const std::unique_lock<std::shared_mutex> lock(this->mutex);
--- a/test/host/ControlPlane.h
+++ b/test/host/ControlPlane.h
@@ -28,6 +28,8 @@
 
     /** Starts the services. Separate from construction, because the host list has to name the bound address. */
     void start();
+    /** Ends the services; called by the destructor unless it was before. */
+    void stop();
     /** This host as the platform's host list shows it. */
     [[nodiscard]] nlohmann::json listed() const;
     [[nodiscard]] std::vector<std::string> liveNames() const;
