Let a failed idempotent attempt make room for the next one

The key of a failed attempt stayed in progress until the attempt's deadline, so a resend was refused for up to a minute although the first attempt was known to have ended. Denials of convicted requests are told as an error of the request (422).

--- a/src/JournalIndex.cpp
+++ b/src/JournalIndex.cpp
@@ -45,6 +45,14 @@
     return record;
 }
 
+// The intent expires at once, so that the next begin gets the next attempt number.
+wire::JournalEntry endedRecord(wire::JournalEntry record, absl::Time now)
+{
+    record.set_written_us(absl::ToUnixMicros(now));
+    record.set_deadline_us(std::min(record.deadline_us(), absl::ToUnixMicros(now)));
+    return record;
+}
+
 wire::JournalEntry resultRecord(wire::JournalEntry record, const JournalCompletion &completion, absl::Time now)
 {
     record.set_written_us(absl::ToUnixMicros(now));
@@ -69,7 +77,8 @@
     if (mayRun) {
         wire::JournalEntry record = intentRecord(intent, entry, now);
         const std::uint32_t attempt = record.attempt();
-        return {wire::JOURNAL_STATE_NEW, attempt, {}, std::move(record)};
+        const bool earlier = record.earlier_attempts();
+        return {wire::JOURNAL_STATE_NEW, attempt, {}, std::move(record), earlier};
     }
     if (entry->fingerprint() != intent.fingerprint) {
         return {wire::JOURNAL_STATE_CONFLICT, 0, {}, std::nullopt};
@@ -77,7 +86,7 @@
     // The answer to a call may get lost after its intent was recorded; the same call may ask again.
     const bool sameCall = intent.request != 0 && entry->request() == intent.request && entry->host() == intent.host;
     if (state == wire::JOURNAL_STATE_IN_PROGRESS && sameCall) {
-        return {wire::JOURNAL_STATE_NEW, entry->attempt(), {}, std::nullopt};
+        return {wire::JOURNAL_STATE_NEW, entry->attempt(), {}, std::nullopt, entry->earlier_attempts()};
     }
     return {state, entry->attempt(), entry->result(), std::nullopt};
 }
@@ -89,9 +98,14 @@
         return {wire::JOURNAL_STATE_NOT_FOUND, 0, {}, std::nullopt};
     }
     const bool current = completion.attempt == entry->attempt();
-    if (entry->finished() || entry->not_run() || (completion.notRun && !current)) {
+    const bool withoutResult = completion.notRun || completion.ended;
+    if (entry->finished() || entry->not_run() || (withoutResult && !current) || (completion.ended && !entry->idempotent())) {
         return {stateOf(*entry, now), entry->attempt(), entry->result(), std::nullopt};
     }
+    if (completion.ended) {
+        wire::JournalEntry record = endedRecord(*entry, now);
+        return {stateOf(record, now), entry->attempt(), {}, std::move(record)};
+    }
     if (completion.notRun) {
         wire::JournalEntry record = notRunRecord(*entry, now);
         const wire::JournalState state = stateOf(record, now);
--- a/src/JournalIndex.h
+++ b/src/JournalIndex.h
@@ -33,6 +33,8 @@
     wire::RecordedResult result;
     /** The attempt sent nothing to an upstream. */
     bool notRun = false;
+    /** The attempt may have run but will have no result; only for idempotent requests. */
+    bool ended = false;
 };
 
 /** What the index says to an event, and the record that has to become durable before the answer may be given. */
@@ -41,6 +43,8 @@
     std::uint32_t attempt = 0;
     wire::RecordedResult result;
     std::optional<wire::JournalEntry> record;
+    /** An earlier attempt than the one handed out may have run. */
+    bool earlierAttempts = false;
 };
 
 /**
--- a/src/JournalService.cpp
+++ b/src/JournalService.cpp
@@ -97,9 +97,17 @@
         return begun;
     }
 
+    void endAttempt(const std::string &key, std::uint32_t attempt)
+    {
+        Unrecorded work{key, attempt, {}, false, "", std::nullopt, absl::Now() + backgroundLimit, true};
+        if (!isSettled(this->tryFinish(work, absl::Now() + finishWait).state())) {
+            this->later(std::move(work));
+        }
+    }
+
     wire::JournalFinished finish(const std::string &key, std::uint32_t attempt, const wire::RecordedResult &result, bool notRun)
     {
-        Unrecorded work{key, attempt, result, notRun, this->bodyKey(key), std::nullopt, absl::Now() + backgroundLimit};
+        Unrecorded work{key, attempt, result, notRun, this->bodyKey(key), std::nullopt, absl::Now() + backgroundLimit, false};
         wire::JournalFinished finished = this->tryFinish(work, absl::Now() + finishWait);
         if (!isSettled(finished.state())) {
             this->later(std::move(work));
@@ -174,6 +182,7 @@
         std::string bodyKey;
         std::optional<wire::JournalBegin> intent;
         absl::Time limit;
+        bool ended = false;
     };
     using Answered = std::function<void(wire::Envelope)>;
 
@@ -250,7 +259,7 @@
         wire::JournalFinished finished;
         finished.set_state(wire::JOURNAL_STATE_UNAVAILABLE);
         do {
-            if (work.notRun || !JournalBodies::needsObject(work.result) || this->bodies.store(work.bodyKey, work.result)) {
+            if (work.notRun || work.ended || !JournalBodies::needsObject(work.result) || this->bodies.store(work.bodyKey, work.result)) {
                 wire::Envelope envelope;
                 wire::JournalFinish &message = *envelope.mutable_journal_finish();
                 message.set_shard(this->shardOf(work.key));
@@ -258,6 +267,7 @@
                 message.set_attempt(work.attempt);
                 *message.mutable_result() = work.result;
                 message.set_not_run(work.notRun);
+                message.set_attempt_ended(work.ended);
                 const std::optional<wire::Envelope> answer = this->ask(message.shard(), envelope, limit - absl::Now());
                 if (answer.has_value() && answer->has_journal_finished() && isSettled(answer->journal_finished().state())) {
                     this->removeUnusedBody(work, answer->journal_finished());
@@ -307,7 +317,7 @@
             this->holder.begin(begin.shard(), intent, onAnswer);
         } else if (request.has_journal_finish() && request.journal_finish().shard() < shards) {
             const wire::JournalFinish &finish = request.journal_finish();
-            this->holder.finish(finish.shard(), {finish.key(), finish.attempt(), finish.result(), finish.not_run()}, onAnswer);
+            this->holder.finish(finish.shard(), {finish.key(), finish.attempt(), finish.result(), finish.not_run(), finish.attempt_ended()}, onAnswer);
         } else if (request.has_journal_read() && request.journal_read().shard() < shards) {
             this->holder.read(request.journal_read().shard(), request.journal_read().key(), onAnswer);
         }
@@ -398,6 +408,11 @@
     return this->implementation->finish(key, attempt, result, notRun);
 }
 
+void JournalService::endAttempt(const std::string &key, std::uint32_t attempt)
+{
+    this->implementation->endAttempt(key, attempt);
+}
+
 wire::JournalRecord JournalService::read(const std::string &key)
 {
     return this->implementation->read(key);
--- a/src/JournalService.h
+++ b/src/JournalService.h
@@ -35,6 +35,8 @@
      * becomes free. Blocks for a few seconds; then returns UNAVAILABLE and keeps retrying in the background.
      */
     wire::JournalFinished finish(const std::string &key, std::uint32_t attempt, const wire::RecordedResult &result, bool notRun);
+    /** Ends an attempt of an idempotent request that may have run but has no result; another one may start at once. */
+    void endAttempt(const std::string &key, std::uint32_t attempt);
     /** What stands under @p key. Blocks for a bounded time. */
     wire::JournalRecord read(const std::string &key);
     /** Takes a JOURNAL_* request of a peer. Called on the transport's thread; doesn't block. */
--- a/src/JournalShard.cpp
+++ b/src/JournalShard.cpp
@@ -24,6 +24,7 @@
     wire::JournalBegun begun;
     begun.set_state(decision.state);
     begun.set_attempt(decision.attempt);
+    begun.set_earlier_attempts(decision.earlierAttempts);
     if (decision.state == wire::JOURNAL_STATE_FINISHED) {
         *begun.mutable_result() = std::move(decision.result);
     }
--- a/src/JournalledRequest.cpp
+++ b/src/JournalledRequest.cpp
@@ -62,6 +62,7 @@
     const wire::JournalBegun begun = this->journal.begin(this->key, fingerprint, mayRepeat, timeLeft);
     if (begun.state() == wire::JOURNAL_STATE_NEW) {
         this->attempt = begun.attempt();
+        this->earlierAttempts = begun.earlier_attempts();
         return std::nullopt;
     }
     if (begun.state() == wire::JOURNAL_STATE_FINISHED) {
@@ -92,14 +93,19 @@
 
 void JournalledRequest::abandon(RunState state)
 {
-    if (!this->key.empty() && this->attempt == 1 && state == RunState::NotRun) {
+    if (this->key.empty()) {
+        return;
+    }
+    if (state == RunState::NotRun) {
         this->journal.finish(this->key, this->attempt, wire::RecordedResult(), true);
+    } else if (this->idempotent) {
+        this->journal.endAttempt(this->key, this->attempt);
     }
 }
 
 bool JournalledRequest::earlierMayHaveRun() const
 {
-    return this->attempt > 1;
+    return this->earlierAttempts;
 }
 
 } // namespace Bergamotramp
--- a/src/JournalledRequest.h
+++ b/src/JournalledRequest.h
@@ -35,6 +35,7 @@
     std::string key;
     std::uint32_t attempt = 0;
     bool idempotent = false;
+    bool earlierAttempts = false;
 };
 
 } // namespace Bergamotramp
--- a/src/ModelExchange.cpp
+++ b/src/ModelExchange.cpp
@@ -8,11 +8,13 @@
 
 #include "EventLog.h"
 #include "ModelAttempt.h"
+#include "SlotTypes.h"
 
 namespace Bergamotramp {
 
 namespace {
 
+constexpr int statusUnprocessable = 422;
 constexpr int statusBadGateway = 502;
 constexpr int statusUnavailable = 503;
 constexpr int statusGatewayTimeout = 504;
@@ -20,6 +22,15 @@
 
 } // namespace
 
+CallerError denialError(const std::string &service, const SlotDenial &denial, bool mayHaveRun)
+{
+    const RunState state = mayHaveRun ? RunState::Unknown : RunState::NotRun;
+    if (denial.code == SlotDenialCode::quarantined) {
+        return CallerError({statusUnprocessable, "quarantined", "requests like this one crashed two upstreams; it is not run again", state});
+    }
+    return CallerError({statusUnavailable, denial.code, absl::StrCat("no slot for service ", service, ": ", denial.code), state, denial.retryAfter});
+}
+
 /** Events of all attempts on their way to the pulling thread; outlives the exchange while attempts run. */
 struct ModelExchange::Channel {
     std::mutex mutex;
@@ -268,11 +279,7 @@
         return;
     }
     this->recordEvent("denied", event);
-    throw CallerError({statusUnavailable,
-                       event.denial.code,
-                       absl::StrCat("no slot for service ", this->request.service.name, ": ", event.denial.code),
-                       this->mayHaveRun ? RunState::Unknown : RunState::NotRun,
-                       event.denial.retryAfter});
+    throw denialError(this->request.service.name, event.denial, this->mayHaveRun);
 }
 
 void ModelExchange::handleEnd(const AttemptEvent &event)
--- a/src/ModelExchange.h
+++ b/src/ModelExchange.h
@@ -53,6 +53,9 @@
     RepeatLimiter *repeats = nullptr;
 };
 
+/** The caller's error for a request that got no slot. */
+CallerError denialError(const std::string &service, const SlotDenial &denial, bool mayHaveRun);
+
 /** What an attempt tells the exchange. */
 struct AttemptEvent {
     enum class Kind {
--- a/src/PlainExchange.cpp
+++ b/src/PlainExchange.cpp
@@ -67,11 +67,7 @@
         // A plain call is short, so a revocation takes effect by not being followed by another call.
         auto held = this->parts.slots->acquire(demand, [] {});
         if (const auto *denial = std::get_if<SlotDenial>(&held)) {
-            throw CallerError({statusUnavailable,
-                               denial->code,
-                               absl::StrCat("no slot for service ", this->request.service.name, ": ", denial->code),
-                               this->mayHaveRun ? RunState::Unknown : RunState::NotRun,
-                               denial->retryAfter});
+            throw denialError(this->request.service.name, *denial, this->mayHaveRun);
         }
         return std::get<SlotTicket>(std::move(held));
     }
