--- /dev/null
+++ b/src/Lease.cpp
@@ -0,0 +1,193 @@
+#include "Lease.h"
+
+#include <algorithm>
+#include <utility>
+
+#include <nlohmann/json.hpp>
+
+namespace Bergamotramp {
+
+namespace {
+
+constexpr absl::Duration retryPause = absl::Milliseconds(500);
+
+} // namespace
+
+std::string LeaseRecord::toJsonText() const
+{
+    return nlohmann::json({{"holder", this->holder},
+                           {"incarnation", this->incarnation},
+                           {"epoch", this->epoch},
+                           {"renewal", this->renewal},
+                           {"length_us", absl::ToInt64Microseconds(this->length)},
+                           {"expiry_us", absl::ToUnixMicros(this->expiry)}})
+        .dump(-1, ' ', false, nlohmann::json::error_handler_t::replace);
+}
+
+std::optional<LeaseRecord> LeaseRecord::fromJsonText(std::string_view text)
+{
+    const nlohmann::json json = nlohmann::json::parse(text, nullptr, false);
+    try {
+        LeaseRecord record;
+        record.holder = json.at("holder");
+        record.incarnation = json.at("incarnation");
+        record.epoch = json.at("epoch");
+        record.renewal = json.at("renewal");
+        record.length = absl::Microseconds(json.at("length_us").get<std::int64_t>());
+        record.expiry = absl::FromUnixMicros(json.at("expiry_us"));
+        return record;
+    } catch (const nlohmann::json::exception &) {
+        return std::nullopt;
+    }
+}
+
+Lease::Lease(LeaseSettings settings) : settings(std::move(settings))
+{
+}
+
+std::optional<LeaseCall> Lease::tick(absl::Time now)
+{
+    if (this->outstanding != Call::None || now < this->nextCall) {
+        return std::nullopt;
+    }
+    if (!this->known) {
+        return this->releasing && !this->held ? std::nullopt : this->read();
+    }
+    if (this->releasing) {
+        return this->held ? this->write(now) : std::nullopt;
+    }
+    return this->held || this->mayTake(now) ? this->write(now) : this->read();
+}
+
+std::optional<LeaseCall> Lease::read()
+{
+    this->outstanding = Call::Read;
+    return LeaseCall{"lease/" + this->settings.name, std::nullopt, Precondition::none()};
+}
+
+std::optional<LeaseCall> Lease::write(absl::Time now)
+{
+    this->proposed = this->stored;
+    this->proposed.holder = this->releasing ? "" : this->settings.host;
+    this->proposed.incarnation = this->settings.incarnation;
+    this->proposed.epoch += this->held ? 0 : 1;
+    this->proposed.renewal = ++this->renewals;
+    this->proposed.length = this->settings.length;
+    this->proposed.expiry = now + this->settings.length;
+    this->sentAt = now;
+    this->outstanding = Call::Write;
+    if (this->releasing) {
+        // The write may take effect at any time from here on.
+        this->held = false;
+        this->validUntil = absl::InfinitePast();
+    }
+    const Precondition precondition = this->version == 0 ? Precondition::absent() : Precondition::at(this->version);
+    return LeaseCall{"lease/" + this->settings.name, this->proposed.toJsonText(), precondition};
+}
+
+// Durations are comparable between hosts, times aren't: the holder counts the length from when it sent its renewal, the others from when
+// they saw it first, which is later.
+bool Lease::mayTake(absl::Time now) const
+{
+    return this->version == 0 || this->stored.holder.empty() || now >= this->firstSeen + std::max(this->stored.length, this->settings.length);
+}
+
+bool Lease::isOwn(const LeaseRecord &record) const
+{
+    return record == this->proposed && record.renewal != 0;
+}
+
+void Lease::objectRead(const std::optional<StoredObject> &object, absl::Time now)
+{
+    this->outstanding = Call::None;
+    const std::optional<LeaseRecord> record = object.has_value() ? LeaseRecord::fromJsonText(object->value) : std::nullopt;
+    const std::uint64_t readVersion = object.has_value() ? object->version : 0;
+    this->nextCall = now;
+    if (record.has_value() && this->isOwn(*record) && !record->holder.empty()) {
+        this->adopt(readVersion, now);
+        return;
+    }
+    if (this->held && readVersion == this->version) {
+        // The renewal in doubt has not taken effect; sending it again is safe, since only one of the two meets the version.
+        this->known = true;
+        return;
+    }
+    this->held = false;
+    this->validUntil = absl::InfinitePast();
+    if (!this->known || readVersion != this->version) {
+        this->firstSeen = readVersion == this->version && this->firstSeen != absl::InfiniteFuture() ? this->firstSeen : now;
+    }
+    this->known = true;
+    this->version = readVersion;
+    this->stored = record.value_or(LeaseRecord());
+    this->nextCall = this->mayTake(now) ? now : now + this->settings.watchPeriod;
+}
+
+void Lease::readFailed(absl::Time now)
+{
+    this->outstanding = Call::None;
+    this->nextCall = now + retryPause;
+}
+
+void Lease::writeSettled(const WriteResult &result, absl::Time now)
+{
+    this->outstanding = Call::None;
+    this->nextCall = now;
+    switch (result.outcome) {
+    case WriteOutcome::Applied:
+        this->adopt(result.version, now);
+        break;
+    case WriteOutcome::Conflict:
+    case WriteOutcome::Unanswered:
+        this->known = false;
+        break;
+    case WriteOutcome::Unavailable:
+        this->nextCall = now + retryPause;
+        break;
+    }
+}
+
+void Lease::adopt(std::uint64_t newVersion, absl::Time now)
+{
+    this->known = true;
+    this->version = newVersion;
+    this->stored = this->proposed;
+    this->firstSeen = now;
+    if (this->stored.holder.empty()) {
+        return;
+    }
+    if (!this->held) {
+        this->taken = now;
+    }
+    this->held = true;
+    this->validUntil = this->sentAt + this->settings.length;
+    this->nextCall = this->releasing ? now : now + this->settings.renewPeriod;
+}
+
+void Lease::release()
+{
+    this->releasing = true;
+    this->nextCall = absl::InfinitePast();
+}
+
+bool Lease::holds(absl::Time now) const
+{
+    return this->held && now < this->validUntil;
+}
+
+absl::Time Lease::heldUntil() const
+{
+    return this->validUntil;
+}
+
+std::uint64_t Lease::epoch() const
+{
+    return this->stored.epoch;
+}
+
+absl::Time Lease::takenAt() const
+{
+    return this->taken;
+}
+
+} // namespace Bergamotramp
