Probe again when a new connection is dropped

A crash of an engine was often not counted against its request: the kernel closes a dying process's connections before its listening socket, so the probe's connection was taken and dropped, which counted as unresponsive instead of refused.

--- a/src/UpstreamClient.cpp
+++ b/src/UpstreamClient.cpp
@@ -10,6 +10,7 @@
 
 constexpr std::size_t maxIdlePerUpstream = 64;
 constexpr int statusOk = 200;
+constexpr absl::Duration probePause = absl::Milliseconds(5);
 
 httplib::Request buildRequest(const UpstreamCall &call)
 {
@@ -132,14 +133,22 @@
     httplib::Client client("http://" + address);
     client.set_connection_timeout(absl::ToChronoMicroseconds(timeout));
     client.set_read_timeout(absl::ToChronoMicroseconds(timeout));
-    const absl::Time start = absl::Now();
-    const httplib::Result answer = client.Get("/health");
-    if (answer) {
-        return answer->status == statusOk ? ProbeResult::Healthy : ProbeResult::Unresponsive;
+    const absl::Time end = absl::Now() + timeout;
+    while (true) {
+        const httplib::Result answer = client.Get("/health");
+        if (answer) {
+            return answer->status == statusOk ? ProbeResult::Healthy : ProbeResult::Unresponsive;
+        }
+        // A refused connection fails at once; one that can't be made for other reasons takes the whole timeout.
+        if (answer.error() == httplib::Error::Connection && absl::Now() < end) {
+            return ProbeResult::Refused;
+        }
+        // The kernel closes a dying process's connections before its listening socket, so for a moment new ones are taken and dropped.
+        if (absl::Now() + probePause >= end) {
+            return ProbeResult::Unresponsive;
+        }
+        absl::SleepFor(probePause);
     }
-    // A refused connection fails at once; one that can't be made for other reasons takes the whole timeout.
-    const bool refused = answer.error() == httplib::Error::Connection && absl::Now() - start < timeout;
-    return refused ? ProbeResult::Refused : ProbeResult::Unresponsive;
 }
 
 std::unique_ptr<httplib::Client> UpstreamClient::acquire(const std::string &address)
--- a/test/http/UpstreamClientTest.cpp
+++ b/test/http/UpstreamClientTest.cpp
@@ -225,6 +225,20 @@
     EXPECT_TRUE(eventually([this] { return this->engine.counters().started == 1; }));
 }
 
+// Guards against a dying upstream that counts as unresponsive, because its listening socket outlives its connections for a moment.
+TEST_F(ProxiedUpstreamClientTest, probeSeesThatAListenerWhichDropsConnectionsEnds)
+{
+    const std::string dying = this->proxy.addRoute("dying", "127.0.0.1:1");
+    std::thread ending([this] {
+        EXPECT_TRUE(eventually([this] { return this->proxy.counters("dying").connections > 0; }));
+        RouteFaults faults;
+        faults.cut = true;
+        this->proxy.setFaults("dying", faults);
+    });
+    EXPECT_EQ(this->client.probe(dying, generous), ProbeResult::Refused);
+    ending.join();
+}
+
 // Guards against a proxy that damages what it delays or slows down.
 TEST_F(ProxiedUpstreamClientTest, slowRouteKeepsTheAnswerWhole)
 {
