Settle every planned commit when the store fails

A failing commit of one segment left the commits planned for the others neither sent nor settled; these segments stayed held and never committed again, so a job that ran during a store outage never ended (scenario store-outage: waited 90 s in vain).

Ran: scenario store-outage fails before and passes after; all host tests in the debug preset pass.

--- a/src/BatchRunner.cpp
+++ b/src/BatchRunner.cpp
@@ -390,11 +390,23 @@
             }
         }
     }
+    // A planned commit that is neither sent nor settled would block its segment for good, so one failure doesn't end the round.
+    std::optional<StoreError> failure;
+    const auto attempt = [&failure](const std::function<void()> &call) {
+        try {
+            call();
+        } catch (const std::exception &error) {
+            failure = StoreError(error.what());
+        }
+    };
     for (const SegmentPointer &segment : unsettled) {
-        this->readBack(segment);
+        attempt([this, &segment] { this->readBack(segment); });
     }
     for (const auto &[segment, commit] : commits) {
-        this->commit(segment, commit);
+        attempt([this, &segment = segment, &commit = commit] { this->commit(segment, commit); });
+    }
+    if (failure) {
+        throw StoreError(*failure);
     }
 }
 
