--- a/test/scenario/ScenarioRunner.cpp
+++ b/test/scenario/ScenarioRunner.cpp
@@ -113,7 +113,9 @@
     const auto platformFaults = [this](const nlohmann::json &faults) { this->fleet.control("platform", "/control/faults", faults); };
     this->handlers["outage"] = [platformFaults](const Statement &statement) { platformFaults({{"outage", statement.word(0) == "on"}}); };
     this->handlers["lose-answer"] = [platformFaults](const Statement &statement) {
-        platformFaults({{"loseAnswers", statement.number("count", 1)}, {"loseAnswersPrefix", statement.option("prefix", "")}});
+        platformFaults({{"loseAnswers", statement.number("count", 1)},
+                        {"loseAnswersPrefix", statement.option("prefix", "")},
+                        {"loseAnswersPart", statement.option("part", "")}});
     };
     this->handlers["slow"] = [this](const Statement &statement) { this->slow(statement); };
     this->handlers["control"] = [this](const Statement &statement) {
--- a/test/scenario/ScenarioRunnerMain.cpp
+++ b/test/scenario/ScenarioRunnerMain.cpp
@@ -12,7 +12,7 @@
 
 using namespace Bergamotramp;
 
-/** Folder of one scenario's settings, logs and objects; removed unless the scenario failed. */
+/** Folder of one scenario's settings, logs and objects. */
 std::string makeFolder()
 {
     std::string pattern = (std::filesystem::temp_directory_path() / "bergamotramp-scenario-XXXXXX").string();
@@ -22,7 +22,7 @@
     return pattern;
 }
 
-bool runFile(const FleetPrograms &programs, const std::string &file)
+bool runFile(const FleetPrograms &programs, const std::string &file, bool keep)
 {
     std::ifstream stream(file);
     if (!stream) {
@@ -33,12 +33,14 @@
     const std::vector<Statement> statements = parseScenario(file, text.str());
     const std::string folder = makeFolder();
     const std::string report = ScenarioRunner(programs, folder).run(file, statements);
-    if (report.empty()) {
+    if (report.empty() || !keep) {
         std::filesystem::remove_all(folder);
+    }
+    if (report.empty()) {
         std::cout << file << ": all guarantees held" << std::endl;
         return true;
     }
-    std::cout << file << ": failed; settings and logs are in " << folder << "\n" << report << std::endl;
+    std::cout << file << ": failed" << (keep ? "; settings and logs are in " + folder : "") << "\n" << report << std::endl;
     return false;
 }
 
@@ -51,12 +53,14 @@
     std::vector<std::string> files;
     app.add_option("--daemon", programs.daemon, "Path of bergamotrampd")->required();
     app.add_option("--standins", programs.standins, "Folder of the stand-in programs")->required();
+    bool discard = false;
+    app.add_flag("--discard", discard, "Remove settings and logs also when a scenario fails");
     app.add_option("FILE", files, "Scenario files")->required();
     CLI11_PARSE(app, argc, argv);
     bool held = true;
     try {
         for (const std::string &file : files) {
-            held = runFile(programs, file) && held;
+            held = runFile(programs, file, !discard) && held;
         }
     } catch (const std::exception &error) {
         std::cerr << "scenario-runner: " << error.what() << '\n';
--- a/test/standin/StandinPlatform.cpp
+++ b/test/standin/StandinPlatform.cpp
@@ -205,7 +205,7 @@
 bool StandinPlatform::losesAnswer(const std::string &key)
 {
     const std::lock_guard<std::mutex> lock(this->mutex);
-    if (this->faults.loseAnswers <= 0 || !key.starts_with(this->faults.loseAnswersPrefix)) {
+    if (this->faults.loseAnswers <= 0 || !key.starts_with(this->faults.loseAnswersPrefix) || key.find(this->faults.loseAnswersPart) == std::string::npos) {
         return false;
     }
     --this->faults.loseAnswers;
@@ -309,6 +309,7 @@
         this->faults.slow = absl::Milliseconds(json.value("slowMs", absl::ToInt64Milliseconds(this->faults.slow)));
         this->faults.loseAnswers = json.value("loseAnswers", this->faults.loseAnswers);
         this->faults.loseAnswersPrefix = json.value("loseAnswersPrefix", this->faults.loseAnswersPrefix);
+        this->faults.loseAnswersPart = json.value("loseAnswersPart", this->faults.loseAnswersPart);
         this->settings.hostsLag = absl::Milliseconds(json.value("hostsLagMs", absl::ToInt64Milliseconds(this->settings.hostsLag)));
         if (json.contains("writesPerSecond")) {
             this->writeRate.set(json.at("writesPerSecond"));
--- a/test/standin/StandinPlatform.h
+++ b/test/standin/StandinPlatform.h
@@ -51,7 +51,7 @@
  * Stand-in for the platform's store and host list.
  *
  * Control interface: PUT /control/hosts with the host list; POST /control/faults with "outage", "slowMs", "loseAnswers",
- * "loseAnswersPrefix", "writesPerSecond", "readsPerSecond" or "hostsLagMs"; GET /control/counters.
+ * "loseAnswersPrefix", "loseAnswersPart" (of the key), "writesPerSecond", "readsPerSecond" or "hostsLagMs"; GET /control/counters.
  */
 class StandinPlatform
 {
@@ -69,6 +69,7 @@
         absl::Duration slow = absl::ZeroDuration();
         std::int64_t loseAnswers = 0;
         std::string loseAnswersPrefix;
+        std::string loseAnswersPart;
     };
     struct Counters {
         std::uint64_t reads = 0;
