--- a/src/AdminCommands.cpp
+++ b/src/AdminCommands.cpp
@@ -25,8 +25,7 @@
     if (answer.is_object() && answer.contains("generation")) {
         context.out() << "generation " << answer["generation"].dump() << '\n';
     }
-    const nlohmann::json list = answer.is_object() ? answer.value(command.name, nlohmann::json::array()) : answer;
-    context.out() << tableOf(list, command.leadingColumns);
+    context.out() << tableOf(listIn(answer, command.name), command.leadingColumns);
 }
 
 void addListCommand(CLI::App &app, CommandContext &context, const ListCommand &list)
@@ -53,7 +52,7 @@
         return host;
     }
     const nlohmann::json answer = jsonOf(context.adminClient().get("/admin/hosts"));
-    for (const nlohmann::json &entry : answer.value("hosts", nlohmann::json::array())) {
+    for (const nlohmann::json &entry : listIn(answer, "hosts")) {
         if (entry.value("name", "") == host && !adminAddressOf(entry).empty()) {
             return adminAddressOf(entry);
         }
--- a/src/CommandContext.cpp
+++ b/src/CommandContext.cpp
@@ -204,6 +204,18 @@
     return text.str();
 }
 
+nlohmann::json listIn(const nlohmann::json &answer, const std::string &name)
+{
+    if (answer.is_array()) {
+        return answer;
+    }
+    if (answer.is_object() && answer.contains(name)) {
+        return answer[name];
+    }
+    const auto found = std::find_if(answer.begin(), answer.end(), [](const nlohmann::json &field) { return field.is_array(); });
+    return found == answer.end() ? nlohmann::json::array() : *found;
+}
+
 std::string tableOf(const nlohmann::json &objects, const std::vector<std::string> &leading)
 {
     if (!objects.is_array() || objects.empty()) {
--- a/src/CommandContext.h
+++ b/src/CommandContext.h
@@ -75,6 +75,9 @@
 /** Reads a whole file, "-" for standard input; throws CliError. */
 std::string readInputFile(const std::string &file);
 
+/** The list in an answer: the answer itself, its field @p name, or else its first field that is a list. */
+nlohmann::json listIn(const nlohmann::json &answer, const std::string &name);
+
 /** Aligned text table of JSON objects: @p leading columns first, then the other scalar fields. Lists are shown by their length. */
 std::string tableOf(const nlohmann::json &objects, const std::vector<std::string> &leading);
 
--- a/src/JobCommand.cpp
+++ b/src/JobCommand.cpp
@@ -150,7 +150,7 @@
         return;
     }
     nlohmann::json rows = nlohmann::json::array();
-    for (const nlohmann::json &job : answer.is_object() ? answer.value("data", nlohmann::json::array()) : answer) {
+    for (const nlohmann::json &job : listIn(answer, "data")) {
         rows.push_back(JobStatus::fromJson(job).toJson());
     }
     context.out() << tableOf(rows, {"id", "state", "total", "completed", "failed"});
--- a/test/cli/CommandsTest.cpp
+++ b/test/cli/CommandsTest.cpp
@@ -125,6 +125,27 @@
     EXPECT_FALSE(problemsOfJobFile("\n", 10).empty());
 }
 
+// Guards against a drain that is sent to the host which was asked instead of the one that was named.
+TEST(CommandsTest, drainGoesToTheNamedHost)
+{
+    TestHost asked;
+    TestHost named;
+    std::atomic<int> drains{0};
+    asked.server.Get("/admin/hosts", [&named](const httplib::Request &, httplib::Response &response) {
+        response.set_content(R"({"members": [{"name": "h2", "adminAddress": ")" + named.address() + R"("}]})", "application/json");
+    });
+    named.server.Post("/admin/drain", [&drains](const httplib::Request &, httplib::Response &response) {
+        ++drains;
+        response.status = 202;
+        response.set_content(R"({"draining": true})", "application/json");
+    });
+    asked.start();
+    named.start();
+    EXPECT_EQ(runWith({"drain", "h2", "--admin", asked.address()}).code, 0);
+    EXPECT_EQ(drains, 1);
+    EXPECT_EQ(runWith({"drain", "h3", "--admin", asked.address()}).code, 1);
+}
+
 void serveStream(TestHost &host, const std::string &events)
 {
     host.server.Post("/v1/completions", [events](const httplib::Request &, httplib::Response &response) {
