--- a/src/LatencyScore.cpp
+++ b/src/LatencyScore.cpp
@@ -9,7 +9,7 @@
 namespace {
 
 constexpr double sampleWeight = 0.2;
-// An ejected upstream gets few requests; a greater weight lets three good probes readmit it after a fivefold slowdown.
+// An ejected upstream gets few requests; a greater weight lets two good probes readmit it after a fivefold slowdown.
 constexpr double probeWeight = 0.5;
 constexpr double ejectScore = 2.5;
 // Lower than ejectScore, so that an upstream near the limit does not alternate between the two states.
--- /dev/null
+++ b/test/core/SlotPoliciesTest.cpp
@@ -0,0 +1,146 @@
+#include <gtest/gtest.h>
+
+#include "CrashSuspects.h"
+#include "HedgePolicy.h"
+#include "LatencyScore.h"
+#include "RateLimit.h"
+#include "RetryBudget.h"
+
+namespace Bergamotramp {
+
+namespace {
+
+const absl::Time start = absl::FromUnixSeconds(1'000'000);
+constexpr absl::Duration longestDelay = absl::Seconds(60);
+
+LatencyScore scoresOf(std::size_t upstreams, std::size_t slow, int samples)
+{
+    LatencyScore scores;
+    std::vector<std::string> names;
+    for (std::size_t index = 0; index < upstreams; ++index) {
+        names.push_back("u" + std::to_string(index));
+    }
+    scores.setUpstreams(names);
+    for (int sample = 0; sample < samples; ++sample) {
+        for (std::size_t index = 0; index < upstreams; ++index) {
+            scores.record(names[index], absl::Milliseconds(index < slow ? 500 : 100), absl::ZeroDuration(), start);
+        }
+    }
+    return scores;
+}
+
+TEST(LatencyScoreTest, slowUpstreamIsEjectedAndReadmittedByProbes)
+{
+    LatencyScore scores = scoresOf(6, 1, 6);
+    EXPECT_TRUE(scores.ejected("u0"));
+    EXPECT_NEAR(scores.score("u0", start), 5.0, 0.01);
+    EXPECT_FALSE(scores.ejected("u1"));
+    scores.record("u0", absl::Milliseconds(100), absl::ZeroDuration(), start);
+    EXPECT_TRUE(scores.ejected("u0")) << "one good probe may be chance";
+    scores.record("u0", absl::Milliseconds(100), absl::ZeroDuration(), start);
+    EXPECT_FALSE(scores.ejected("u0"));
+}
+
+// Guards against a pool that ejects itself when many upstreams are slow at once.
+TEST(LatencyScoreTest, ejectsAtMostAThird)
+{
+    const LatencyScore scores = scoresOf(9, 4, 10);
+    int ejected = 0;
+    for (int index = 0; index < 9; ++index) {
+        ejected += scores.ejected("u" + std::to_string(index)) ? 1 : 0;
+    }
+    EXPECT_EQ(ejected, 3);
+}
+
+// Guards against an upstream that is avoided for ever because it gets no work that could improve its score.
+TEST(LatencyScoreTest, oldScoreFades)
+{
+    const LatencyScore scores = scoresOf(2, 1, 4);
+    EXPECT_LT(scores.score("u1", start + absl::Minutes(2)) / scores.score("u0", start + absl::Minutes(2)), 1.01);
+    EXPECT_GT(scores.score("u0", start) / scores.score("u1", start), 4.9);
+}
+
+// Guards against retries that multiply the load during an outage.
+TEST(RetryBudgetTest, repeatsStayWithinTheShare)
+{
+    RetryBudget budget(0.1);
+    int repeats = 0;
+    for (int request = 0; request < 1000; ++request) {
+        budget.onRequest(start);
+        repeats += budget.tryRepeat(start, start + absl::Seconds(1)) ? 1 : 0;
+    }
+    EXPECT_LE(repeats, 103);
+    EXPECT_GE(repeats, 95);
+}
+
+TEST(RetryBudgetTest, noRepeatAfterTheDeadline)
+{
+    RetryBudget budget(0.1);
+    EXPECT_FALSE(budget.tryRepeat(start, start));
+}
+
+TEST(HedgePolicyTest, hedgesAfterTheLearntPercentile)
+{
+    HedgePolicy policy(RepeatLimits{});
+    EXPECT_FALSE(policy.tryHedge(true, absl::Seconds(10), start, start + longestDelay)) << "nothing is learnt yet";
+    for (int request = 0; request < 200; ++request) {
+        policy.onRequest(start);
+        policy.record(absl::Milliseconds(request % 100 < 97 ? 100 : 900));
+    }
+    const std::optional<absl::Duration> delay = policy.delay();
+    ASSERT_TRUE(delay.has_value());
+    EXPECT_GE(*delay, absl::Milliseconds(100));
+    EXPECT_LE(*delay, absl::Milliseconds(115));
+    EXPECT_FALSE(policy.tryHedge(true, absl::Milliseconds(90), start, start + longestDelay));
+    EXPECT_FALSE(policy.tryHedge(false, absl::Seconds(1), start, start + longestDelay)) << "not idempotent";
+    EXPECT_TRUE(policy.tryHedge(true, absl::Seconds(1), start, start + longestDelay));
+}
+
+TEST(RateLimitTest, remoteUseCounts)
+{
+    RateLimit limit(1.0, 3.0);
+    EXPECT_TRUE(limit.tryAcquire("acme", start));
+    limit.addRemoteUse("acme", 2, start);
+    EXPECT_FALSE(limit.tryAcquire("acme", start));
+    EXPECT_EQ(limit.retryAfter("acme", start), absl::Seconds(1));
+    EXPECT_TRUE(limit.tryAcquire("other", start));
+    EXPECT_EQ(limit.takeLocalUse(), (std::map<std::string, std::uint64_t>{{"acme", 1}, {"other", 1}}));
+    EXPECT_TRUE(limit.takeLocalUse().empty());
+    EXPECT_TRUE(limit.tryAcquire("acme", start + absl::Seconds(1)));
+}
+
+// Guards against an unbounded table and against a flood of innocent suspects that pushes out a convicted request.
+TEST(CrashSuspectsTest, keepsConvictedWhenFull)
+{
+    CrashSuspects suspects;
+    suspects.merge(1, 2, start);
+    for (std::uint64_t fingerprint = 2; fingerprint < CrashSuspects::maxFingerprints + 100; ++fingerprint) {
+        suspects.crashed({fingerprint}, start + absl::Seconds(1));
+    }
+    EXPECT_EQ(suspects.size(), CrashSuspects::maxFingerprints);
+    EXPECT_TRUE(suspects.convicted(1, start + absl::Seconds(2)));
+}
+
+TEST(CrashSuspectsTest, twoCopiesOnOneUpstreamAreOneCrash)
+{
+    CrashSuspects suspects;
+    suspects.crashed({4, 4, 0}, start);
+    EXPECT_TRUE(suspects.suspect(4, start));
+    EXPECT_FALSE(suspects.convicted(4, start));
+    EXPECT_FALSE(suspects.suspect(0, start));
+}
+
+TEST(CrashSuspectsTest, clearedSuspectIsForgottenButConvictionStays)
+{
+    CrashSuspects suspects;
+    suspects.merge(4, 1, start);
+    EXPECT_TRUE(suspects.merge(4, 0, start));
+    EXPECT_FALSE(suspects.suspect(4, start));
+    suspects.merge(5, 2, start);
+    EXPECT_FALSE(suspects.merge(5, 0, start));
+    EXPECT_TRUE(suspects.convicted(5, start));
+}
+
+} // namespace
+
+} // namespace Bergamotramp
