--- a/test/core/JournalIndexTest.cpp
+++ b/test/core/JournalIndexTest.cpp
@@ -2,11 +2,9 @@
 
 #include <gtest/gtest.h>
 
-namespace Bergamotramp
-{
+namespace Bergamotramp {
 
-namespace
-{
+namespace {
 
 const absl::Time start = absl::FromUnixSeconds(1000);
 
