Detach the generation hooks before the configuration service is destroyed

The membership service's timer calls them until it is destroyed itself, which happens after the configuration service. The same order crashed the test fixture of both services.

--- a/src/Host.cpp
+++ b/src/Host.cpp
@@ -105,6 +105,8 @@
         this->drainThread.join();
     }
     this->receiving = false;
+    // The configuration service is destroyed before the membership service, whose timer calls these hooks.
+    this->membership->setGenerationHooks({}, {});
     // Batch items and attempts use all other services, so they end first.
     this->batch.reset();
     this->workers->stop();
