Show each host's generation and the holders' view of upstreams

The operations page tells operators to compare generations in the list of hosts, which has none, and the admin interface gives upstreams by pool, of which only the holder knows all requests. The commands therefore ask the hosts concerned. The benches share one steady load per run and report the share of the free slots that batch uses.

--- a/bench/measures.py
+++ b/bench/measures.py
@@ -32,21 +32,25 @@
 
 
 class SlotSampler:
-    """Samples how many slots of all engines are in use."""
+    """Samples how many slots of all engines are in use while a load is measured."""
 
-    def __init__(self, fleet, period=0.5):
+    def __init__(self, fleet, options, period=0.25):
         self.fleet = fleet
+        self.window = (options.warmup, options.warmup + options.seconds)
         self.period = period
         self.samples = []
         self.ending = threading.Event()
         self.thread = threading.Thread(target=self.run)
 
     def run(self):
+        start = time.monotonic()
         while not self.ending.wait(self.period):
             try:
-                self.samples.append(self.fleet.running_streams())
+                running = self.fleet.running_streams()
             except (OSError, ValueError):
                 continue
+            if self.window[0] <= time.monotonic() - start <= self.window[1]:
+                self.samples.append(running)
 
     def __enter__(self):
         self.thread.start()
@@ -56,9 +60,8 @@
         self.ending.set()
         self.thread.join()
 
-    def share(self, skip_seconds):
-        kept = self.samples[int(skip_seconds / self.period):]
-        return sum(kept) / len(kept) / (SLOTS * len(self.fleet.engines)) if kept else 0.0
+    def share(self):
+        return sum(self.samples) / len(self.samples) / (SLOTS * len(self.fleet.engines)) if self.samples else 0.0
 
 
 class EngineSlower:
@@ -127,29 +130,32 @@
             "codes": model["errors_by_code"]}
 
 
-def measure_batch(fleet, options, seed):
-    off = figures(fleet.load(plan(options, seed)))
+def measure_steady(fleet, options, seed):
+    """Online load alone: what the other measures are compared with."""
+    with SlotSampler(fleet, options) as slots:
+        result = figures(fleet.load(plan(options, seed)))
     fleet.wait_idle()
-    with SlotSampler(fleet) as slots:
+    return {**result, "slots": slots.share()}
+
+
+def measure_batch(fleet, options, seed, steady):
+    with SlotSampler(fleet, options) as slots:
         summary = fleet.load(plan(options, seed, job=True))
-    on = figures(summary)
     fleet.wait_idle()
     if summary["job"]["problem"]:
         print(f"  job: {summary['job']['problem']}")
-    return {"items_per_s": summary["job"]["items_per_s"], "slot_share": slots.share(options.warmup), "off": off, "on": on}
+    free = 1 - steady["slots"]
+    share = (slots.share() - steady["slots"]) / free
+    return {"items_per_s": summary["job"]["items_per_s"], "free_share": share, "off": steady, "on": figures(summary), "samples": summary["job"]["samples"]}
 
 
-def measure_stragglers(fleet, options, seed):
-    without = figures(fleet.load(plan(options, seed)))
-    fleet.wait_idle()
+def measure_stragglers(fleet, options, seed, steady):
     mixed = figures(fleet.load(plan(options, seed, stragglers=True)))
     fleet.wait_idle()
-    return {"without": without, "mixed": mixed}
+    return {"without": steady, "mixed": mixed}
 
 
-def measure_slowed(fleet, options, seed):
-    steady = figures(fleet.load(plan(options, seed)))
-    fleet.wait_idle()
+def measure_slowed(fleet, options, seed, steady):
     with EngineSlower(fleet):
         slowed = figures(fleet.load(plan(options, seed)))
     fleet.wait_idle()
@@ -167,7 +173,8 @@
         fleet.start_hosts(HOSTS, {"routing": variant, "entryTimeToLiveMs": 2000})
         fleet.publish(service_files(fleet, options))
         time.sleep(2)  # Membership takes a few periods to see all hosts.
-        return {number: MEASURES[number](fleet, options, seed) for number in options.measures}
+        steady = measure_steady(fleet, options, seed)
+        return {number: MEASURES[number](fleet, options, seed, steady) for number in options.measures}
 
 
 def ratio(above, below):
@@ -178,12 +185,12 @@
     rows = []
     for variant in variants:
         runs = results[variant]["1"]
-        rows.append([variant, spread([run["items_per_s"] for run in runs]), spread([run["slot_share"] for run in runs], 2)]
+        rows.append([variant, spread([run["items_per_s"] for run in runs]), spread([run["free_share"] for run in runs], 2)]
                     + [spread([run[side][key] for run in runs]) for key in ("first_p99", "answer_p99") for side in ("off", "on")]
                     + [spread([ratio(run["on"][key], run["off"][key]) for run in runs], 2) for key in ("first_p99", "answer_p99")]
                     + [sum(run[side]["errors"] for run in runs for side in ("off", "on"))])
     print_table("1. Batch items/s against the online tail (ms)",
-                ["routing", "items/s", "slots used", "first p99 off", "first p99 on", "answer p99 off", "answer p99 on", "first on/off", "answer on/off", "errors"], rows)
+                ["routing", "items/s", "free slots used", "first p99 off", "first p99 on", "answer p99 off", "answer p99 on", "first on/off", "answer on/off", "errors"], rows)
 
 
 def print_stragglers(variants, results):
@@ -216,7 +223,7 @@
     parser.add_argument("--variants", default="leastInFlight,pool", help="values of the host setting \"routing\", the baseline first")
     parser.add_argument("--measures", default="1,2,3")
     parser.add_argument("--repeats", type=int, default=3)
-    parser.add_argument("--seconds", type=float, default=8, help="measured seconds of each load")
+    parser.add_argument("--seconds", type=float, default=6, help="measured seconds of each load")
     parser.add_argument("--warmup", type=float, default=2)
     parser.add_argument("--rate", type=float, default=60, help="online model requests a second")
     parser.add_argument("--reserve-share", type=float, default=0.1, help="online.reserveShare of the model service")
--- a/scripts/demo.sh
+++ b/scripts/demo.sh
@@ -128,6 +128,7 @@
 done
 $cli hosts "${admins[@]}"
 $cli services "${admins[@]}"
+$cli upstreams "${admins[@]}"
 
 say "One online answer, as it is streamed"
 $cli request --service modelo --prompt "What does an entry host do?" --max-tokens 12 "${entries[@]}"
--- a/src/AdminCommands.cpp
+++ b/src/AdminCommands.cpp
@@ -4,6 +4,7 @@
 #include <absl/strings/str_cat.h>
 
 #include "Cli.h"
+#include "FleetState.h"
 
 namespace Bergamotramp {
 
@@ -13,13 +14,20 @@
     const char *name;
     const char *description;
     std::vector<std::string> leadingColumns;
+    /** Returns the answer, which is a list or an object with a list. */
+    std::function<nlohmann::json(HostClient &)> read;
 };
 
+nlohmann::json readServices(HostClient &admin)
+{
+    return jsonOf(admin.get("/admin/services"));
+}
+
 void showList(CommandContext &context, const ListCommand &command)
 {
-    const nlohmann::json answer = jsonOf(context.adminClient().get(absl::StrCat("/admin/", command.name)));
+    const nlohmann::json answer = command.read(context.adminClient());
     if (context.jsonOutput()) {
-        context.out() << answer.dump() << '\n';
+        context.out() << (answer.is_array() ? nlohmann::json({{command.name, answer}}) : answer).dump() << '\n';
         return;
     }
     if (answer.is_object() && answer.contains("generation")) {
@@ -35,16 +43,6 @@
     command->callback([&context, list] { context.action = [&context, list] { showList(context, list); }; });
 }
 
-std::string adminAddressOf(const nlohmann::json &host)
-{
-    for (const char *key : {"adminAddress", "admin_address"}) {
-        if (host.contains(key) && host[key].is_string()) {
-            return host[key].get<std::string>();
-        }
-    }
-    return "";
-}
-
 // A host is drained by its own admin interface; another host only tells where that is.
 std::string resolveHost(CommandContext &context, const std::string &host)
 {
@@ -79,9 +77,19 @@
 
 void addAdminCommands(CLI::App &app, CommandContext &context)
 {
-    addListCommand(app, context, {"services", "List the services in force and their generation.", {"name", "kind", "model", "upstreams"}});
-    addListCommand(app, context, {"hosts", "List the hosts and their states.", {"name", "state", "region", "dataCentre", "generation"}});
-    addListCommand(app, context, {"upstreams", "List the upstreams, their load and their states.", {"service", "name", "address", "state"}});
+    addListCommand(app, context, {"services", "List the services in force and their generation.", {"name", "kind", "model", "upstreams"}, readServices});
+    addListCommand(app,
+                   context,
+                   {"hosts",
+                    "List the hosts as one host sees them, with the generation in force on each, asked from its own admin interface.",
+                    {"name", "state", "reachable", "generation", "draining", "active_requests", "region", "data_centre"},
+                    readHosts});
+    addListCommand(app,
+                   context,
+                   {"upstreams",
+                    "List the upstreams as the holders of their pools see them: requests in flight, slots and latency score.",
+                    {"service", "region", "name", "in_flight", "slots", "score"},
+                    readUpstreams});
     auto host = std::make_shared<std::string>();
     CLI::App *command = app.add_subcommand("drain", "Begin the planned shutdown of a host. It takes no new work, finishes what runs and exits.");
     command->add_option("HOST", *host, "Name of the host, or its admin address IP:port")->required();
--- a/test/cli/CommandsTest.cpp
+++ b/test/cli/CommandsTest.cpp
@@ -57,17 +57,47 @@
     EXPECT_EQ(runWith({"hosts", "--config", "/nonexistent"}).code, 2);
 }
 
-TEST(CommandsTest, listsAsTextAndJson)
+void serveJson(TestHost &host, const std::string &path, const std::string &json)
+{
+    host.server.Get(path, [json](const httplib::Request &, httplib::Response &response) { response.set_content(json, "application/json"); });
+}
+
+// Guards against a host that is down or behind and looks like the others in the list.
+TEST(CommandsTest, hostsShowTheGenerationOfEachHost)
 {
     TestHost host;
-    host.server.Get("/admin/hosts", [](const httplib::Request &, httplib::Response &response) {
-        response.set_content(R"({"hosts": [{"name": "h1", "state": "alive", "peers": [1, 2]}]})", "application/json");
-    });
+    serveJson(host,
+              "/admin/hosts",
+              R"({"members": [{"name": "h1", "state": "alive", "peers": [1], "admin_address": ")" + host.address() + R"("},
+        {"name": "h2", "state": "alive", "admin_address": ")"
+                  + deadAddress() + R"("}]})");
+    serveJson(host, "/admin/status", R"({"generation": 4})");
     host.start();
-    const CliRun text = runWith({"hosts", "--admin", host.address()});
-    EXPECT_EQ(text.out, "name  state\nh1    alive\n");
     const CliRun json = runWith({"hosts", "--admin", host.address(), "--output", "json"});
-    EXPECT_EQ(nlohmann::json::parse(json.out)["hosts"][0]["name"], "h1");
+    const nlohmann::json hosts = nlohmann::json::parse(json.out)["hosts"];
+    EXPECT_EQ(hosts[0]["generation"], 4);
+    EXPECT_EQ(hosts[1]["reachable"], false);
+    const CliRun text = runWith({"hosts", "--admin", host.address()});
+    EXPECT_EQ(text.out.substr(0, text.out.find("admin_address")), "name  state  reachable  generation  ");
+    EXPECT_NE(text.out.find("h2    alive  false "), std::string::npos) << text.out;
+}
+
+// Guards against showing only the requests of the host that was asked as the load of an upstream.
+TEST(CommandsTest, upstreamsAreAskedFromThePoolsHolder)
+{
+    TestHost asked;
+    TestHost holder;
+    serveJson(asked, "/admin/hosts", R"({"members": [{"name": "h2", "admin_address": ")" + holder.address() + R"("}]})");
+    serveJson(asked, "/admin/upstreams", R"({"pools": {"m@n": {"service": "m", "holder": "h2", "local": {"u": {"in_flight": 1}}},
+        "m@s": {"service": "m", "holder": "gone", "local": {"v": {"in_flight": 2}}}}})");
+    serveJson(holder, "/admin/upstreams", R"({"pools": {"m@n": {"service": "m", "holder": "h2", "upstreams": {"u": {"in_flight": 7}}}}})");
+    asked.start();
+    holder.start();
+    const nlohmann::json rows = nlohmann::json::parse(runWith({"upstreams", "--admin", asked.address(), "--output", "json"}).out)["upstreams"];
+    EXPECT_EQ(rows[0]["in_flight"], 7);
+    EXPECT_EQ(rows[0]["seen_by"], "holder");
+    EXPECT_EQ(rows[1]["in_flight"], 2);
+    EXPECT_EQ(rows[1]["seen_by"], "asked host");
 }
 
 // Guards against a lost acknowledgement that makes the operator submit the job under another key.
