Start retry budgets full and pause suspects for half a second

A budget now starts full (20); hedges keep 3. - worker-death: an item moved from a killed engine to one that was killed 4 ms later, alone there, and was convicted for two crashes it had not caused. A suspect now waits 500 ms after its crash, so that deaths with one cause don't add up. The bound of two upstreams per request is unchanged.

--- a/src/CrashSuspects.cpp
+++ b/src/CrashSuspects.cpp
@@ -60,6 +60,13 @@
     return record != nullptr && record->crashes < crashesToConvict;
 }
 
+// Upstreams that die together, for example with their rack, would otherwise convict requests that moved from one to the other.
+bool CrashSuspects::pauseOver(std::uint64_t fingerprint, absl::Time now) const
+{
+    const Record *record = this->find(fingerprint, now);
+    return record == nullptr || now - record->lastCrash >= suspectPause;
+}
+
 bool CrashSuspects::convicted(std::uint64_t fingerprint, absl::Time now) const
 {
     const Record *record = this->find(fingerprint, now);
--- a/src/CrashSuspects.h
+++ b/src/CrashSuspects.h
@@ -21,6 +21,8 @@
     /** Fingerprints kept at once; the one whose last crash is oldest is dropped first, a suspect before a convicted one. */
     static constexpr std::size_t maxFingerprints = 8192;
     static constexpr absl::Duration suspectLifetime = absl::Minutes(10);
+    /** A suspect runs again only this long after its crash. */
+    static constexpr absl::Duration suspectPause = absl::Milliseconds(500);
     static constexpr absl::Duration convictionLifetime = absl::Hours(24);
 
     /** Counts one crash against each of @p fingerprints and returns them with their new counts. */
@@ -31,6 +33,8 @@
     bool clear(std::uint64_t fingerprint);
 
     [[nodiscard]] bool suspect(std::uint64_t fingerprint, absl::Time now) const;
+    /** Whether a suspect may run again. */
+    [[nodiscard]] bool pauseOver(std::uint64_t fingerprint, absl::Time now) const;
     [[nodiscard]] bool convicted(std::uint64_t fingerprint, absl::Time now) const;
     [[nodiscard]] std::size_t size() const;
     /** Fingerprints and crash counts, for status and for a host that joins. */
--- a/src/HedgePolicy.cpp
+++ b/src/HedgePolicy.cpp
@@ -7,6 +7,8 @@
 
 namespace {
 
+// Hedges only shorten the tail, so that a new service may start with few.
+constexpr double initialHedges = 3.0;
 constexpr absl::Duration firstBucket = absl::Microseconds(100);
 // 128 buckets of this ratio reach from 0.1 ms to over 10 minutes with an error of at most 13%.
 constexpr double bucketRatio = 1.13;
@@ -22,7 +24,7 @@
 
 } // namespace
 
-HedgePolicy::HedgePolicy(const RepeatLimits &limits) : percentile(limits.hedgePercentile), budget(limits.hedgeBudgetShare)
+HedgePolicy::HedgePolicy(const RepeatLimits &limits) : percentile(limits.hedgePercentile), budget(limits.hedgeBudgetShare, initialHedges)
 {
 }
 
--- a/src/RetryBudget.cpp
+++ b/src/RetryBudget.cpp
@@ -6,15 +6,13 @@
 
 namespace {
 
-// Bounds how many repeats an outage can cause at once after a quiet period.
-constexpr double maxTokens = 20.0;
-constexpr double initialTokens = 3.0;
 // Lets a service with few requests repeat one now and then.
 constexpr double tokensPerSecond = 0.1;
 
 } // namespace
 
-RetryBudget::RetryBudget(double share) : share(share), tokens(share > 0.0 ? initialTokens : 0.0)
+// A new budget is full: with 3 tokens, one silent engine under a dozen streams used it up and requests failed.
+RetryBudget::RetryBudget(double share, double initialTokens) : share(share), tokens(share > 0.0 ? initialTokens : 0.0)
 {
 }
 
--- a/src/RetryBudget.h
+++ b/src/RetryBudget.h
@@ -8,8 +8,11 @@
 class RetryBudget
 {
 public:
-    /** @p share is of the requests, 0 to 1. */
-    explicit RetryBudget(double share);
+    /** Repeats that a budget may hold; bounds what an outage can cause at once after a quiet period. */
+    static constexpr double maxTokens = 20.0;
+
+    /** @p share is of the requests, 0 to 1; @p initialTokens repeats are available before the first request. */
+    explicit RetryBudget(double share, double initialTokens = maxTokens);
 
     /** Counts a first attempt. */
     void onRequest(absl::Time now);
--- a/src/SlotPool.cpp
+++ b/src/SlotPool.cpp
@@ -538,17 +538,18 @@
     }
 }
 
-std::optional<GrantId> SlotPool::nextSuspect() const
+std::optional<GrantId> SlotPool::nextSuspect(absl::Time now) const
 {
-    if (this->suspectLine.empty()) {
-        return std::nullopt;
-    }
-    const auto &[place, id] = *this->suspectLine.begin();
-    // A batch suspect takes a whole upstream, which online requests that wait need more.
-    if (place.first == wire::WORK_CLASS_BATCH && this->onlineQueue.size() > 0) {
-        return std::nullopt;
+    for (const auto &[place, id] : this->suspectLine) {
+        // A batch suspect takes a whole upstream, which online requests that wait need more.
+        if (place.first == wire::WORK_CLASS_BATCH && this->onlineQueue.size() > 0) {
+            return std::nullopt;
+        }
+        if (this->crashes.pauseOver(this->waiting.at(id).request.fingerprint, now)) {
+            return id;
+        }
     }
-    return id;
+    return std::nullopt;
 }
 
 // Requests that became suspect while they ran count too. Revokes them when they are batch work and @p online is set.
@@ -568,7 +569,7 @@
 
 void SlotPool::serveSuspect(absl::Time now)
 {
-    const std::optional<GrantId> next = this->nextSuspect();
+    const std::optional<GrantId> next = this->nextSuspect(now);
     if (!next.has_value() || this->suspectRunning(isOnline(this->waiting.at(*next).request), now)) {
         this->load.setDraining("");
         return;
--- a/src/SlotPool.h
+++ b/src/SlotPool.h
@@ -157,7 +157,7 @@
     void denyAllWithoutUpstream(absl::Time now);
     bool suspectRunning(bool online, absl::Time now);
     void serveSuspect(absl::Time now);
-    [[nodiscard]] std::optional<GrantId> nextSuspect() const;
+    [[nodiscard]] std::optional<GrantId> nextSuspect(absl::Time now) const;
     void serveOnline(absl::Time now);
     void serveBatch(absl::Time now);
     [[nodiscard]] bool batchAllowed(absl::Time now) const;
