Wire metrics, baseline routing and the phases of a planned stop into the host

- /metrics was empty: requests, first token, slot wait, retries, hedges, preemptions, members, generation, control bytes and store calls are now fed.
- A request for a slot that is no longer wanted is withdrawn within 100 ms; before, a cancelled batch item kept its thread until a slot was free.

--- a/src/Host.cpp
+++ b/src/Host.cpp
@@ -15,6 +15,7 @@
 constexpr int statusConflict = 409;
 constexpr int statusUnavailable = 503;
 constexpr absl::Duration connectTimeout = absl::Seconds(1);
+constexpr absl::Duration drainTickPeriod = absl::Milliseconds(50);
 // An online request may hold two attempts, the first and a hedge.
 constexpr std::size_t attemptsPerRequest = 2;
 
@@ -141,7 +142,7 @@
     this->context.catalogue = [this] { return this->config->catalogue(); };
     this->slots = std::make_unique<SlotService>(this->context);
     this->journal = std::make_unique<JournalService>(this->context);
-    const ExchangeParts parts{this->slots.get(), this->upstreams.get(), this->workers.get(), this->events.get(), &this->repeats};
+    const ExchangeParts parts{this->slots.get(), this->upstreams.get(), this->workers.get(), this->events.get(), &this->repeats, &this->metrics};
     this->requests = std::make_unique<RequestPath>(this->context, parts, *this->journal);
     this->batch = std::make_unique<BatchService>(
         this->context, [this](const JobHeader &job, const std::string &customId, const std::string &body, CallCancellation &cancellation) {
@@ -373,9 +374,21 @@
             {"batch", this->batch->statusJson()}};
 }
 
-std::string Host::metricsText() const
+std::string Host::metricsText()
 {
-    return "";
+    std::map<wire::MemberState, std::int64_t> counts;
+    for (const auto &[host, state] : this->membership->members()) {
+        ++counts[state];
+    }
+    for (const wire::MemberState state : {wire::MEMBER_STATE_ALIVE, wire::MEMBER_STATE_SUSPECT, wire::MEMBER_STATE_LEAVING, wire::MEMBER_STATE_DEAD}) {
+        this->metrics.setMembers(state, counts[state]);
+    }
+    const TransportCounts messages = this->transport->counts();
+    const StoreCallCounts calls = this->store->callCounts();
+    this->metrics.setGeneration(this->config->generation());
+    this->metrics.setControl({messages.messagesSent, messages.bytesSent, messages.messagesReceived, messages.bytesReceived});
+    this->metrics.setStore({calls.reads, calls.writes, calls.unanswered});
+    return this->metrics.text();
 }
 
 void Host::startDrain()
@@ -389,22 +402,44 @@
 
 void Host::drain()
 {
-    LOG(INFO) << "planned shutdown: leaving the entries";
-    this->events->record("drain-started", {});
-    this->membership->leave();
-    // Callers keep the answer of /v1/entries for its time to live and may still come until then.
-    const absl::Time lastCaller = absl::Now() + this->context.settings.entryTimeToLive;
-    this->batch->drain();
-    absl::SleepFor(lastCaller - absl::Now());
-    this->callers->stop();
-    this->journal->drain();
-    this->events->record("drain-finished", {});
+    this->events->record("drain-started", nlohmann::json::object());
+    Drain phases(DrainSettings{this->context.settings.entryTimeToLive});
+    std::vector<DrainAction> actions = phases.start(absl::Now());
+    while (true) {
+        for (const DrainAction action : actions) {
+            this->perform(action);
+        }
+        if (phases.phase() == DrainPhase::Finished) {
+            break;
+        }
+        absl::SleepFor(drainTickPeriod);
+        actions = phases.tick(absl::Now(), DrainLoad{this->callers->active(), 0});
+    }
+    this->events->record("drain-finished", nlohmann::json::object());
     LOG(INFO) << "planned shutdown: all requests have ended";
     const std::lock_guard<std::mutex> lock(this->drainMutex);
     this->drained = true;
     this->drainChanged.notify_all();
 }
 
+void Host::perform(DrainAction action)
+{
+    switch (action) {
+    case DrainAction::AnnounceLeaving:
+        LOG(INFO) << "planned shutdown: leaving the entries";
+        this->membership->leave();
+        return;
+    case DrainAction::HandOver:
+        this->batch->drain();
+        return;
+    case DrainAction::StopAccepting:
+        this->callers->stop();
+        return;
+    case DrainAction::Exit:
+        this->journal->drain();
+    }
+}
+
 void Host::waitUntilDrained()
 {
     std::unique_lock<std::mutex> lock(this->drainMutex);
--- a/src/Host.h
+++ b/src/Host.h
@@ -10,10 +10,12 @@
 #include "BatchService.h"
 #include "CallerServer.h"
 #include "ConfigService.h"
+#include "Drain.h"
 #include "EventLog.h"
 #include "HostContext.h"
 #include "JournalService.h"
 #include "MembershipService.h"
+#include "Metrics.h"
 #include "RepeatLimiter.h"
 #include "RequestPath.h"
 #include "SlotService.h"
@@ -52,6 +54,7 @@
     void receive(const wire::Envelope &envelope);
     void stamp(wire::Envelope &envelope);
     void drain();
+    void perform(DrainAction action);
 
     [[nodiscard]] nlohmann::json entries() const;
     [[nodiscard]] nlohmann::json models() const;
@@ -60,7 +63,7 @@
     [[nodiscard]] nlohmann::json status() const;
     nlohmann::json publish(const std::string &body);
     JobUpload openJob(const std::string &organisation, const std::string &service, const std::string &key, std::optional<absl::Duration> due);
-    [[nodiscard]] std::string metricsText() const;
+    [[nodiscard]] std::string metricsText();
 
     HostContext context;
     std::unique_ptr<EventLog> events;
@@ -69,6 +72,7 @@
     std::unique_ptr<UpstreamClient> upstreams;
     std::unique_ptr<WorkerPool> workers;
     RepeatLimiter repeats;
+    Metrics metrics;
     /** Messages are dropped until the services exist. */
     std::atomic<bool> receiving{false};
     std::unique_ptr<Transport> transport;
--- a/src/ModelAttempt.cpp
+++ b/src/ModelAttempt.cpp
@@ -6,6 +6,7 @@
 #include <absl/strings/str_cat.h>
 #include <absl/time/clock.h>
 
+#include "Metrics.h"
 #include "SseReader.h"
 
 namespace Bergamotramp {
@@ -30,11 +31,19 @@
 
     void run()
     {
+        const absl::Time asked = absl::Now();
+        const auto withdrawn = std::make_shared<std::atomic<bool>>(false);
+        SlotDemand demand = this->plan.demand;
+        demand.withdrawn = withdrawn;
+        if (!this->cancellation.attach([withdrawn] { *withdrawn = true; })) {
+            *withdrawn = true;
+        }
         // The holder may revoke from another thread while the call runs.
-        const auto held = this->parts.slots->acquire(this->plan.demand, [this] {
+        const auto held = this->parts.slots->acquire(demand, [this] {
             this->preempted = true;
             this->cancellation.cancel();
         });
+        this->cancellation.detach();
         if (const auto *denial = std::get_if<SlotDenial>(&held)) {
             AttemptEvent event = this->newEvent(AttemptEvent::Kind::Denied);
             event.denial = *denial;
@@ -43,6 +52,7 @@
         }
         this->ticket = std::get<SlotTicket>(held);
         this->start = absl::Now();
+        this->parts.metrics->slotWait(this->plan.demand.service, this->plan.demand.workClass, this->start - asked);
         const bool resumes = !this->plan.resumeId.empty() && this->plan.resumeUpstream == this->ticket.upstream;
         CallResult result = this->call(resumes);
         if (resumes && result.outcome == CallOutcome::Completed && result.status == statusConflict) {
@@ -107,6 +117,7 @@
         if (this->tokens == 0) {
             this->firstToken = absl::Now() - this->start;
             this->parts.repeats->recordFirstToken(this->plan.request.service, this->firstToken);
+            this->parts.metrics->firstToken(this->plan.demand.service, this->plan.demand.workClass, this->firstToken);
         }
         ++this->tokens;
         this->lastToken = absl::Now();
@@ -123,7 +134,11 @@
         if (result.outcome == CallOutcome::Completed && result.status == statusOk && !this->done) {
             result.outcome = CallOutcome::Broken;
         }
-        this->parts.slots->release(this->ticket, this->outcome(result, whole));
+        const SlotOutcome slotOutcome = this->outcome(result, whole);
+        if (slotOutcome.betweenTokens > absl::ZeroDuration()) {
+            this->parts.metrics->betweenTokens(this->plan.demand.service, this->plan.demand.workClass, slotOutcome.betweenTokens);
+        }
+        this->parts.slots->release(this->ticket, slotOutcome);
         AttemptEvent event = this->newEvent(whole ? AttemptEvent::Kind::Done : AttemptEvent::Kind::Ended);
         event.result = std::move(result);
         this->report(std::move(event));
--- a/src/ModelExchange.cpp
+++ b/src/ModelExchange.cpp
@@ -7,6 +7,7 @@
 #include <glog/logging.h>
 
 #include "EventLog.h"
+#include "Metrics.h"
 #include "ModelAttempt.h"
 #include "SlotTypes.h"
 
@@ -192,6 +193,7 @@
     if (!this->parts.repeats->takeHedge(this->request.service, absl::Now() - this->firstAttemptAt, this->request.deadline)) {
         return;
     }
+    this->parts.metrics->hedged(this->request.service.name);
     this->parts.events->record("hedge", {{"request", this->request.id}, {"service", this->request.service.name}});
     this->startAttempt(true);
 }
@@ -303,6 +305,7 @@
 void ModelExchange::restartPreempted(const AttemptEvent &event)
 {
     const std::shared_ptr<Attempt> previous = this->attempts[event.attempt];
+    this->parts.metrics->preempted(this->request.service.name);
     this->winner.reset();
     --this->counted;
     this->resumeFrom = previous;
@@ -324,6 +327,7 @@
     facts.budgetLeft = repeatable && this->parts.repeats->takeRetry(this->request.service, this->request.deadline);
     switch (judgeAttempt(facts)) {
     case AttemptVerdict::Retry:
+        this->parts.metrics->retried(this->request.service.name);
         this->startAttempt(false);
         return;
     case AttemptVerdict::Answer:
--- a/src/ModelExchange.h
+++ b/src/ModelExchange.h
@@ -24,6 +24,7 @@
 namespace Bergamotramp {
 
 class EventLog;
+class Metrics;
 
 /** One request to a model service, from the first attempt to the whole answer. */
 struct ModelRequest {
@@ -51,6 +52,7 @@
     WorkerPool *workers = nullptr;
     EventLog *events = nullptr;
     RepeatLimiter *repeats = nullptr;
+    Metrics *metrics = nullptr;
 };
 
 /** The caller's error for a request that got no slot. */
--- a/src/PlainExchange.cpp
+++ b/src/PlainExchange.cpp
@@ -6,6 +6,7 @@
 #include <absl/time/clock.h>
 
 #include "EventLog.h"
+#include "Metrics.h"
 
 namespace Bergamotramp {
 
@@ -41,6 +42,7 @@
                 return {result.status, result.contentType, std::move(result.body)};
             case AttemptVerdict::Retry:
                 this->recordFailure(ticket, result);
+                this->parts.metrics->retried(this->request.service.name);
                 this->excluded.push_back(ticket.upstream);
                 continue;
             case AttemptVerdict::FailNotRun:
--- a/src/RequestPath.cpp
+++ b/src/RequestPath.cpp
@@ -5,6 +5,7 @@
 #include <glog/logging.h>
 
 #include "EventLog.h"
+#include "Metrics.h"
 #include "RendezvousHash.h"
 #include "SseReader.h"
 
@@ -57,6 +58,19 @@
     return stableHash(stableHash(stableHash(service), target), body);
 }
 
+RequestEnding endingOf(const CallerError &error)
+{
+    switch (error.problem().state) {
+    case RunState::NotRun:
+        return RequestEnding::NotRun;
+    case RunState::Run:
+        return RequestEnding::Failed;
+    case RunState::Unknown:
+        break;
+    }
+    return RequestEnding::Unknown;
+}
+
 std::string lastEvent()
 {
     return sseFrame(sseEndMarker);
@@ -69,7 +83,12 @@
 {
 public:
     KeyedStream(ModelRequest request, const ExchangeParts &parts, JournalledRequest journalled, bool keyed)
-        : kind(request.kind), exchange(std::move(request), parts), journalled(std::move(journalled)), workers(parts.workers), keyed(keyed)
+        : service(request.service.name)
+        , exchange(std::move(request), parts)
+        , journalled(std::move(journalled))
+        , workers(parts.workers)
+        , metrics(parts.metrics)
+        , keyed(keyed)
     {
     }
 
@@ -120,18 +139,30 @@
     std::optional<std::string> nextEvent()
     {
         try {
-            return this->exchange.next();
+            std::optional<std::string> event = this->exchange.next();
+            if (!event) {
+                this->countEnd(RequestEnding::Completed);
+            }
+            return event;
         } catch (const CallerError &error) {
             this->failed = true;
+            this->countEnd(endingOf(error));
             this->journalled.abandon(error.problem().state);
             throw;
         }
     }
 
-    ModelInterface kind;
+    void countEnd(RequestEnding ending)
+    {
+        this->metrics->requestEnded(this->service, wire::WORK_CLASS_ONLINE, ending, absl::Now() - this->accepted);
+    }
+
+    std::string service;
+    absl::Time accepted = absl::Now();
     ModelExchange exchange;
     JournalledRequest journalled;
     WorkerPool *workers;
+    Metrics *metrics;
     bool keyed;
     bool finished = false;
     bool failed = false;
@@ -239,10 +270,17 @@
         return *standing;
     }
     plain.earlierMayHaveRun = journalled.earlierMayHaveRun();
+    const absl::Time accepted = absl::Now();
+    const auto countEnd = [&](RequestEnding ending) {
+        this->parts.metrics->requestEnded(plain.service.name, wire::WORK_CLASS_ONLINE, ending, absl::Now() - accepted);
+    };
     try {
         CallCancellation cancellation;
-        return journalled.finish(runPlainRequest(plain, this->parts, cancellation));
+        WholeAnswer answer = journalled.finish(runPlainRequest(plain, this->parts, cancellation));
+        countEnd(RequestEnding::Completed);
+        return answer;
     } catch (const CallerError &error) {
+        countEnd(endingOf(error));
         journalled.abandon(error.problem().state);
         throw;
     }
--- a/src/SlotService.h
+++ b/src/SlotService.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <atomic>
 #include <cstdint>
 #include <functional>
 #include <memory>
@@ -29,6 +30,8 @@
     std::vector<std::string> excludedUpstreams;
     /** Batch only: when the job is due. */
     absl::Time due = absl::InfiniteFuture();
+    /** Set by the caller when it no longer wants the slot; may be null. */
+    std::shared_ptr<const std::atomic<bool>> withdrawn;
 
     bool operator==(const SlotDemand &) const = default;
 };
--- a/src/SlotState.cpp
+++ b/src/SlotState.cpp
@@ -13,6 +13,7 @@
 
 namespace {
 
+constexpr absl::Duration withdrawalCheckPeriod = absl::Milliseconds(100);
 constexpr absl::Duration tickPeriod = absl::Milliseconds(100);
 constexpr absl::Duration reportPeriod = absl::Seconds(1);
 // A new holder first has to hear from the hosts, which report once a second, which slots are held.
@@ -71,6 +72,7 @@
     : context(context)
     , self(context.settings.name)
     , nextNumber(static_cast<std::uint64_t>(absl::ToUnixMicros(absl::Now())) << numberShift)
+    , baseline(context.settings.routing, stableHash(context.settings.name))
     , random(static_cast<std::minstd_rand::result_type>(stableHash(this->nextNumber, context.settings.name)))
 {
     this->refresh();
@@ -125,6 +127,9 @@
         return SlotDenial{SlotDenialCode::noUpstream, absl::Seconds(1)};
     }
     Lock lock(this->mutex);
+    if (this->context.settings.routing != RoutingMode::Pool) {
+        return this->acquireBaseline(regions, demand, revocation);
+    }
     if (demand.workClass == wire::WORK_CLASS_ONLINE && regions.size() > 1) {
         for (const std::string &region : regions) {
             const absl::Time until = std::min(demand.deadline, absl::Now() + spec.online.firstToken);
@@ -138,6 +143,34 @@
     return this->ask(lock, SlotDirectory::poolName(spec.name, regions.front()), demand, demand.deadline, revocation);
 }
 
+// Chooses by what this host sees and leaves all queueing to the engines; the baselines of measurements.
+SlotService::State::Answer SlotService::State::acquireBaseline(const std::vector<std::string> &regions,
+                                                               const SlotDemand &demand,
+                                                               const std::shared_ptr<Revocation> &revocation)
+{
+    std::vector<LocalLoad> loads;
+    std::vector<std::pair<std::string, UpstreamLoad::Choice>> choices;
+    for (const std::string &region : regions) {
+        const std::string poolName = SlotDirectory::poolName(demand.service, region);
+        const auto pool = this->pools.find(poolName);
+        if (pool == this->pools.end()) {
+            continue;
+        }
+        for (const auto &[name, entry] : pool->second.local.entries()) {
+            if (!entry.spec.leaving && !entry.removed) {
+                loads.push_back({name, entry.inFlight});
+                choices.emplace_back(poolName, UpstreamLoad::Choice{name, entry.spec.address, false});
+            }
+        }
+    }
+    const std::optional<std::size_t> chosen = this->baseline.choose(loads);
+    if (!chosen) {
+        return SlotDenial{SlotDenialCode::noUpstream, absl::Seconds(1)};
+    }
+    const auto &[poolName, choice] = choices[*chosen];
+    return this->hold(poolName, this->pools.at(poolName), demand, choice, this->nextNumber++, "", revocation);
+}
+
 SlotService::State::Answer SlotService::State::ask(
     Lock &lock, const std::string &poolName, const SlotDemand &demand, absl::Time until, const std::shared_ptr<Revocation> &revocation)
 {
@@ -215,7 +248,8 @@
             return AskEnd::Answered;
         }
         const absl::Time now = absl::Now();
-        if (now >= until) {
+        const bool unwanted = ask.demand.withdrawn && *ask.demand.withdrawn;
+        if (now >= until || unwanted) {
             return AskEnd::Expired;
         }
         if (ask.holderChanged) {
@@ -231,7 +265,8 @@
             this->sendAsk(lock, number, ask, until);
             continue;
         }
-        waitUntil(ask.changed, lock, std::min(until, limit));
+        // Without the bound, a withdrawn request would hold its thread until a slot is free.
+        waitUntil(ask.changed, lock, std::min({until, limit, now + withdrawalCheckPeriod}));
     }
 }
 
--- a/src/SlotState.h
+++ b/src/SlotState.h
@@ -18,6 +18,7 @@
 #include <absl/time/time.h>
 
 #include "CrashSuspects.h"
+#include "LocalRouting.h"
 #include "SlotDirectory.h"
 #include "SlotPool.h"
 #include "SlotService.h"
@@ -115,6 +116,7 @@
     void flushUnlocked(Lock &lock, Outbox &outbox);
 
     Answer acquireModel(const SlotDemand &demand, const ServiceSpec &spec, const std::shared_ptr<Revocation> &revocation);
+    Answer acquireBaseline(const std::vector<std::string> &regions, const SlotDemand &demand, const std::shared_ptr<Revocation> &revocation);
     Answer ask(Lock &lock, const std::string &poolName, const SlotDemand &demand, absl::Time until, const std::shared_ptr<Revocation> &revocation);
     std::optional<Answer> askOnce(Lock &lock, Pool &pool, const SlotDemand &demand, absl::Time until, const std::shared_ptr<Revocation> &revocation);
     void sendAsk(Lock &lock, std::uint64_t number, const Ask &ask, absl::Time until);
@@ -178,6 +180,7 @@
     std::map<std::string, absl::Time> lastHeard;
     std::map<std::string, absl::Time> lastUnanswered;
     std::uint64_t nextNumber;
+    LocalRouting baseline;
     std::minstd_rand random;
     absl::Time lastReport = absl::InfinitePast();
     std::uint64_t fallbacks = 0;
--- a/test/host/HostTest.cpp
+++ b/test/host/HostTest.cpp
@@ -139,6 +139,16 @@
     }
 }
 
+// Guards against metrics that exist but are fed by nothing.
+TEST_F(HostTest, metricsCountRequests)
+{
+    const nlohmann::json body = {{"model", "modelo"}, {"prompt", "count"}, {"max_tokens", 3}};
+    ASSERT_EQ(this->client(0).Post("/v1/completions", body.dump(), jsonType)->status, 200);
+    const httplib::Result metrics = httplib::Client("http://" + this->hosts[0]->adminAddress()).Get("/metrics");
+    ASSERT_TRUE(metrics);
+    EXPECT_NE(metrics->body.find("modelo"), std::string::npos) << metrics->body;
+}
+
 TEST_F(HostTest, streamEndsWithItsMarker)
 {
     const nlohmann::json body = {{"model", "modelo"}, {"messages", {{{"role", "user"}, {"content", "hello"}}}}, {"max_tokens", 5}, {"stream", true}};
