--- a/src/Host.cpp
+++ b/src/Host.cpp
@@ -5,6 +5,7 @@
 #include <glog/logging.h>
 
 #include "JsonReader.h"
+#include "MemberUpdate.h"
 
 namespace Bergamotramp {
 
@@ -44,20 +45,6 @@
     }
 }
 
-const char *memberStateName(wire::MemberState state)
-{
-    switch (state) {
-    case wire::MEMBER_STATE_ALIVE:
-        return "alive";
-    case wire::MEMBER_STATE_SUSPECT:
-        return "suspect";
-    case wire::MEMBER_STATE_LEAVING:
-        return "leaving";
-    default:
-        return "dead";
-    }
-}
-
 std::vector<ServiceSpec> readServices(const nlohmann::json &publication, std::uint64_t &baseGeneration)
 {
     try {
--- a/src/JobClient.cpp
+++ b/src/JobClient.cpp
@@ -54,17 +54,17 @@
 
 } // namespace
 
-bool JobStatus::ended() const
+bool JobReport::ended() const
 {
     return this->state == "completed" || this->state == "cancelled" || this->state == "failed" || this->state == "expired";
 }
 
-JobStatus JobStatus::fromJson(const nlohmann::json &json)
+JobReport JobReport::fromJson(const nlohmann::json &json)
 {
     if (!json.is_object()) {
         throw CliError(ExitCode::Failed, "the answer about the job is not an object");
     }
-    JobStatus status;
+    JobReport status;
     status.id = textOf(json, {"id"});
     status.state = textOf(json, {"state", "status"});
     const nlohmann::json counts = json.contains("request_counts") ? json["request_counts"] : json.value("counts", json);
@@ -77,7 +77,7 @@
     return status;
 }
 
-nlohmann::json JobStatus::toJson() const
+nlohmann::json JobReport::toJson() const
 {
     return {{"id", this->id}, {"state", this->state}, {"total", this->total}, {"completed", this->completed}, {"failed", this->failed}};
 }
@@ -86,7 +86,7 @@
 {
 }
 
-JobStatus JobClient::submit(const JobSubmission &submission)
+JobReport JobClient::submit(const JobSubmission &submission)
 {
     const std::string due = submission.dueSeconds > 0 ? absl::StrCat("&due_seconds=", submission.dueSeconds) : "";
     UpstreamCall call = this->callOf("POST", absl::StrCat(jobsPath, "?service=", percentEncode(submission.service), due));
@@ -94,18 +94,18 @@
     call.contentType = "application/jsonl";
     call.body = submission.body;
     call.silenceTimeout = submitTimeout;
-    return JobStatus::fromJson(jsonOf(this->hosts.call(call, true)));
+    return JobReport::fromJson(jsonOf(this->hosts.call(call, true)));
 }
 
-JobStatus JobClient::status(const std::string &id)
+JobReport JobClient::status(const std::string &id)
 {
-    return JobStatus::fromJson(jsonOf(this->hosts.call(this->callOf("GET", absl::StrCat(jobsPath, "/", percentEncode(id))), true)));
+    return JobReport::fromJson(jsonOf(this->hosts.call(this->callOf("GET", absl::StrCat(jobsPath, "/", percentEncode(id))), true)));
 }
 
-JobStatus JobClient::cancel(const std::string &id)
+JobReport JobClient::cancel(const std::string &id)
 {
     // Cancelling twice has the effect of cancelling once.
-    return JobStatus::fromJson(jsonOf(this->hosts.call(this->callOf("POST", absl::StrCat(jobsPath, "/", percentEncode(id), "/cancel")), true)));
+    return JobReport::fromJson(jsonOf(this->hosts.call(this->callOf("POST", absl::StrCat(jobsPath, "/", percentEncode(id), "/cancel")), true)));
 }
 
 std::string JobClient::results(const std::string &id)
--- a/src/JobClient.h
+++ b/src/JobClient.h
@@ -10,7 +10,7 @@
 namespace Bergamotramp {
 
 /** Progress of a batch job. */
-struct JobStatus {
+struct JobReport {
     std::string id;
     std::string state;
     std::int64_t total = 0;
@@ -20,10 +20,10 @@
     /** Whether the job changes no more. */
     [[nodiscard]] bool ended() const;
     /** Reads the answer of the caller interface; throws CliError when it has no id or state. */
-    static JobStatus fromJson(const nlohmann::json &json);
+    static JobReport fromJson(const nlohmann::json &json);
     [[nodiscard]] nlohmann::json toJson() const;
 
-    bool operator==(const JobStatus &) const = default;
+    bool operator==(const JobReport &) const = default;
 };
 
 struct JobSubmission {
@@ -42,9 +42,9 @@
     JobClient(HostClient &hosts, std::string organisation);
 
     /** The key makes the submission repeatable: on an unclear outcome it is sent to another entry. */
-    JobStatus submit(const JobSubmission &submission);
-    JobStatus status(const std::string &id);
-    JobStatus cancel(const std::string &id);
+    JobReport submit(const JobSubmission &submission);
+    JobReport status(const std::string &id);
+    JobReport cancel(const std::string &id);
     /** The result lines. */
     std::string results(const std::string &id);
     nlohmann::json list();
--- a/src/JobCommand.cpp
+++ b/src/JobCommand.cpp
@@ -31,7 +31,7 @@
     bool wait = false;
 };
 
-void showStatus(CommandContext &context, const JobStatus &status)
+void showStatus(CommandContext &context, const JobReport &status)
 {
     if (context.jsonOutput()) {
         context.out() << status.toJson().dump() << '\n';
@@ -40,7 +40,7 @@
     context.out() << status.id << "  " << status.state << "  " << status.completed << " completed, " << status.failed << " failed of " << status.total << '\n';
 }
 
-void drawProgress(CommandContext &context, const JobStatus &status)
+void drawProgress(CommandContext &context, const JobReport &status)
 {
     if (!context.environment().terminal || context.jsonOutput()) {
         return;
@@ -51,7 +51,7 @@
     context.out() << "\r[" << bar << "] " << finished << '/' << status.total << ' ' << status.state << "   " << std::flush;
 }
 
-JobStatus waitForEnd(CommandContext &context, JobClient &jobs, JobStatus status)
+JobReport waitForEnd(CommandContext &context, JobClient &jobs, JobReport status)
 {
     absl::Time lastAnswer = absl::Now();
     while (!status.ended()) {
@@ -74,7 +74,7 @@
     return status;
 }
 
-void finishWait(CommandContext &context, const JobStatus &status)
+void finishWait(CommandContext &context, const JobReport &status)
 {
     showStatus(context, status);
     if (status.state != "completed") {
@@ -93,7 +93,7 @@
         submission.key = contentDigest(submission.body);
     }
     JobClient jobs(context.entryClient(), options.organisation);
-    JobStatus status;
+    JobReport status;
     try {
         status = jobs.submit(submission);
     } catch (const CliError &error) {
@@ -112,7 +112,7 @@
 void status(CommandContext &context, const JobOptions &options)
 {
     JobClient jobs(context.entryClient(), options.organisation);
-    const JobStatus current = jobs.status(options.id);
+    const JobReport current = jobs.status(options.id);
     if (options.wait) {
         finishWait(context, waitForEnd(context, jobs, current));
     } else {
@@ -151,7 +151,7 @@
     }
     nlohmann::json rows = nlohmann::json::array();
     for (const nlohmann::json &job : listIn(answer, "data")) {
-        rows.push_back(JobStatus::fromJson(job).toJson());
+        rows.push_back(JobReport::fromJson(job).toJson());
     }
     context.out() << tableOf(rows, {"id", "state", "total", "completed", "failed"});
 }
--- a/src/JobObserver.cpp
+++ b/src/JobObserver.cpp
@@ -45,7 +45,7 @@
 {
     absl::SleepFor(loadStart + this->plan.job->submitAt - absl::Now());
     JobClient jobs(this->hosts, this->plan.job->organisation);
-    const JobStatus submitted = jobs.submit({this->plan.job->service, this->plan.run + "-job", this->lines});
+    const JobReport submitted = jobs.submit({this->plan.job->service, this->plan.run + "-job", this->lines});
     this->observation.id = submitted.id;
     this->observation.finalState = submitted.state;
     this->sampleUntil(submitted.id, loadStart);
@@ -60,7 +60,7 @@
     const absl::Time end = loadStart + this->plan.duration;
     for (bool ended = false; !ended && absl::Now() < end;) {
         try {
-            const JobStatus status = jobs.status(id);
+            const JobReport status = jobs.status(id);
             this->observation.samples.push_back({absl::ToDoubleSeconds(absl::Now() - loadStart), status.completed, status.failed});
             this->observation.finalState = status.state;
             ended = status.ended();
