Judge failed calls of model and plain services in one place

Both exchanges had their own copy of the rule that decides whether a broken call means a dead upstream, with the same probe and timeout; a change to one would have missed the other. failedSlotResult() serves both; behaviour is unchanged.

--- a/src/ModelAttempt.cpp
+++ b/src/ModelAttempt.cpp
@@ -15,7 +15,6 @@
 
 constexpr int statusOk = 200;
 constexpr int statusConflict = 409;
-constexpr absl::Duration probeTimeout = absl::Milliseconds(500);
 constexpr absl::Duration minSilenceTimeout = absl::Milliseconds(500);
 // A stream this many times slower than its objective is taken for a silent connection and probed.
 constexpr int silenceFactor = 10;
@@ -147,7 +146,7 @@
     SlotOutcome outcome(const CallResult &result, bool whole) const
     {
         SlotOutcome outcome{};
-        outcome.result = whole ? wire::SLOT_RESULT_COMPLETED : this->failure(result.outcome);
+        outcome.result = whole ? wire::SLOT_RESULT_COMPLETED : failedSlotResult(*this->parts.upstreams, this->ticket.address, result.outcome);
         outcome.firstToken = this->firstToken;
         outcome.tokens = this->tokens;
         if (this->tokens > 1) {
@@ -156,16 +155,6 @@
         return outcome;
     }
 
-    wire::SlotResult failure(CallOutcome outcome) const
-    {
-        if (outcome == CallOutcome::Cancelled) {
-            return wire::SLOT_RESULT_CANCELLED;
-        }
-        // Only a refused new connection shows a dead process; a cut or silent link must not make its requests suspect.
-        const bool died = outcome == CallOutcome::Broken && this->parts.upstreams->probe(this->ticket.address, probeTimeout) == ProbeResult::Refused;
-        return died ? wire::SLOT_RESULT_UPSTREAM_DIED : wire::SLOT_RESULT_FAILED;
-    }
-
     const AttemptPlan &plan;
     const ExchangeParts &parts;
     CallCancellation &cancellation;
--- a/src/ModelExchange.cpp
+++ b/src/ModelExchange.cpp
@@ -15,6 +15,7 @@
 
 namespace {
 
+constexpr absl::Duration probeTimeout = absl::Milliseconds(500);
 constexpr int statusUnprocessable = 422;
 constexpr int statusBadGateway = 502;
 constexpr int statusUnavailable = 503;
@@ -32,6 +33,16 @@
     return CallerError({statusUnavailable, denial.code, absl::StrCat("no slot for service ", service, ": ", denial.code), state, denial.retryAfter});
 }
 
+wire::SlotResult failedSlotResult(UpstreamClient &upstreams, const std::string &address, CallOutcome outcome)
+{
+    if (outcome == CallOutcome::Cancelled) {
+        return wire::SLOT_RESULT_CANCELLED;
+    }
+    // Only a refused new connection shows a dead process; a cut or silent link must not make its requests suspect.
+    const bool died = outcome == CallOutcome::Broken && upstreams.probe(address, probeTimeout) == ProbeResult::Refused;
+    return died ? wire::SLOT_RESULT_UPSTREAM_DIED : wire::SLOT_RESULT_FAILED;
+}
+
 /** Events of all attempts on their way to the pulling thread; outlives the exchange while attempts run. */
 struct ModelExchange::Channel {
     std::mutex mutex;
--- a/src/ModelExchange.h
+++ b/src/ModelExchange.h
@@ -58,6 +58,9 @@
 /** The caller's error for a request that got no slot. */
 CallerError denialError(const std::string &service, const SlotDenial &denial, bool mayHaveRun);
 
+/** What the slot's pool is told of a call that brought no answer; probes the upstream when the connection broke. */
+wire::SlotResult failedSlotResult(UpstreamClient &upstreams, const std::string &address, CallOutcome outcome);
+
 /** What an attempt tells the exchange. */
 struct AttemptEvent {
     enum class Kind {
--- a/src/PlainExchange.cpp
+++ b/src/PlainExchange.cpp
@@ -15,7 +15,6 @@
 constexpr int statusBadGateway = 502;
 constexpr int statusUnavailable = 503;
 constexpr int statusGatewayTimeout = 504;
-constexpr absl::Duration probeTimeout = absl::Milliseconds(500);
 constexpr absl::Duration minSilenceTimeout = absl::Milliseconds(500);
 // A call this many times slower than its objective is taken for a silent connection and probed.
 constexpr int silenceFactor = 10;
@@ -101,12 +100,7 @@
         if (result.outcome == CallOutcome::Completed) {
             return isRetryableStatus(result.status) ? wire::SLOT_RESULT_FAILED : wire::SLOT_RESULT_COMPLETED;
         }
-        if (result.outcome == CallOutcome::Cancelled) {
-            return wire::SLOT_RESULT_CANCELLED;
-        }
-        // Only a refused new connection shows a dead process; a cut or silent link must not make its requests suspect.
-        const bool died = result.outcome == CallOutcome::Broken && this->parts.upstreams->probe(ticket.address, probeTimeout) == ProbeResult::Refused;
-        return died ? wire::SLOT_RESULT_UPSTREAM_DIED : wire::SLOT_RESULT_FAILED;
+        return failedSlotResult(*this->parts.upstreams, ticket.address, result.outcome);
     }
 
     AttemptFacts facts(const CallResult &result)
