Show what the engines did in the batch measure

The pool finishes fewer batch items than the baseline with nearly the same slots. The table of measure 1 now has the tokens that the engines produced and the streams that were cancelled and resumed, so that work lost to preemption can be told from idle slots.

--- a/bench/fleet.py
+++ b/bench/fleet.py
@@ -235,9 +235,17 @@
         options = [option for address in addresses for option in ("--entry", address)]
         return json.loads(self.command("load", "--plan", path, "--output", "json", *(["--direct"] if direct else []), *options))
 
+    def engine_counters(self):
+        """Counters of all engines, added up."""
+        total = {}
+        for address in self.engines:
+            for key, value in json.loads(http("GET", address + "/control/counters")[1]).items():
+                total[key] = total.get(key, 0) + value
+        return total
+
     def running_streams(self):
         """Streams that run on all engines now."""
-        return sum(json.loads(http("GET", address + "/control/counters")[1])["running"] for address in self.engines)
+        return self.engine_counters()["running"]
 
     def wait_idle(self, seconds=15):
         deadline = time.monotonic() + seconds
--- a/bench/measures.py
+++ b/bench/measures.py
@@ -32,7 +32,7 @@
 
 
 class SlotSampler:
-    """Samples how many slots of all engines are in use while a load is measured."""
+    """Samples how many slots of all engines are in use while a load is measured, and what the engines did meanwhile."""
 
     def __init__(self, fleet, options, period=0.25):
         self.fleet = fleet
@@ -46,11 +46,11 @@
         start = time.monotonic()
         while not self.ending.wait(self.period):
             try:
-                running = self.fleet.running_streams()
+                counters = self.fleet.engine_counters()
             except (OSError, ValueError):
                 continue
             if self.window[0] <= time.monotonic() - start <= self.window[1]:
-                self.samples.append(running)
+                self.samples.append(counters)
 
     def __enter__(self):
         self.thread.start()
@@ -61,7 +61,18 @@
         self.thread.join()
 
     def share(self):
-        return sum(self.samples) / len(self.samples) / (SLOTS * len(self.fleet.engines)) if self.samples else 0.0
+        if not self.samples:
+            return 0.0
+        return sum(sample["running"] for sample in self.samples) / len(self.samples) / (SLOTS * len(self.fleet.engines))
+
+    def grown(self, counter):
+        """Growth of one counter a second."""
+        if len(self.samples) < 2:
+            return 0.0
+        return (self.samples[-1][counter] - self.samples[0][counter]) / (self.period * (len(self.samples) - 1))
+
+    def streams(self):
+        return {counter: self.grown(counter) for counter in ("tokens", "started", "finished", "cancelled", "resumed")}
 
 
 class EngineSlower:
@@ -146,7 +157,8 @@
         print(f"  job: {summary['job']['problem']}")
     free = 1 - steady["slots"]
     share = (slots.share() - steady["slots"]) / free
-    return {"items_per_s": summary["job"]["items_per_s"], "free_share": share, "off": steady, "on": figures(summary), "samples": summary["job"]["samples"]}
+    return {"items_per_s": summary["job"]["items_per_s"], "free_share": share, "off": steady, "on": figures(summary), "engines": slots.streams(),
+            "samples": summary["job"]["samples"]}
 
 
 def measure_stragglers(fleet, options, seed, steady):
@@ -188,9 +200,11 @@
         rows.append([variant, spread([run["items_per_s"] for run in runs]), spread([run["free_share"] for run in runs], 2)]
                     + [spread([run[side][key] for run in runs]) for key in ("first_p99", "answer_p99") for side in ("off", "on")]
                     + [spread([ratio(run["on"][key], run["off"][key]) for run in runs], 2) for key in ("first_p99", "answer_p99")]
+                    + [spread([run["engines"][key] for run in runs]) for key in ("tokens", "cancelled", "resumed")]
                     + [sum(run[side]["errors"] for run in runs for side in ("off", "on"))])
     print_table("1. Batch items/s against the online tail (ms)",
-                ["routing", "items/s", "free slots used", "first p99 off", "first p99 on", "answer p99 off", "answer p99 on", "first on/off", "answer on/off", "errors"], rows)
+                ["routing", "items/s", "free slots used", "first p99 off", "first p99 on", "answer p99 off", "answer p99 on", "first on/off", "answer on/off",
+                 "tokens/s", "streams cancelled/s", "resumed/s", "errors"], rows)
 
 
 def print_stragglers(variants, results):
