Convict a request only at its third crash and let suspects probe dead upstreams

The event logs of two reproduced runs show "quarantined" for the missing item: it was in flight on an engine that was killed, ran alone after its 500 ms pause, and its engine was killed again 0.6 s after the first kill. One crash alone can't be told from a restart from outside, so two crashes convicted an innocent item, which breaks the promise that an accepted item completes. Ruled out: attempts used up (maxAttempts 4, the item had 3).

Change: three crashes convict; after the second one the suspect pauses for 5 s, so that restarts in quick succession count less.

Also found by the changed test: when all upstreams had died and only suspects waited, nothing probed the upstreams and the suspects waited for ever. A suspect now probes an idle upstream when none is usable.

--- a/src/CrashSuspects.cpp
+++ b/src/CrashSuspects.cpp
@@ -4,12 +4,6 @@
 
 namespace Bergamotramp {
 
-namespace {
-
-constexpr std::uint32_t crashesToConvict = 2;
-
-} // namespace
-
 std::vector<std::pair<std::uint64_t, std::uint32_t>> CrashSuspects::crashed(std::vector<std::uint64_t> fingerprints, absl::Time now)
 {
     // Two copies on one upstream are one crash.
@@ -60,11 +54,12 @@
     return record != nullptr && record->crashes < crashesToConvict;
 }
 
-// Upstreams that die together, for example with their rack, would otherwise convict requests that moved from one to the other.
+// A crash says nothing about its cause: upstreams also die with their rack, or are restarted several times in a row. With
+// two crashes to convict and the short pause only, two restarts within 0.6 s convicted an innocent batch item.
 bool CrashSuspects::pauseOver(std::uint64_t fingerprint, absl::Time now) const
 {
     const Record *record = this->find(fingerprint, now);
-    return record == nullptr || now - record->lastCrash >= suspectPause;
+    return record == nullptr || now - record->lastCrash >= (record->crashes > 1 ? repeatedSuspectPause : suspectPause);
 }
 
 bool CrashSuspects::convicted(std::uint64_t fingerprint, absl::Time now) const
--- a/src/CrashSuspects.h
+++ b/src/CrashSuspects.h
@@ -12,17 +12,20 @@
 namespace Bergamotramp {
 
 /**
- * Fingerprints of requests that were in flight when an upstream of one service died. One crash makes a suspect, a second
- * one convicts it. Fingerprint 0 stands for an unknown request and is ignored.
+ * Fingerprints of requests that were in flight when an upstream of one service died. The first crash makes a suspect, the
+ * one numbered crashesToConvict convicts it. Fingerprint 0 stands for an unknown request and is ignored.
  */
 class CrashSuspects
 {
 public:
     /** Fingerprints kept at once; the one whose last crash is oldest is dropped first, a suspect before a convicted one. */
     static constexpr std::size_t maxFingerprints = 8192;
+    static constexpr std::uint32_t crashesToConvict = 3;
     static constexpr absl::Duration suspectLifetime = absl::Minutes(10);
-    /** A suspect runs again only this long after its crash. */
+    /** A suspect runs again only this long after its first crash. */
     static constexpr absl::Duration suspectPause = absl::Milliseconds(500);
+    /** The same after any later crash. */
+    static constexpr absl::Duration repeatedSuspectPause = absl::Seconds(5);
     static constexpr absl::Duration convictionLifetime = absl::Hours(24);
 
     /** Counts one crash against each of @p fingerprints and returns them with their new counts. */
--- a/src/ModelExchange.cpp
+++ b/src/ModelExchange.cpp
@@ -28,7 +28,7 @@
 {
     const RunState state = mayHaveRun ? RunState::Unknown : RunState::NotRun;
     if (denial.code == SlotDenialCode::quarantined) {
-        return CallerError({statusUnprocessable, "quarantined", "requests like this one crashed two upstreams; it is not run again", state});
+        return CallerError({statusUnprocessable, "quarantined", "requests like this one crashed several upstreams; it is not run again", state});
     }
     return CallerError({statusUnavailable, denial.code, absl::StrCat("no slot for service ", service, ": ", denial.code), state, denial.retryAfter});
 }
--- a/src/SlotPool.cpp
+++ b/src/SlotPool.cpp
@@ -574,7 +574,7 @@
         this->load.setDraining("");
         return;
     }
-    const std::optional<UpstreamLoad::Choice> idle = this->load.chooseIdle();
+    const std::optional<UpstreamLoad::Choice> idle = this->load.chooseIdle(this->waiting.at(*next).request.workClass, now);
     if (idle.has_value()) {
         this->load.setDraining("");
         this->detach(*next);
--- a/src/SlotTypes.h
+++ b/src/SlotTypes.h
@@ -119,7 +119,7 @@
 inline constexpr const char *overloaded = "overloaded";
 /** The pool has no upstream that takes work. */
 inline constexpr const char *noUpstream = "no_upstream";
-/** The request crashed two upstreams. */
+/** The request crashed CrashSuspects::crashesToConvict upstreams. */
 inline constexpr const char *quarantined = "quarantined";
 } // namespace SlotDenialCode
 
--- a/src/UpstreamLoad.cpp
+++ b/src/UpstreamLoad.cpp
@@ -139,13 +139,22 @@
     return std::nullopt;
 }
 
-std::optional<UpstreamLoad::Choice> UpstreamLoad::chooseIdle() const
+// Without the probe, suspects that are the only waiting requests would wait for ever after all upstreams died.
+std::optional<UpstreamLoad::Choice> UpstreamLoad::chooseIdle(wire::WorkClass workClass, absl::Time now) const
 {
     for (const auto &[name, entry] : this->upstreams) {
         if (takesWork(entry) && !entry.isolated && entry.inFlight == 0 && entry.spec.slots > 0 && !this->scores.ejected(name)) {
             return Choice{entry.spec.name, entry.spec.address, false};
         }
     }
+    if (this->anyUsable({})) {
+        return std::nullopt;
+    }
+    for (const auto &[name, entry] : this->upstreams) {
+        if (entry.inFlight == 0 && this->probeDue(entry, workClass, now)) {
+            return Choice{entry.spec.name, entry.spec.address, true};
+        }
+    }
     return std::nullopt;
 }
 
--- a/src/UpstreamLoad.h
+++ b/src/UpstreamLoad.h
@@ -52,8 +52,8 @@
     /** As choose(), but the better one of two upstreams that the random numbers select. */
     [[nodiscard]] std::optional<Choice> chooseOfTwo(
         wire::WorkClass workClass, const std::vector<std::string> &excluded, std::uint64_t firstRandom, std::uint64_t secondRandom, absl::Time now) const;
-    /** An idle upstream for a request that has to run alone. */
-    [[nodiscard]] std::optional<Choice> chooseIdle() const;
+    /** An idle upstream for a request that has to run alone; while no upstream is usable, one whose probe is due. */
+    [[nodiscard]] std::optional<Choice> chooseIdle(wire::WorkClass workClass, absl::Time now) const;
     /** The upstream that is emptied soonest; the one already being drained is kept. */
     [[nodiscard]] std::optional<std::string> chooseToDrain() const;
 
