Overtake running streams on slowed engines

Answers that were running when their engine slowed stayed there to the end, because hedging ended with the first token.

Change: StreamPace follows the last five tokens of a stream. When the time per token exceeds 2.5 times the median of the service, and a new attempt is expected to end clearly earlier, a second attempt starts on another engine and takes over once it has sent more than the caller already has. Both kinds of hedge share the budget, and avoid the engine of the running attempt; until now a hedge could go to the same engine. An attempt whose text differs is dropped.

--- a/src/HedgePolicy.cpp
+++ b/src/HedgePolicy.cpp
@@ -1,7 +1,6 @@
 #include "HedgePolicy.h"
 
 #include <algorithm>
-#include <cmath>
 
 namespace Bergamotramp {
 
@@ -9,18 +8,11 @@
 
 // Hedges only shorten the tail, so that a new service may start with few.
 constexpr double initialHedges = 3.0;
-constexpr absl::Duration firstBucket = absl::Microseconds(100);
-// 128 buckets of this ratio reach from 0.1 ms to over 10 minutes with an error of at most 13%.
-constexpr double bucketRatio = 1.13;
-constexpr std::uint32_t minSamples = 50;
-// Halving the counts at this limit lets the percentile follow the last few thousand requests.
-constexpr std::uint32_t maxSamples = 4000;
-
-std::size_t bucketOf(absl::Duration value, std::size_t count)
-{
-    const double ratio = std::max(1.0, absl::FDivDuration(value, firstBucket));
-    return std::min(count - 1, static_cast<std::size_t>(std::log(ratio) / std::log(bucketRatio)));
-}
+constexpr double medianPercentile = 0.5;
+// The same ratio ejects an upstream in LatencyScore; ordinary batching varies the interval less.
+constexpr double slowRatio = 2.5;
+// A second attempt must be expected to end clearly earlier, because it takes a slot from other requests.
+constexpr double overtakeMargin = 1.2;
 
 } // namespace
 
@@ -35,30 +27,23 @@
 
 void HedgePolicy::record(absl::Duration firstToken)
 {
-    ++this->buckets.at(bucketOf(firstToken, bucketCount));
-    if (++this->samples < maxSamples) {
-        return;
-    }
-    this->samples = 0;
-    for (std::uint32_t &count : this->buckets) {
-        count /= 2;
-        this->samples += count;
-    }
+    this->firstTokens.record(firstToken);
+}
+
+void HedgePolicy::recordInterval(absl::Duration betweenTokens)
+{
+    this->intervals.record(betweenTokens);
 }
 
 std::optional<absl::Duration> HedgePolicy::delay() const
 {
-    if (this->samples < minSamples) {
-        return std::nullopt;
-    }
-    const double wanted = this->percentile * this->samples;
-    double seen = 0.0;
-    std::size_t index = 0;
-    while (index + 1 < bucketCount && seen + this->buckets.at(index) < wanted) {
-        seen += this->buckets.at(index);
-        ++index;
-    }
-    return firstBucket * std::pow(bucketRatio, static_cast<double>(index + 1));
+    return this->firstTokens.percentile(this->percentile);
+}
+
+std::optional<absl::Duration> HedgePolicy::slowInterval() const
+{
+    const std::optional<absl::Duration> typical = this->intervals.percentile(medianPercentile);
+    return typical.has_value() ? std::optional<absl::Duration>(*typical * slowRatio) : std::nullopt;
 }
 
 bool HedgePolicy::tryHedge(bool idempotent, absl::Duration waited, absl::Time now, absl::Time deadline)
@@ -67,4 +52,18 @@
     return idempotent && after.has_value() && waited >= *after && this->budget.tryRepeat(now, deadline);
 }
 
+bool HedgePolicy::tryOvertake(const StreamProgress &stream, absl::Time now, absl::Time deadline)
+{
+    const std::optional<absl::Duration> typical = this->intervals.percentile(medianPercentile);
+    const std::optional<absl::Duration> firstToken = this->firstTokens.percentile(medianPercentile);
+    if (!typical.has_value() || !firstToken.has_value() || stream.interval < *typical * slowRatio) {
+        return false;
+    }
+    // An answer of unknown length is expected to be half done.
+    const std::uint32_t whole = std::max(stream.expectedTokens == 0 ? 2 * stream.tokens : stream.expectedTokens, stream.tokens + 1);
+    const absl::Duration remaining = stream.interval * (whole - stream.tokens);
+    const absl::Duration again = *firstToken + *typical * whole;
+    return remaining > again * overtakeMargin && this->budget.tryRepeat(now, deadline);
+}
+
 } // namespace Bergamotramp
--- a/src/ModelAttempt.cpp
+++ b/src/ModelAttempt.cpp
@@ -8,6 +8,7 @@
 
 #include "Metrics.h"
 #include "SseReader.h"
+#include "StreamPace.h"
 
 namespace Bergamotramp {
 
@@ -52,6 +53,7 @@
         this->ticket = std::get<SlotTicket>(held);
         this->start = absl::Now();
         this->parts.metrics->slotWait(this->plan.demand.service, this->plan.demand.workClass, this->start - asked);
+        this->report(this->newEvent(AttemptEvent::Kind::Started));
         const bool resumes = !this->plan.resumeId.empty() && this->plan.resumeUpstream == this->ticket.upstream;
         CallResult result = this->call(resumes);
         if (resumes && result.outcome == CallOutcome::Completed && result.status == statusConflict) {
@@ -120,8 +122,10 @@
         }
         ++this->tokens;
         this->lastToken = absl::Now();
+        this->pace.onToken(this->lastToken);
         this->parts.slots->progress(this->ticket, this->tokens);
         AttemptEvent event = this->newEvent(AttemptEvent::Kind::Data);
+        event.at = this->lastToken;
         event.data = std::string(data);
         event.resumed = resumed;
         this->report(std::move(event));
@@ -152,6 +156,12 @@
         if (this->tokens > 1) {
             outcome.betweenTokens = (this->lastToken - this->start - this->firstToken) / (this->tokens - 1);
         }
+        if (whole && this->tokens > 1) {
+            this->parts.repeats->recordInterval(this->plan.request.service, outcome.betweenTokens);
+        } else if (outcome.result == wire::SLOT_RESULT_CANCELLED && this->tokens > 1) {
+            // A stream that was overtaken tells how slow the upstream is now, not over the stream's whole time.
+            outcome.betweenTokens = this->pace.interval(this->lastToken);
+        }
         return outcome;
     }
 
@@ -164,6 +174,7 @@
     absl::Time lastToken;
     absl::Duration firstToken = absl::ZeroDuration();
     std::uint32_t tokens = 0;
+    StreamPace pace;
     bool done = false;
     std::atomic<bool> preempted{false};
 };
--- a/src/ModelExchange.cpp
+++ b/src/ModelExchange.cpp
@@ -101,16 +101,25 @@
         const std::optional<AttemptEvent> event = this->waitForEvent();
         if (!event) {
             this->maybeHedge();
+            this->maybeOvertake();
             continue;
         }
-        if (event->kind == AttemptEvent::Kind::Data) {
-            std::optional<std::string> data = this->takeData(*event);
-            if (data) {
-                return data;
-            }
-            continue;
+        std::optional<std::string> data = this->takeEvent(*event);
+        if (data) {
+            return data;
         }
-        this->finishWith(*event);
+    }
+    return std::nullopt;
+}
+
+std::optional<std::string> ModelExchange::takeEvent(const AttemptEvent &event)
+{
+    this->attempts[event.attempt]->upstream = event.upstream;
+    if (event.kind == AttemptEvent::Kind::Data) {
+        return this->takeData(event);
+    }
+    if (event.kind != AttemptEvent::Kind::Started) {
+        this->finishWith(event);
     }
     return std::nullopt;
 }
@@ -131,6 +140,11 @@
     plan.demand.fingerprint = this->request.fingerprint;
     plan.demand.expectedTokens = this->request.body.value("max_tokens", 0U);
     plan.demand.excludedUpstreams = this->excluded;
+    for (const std::shared_ptr<Attempt> &other : this->attempts) {
+        if (other->running && !other->upstream.empty()) {
+            plan.demand.excludedUpstreams.push_back(other->upstream);
+        }
+    }
     if (this->resumeFrom) {
         plan.resumeId = this->resumeFrom->plan.id;
         plan.resumeUpstream = this->resumeFrom->upstream;
@@ -157,7 +171,8 @@
 absl::Duration ModelExchange::nextWakeUp() const
 {
     const bool mayHedge = !this->winner && this->attempts.size() == 1;
-    return std::min(this->request.deadline, mayHedge ? this->hedgeAt : absl::InfiniteFuture()) - absl::Now();
+    const absl::Time overtakeAt = this->mayOvertake() ? this->slowAt : absl::InfiniteFuture();
+    return std::min({this->request.deadline, mayHedge ? this->hedgeAt : absl::InfiniteFuture(), overtakeAt}) - absl::Now();
 }
 
 std::optional<AttemptEvent> ModelExchange::waitForEvent()
@@ -204,8 +219,38 @@
     if (!this->parts.repeats->takeHedge(this->request.service, absl::Now() - this->firstAttemptAt, this->request.deadline)) {
         return;
     }
+    this->startHedge("no first token");
+}
+
+bool ModelExchange::mayOvertake() const
+{
+    return this->winner && !this->overtakeTried && this->request.workClass == wire::WORK_CLASS_ONLINE && !this->othersRunning(*this->winner);
+}
+
+// Answers that started on an upstream before it slowed would otherwise stay there to the end.
+void ModelExchange::maybeOvertake()
+{
+    const absl::Time now = absl::Now();
+    if (!this->mayOvertake() || now < this->slowAt) {
+        return;
+    }
+    StreamProgress progress;
+    progress.tokens = this->pace.tokens();
+    progress.expectedTokens = this->request.body.value("max_tokens", 0U);
+    progress.interval = this->pace.interval(now);
+    this->overtakeTried = this->parts.repeats->takeOvertake(this->request.service, progress, this->request.deadline);
+    if (this->overtakeTried) {
+        this->startHedge("slow stream");
+    } else {
+        // A further wait or further tokens can change the answer.
+        this->slowAt = now + progress.interval;
+    }
+}
+
+void ModelExchange::startHedge(const char *reason)
+{
     this->parts.metrics->hedged(this->request.service.name);
-    this->parts.events->record("hedge", {{"request", this->request.id}, {"service", this->request.service.name}});
+    this->parts.events->record("hedge", {{"request", this->request.id}, {"service", this->request.service.name}, {"reason", reason}});
     this->startAttempt(true);
 }
 
@@ -216,20 +261,20 @@
     if (!attempt.running) {
         return std::nullopt;
     }
-    if (!this->winner) {
-        this->winner = event.attempt;
-        this->cancelOthers(event.attempt);
-    }
-    if (*this->winner != event.attempt) {
-        return std::nullopt;
-    }
-    attempt.upstream = event.upstream;
     if (event.resumed && attempt.tokens == 0) {
         attempt.position = this->forwarded.text().size();
         attempt.tokens = attempt.plan.resumeTokens;
     }
     ++attempt.tokens;
     try {
+        if (this->winner && *this->winner != event.attempt) {
+            return this->takeCatchUp(event);
+        }
+        if (!this->winner) {
+            this->becomeWinner(event);
+        }
+        this->pace.onToken(event.at);
+        this->slowAt = this->pace.exceeds(this->parts.repeats->slowInterval(this->request.service));
         return this->forwardRemainder(attempt, event.data);
     } catch (const nlohmann::json::exception &error) {
         LOG(WARNING) << "request " << this->request.id << ": upstream " << event.upstream << " sent an unusable event: " << error.what();
@@ -237,6 +282,37 @@
     }
 }
 
+void ModelExchange::becomeWinner(const AttemptEvent &event)
+{
+    this->winner = event.attempt;
+    this->pace = StreamPace();
+    this->cancelOthers(event.attempt);
+}
+
+// A second attempt started while the winner was slow. It takes over once it has sent more than the caller already has.
+std::optional<std::string> ModelExchange::takeCatchUp(const AttemptEvent &event)
+{
+    Attempt &attempt = *this->attempts[event.attempt];
+    const std::string text = ModelAnswer::textOf(this->request.kind, event.data);
+    const std::string &sent = this->forwarded.text();
+    const std::size_t overlap = std::min(text.size(), sent.size() - attempt.position);
+    if (sent.compare(attempt.position, overlap, text, 0, overlap) != 0) {
+        // An engine that samples gives another text; only the first attempt can complete such an answer.
+        attempt.running = false;
+        attempt.cancellation.cancel();
+        return std::nullopt;
+    }
+    if (overlap == text.size() && !text.empty()) {
+        attempt.position += overlap;
+        return std::nullopt;
+    }
+    if (attempt.position + overlap < sent.size()) {
+        return std::nullopt;
+    }
+    this->becomeWinner(event);
+    return this->forwardRemainder(attempt, event.data);
+}
+
 std::optional<std::string> ModelExchange::forwardRemainder(Attempt &attempt, const std::string &data)
 {
     const std::string text = ModelAnswer::textOf(this->request.kind, data);
@@ -266,14 +342,13 @@
     Attempt &attempt = *this->attempts[event.attempt];
     const bool wasRunning = attempt.running;
     attempt.running = false;
-    attempt.upstream = event.upstream;
     if (!wasRunning) {
         return;
     }
     switch (event.kind) {
     case AttemptEvent::Kind::Done:
         this->mayHaveRun = true;
-        if (!this->winner || *this->winner == event.attempt) {
+        if (!this->winner || *this->winner == event.attempt || attempt.position == this->forwarded.text().size()) {
             this->cancelOthers(event.attempt);
             this->complete = true;
         }
--- a/src/ModelExchange.h
+++ b/src/ModelExchange.h
@@ -18,6 +18,7 @@
 #include "RepeatLimiter.h"
 #include "ServiceSpec.h"
 #include "SlotService.h"
+#include "StreamPace.h"
 #include "UpstreamClient.h"
 #include "WorkerPool.h"
 
@@ -78,6 +79,8 @@
 
     std::size_t attempt = 0;
     Kind kind = Kind::Ended;
+    /** Data: when it arrived, whenever it is pulled. */
+    absl::Time at;
     std::string data;
     CallResult result;
     SlotDenial denial;
@@ -114,7 +117,10 @@
 
     void startAttempt(bool hedge);
     [[nodiscard]] std::optional<AttemptEvent> waitForEvent();
+    std::optional<std::string> takeEvent(const AttemptEvent &event);
     std::optional<std::string> takeData(const AttemptEvent &event);
+    std::optional<std::string> takeCatchUp(const AttemptEvent &event);
+    void becomeWinner(const AttemptEvent &event);
     std::optional<std::string> forwardRemainder(Attempt &attempt, const std::string &data);
     void finishWith(const AttemptEvent &event);
     void handleEnd(const AttemptEvent &event);
@@ -122,8 +128,11 @@
     void restartPreempted(const AttemptEvent &event);
     void decideAfter(const AttemptEvent &event, CallOutcome outcome);
     void maybeHedge();
+    void maybeOvertake();
+    void startHedge(const char *reason);
     [[noreturn]] void failAtDeadline();
     [[nodiscard]] bool othersRunning(std::size_t attempt) const;
+    [[nodiscard]] bool mayOvertake() const;
     [[nodiscard]] absl::Duration nextWakeUp() const;
     void cancelOthers(std::size_t winner);
     void recordEvent(const char *name, const AttemptEvent &event) const;
@@ -139,6 +148,11 @@
     std::vector<std::string> excluded;
     absl::Time firstAttemptAt;
     absl::Time hedgeAt = absl::InfiniteFuture();
+    /** Speed of the winner's stream. */
+    StreamPace pace;
+    /** When the winner's stream counts as slow unless a token arrives. */
+    absl::Time slowAt = absl::InfiniteFuture();
+    bool overtakeTried = false;
     /** Attempts that count against the limit; preempted and denied ones don't. */
     std::int64_t counted = 0;
     bool complete = false;
--- a/src/RepeatLimiter.cpp
+++ b/src/RepeatLimiter.cpp
@@ -40,6 +40,24 @@
     return this->budgetsOf(service).hedges.tryHedge(true, waited, absl::Now(), deadline);
 }
 
+absl::Duration RepeatLimiter::slowInterval(const ServiceSpec &service)
+{
+    const std::lock_guard<std::mutex> lock(this->mutex);
+    return this->budgetsOf(service).hedges.slowInterval().value_or(absl::InfiniteDuration());
+}
+
+bool RepeatLimiter::takeOvertake(const ServiceSpec &service, const StreamProgress &stream, absl::Time deadline)
+{
+    const std::lock_guard<std::mutex> lock(this->mutex);
+    return this->budgetsOf(service).hedges.tryOvertake(stream, absl::Now(), deadline);
+}
+
+void RepeatLimiter::recordInterval(const ServiceSpec &service, absl::Duration betweenTokens)
+{
+    const std::lock_guard<std::mutex> lock(this->mutex);
+    this->budgetsOf(service).hedges.recordInterval(betweenTokens);
+}
+
 void RepeatLimiter::recordFirstToken(const ServiceSpec &service, absl::Duration firstToken)
 {
     const std::lock_guard<std::mutex> lock(this->mutex);
--- a/src/RepeatLimiter.h
+++ b/src/RepeatLimiter.h
@@ -25,8 +25,14 @@
     absl::Duration hedgeDelay(const ServiceSpec &service);
     /** Takes one hedge from the budget for an idempotent request that has waited @p waited. */
     bool takeHedge(const ServiceSpec &service, absl::Duration waited, absl::Time deadline);
+    /** Time per token from which a running stream counts as slow; infinite when none is known. */
+    absl::Duration slowInterval(const ServiceSpec &service);
+    /** Takes one hedge from the budget when a second attempt is likely to overtake a slow stream. */
+    bool takeOvertake(const ServiceSpec &service, const StreamProgress &stream, absl::Time deadline);
     /** Takes in the time to first token of an attempt. */
     void recordFirstToken(const ServiceSpec &service, absl::Duration firstToken);
+    /** Takes in the mean time between tokens of a whole answer. */
+    void recordInterval(const ServiceSpec &service, absl::Duration betweenTokens);
 
 private:
     struct Budgets {
--- a/test/core/SlotPoliciesTest.cpp
+++ b/test/core/SlotPoliciesTest.cpp
@@ -97,6 +97,30 @@
     EXPECT_TRUE(policy.tryHedge(true, absl::Seconds(1), start, start + longestDelay));
 }
 
+// Guards against second attempts that can't win, and against more of them than the budget allows.
+TEST(HedgePolicyTest, overtakesOnlyStreamsThatEndLaterThanANewAttempt)
+{
+    HedgePolicy policy(RepeatLimits{});
+    const auto slow = [](std::uint32_t tokens) { return StreamProgress{tokens, 64, absl::Milliseconds(50)}; };
+    EXPECT_FALSE(policy.slowInterval().has_value());
+    EXPECT_FALSE(policy.tryOvertake(slow(5), start, start + longestDelay)) << "nothing is learnt yet";
+    for (int request = 0; request < 100; ++request) {
+        policy.record(absl::Milliseconds(20));
+        policy.recordInterval(absl::Milliseconds(10));
+    }
+    ASSERT_TRUE(policy.slowInterval().has_value());
+    EXPECT_GE(*policy.slowInterval(), absl::Milliseconds(25));
+    EXPECT_LE(*policy.slowInterval(), absl::Milliseconds(29));
+    EXPECT_FALSE(policy.tryOvertake({5, 64, absl::Milliseconds(15)}, start, start + longestDelay)) << "not slow";
+    EXPECT_FALSE(policy.tryOvertake(slow(60), start, start + longestDelay)) << "nearly done";
+    EXPECT_FALSE(policy.tryOvertake(slow(5), start, start)) << "no time left";
+    int granted = 0;
+    for (int request = 0; request < 10; ++request) {
+        granted += policy.tryOvertake(slow(5), start, start + longestDelay) ? 1 : 0;
+    }
+    EXPECT_EQ(granted, 3) << "the budget of a new service";
+}
+
 TEST(RateLimitTest, remoteUseCounts)
 {
     RateLimit limit(1.0, 3.0);
--- /dev/null
+++ b/test/core/StreamPaceTest.cpp
@@ -0,0 +1,57 @@
+#include "StreamPace.h"
+
+#include <gtest/gtest.h>
+
+namespace Bergamotramp {
+
+namespace {
+
+const absl::Time start = absl::FromUnixSeconds(1'000'000);
+constexpr absl::Duration step = absl::Milliseconds(10);
+
+StreamPace steadyPace(int tokens)
+{
+    StreamPace pace;
+    for (int token = 0; token < tokens; ++token) {
+        pace.onToken(start + token * step);
+    }
+    return pace;
+}
+
+// Guards against a stream that counts as slow before anything is known of it.
+TEST(StreamPaceTest, knowsNothingBeforeTheFirstToken)
+{
+    const StreamPace pace;
+    EXPECT_EQ(pace.interval(start), absl::ZeroDuration());
+    EXPECT_EQ(pace.exceeds(step), absl::InfiniteFuture());
+}
+
+// Guards against a stream that stopped, and therefore sends no token that could show it.
+TEST(StreamPaceTest, waitForTheNextTokenCounts)
+{
+    const StreamPace pace = steadyPace(20);
+    const absl::Time last = start + 19 * step;
+    EXPECT_EQ(pace.interval(last), step);
+    const absl::Time slowAt = pace.exceeds(2 * step);
+    EXPECT_GT(slowAt, last);
+    EXPECT_LE(pace.interval(slowAt), 2 * step);
+    EXPECT_GT(pace.interval(slowAt + absl::Milliseconds(1)), 2 * step);
+}
+
+// Guards against a long fast start that hides a slowdown.
+TEST(StreamPaceTest, onlyTheLastTokensCount)
+{
+    StreamPace pace = steadyPace(1000);
+    absl::Time now = start + 999 * step;
+    for (int token = 0; token < 5; ++token) {
+        now += 5 * step;
+        pace.onToken(now);
+    }
+    EXPECT_EQ(pace.interval(now), 5 * step);
+    EXPECT_EQ(pace.exceeds(2 * step), now);
+    EXPECT_EQ(pace.tokens(), 1005U);
+}
+
+} // namespace
+
+} // namespace Bergamotramp
--- a/test/host/HostTest.cpp
+++ b/test/host/HostTest.cpp
@@ -139,6 +139,32 @@
     }
 }
 
+// Guards against an answer that stays on an engine that slowed after the answer began, and against a wrong text when a
+// second attempt takes over.
+TEST_F(HostTest, streamOnASlowedEngineIsOvertaken)
+{
+    const auto body = [](const std::string &prompt, int tokens) {
+        return nlohmann::json({{"model", "modelo"}, {"prompt", prompt}, {"max_tokens", tokens}}).dump();
+    };
+    // The host learns the usual speed first.
+    for (int request = 0; request < 60; ++request) {
+        ASSERT_EQ(this->client(0).Post("/v1/completions", body("learn " + std::to_string(request), 4), jsonType)->status, 200);
+    }
+    constexpr int tokens = 400;
+    std::thread call([this, &body] {
+        const httplib::Result result = this->client(0).Post("/v1/completions", body("long", tokens), jsonType);
+        ASSERT_TRUE(result);
+        ASSERT_EQ(result->status, 200) << result->body;
+        EXPECT_EQ(nlohmann::json::parse(result->body).at("choices").at(0).at("text"), standinAnswer("long", tokens));
+    });
+    const auto running = [this](StandinEngine &engine) { return engine.counters().running > 0; };
+    EXPECT_TRUE(eventually([&] { return running(this->engines[0]) || running(this->engines[1]); }));
+    StandinEngine &slowed = running(this->engines[0]) ? this->engines[0] : this->engines[1];
+    ASSERT_EQ(httplib::Client("http://" + slowed.address()).Post("/control", R"({"slowFactor": 50})", jsonType)->status, 200);
+    call.join();
+    EXPECT_TRUE(eventually([&slowed] { return slowed.counters().cancelled == 1; }));
+}
+
 // Guards against metrics that exist but are fed by nothing.
 TEST_F(HostTest, metricsCountRequests)
 {
