Move waiting requests out of SlotPool into SlotQueue

SlotQueue now owns queues, lines, deadlines and copy counts; SlotPool decides where a request waits. No change of behaviour: the unit tests and the RapidCheck property over SlotPool are unchanged and pass.

--- a/src/SlotPool.cpp
+++ b/src/SlotPool.cpp
@@ -63,17 +63,14 @@
         this->pending.emplace_back(SlotGranted{request.id, held->second.upstream, address});
         return this->finish(now);
     }
-    if (this->ended.contains(request.id) || this->waiting.contains(request.id)) {
+    if (this->ended.contains(request.id) || this->queue.contains(request.id)) {
         return this->finish(now);
     }
     if (isOnline(request)) {
         this->demand.onArrival(now, request.expectedTokens);
     }
     if (!this->refuse(request, now)) {
-        this->waiting.emplace(request.id, Waiting{request, Stage::Queued, {}, this->nextArrival++});
-        ++(isOnline(request) ? this->onlineWaiting : this->batchWaiting);
-        this->deadlines.emplace(request.deadline, request.id);
-        this->route(request.id, now);
+        this->queue.add(request, this->placementOf(request, now));
         this->dispatch(now);
         this->denyIfTooLate(request.id, now);
     }
@@ -88,7 +85,7 @@
         this->deny(request.id, SlotDenialCode::deadline, absl::ZeroDuration());
     } else if (!this->load.anyTakesWork()) {
         this->deny(request.id, SlotDenialCode::noUpstream, overloadedRetryAfter);
-    } else if (isOnline(request) ? this->onlineWaiting >= maxOnlineWaiting : this->batchWaiting >= maxBatchWaiting) {
+    } else if (this->queue.count(request.workClass) >= (isOnline(request) ? maxOnlineWaiting : maxBatchWaiting)) {
         this->deny(request.id, SlotDenialCode::overloaded, overloadedRetryAfter);
     } else {
         return false;
@@ -105,151 +102,94 @@
 // Denies at once what would expire in the queue, so that the caller can go elsewhere while there is time.
 void SlotPool::denyIfTooLate(const GrantId &id, absl::Time now)
 {
-    const auto found = this->waiting.find(id);
-    if (found == this->waiting.end() || !isOnline(found->second.request) || found->second.stage != Stage::Queued) {
+    if (!this->queue.contains(id) || !isOnline(this->queue.request(id)) || this->queue.stage(id) != SlotQueue::Stage::Queued) {
         return;
     }
-    const std::size_t ahead = this->onlineQueue.aheadOfLast(found->second.request.organisation);
+    const PoolRequest &request = this->queue.request(id);
+    const std::size_t ahead = this->queue.queued(wire::WORK_CLASS_ONLINE).aheadOfLast(request.organisation);
     const auto revoking = static_cast<std::size_t>(
         std::count_if(this->grants.begin(), this->grants.end(), [](const auto &item) { return item.second.revokedAt != absl::InfinitePast(); }));
     if (ahead < revoking) {
         return;
     }
     const absl::Duration wait = this->demand.expectedWait(ahead - revoking, this->load.usableSlots());
-    if (now + wait > found->second.request.deadline) {
+    if (now + wait > request.deadline) {
         this->dropWaiting(id, now);
         this->deny(id, SlotDenialCode::deadline, std::max(minRetryAfter, wait));
     }
 }
 
-void SlotPool::route(const GrantId &id, absl::Time now)
+SlotQueue::Placement SlotPool::placementOf(const PoolRequest &request, absl::Time now) const
 {
-    Waiting &entry = this->waiting.at(id);
-    const PoolRequest &request = entry.request;
-    const std::pair<wire::WorkClass, std::uint64_t> linePlace(request.workClass, entry.arrival);
+    SlotQueue::Placement placement;
     if (this->crashes.suspect(request.fingerprint, now)) {
-        entry.stage = Stage::Suspect;
-        this->suspectLine.emplace(linePlace, id);
-        return;
-    }
-    if (!this->copyAllowed(request)) {
-        entry.stage = Stage::Parked;
-        this->parked[request.fingerprint].emplace(linePlace, id);
-        return;
-    }
-    entry.stage = Stage::Queued;
-    const bool expectedLong = isOnline(request) && this->demand.expectedLong(request.expectedTokens);
-    const FairQueue::Lane lane = expectedLong ? FairQueue::Lane::Long : FairQueue::Lane::Short;
-    if (isOnline(request)) {
-        entry.place = this->onlineQueue.push(request.organisation, lane, absl::UnixEpoch(), id);
-        this->countCopy(request, &Copies::onlineQueued, 1);
-    } else {
-        const absl::Time latestStart = request.due - request.expectedTokens * this->spec.online.betweenTokens;
-        entry.place = this->batchQueue.push(request.organisation, lane, latestStart, id);
-        this->countCopy(request, &Copies::batchQueued, 1);
-    }
-}
-
-// Takes an entry out of its line or queue; it stays in the map of waiting requests.
-void SlotPool::detach(const GrantId &id)
-{
-    const Waiting &entry = this->waiting.at(id);
-    const PoolRequest &request = entry.request;
-    const std::pair<wire::WorkClass, std::uint64_t> linePlace(request.workClass, entry.arrival);
-    if (entry.stage == Stage::Suspect) {
-        this->suspectLine.erase(linePlace);
-    } else if (entry.stage == Stage::Parked) {
-        Line &line = this->parked[request.fingerprint];
-        line.erase(linePlace);
-        if (line.empty()) {
-            this->parked.erase(request.fingerprint);
-        }
-    } else if (isOnline(request)) {
-        this->onlineQueue.erase(entry.place);
-        this->countCopy(request, &Copies::onlineQueued, -1);
-    } else {
-        this->batchQueue.erase(entry.place);
-        this->countCopy(request, &Copies::batchQueued, -1);
+        placement.stage = SlotQueue::Stage::Suspect;
+    } else if (!this->copyAllowed(request)) {
+        placement.stage = SlotQueue::Stage::Parked;
+    } else if (!isOnline(request)) {
+        placement.order = request.due - request.expectedTokens * this->spec.online.betweenTokens;
+    } else if (this->demand.expectedLong(request.expectedTokens)) {
+        placement.lane = FairQueue::Lane::Long;
     }
+    return placement;
 }
 
 void SlotPool::dropWaiting(const GrantId &id, absl::Time now)
 {
-    this->detach(id);
-    const auto found = this->waiting.find(id);
-    const std::uint64_t fingerprint = found->second.request.fingerprint;
-    this->deadlines.erase({found->second.request.deadline, id});
-    --(isOnline(found->second.request) ? this->onlineWaiting : this->batchWaiting);
-    this->waiting.erase(found);
-    this->unpark(fingerprint, now);
+    const PoolRequest dropped = this->queue.remove(id);
+    this->unpark(dropped.fingerprint, now);
 }
 
 void SlotPool::reroute(std::uint64_t fingerprint, absl::Time now)
 {
-    std::vector<std::pair<std::uint64_t, GrantId>> affected;
-    for (const auto &[id, entry] : this->waiting) {
-        if (entry.request.fingerprint == fingerprint) {
-            affected.emplace_back(entry.arrival, id);
-        }
-    }
-    std::sort(affected.begin(), affected.end());
     const bool convicted = this->crashes.convicted(fingerprint, now);
-    for (const auto &[arrival, id] : affected) {
+    for (const GrantId &id : this->queue.copiesOf(fingerprint)) {
         if (convicted) {
-            // Another entry may have become parked or queued meanwhile, but none has left the map.
             this->dropWaiting(id, now);
             this->deny(id, SlotDenialCode::quarantined, absl::ZeroDuration());
         } else {
-            this->detach(id);
-            this->route(id, now);
+            this->placeAgain(id, now);
         }
     }
 }
 
+// Without its own place among the queued copies, which would count against it.
+void SlotPool::placeAgain(const GrantId &id, absl::Time now)
+{
+    const PoolRequest request = this->queue.request(id);
+    this->queue.move(id, {SlotQueue::Stage::Parked});
+    this->queue.move(id, this->placementOf(request, now));
+}
+
 void SlotPool::unpark(std::uint64_t fingerprint, absl::Time now)
 {
-    while (true) {
-        const auto line = this->parked.find(fingerprint);
-        if (line == this->parked.end()) {
-            return;
-        }
-        const GrantId id = line->second.begin()->second;
-        if (!this->copyAllowed(this->waiting.at(id).request)) {
-            return;
-        }
-        this->detach(id);
-        this->route(id, now);
+    for (std::optional<GrantId> id = this->queue.firstParked(fingerprint); id.has_value() && this->copyAllowed(this->queue.request(*id));
+         id = this->queue.firstParked(fingerprint)) {
+        this->queue.move(*id, this->placementOf(PoolRequest(this->queue.request(*id)), now));
     }
 }
 
 // Queued batch copies do not count against online requests, which must not wait behind them.
 bool SlotPool::copyAllowed(const PoolRequest &request) const
 {
-    const auto found = this->copies.find(request.fingerprint);
-    if (request.fingerprint == 0 || found == this->copies.end()) {
+    if (request.fingerprint == 0) {
         return true;
     }
-    const Copies &known = found->second;
-    return known.inFlight + known.onlineQueued + (isOnline(request) ? 0 : known.batchQueued) < maxCopies;
+    const std::size_t queuedBatch = isOnline(request) ? 0 : this->queue.queuedCopies(request.fingerprint, wire::WORK_CLASS_BATCH);
+    return this->copiesInFlight(request.fingerprint) + this->queue.queuedCopies(request.fingerprint, wire::WORK_CLASS_ONLINE) + queuedBatch < maxCopies;
 }
 
-void SlotPool::countCopy(const PoolRequest &request, std::size_t Copies::*counter, int change)
+std::size_t SlotPool::copiesInFlight(std::uint64_t fingerprint) const
 {
-    if (request.fingerprint == 0) {
-        return;
-    }
-    Copies &known = this->copies[request.fingerprint];
-    known.*counter += static_cast<std::size_t>(change);
-    if (known.inFlight + known.onlineQueued + known.batchQueued == 0) {
-        this->copies.erase(request.fingerprint);
-    }
+    const auto found = this->copies.find(fingerprint);
+    return found == this->copies.end() ? 0 : found->second;
 }
 
-void SlotPool::grant(const GrantId &id, const UpstreamLoad::Choice &choice, bool isolated, absl::Time now)
+void SlotPool::grant(PoolRequest request, const UpstreamLoad::Choice &choice, bool isolated, absl::Time now)
 {
-    const auto found = this->waiting.find(id);
+    const GrantId id = request.id;
     Grant grant;
-    grant.request = std::move(found->second.request);
+    grant.request = std::move(request);
     grant.upstream = choice.upstream;
     grant.grantedAt = now;
     grant.lastReported = now;
@@ -257,9 +197,6 @@
     grant.probe = choice.probe;
     grant.isolated = isolated;
     grant.longStream = isOnline(grant.request) && this->demand.expectedLong(grant.request.expectedTokens);
-    this->deadlines.erase({grant.request.deadline, id});
-    --(isOnline(grant.request) ? this->onlineWaiting : this->batchWaiting);
-    this->waiting.erase(found);
     this->insertGrant(std::move(grant), now);
     ++this->grantCount;
     this->pending.emplace_back(SlotGranted{id, choice.upstream, choice.address});
@@ -271,7 +208,9 @@
     if (grant.isolated) {
         this->load.setIsolated(grant.upstream, true);
     }
-    this->countCopy(grant.request, &Copies::inFlight, 1);
+    if (grant.request.fingerprint != 0) {
+        ++this->copies[grant.request.fingerprint];
+    }
     this->onlineInFlight += isOnline(grant.request) ? 1 : 0;
     this->longInFlight += grant.longStream ? 1 : 0;
     GrantId id = grant.request.id;
@@ -287,7 +226,10 @@
         this->load.setIsolated(ending.upstream, false);
     }
     this->load.remove(ending.upstream, ending.probe);
-    this->countCopy(ending.request, &Copies::inFlight, -1);
+    const auto copy = this->copies.find(ending.request.fingerprint);
+    if (copy != this->copies.end() && --copy->second == 0) {
+        this->copies.erase(copy);
+    }
     this->onlineInFlight -= isOnline(ending.request) ? 1 : 0;
     this->longInFlight -= ending.longStream ? 1 : 0;
     this->unpark(ending.request.fingerprint, now);
@@ -303,7 +245,7 @@
         }
         this->observe(ending, outcome, now);
         this->endGrant(id, now);
-    } else if (this->waiting.contains(id)) {
+    } else if (this->queue.contains(id)) {
         this->dropWaiting(id, now);
     }
     this->remember(id);
@@ -389,7 +331,7 @@
     if (this->ended.contains(id) || this->grants.size() >= maxGrants) {
         return;
     }
-    if (this->waiting.contains(id)) {
+    if (this->queue.contains(id)) {
         this->dropWaiting(id, now);
     }
     Grant adopted;
@@ -427,16 +369,10 @@
 
 SlotActions SlotPool::removeHost(const std::string &host, absl::Time now)
 {
-    std::vector<GrantId> gone;
-    for (const auto &[id, entry] : this->waiting) {
-        if (id.host == host) {
-            gone.push_back(id);
-        }
-    }
-    for (const GrantId &id : gone) {
+    for (const GrantId &id : this->queue.ofHost(host)) {
         this->dropWaiting(id, now);
     }
-    gone.clear();
+    std::vector<GrantId> gone;
     for (const auto &[id, grant] : this->grants) {
         if (id.host == host) {
             gone.push_back(id);
@@ -461,18 +397,16 @@
     this->expireWaiting(now);
     this->expireGrants(now);
     this->repeatRevocations(now);
-    this->onlineQueue.prune();
-    this->batchQueue.prune();
+    this->queue.prune();
     this->lastTick = now;
     return this->finish(now);
 }
 
 void SlotPool::expireWaiting(absl::Time now)
 {
-    while (!this->deadlines.empty() && this->deadlines.begin()->first <= now) {
-        const GrantId id = this->deadlines.begin()->second;
-        this->dropWaiting(id, now);
-        this->deny(id, SlotDenialCode::deadline, minRetryAfter);
+    for (std::optional<GrantId> id = this->queue.expired(now); id.has_value(); id = this->queue.expired(now)) {
+        this->dropWaiting(*id, now);
+        this->deny(*id, SlotDenialCode::deadline, minRetryAfter);
     }
 }
 
@@ -510,7 +444,7 @@
 
 void SlotPool::dispatch(absl::Time now)
 {
-    if (this->waiting.empty()) {
+    if (this->queue.empty()) {
         this->load.setDraining("");
         return;
     }
@@ -527,12 +461,7 @@
 
 void SlotPool::denyAllWithoutUpstream(absl::Time now)
 {
-    std::vector<GrantId> ids;
-    for (const auto &[id, entry] : this->waiting) {
-        ids.push_back(id);
-    }
-    std::sort(ids.begin(), ids.end());
-    for (const GrantId &id : ids) {
+    for (const GrantId &id : this->queue.all()) {
         this->dropWaiting(id, now);
         this->deny(id, SlotDenialCode::noUpstream, overloadedRetryAfter);
     }
@@ -540,12 +469,12 @@
 
 std::optional<GrantId> SlotPool::nextSuspect(absl::Time now) const
 {
-    for (const auto &[place, id] : this->suspectLine) {
+    for (const auto &[place, id] : this->queue.suspects()) {
         // A batch suspect takes a whole upstream, which online requests that wait need more.
-        if (place.first == wire::WORK_CLASS_BATCH && this->onlineQueue.size() > 0) {
+        if (place.first == wire::WORK_CLASS_BATCH && this->queue.queued(wire::WORK_CLASS_ONLINE).size() > 0) {
             return std::nullopt;
         }
-        if (this->crashes.pauseOver(this->waiting.at(id).request.fingerprint, now)) {
+        if (this->crashes.pauseOver(this->queue.request(id).fingerprint, now)) {
             return id;
         }
     }
@@ -570,15 +499,14 @@
 void SlotPool::serveSuspect(absl::Time now)
 {
     const std::optional<GrantId> next = this->nextSuspect(now);
-    if (!next.has_value() || this->suspectRunning(isOnline(this->waiting.at(*next).request), now)) {
+    if (!next.has_value() || this->suspectRunning(isOnline(this->queue.request(*next)), now)) {
         this->load.setDraining("");
         return;
     }
-    const std::optional<UpstreamLoad::Choice> idle = this->load.chooseIdle(this->waiting.at(*next).request.workClass, now);
+    const std::optional<UpstreamLoad::Choice> idle = this->load.chooseIdle(this->queue.request(*next).workClass, now);
     if (idle.has_value()) {
         this->load.setDraining("");
-        this->detach(*next);
-        this->grant(*next, *idle, true, now);
+        this->grant(this->queue.remove(*next), *idle, true, now);
         return;
     }
     const std::optional<std::string> target = this->load.chooseToDrain();
@@ -602,28 +530,31 @@
 
 void SlotPool::serveOnline(absl::Time now)
 {
-    while (this->onlineQueue.size() > 0 && this->load.hasRoom(wire::WORK_CLASS_ONLINE, now)) {
+    while (this->queue.queued(wire::WORK_CLASS_ONLINE).size() > 0 && this->load.hasRoom(wire::WORK_CLASS_ONLINE, now)) {
         std::optional<UpstreamLoad::Choice> choice;
         FairQueue::Filter filter;
         filter.longLane = this->longAllowed();
         filter.accept = [&](const GrantId &id) {
-            const PoolRequest &request = this->waiting.at(id).request;
-            const auto known = this->copies.find(request.fingerprint);
-            if (known != this->copies.end() && known->second.inFlight >= maxCopies) {
+            const PoolRequest &request = this->queue.request(id);
+            if (this->copiesInFlight(request.fingerprint) >= maxCopies) {
                 return false;
             }
             choice = this->load.choose(wire::WORK_CLASS_ONLINE, request.excludedUpstreams, now);
             return choice.has_value();
         };
-        const std::optional<GrantId> id = this->onlineQueue.pop(filter, [this](const GrantId &taken) { return costOf(this->waiting.at(taken).request); });
-        if (!id.has_value()) {
+        std::optional<PoolRequest> request = this->queue.pop(wire::WORK_CLASS_ONLINE, filter, this->queueCost());
+        if (!request.has_value()) {
             return;
         }
-        this->countCopy(this->waiting.at(*id).request, &Copies::onlineQueued, -1);
-        this->grant(*id, *choice, false, now);
+        this->grant(*std::move(request), *choice, false, now);
     }
 }
 
+SlotQueue::Cost SlotPool::queueCost() const
+{
+    return [this](const GrantId &id) { return costOf(this->queue.request(id)); };
+}
+
 bool SlotPool::batchAllowed(absl::Time now) const
 {
     const std::int64_t reserve =
@@ -633,27 +564,25 @@
 
 void SlotPool::serveBatch(absl::Time now)
 {
-    while (this->batchQueue.size() > 0 && this->load.hasRoom(wire::WORK_CLASS_BATCH, now)) {
+    while (this->queue.queued(wire::WORK_CLASS_BATCH).size() > 0 && this->load.hasRoom(wire::WORK_CLASS_BATCH, now)) {
         const bool probeOnly = !this->batchAllowed(now);
         std::optional<UpstreamLoad::Choice> choice;
         FairQueue::Filter filter;
         filter.rank = [now](absl::Time latestStart) { return laxityRank(latestStart - now); };
         filter.accept = [&](const GrantId &id) {
-            const PoolRequest &request = this->waiting.at(id).request;
-            const auto known = this->copies.find(request.fingerprint);
-            if (known != this->copies.end() && known->second.inFlight + known->second.onlineQueued >= maxCopies) {
+            const PoolRequest &request = this->queue.request(id);
+            if (this->copiesInFlight(request.fingerprint) + this->queue.queuedCopies(request.fingerprint, wire::WORK_CLASS_ONLINE) >= maxCopies) {
                 return false;
             }
             choice = probeOnly ? this->load.chooseProbe(wire::WORK_CLASS_BATCH, request.excludedUpstreams, now)
                                : this->load.choose(wire::WORK_CLASS_BATCH, request.excludedUpstreams, now);
             return choice.has_value();
         };
-        const std::optional<GrantId> id = this->batchQueue.pop(filter, [this](const GrantId &taken) { return costOf(this->waiting.at(taken).request); });
-        if (!id.has_value()) {
+        std::optional<PoolRequest> request = this->queue.pop(wire::WORK_CLASS_BATCH, filter, this->queueCost());
+        if (!request.has_value()) {
             return;
         }
-        this->countCopy(this->waiting.at(*id).request, &Copies::batchQueued, -1);
-        this->grant(*id, *choice, false, now);
+        this->grant(*std::move(request), *choice, false, now);
     }
 }
 
@@ -669,13 +598,12 @@
 // An online request that waits only for a batch copy of itself gets that copy's place.
 void SlotPool::revokeForCopies(absl::Time now)
 {
-    if (this->parked.empty()) {
+    if (this->queue.parkedCount() == 0) {
         return;
     }
     for (auto &[id, grant] : this->grants) {
-        const auto line = this->parked.find(grant.request.fingerprint);
-        const bool onlineParked = line != this->parked.end() && line->second.begin()->first.first == wire::WORK_CLASS_ONLINE;
-        if (onlineParked && !isOnline(grant.request)) {
+        const std::optional<GrantId> parked = this->queue.firstParked(grant.request.fingerprint);
+        if (parked.has_value() && isOnline(this->queue.request(*parked)) && !isOnline(grant.request)) {
             this->revoke(grant, now);
         }
     }
@@ -683,7 +611,8 @@
 
 void SlotPool::revokeForOnline(absl::Time now)
 {
-    if (this->onlineQueue.size() == 0) {
+    const FairQueue &online = this->queue.queued(wire::WORK_CLASS_ONLINE);
+    if (online.size() == 0) {
         return;
     }
     std::vector<Grant *> available = this->victims(now);
@@ -692,10 +621,9 @@
         excess.emplace(grant->upstream, this->load.excess(grant->upstream));
     }
     std::int64_t longLeft = this->longCap() - static_cast<std::int64_t>(this->longInFlight);
-    this->onlineQueue.forEach(this->longAllowed(), [&](const GrantId &id) {
-        const Waiting &entry = this->waiting.at(id);
-        if (entry.place.lane == FairQueue::Lane::Short || longLeft-- > 0) {
-            this->assignVictim(entry.request, available, excess, now);
+    online.forEach(this->longAllowed(), [&](const GrantId &id) {
+        if (this->queue.lane(id) == FairQueue::Lane::Short || longLeft-- > 0) {
+            this->assignVictim(this->queue.request(id), available, excess, now);
         }
         return !available.empty();
     });
@@ -761,10 +689,10 @@
     }
     status.onlineInFlight = this->onlineInFlight;
     status.batchInFlight = this->grants.size() - this->onlineInFlight;
-    status.onlineQueued = this->onlineQueue.size();
-    status.batchQueued = this->batchQueue.size();
-    status.suspectsQueued = this->suspectLine.size();
-    status.parked = this->waiting.size() - status.onlineQueued - status.batchQueued - status.suspectsQueued;
+    status.onlineQueued = this->queue.queued(wire::WORK_CLASS_ONLINE).size();
+    status.batchQueued = this->queue.queued(wire::WORK_CLASS_BATCH).size();
+    status.suspectsQueued = this->queue.suspects().size();
+    status.parked = this->queue.parkedCount();
     status.reserve = this->demand.reserve(this->load.usableSlots(), static_cast<std::int64_t>(this->onlineInFlight), this->spec.online.reserveShare, now);
     status.grants = this->grantCount;
     status.denials = this->denialCount;
@@ -779,10 +707,7 @@
 
 std::set<std::string> SlotPool::hosts() const
 {
-    std::set<std::string> names;
-    for (const auto &[id, entry] : this->waiting) {
-        names.insert(id.host);
-    }
+    std::set<std::string> names = this->queue.hosts();
     for (const auto &[id, grant] : this->grants) {
         names.insert(id.host);
     }
--- a/src/SlotPool.h
+++ b/src/SlotPool.h
@@ -15,9 +15,9 @@
 #include <absl/time/time.h>
 
 #include "CrashSuspects.h"
-#include "FairQueue.h"
 #include "OnlineDemand.h"
 #include "ServiceSpec.h"
+#include "SlotQueue.h"
 #include "SlotTypes.h"
 #include "UpstreamLoad.h"
 
@@ -96,17 +96,6 @@
     [[nodiscard]] std::set<std::string> hosts() const;
 
 private:
-    enum class Stage {
-        Queued,
-        Parked,
-        Suspect,
-    };
-    struct Waiting {
-        PoolRequest request;
-        Stage stage = Stage::Queued;
-        FairQueue::Place place;
-        std::uint64_t arrival = 0;
-    };
     struct Grant {
         PoolRequest request;
         std::string upstream;
@@ -121,28 +110,20 @@
         bool crashCounted = false;
         bool longStream = false;
     };
-    /** Copies of one fingerprint. */
-    struct Copies {
-        std::size_t inFlight = 0;
-        std::size_t onlineQueued = 0;
-        std::size_t batchQueued = 0;
-    };
-    /** Online requests order before batch requests, then by arrival. */
-    using Line = std::map<std::pair<wire::WorkClass, std::uint64_t>, GrantId>;
 
     SlotActions finish(absl::Time now);
     bool refuse(const PoolRequest &request, absl::Time now);
     void deny(const GrantId &id, const char *code, absl::Duration retryAfter);
     void denyIfTooLate(const GrantId &id, absl::Time now);
-    void route(const GrantId &id, absl::Time now);
-    void detach(const GrantId &id);
+    [[nodiscard]] SlotQueue::Placement placementOf(const PoolRequest &request, absl::Time now) const;
     void dropWaiting(const GrantId &id, absl::Time now);
     void reroute(std::uint64_t fingerprint, absl::Time now);
+    void placeAgain(const GrantId &id, absl::Time now);
     void unpark(std::uint64_t fingerprint, absl::Time now);
     [[nodiscard]] bool copyAllowed(const PoolRequest &request) const;
-    void countCopy(const PoolRequest &request, std::size_t Copies::*counter, int change);
+    [[nodiscard]] std::size_t copiesInFlight(std::uint64_t fingerprint) const;
 
-    void grant(const GrantId &id, const UpstreamLoad::Choice &choice, bool isolated, absl::Time now);
+    void grant(PoolRequest request, const UpstreamLoad::Choice &choice, bool isolated, absl::Time now);
     void insertGrant(Grant grant, absl::Time now);
     void endGrant(const GrantId &id, absl::Time now);
     void observe(const Grant &grant, const GrantOutcome &outcome, absl::Time now);
@@ -160,6 +141,7 @@
     [[nodiscard]] std::optional<GrantId> nextSuspect(absl::Time now) const;
     void serveOnline(absl::Time now);
     void serveBatch(absl::Time now);
+    [[nodiscard]] SlotQueue::Cost queueCost() const;
     [[nodiscard]] bool batchAllowed(absl::Time now) const;
     void revokeForOnline(absl::Time now);
     void revokeForCopies(absl::Time now);
@@ -178,22 +160,15 @@
     OnlineDemand demand;
     CrashSuspects crashes;
 
-    absl::flat_hash_map<GrantId, Waiting> waiting;
+    SlotQueue queue;
     absl::flat_hash_map<GrantId, Grant> grants;
-    absl::flat_hash_map<std::uint64_t, Copies> copies;
-    FairQueue onlineQueue;
-    FairQueue batchQueue;
-    std::map<std::uint64_t, Line> parked;
-    Line suspectLine;
-    std::set<std::pair<absl::Time, GrantId>> deadlines;
+    /** Grants by fingerprint. */
+    absl::flat_hash_map<std::uint64_t, std::size_t> copies;
     std::deque<GrantId> endedOrder;
     absl::flat_hash_set<GrantId> ended;
 
-    std::size_t onlineWaiting = 0;
-    std::size_t batchWaiting = 0;
     std::size_t onlineInFlight = 0;
     std::size_t longInFlight = 0;
-    std::uint64_t nextArrival = 1;
     absl::Time batchFrom = absl::InfinitePast();
     absl::Time lastTick = absl::InfinitePast();
     std::uint64_t grantCount = 0;
