--- a/src/ModelAttempt.cpp
+++ b/src/ModelAttempt.cpp
@@ -137,7 +137,7 @@
         if (result.outcome == CallOutcome::Completed && result.status == statusOk && !this->done) {
             result.outcome = CallOutcome::Broken;
         }
-        const SlotOutcome slotOutcome = this->outcome(result, whole);
+        const GrantOutcome slotOutcome = this->outcome(result, whole);
         if (slotOutcome.betweenTokens > absl::ZeroDuration()) {
             this->parts.metrics->betweenTokens(this->plan.demand.service, this->plan.demand.workClass, slotOutcome.betweenTokens);
         }
@@ -147,9 +147,9 @@
         this->report(std::move(event));
     }
 
-    SlotOutcome outcome(const CallResult &result, bool whole) const
+    GrantOutcome outcome(const CallResult &result, bool whole) const
     {
-        SlotOutcome outcome{};
+        GrantOutcome outcome{};
         outcome.result = whole ? wire::SLOT_RESULT_COMPLETED : failedSlotResult(*this->parts.upstreams, this->ticket.address, result.outcome);
         outcome.firstToken = this->firstToken;
         outcome.tokens = this->tokens;
--- a/src/PlainExchange.cpp
+++ b/src/PlainExchange.cpp
@@ -88,7 +88,7 @@
         call.silenceTimeout = std::max(absl::Milliseconds(1), std::min(silence, this->request.deadline - absl::Now()));
         const absl::Time start = absl::Now();
         CallResult result = this->parts.upstreams->call(ticket.address, call, this->cancellation);
-        SlotOutcome outcome;
+        GrantOutcome outcome;
         outcome.result = this->slotResult(ticket, result);
         outcome.firstToken = absl::Now() - start;
         this->parts.slots->release(ticket, outcome);
--- a/src/SlotService.cpp
+++ b/src/SlotService.cpp
@@ -15,7 +15,7 @@
     return this->state->acquire(demand, std::move(revoked));
 }
 
-void SlotService::release(const SlotTicket &ticket, const SlotOutcome &outcome)
+void SlotService::release(const SlotTicket &ticket, const GrantOutcome &outcome)
 {
     this->state->release(ticket, outcome);
 }
--- a/src/SlotService.h
+++ b/src/SlotService.h
@@ -12,6 +12,7 @@
 #include <nlohmann/json.hpp>
 
 #include "HostContext.h"
+#include "SlotTypes.h"
 #include "bergamotramp.pb.h"
 
 namespace Bergamotramp {
@@ -56,16 +57,6 @@
     bool operator==(const SlotDenial &) const = default;
 };
 
-/** What became of an attempt. Durations that were not observed are zero. */
-struct SlotOutcome {
-    wire::SlotResult result = wire::SLOT_RESULT_COMPLETED;
-    absl::Duration firstToken;
-    absl::Duration betweenTokens;
-    std::uint32_t tokens = 0;
-
-    bool operator==(const SlotOutcome &) const = default;
-};
-
 /**
  * Slots for the requests of one host. Runs the pools that this host holds and asks the holders of the others.
  * Thread-safe. acquire() is the only call that blocks.
@@ -85,7 +76,7 @@
      */
     std::variant<SlotTicket, SlotDenial> acquire(const SlotDemand &demand, std::function<void()> revoked);
     /** Ends a ticket; later calls with the same ticket have no effect. */
-    void release(const SlotTicket &ticket, const SlotOutcome &outcome);
+    void release(const SlotTicket &ticket, const GrantOutcome &outcome);
     /** Reports the tokens received so far; decides which batch request is cheapest to revoke. */
     void progress(const SlotTicket &ticket, std::uint32_t tokens);
     /** Takes a SLOT_* or SUSPECT message; called on the transport's thread, does not block. */
--- a/src/SlotState.cpp
+++ b/src/SlotState.cpp
@@ -437,7 +437,7 @@
     return given;
 }
 
-void SlotService::State::release(const SlotTicket &given, const SlotOutcome &outcome)
+void SlotService::State::release(const SlotTicket &given, const GrantOutcome &outcome)
 {
     Lock lock(this->mutex);
     const auto found = this->tickets.find(given.grant);
@@ -452,7 +452,7 @@
         this->observeLocally(pool->second, ticket, outcome, outbox);
         pool->second.freed->notify_all();
         if (!pool->second.region.empty()) {
-            this->releaseToHolders(pool->second, ticket, {outcome.result, outcome.firstToken, outcome.betweenTokens, outcome.tokens}, outbox);
+            this->releaseToHolders(pool->second, ticket, outcome, outbox);
         }
     }
     lock.unlock();
@@ -460,7 +460,7 @@
     this->flush(outbox);
 }
 
-void SlotService::State::observeLocally(Pool &pool, const Ticket &ticket, const SlotOutcome &outcome, Outbox &outbox)
+void SlotService::State::observeLocally(Pool &pool, const Ticket &ticket, const GrantOutcome &outcome, Outbox &outbox)
 {
     const absl::Time now = absl::Now();
     const std::string &upstream = ticket.ticket.upstream;
--- a/src/SlotState.h
+++ b/src/SlotState.h
@@ -36,7 +36,7 @@
     explicit State(const HostContext &context);
 
     Answer acquire(const SlotDemand &demand, std::function<void()> revoked);
-    void release(const SlotTicket &ticket, const SlotOutcome &outcome);
+    void release(const SlotTicket &ticket, const GrantOutcome &outcome);
     void progress(const SlotTicket &ticket, std::uint32_t tokens);
     void handle(const wire::Envelope &envelope);
     /** Takes in a changed catalogue or set of live hosts. */
@@ -139,7 +139,7 @@
                     std::uint64_t number,
                     const std::string &holder,
                     const std::shared_ptr<Revocation> &revocation);
-    void observeLocally(Pool &pool, const Ticket &ticket, const SlotOutcome &outcome, Outbox &outbox);
+    void observeLocally(Pool &pool, const Ticket &ticket, const GrantOutcome &outcome, Outbox &outbox);
     void countLocalCrash(const Ticket &ticket, Outbox &outbox);
     void announce(const std::string &service, const SuspectChanged &changed, Outbox &outbox);
     void releaseToHolders(const Pool &pool, const Ticket &ticket, const GrantOutcome &outcome, Outbox &outbox);
--- a/test/host/SlotServiceTest.cpp
+++ b/test/host/SlotServiceTest.cpp
@@ -227,7 +227,7 @@
     }
     auto online = std::async(std::launch::async, [this] { return take(other(2), demand(wire::WORK_CLASS_ONLINE)); });
     const SlotTicket &victim = batch.at(static_cast<std::size_t>(revoked.get_future().get()));
-    SlotOutcome cancelled;
+    GrantOutcome cancelled;
     cancelled.result = wire::SLOT_RESULT_CANCELLED;
     other(1).slots->release(victim, cancelled);
     EXPECT_EQ(online.get().upstream, victim.upstream);
@@ -305,7 +305,7 @@
 {
     SlotDemand poison = demand(wire::WORK_CLASS_ONLINE);
     poison.fingerprint = 77;
-    SlotOutcome died;
+    GrantOutcome died;
     died.result = wire::SLOT_RESULT_UPSTREAM_DIED;
     for (std::size_t attempt = 1; attempt <= CrashSuspects::crashesToConvict; ++attempt) {
         const SlotTicket ticket = take(other(attempt % 3), poison);
