Feed the slot and queue gauges

bergamotramp_slots and bergamotramp_queue existed and were set by nothing. The host that holds a pool now reports its slots, use and queues; a host that does not hold it reports zero. HostTest.oneHostReportsTheSlotsOfAPool checks that exactly one host reports a pool.

--- a/src/Host.cpp
+++ b/src/Host.cpp
@@ -370,6 +370,11 @@
     for (const wire::MemberState state : {wire::MEMBER_STATE_ALIVE, wire::MEMBER_STATE_SUSPECT, wire::MEMBER_STATE_LEAVING, wire::MEMBER_STATE_DEAD}) {
         this->metrics.setMembers(state, counts[state]);
     }
+    for (const auto &[service, usage] : this->slots->usage()) {
+        this->metrics.setSlots(service, {usage.total, usage.online, usage.batch});
+        this->metrics.setQueue(service, wire::WORK_CLASS_ONLINE, usage.onlineQueued);
+        this->metrics.setQueue(service, wire::WORK_CLASS_BATCH, usage.batchQueued);
+    }
     const TransportCounts messages = this->transport->counts();
     const StoreCallCounts calls = this->store->callCounts();
     this->metrics.setGeneration(this->config->generation());
--- a/src/SlotService.cpp
+++ b/src/SlotService.cpp
@@ -40,4 +40,9 @@
     return this->state->status();
 }
 
+std::map<std::string, SlotUsage> SlotService::usage() const
+{
+    return this->state->usage();
+}
+
 } // namespace Bergamotramp
--- a/src/SlotService.h
+++ b/src/SlotService.h
@@ -3,6 +3,7 @@
 #include <atomic>
 #include <cstdint>
 #include <functional>
+#include <map>
 #include <memory>
 #include <string>
 #include <variant>
@@ -57,6 +58,17 @@
     bool operator==(const SlotDenial &) const = default;
 };
 
+/** Use of the slots of one service, in the pools that a host holds. */
+struct SlotUsage {
+    std::int64_t total = 0;
+    std::int64_t online = 0;
+    std::int64_t batch = 0;
+    std::int64_t onlineQueued = 0;
+    std::int64_t batchQueued = 0;
+
+    bool operator==(const SlotUsage &) const = default;
+};
+
 /**
  * Slots for the requests of one host. Runs the pools that this host holds and asks the holders of the others.
  * Thread-safe. acquire() is the only call that blocks.
@@ -85,6 +97,8 @@
     void catalogueChanged();
     /** Pools held here with in-flight counts, queue lengths and scores, and tickets held by this host. */
     [[nodiscard]] nlohmann::json status() const;
+    /** By service; all zero for a service whose pools other hosts hold. */
+    [[nodiscard]] std::map<std::string, SlotUsage> usage() const;
 
 private:
     class State;
--- a/src/SlotState.cpp
+++ b/src/SlotState.cpp
@@ -920,4 +920,26 @@
     return json;
 }
 
+std::map<std::string, SlotUsage> SlotService::State::usage() const
+{
+    const absl::Time now = absl::Now();
+    const std::lock_guard<std::mutex> lock(this->mutex);
+    std::map<std::string, SlotUsage> services;
+    for (const auto &[name, pool] : this->pools) {
+        SlotUsage &usage = services[pool.service];
+        if (pool.run == nullptr) {
+            continue;
+        }
+        const SlotPoolStatus status = pool.run->status(now);
+        for (const SlotPoolStatus::Upstream &upstream : status.upstreams) {
+            usage.total += upstream.slots;
+        }
+        usage.online += static_cast<std::int64_t>(status.onlineInFlight);
+        usage.batch += static_cast<std::int64_t>(status.batchInFlight);
+        usage.onlineQueued += static_cast<std::int64_t>(status.onlineQueued);
+        usage.batchQueued += static_cast<std::int64_t>(status.batchQueued);
+    }
+    return services;
+}
+
 } // namespace Bergamotramp
--- a/src/SlotState.h
+++ b/src/SlotState.h
@@ -42,6 +42,7 @@
     /** Takes in a changed catalogue or set of live hosts. */
     void refresh();
     [[nodiscard]] nlohmann::json status() const;
+    [[nodiscard]] std::map<std::string, SlotUsage> usage() const;
 
 private:
     /** Calls the caller's hook at most once, and not after disable() returned. */
--- a/test/host/HostTest.cpp
+++ b/test/host/HostTest.cpp
@@ -175,6 +175,20 @@
     EXPECT_NE(metrics->body.find("modelo"), std::string::npos) << metrics->body;
 }
 
+// Guards against slot gauges that stay empty, or that two hosts both report for one pool.
+TEST_F(HostTest, oneHostReportsTheSlotsOfAPool)
+{
+    const std::string gauge = R"(bergamotramp_slots{service="modelo",use="total"} 8)";
+    EXPECT_TRUE(eventually([&] {
+        std::size_t reporting = 0;
+        for (const std::unique_ptr<Host> &host : this->hosts) {
+            const httplib::Result metrics = httplib::Client("http://" + host->adminAddress()).Get("/metrics");
+            reporting += metrics && metrics->body.find(gauge) != std::string::npos ? 1 : 0;
+        }
+        return reporting == 1;
+    }));
+}
+
 TEST_F(HostTest, streamEndsWithItsMarker)
 {
     const nlohmann::json body = {{"model", "modelo"}, {"messages", {{{"role", "user"}, {"content", "hello"}}}}, {"max_tokens", 5}, {"stream", true}};
