Tell joining hosts of crash counts

Suspect notices are sent once. A host that joined or restarted after a conviction ran the request again, and as the new holder of a pool allowed it to crash three further upstreams. One host, chosen per service, now repeats the known counts to a host 2, 10 and 30 s after it joined; more than once because a notice can be lost or arrive before the catalogue.

SlotServiceTest.joiningHostLearnsOfConvictions and JoinNoticesTest guard this.

--- a/src/SlotState.cpp
+++ b/src/SlotState.cpp
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <cmath>
 
+#include <absl/strings/str_cat.h>
 #include <absl/time/clock.h>
 
 #include "RendezvousHash.h"
@@ -499,6 +500,28 @@
     }
 }
 
+// Crash counts are announced once. A host that joins later would otherwise run a convicted request again, and as the new
+// holder of a pool allow it to crash further upstreams. One host tells it, chosen per service.
+void SlotService::State::informJoinedHosts(absl::Time now, Outbox &outbox)
+{
+    for (const std::string &joined : this->joins.takeDue(now)) {
+        std::vector<std::string> others;
+        for (const HostInfo &host : this->directory.hosts()) {
+            if (host.name != joined) {
+                others.push_back(host.name);
+            }
+        }
+        for (const auto &[service, known] : this->suspects) {
+            if (joined == this->self || rendezvousPick(absl::StrCat("suspects/", service), others) != this->self) {
+                continue;
+            }
+            for (const auto &[fingerprint, crashes] : known.list()) {
+                this->post(outbox, joined, toMessage(service, SuspectChanged{fingerprint, crashes}));
+            }
+        }
+    }
+}
+
 // The holder may have changed since the grant; the new one knows the slot from the reports.
 void SlotService::State::releaseToHolders(const Pool &pool, const Ticket &ticket, const GrantOutcome &outcome, Outbox &outbox)
 {
@@ -727,6 +750,7 @@
     Outbox outbox;
     {
         const Lock lock(this->mutex);
+        this->informJoinedHosts(now, outbox);
         const bool reportDue = now - this->lastReport >= reportPeriod;
         for (auto &[name, pool] : this->pools) {
             this->tickPool(name, pool, now, outbox);
@@ -770,6 +794,7 @@
     {
         const Lock lock(this->mutex);
         if (this->directory.update(live, catalogue)) {
+            this->joins.update(live, absl::Now());
             this->configure(absl::Now(), outbox);
         }
     }
--- a/src/SlotState.h
+++ b/src/SlotState.h
@@ -18,6 +18,7 @@
 #include <absl/time/time.h>
 
 #include "CrashSuspects.h"
+#include "JoinNotices.h"
 #include "LocalRouting.h"
 #include "SlotDirectory.h"
 #include "SlotPool.h"
@@ -143,6 +144,7 @@
     void observeLocally(Pool &pool, const Ticket &ticket, const GrantOutcome &outcome, Outbox &outbox);
     void countLocalCrash(const Ticket &ticket, Outbox &outbox);
     void announce(const std::string &service, const SuspectChanged &changed, Outbox &outbox);
+    void informJoinedHosts(absl::Time now, Outbox &outbox);
     void releaseToHolders(const Pool &pool, const Ticket &ticket, const GrantOutcome &outcome, Outbox &outbox);
 
     void apply(const std::string &poolName, const SlotActions &actions, Outbox &outbox);
@@ -174,6 +176,7 @@
     SlotDirectory directory;
     std::map<std::string, Pool> pools;
     std::map<std::string, CrashSuspects> suspects;
+    JoinNotices joins;
     absl::flat_hash_map<std::uint64_t, std::shared_ptr<Ask>> asks;
     absl::flat_hash_map<std::uint64_t, Ticket> tickets;
     /** Withdrawn asks whose grant may still arrive, with their pools; bounded. */
--- /dev/null
+++ b/test/core/JoinNoticesTest.cpp
@@ -0,0 +1,56 @@
+#include "JoinNotices.h"
+
+#include <gtest/gtest.h>
+
+namespace Bergamotramp {
+
+namespace {
+
+const absl::Time start = absl::FromUnixSeconds(1'000'000);
+
+HostInfo host(const std::string &name, std::uint64_t incarnation)
+{
+    HostInfo info;
+    info.name = name;
+    info.incarnation = incarnation;
+    return info;
+}
+
+int noticesWithinAMinute(JoinNotices &notices, const std::string &name, absl::Time from)
+{
+    int count = 0;
+    for (absl::Time now = from; now < from + absl::Minutes(1); now += absl::Milliseconds(100)) {
+        for (const std::string &due : notices.takeDue(now)) {
+            count += due == name ? 1 : 0;
+        }
+    }
+    return count;
+}
+
+// Guards against a host that learns nothing when its only notice is lost, and against notices without end.
+TEST(JoinNoticesTest, aHostIsToldAFewTimes)
+{
+    JoinNotices notices;
+    notices.update({host("h1", 1)}, start);
+    EXPECT_TRUE(notices.takeDue(start).empty()) << "it may have no catalogue yet";
+    EXPECT_EQ(noticesWithinAMinute(notices, "h1", start), 3);
+    EXPECT_EQ(noticesWithinAMinute(notices, "h1", start + absl::Minutes(1)), 0);
+}
+
+// Guards against a restarted host, which has forgotten everything, that counts as known.
+TEST(JoinNoticesTest, aRestartedHostIsToldAgain)
+{
+    JoinNotices notices;
+    notices.update({host("h1", 1), host("h2", 1)}, start);
+    noticesWithinAMinute(notices, "h1", start);
+    const absl::Time later = start + absl::Minutes(2);
+    notices.update({host("h1", 1), host("h2", 2)}, later);
+    EXPECT_EQ(noticesWithinAMinute(notices, "h1", later), 0);
+    notices.update({host("h1", 1)}, later + absl::Minutes(1));
+    notices.update({host("h1", 1), host("h2", 2)}, later + absl::Minutes(2));
+    EXPECT_EQ(noticesWithinAMinute(notices, "h2", later + absl::Minutes(2)), 3);
+}
+
+} // namespace
+
+} // namespace Bergamotramp
--- a/test/host/SlotServiceTest.cpp
+++ b/test/host/SlotServiceTest.cpp
@@ -165,6 +165,17 @@
         std::erase_if(this->live, [&lost](const HostInfo &info) { return info.name == lost.context.settings.name; });
     }
 
+    void joinHost(const Host &joined)
+    {
+        HostInfo info;
+        info.name = joined.context.settings.name;
+        info.incarnation = 2;
+        info.region = "nordeste";
+        info.peerAddress = joined.transport->address();
+        const std::lock_guard<std::mutex> lock(this->mutex);
+        this->live.push_back(info);
+    }
+
     static SlotDemand demand(wire::WorkClass workClass, absl::Duration wait = longTime)
     {
         SlotDemand demand;
@@ -319,6 +330,35 @@
     }
 }
 
+// Guards against a host that joins after a conviction and lets the request crash further upstreams.
+TEST_F(SlotServiceTest, joiningHostLearnsOfConvictions)
+{
+    SlotDemand poison = demand(wire::WORK_CLASS_ONLINE);
+    poison.service = "vitrine";
+    poison.fingerprint = 78;
+    GrantOutcome died;
+    died.result = wire::SLOT_RESULT_UPSTREAM_DIED;
+    Host &late = *this->hosts.back();
+    late.set(&Host::silent, true);
+    this->loseHost(late);
+    Host &first = *this->hosts.front();
+    for (std::uint32_t crash = 1; crash <= CrashSuspects::crashesToConvict; ++crash) {
+        first.slots->release(take(first, poison), died);
+    }
+    late.set(&Host::silent, false);
+    this->joinHost(late);
+    EXPECT_TRUE(eventually([&late, &poison] {
+        const auto answer = late.slots->acquire(poison, [] {});
+        const auto *denial = std::get_if<SlotDenial>(&answer);
+        if (denial == nullptr) {
+            GrantOutcome cancelled;
+            cancelled.result = wire::SLOT_RESULT_CANCELLED;
+            late.slots->release(std::get<SlotTicket>(answer), cancelled);
+        }
+        return denial != nullptr && denial->code == "quarantined";
+    }));
+}
+
 TEST_F(SlotServiceTest, unknownServiceIsDenied)
 {
     SlotDemand unknown = demand(wire::WORK_CLASS_ONLINE);
