Hedge only well above the usual first token

Cause: a hedge after the 95th percentile takes the budget for ordinary variation, so that nothing was left when an engine slowed. Change: the delay is at least 2.5 times the median.

HedgePolicyTest.hedgesAfterTheLearntPercentile keeps its bounds around the percentile with a spread that lies above the new floor; doesNotHedgeOrdinaryVariation guards the floor.

--- a/src/HedgePolicy.cpp
+++ b/src/HedgePolicy.cpp
@@ -35,9 +35,12 @@
     this->intervals.record(betweenTokens);
 }
 
+// The percentile alone hedges its share of the requests even when none is slow, and leaves no budget for a slowdown.
 std::optional<absl::Duration> HedgePolicy::delay() const
 {
-    return this->firstTokens.percentile(this->percentile);
+    const std::optional<absl::Duration> typical = this->firstTokens.percentile(medianPercentile);
+    const std::optional<absl::Duration> late = this->firstTokens.percentile(this->percentile);
+    return typical.has_value() && late.has_value() ? std::optional<absl::Duration>(std::max(*late, *typical * slowRatio)) : std::nullopt;
 }
 
 std::optional<absl::Duration> HedgePolicy::slowInterval() const
