Let lost second attempts count against an upstream

Cause: an attempt that lost before its first token gave no latency sample.

Change: cancelled attempts report the wait so far or the recent time between tokens as a lower bound. Values of at least twice the median of the pool count with weight 0.4, others are ignored, so that preempted and abandoned streams do not shift the score.

--- a/src/LatencyScore.cpp
+++ b/src/LatencyScore.cpp
@@ -11,6 +11,9 @@
 constexpr double sampleWeight = 0.2;
 // An ejected upstream gets few requests; a greater weight lets two good probes readmit it after a fivefold slowdown.
 constexpr double probeWeight = 0.5;
+// An attempt that lost against a second one was compared with a peer, which says more than one slow answer.
+constexpr double cancelledWeight = 0.4;
+constexpr double cancelledRatio = 2.0;
 constexpr double ejectScore = 2.5;
 // Lower than ejectScore, so that an upstream near the limit does not alternate between the two states.
 constexpr double readmitScore = 1.5;
@@ -62,12 +65,35 @@
         return;
     }
     const double weight = history->slow || history->dead ? probeWeight : sampleWeight;
-    history->firstToken.add(firstToken, weight);
-    history->betweenTokens.add(betweenTokens, weight);
     history->failureShare *= 1.0 - weight;
-    history->lastSample = now;
     history->dead = false;
-    ++history->samples;
+    this->add(*history, firstToken, betweenTokens, weight, now);
+}
+
+// Without these samples an upstream whose requests all lose against a second attempt never shows that it is slow, and
+// attracts further requests because its slots are free.
+void LatencyScore::recordCancelled(std::string_view upstream, absl::Duration firstToken, absl::Duration betweenTokens, absl::Time now)
+{
+    History *history = this->find(upstream);
+    if (history == nullptr) {
+        return;
+    }
+    const auto slow = [](absl::Duration value, const std::optional<double> &typical) {
+        return typical.has_value() && value > absl::Seconds(std::exp(*typical) * cancelledRatio);
+    };
+    const absl::Duration slowFirst = slow(firstToken, this->firstTokenMedian) ? firstToken : absl::ZeroDuration();
+    const absl::Duration slowBetween = slow(betweenTokens, this->betweenTokensMedian) ? betweenTokens : absl::ZeroDuration();
+    if (slowFirst > absl::ZeroDuration() || slowBetween > absl::ZeroDuration()) {
+        this->add(*history, slowFirst, slowBetween, cancelledWeight, now);
+    }
+}
+
+void LatencyScore::add(History &history, absl::Duration firstToken, absl::Duration betweenTokens, double weight, absl::Time now)
+{
+    history.firstToken.add(firstToken, weight);
+    history.betweenTokens.add(betweenTokens, weight);
+    history.lastSample = now;
+    ++history.samples;
     this->refresh();
 }
 
@@ -132,15 +158,15 @@
             between.push_back(history.betweenTokens.logSeconds);
         }
     }
-    const std::optional<double> firstMedian = median(std::move(first));
-    const std::optional<double> betweenMedian = median(std::move(between));
+    this->firstTokenMedian = median(std::move(first));
+    this->betweenTokensMedian = median(std::move(between));
     for (auto &[name, history] : this->histories) {
         std::vector<double> ratios;
-        if (firstMedian.has_value() && history.firstToken.samples > 0) {
-            ratios.push_back(std::exp(history.firstToken.logSeconds - *firstMedian));
+        if (this->firstTokenMedian.has_value() && history.firstToken.samples > 0) {
+            ratios.push_back(std::exp(history.firstToken.logSeconds - *this->firstTokenMedian));
         }
-        if (betweenMedian.has_value() && history.betweenTokens.samples > 0) {
-            ratios.push_back(std::exp(history.betweenTokens.logSeconds - *betweenMedian));
+        if (this->betweenTokensMedian.has_value() && history.betweenTokens.samples > 0) {
+            ratios.push_back(std::exp(history.betweenTokens.logSeconds - *this->betweenTokensMedian));
         }
         const double ratio = ratios.empty() ? 1.0 : *std::max_element(ratios.begin(), ratios.end());
         history.score = std::clamp(ratio * (1.0 + failurePenalty * history.failureShare), minScore, maxScore);
--- a/src/LatencyScore.h
+++ b/src/LatencyScore.h
@@ -2,6 +2,7 @@
 
 #include <cstddef>
 #include <map>
+#include <optional>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -19,8 +20,10 @@
 public:
     /** Replaces the set of upstreams; the history of those that stay is kept. */
     void setUpstreams(const std::vector<std::string> &names);
-    /** Takes a finished or partial observation; a zero duration was not observed. */
+    /** Takes what an answer or its progress showed; a zero duration was not observed. */
     void record(std::string_view upstream, absl::Duration firstToken, absl::Duration betweenTokens, absl::Time now);
+    /** Takes what a cancelled attempt had observed so far, as lower bounds; ordinary values are ignored. */
+    void recordCancelled(std::string_view upstream, absl::Duration firstToken, absl::Duration betweenTokens, absl::Time now);
     /** Takes a request that failed on the upstream. */
     void recordFailure(std::string_view upstream, absl::Time now);
     /** Takes the death of an upstream; it stays ejected until a request on it succeeds. */
@@ -51,10 +54,14 @@
 
     History *find(std::string_view upstream);
     [[nodiscard]] const History *find(std::string_view upstream) const;
+    void add(History &history, absl::Duration firstToken, absl::Duration betweenTokens, double weight, absl::Time now);
     void refresh();
     void refreshEjection();
 
     std::map<std::string, History, std::less<>> histories;
+    /** Of all upstreams, as logarithms. */
+    std::optional<double> firstTokenMedian;
+    std::optional<double> betweenTokensMedian;
 };
 
 } // namespace Bergamotramp
--- a/src/ModelAttempt.cpp
+++ b/src/ModelAttempt.cpp
@@ -151,7 +151,8 @@
     {
         GrantOutcome outcome{};
         outcome.result = whole ? wire::SLOT_RESULT_COMPLETED : failedSlotResult(*this->parts.upstreams, this->ticket.address, result.outcome);
-        outcome.firstToken = this->firstToken;
+        // Until the first token, the wait so far is a lower bound.
+        outcome.firstToken = this->tokens > 0 ? this->firstToken : absl::Now() - this->start;
         outcome.tokens = this->tokens;
         if (this->tokens > 1) {
             outcome.betweenTokens = (this->lastToken - this->start - this->firstToken) / (this->tokens - 1);
--- a/src/SlotPool.cpp
+++ b/src/SlotPool.cpp
@@ -264,8 +264,8 @@
         if (grant.isolated && this->crashes.clear(grant.request.fingerprint)) {
             this->suspectChanged(grant.request.fingerprint, 0, now);
         }
-    } else if (outcome.result == wire::SLOT_RESULT_CANCELLED && outcome.firstToken > absl::ZeroDuration()) {
-        this->load.latency().record(grant.upstream, outcome.firstToken, outcome.betweenTokens, now);
+    } else if (outcome.result == wire::SLOT_RESULT_CANCELLED) {
+        this->load.latency().recordCancelled(grant.upstream, outcome.firstToken, outcome.betweenTokens, now);
     }
 }
 
--- a/src/SlotState.cpp
+++ b/src/SlotState.cpp
@@ -473,7 +473,9 @@
         }
     } else if (outcome.result == wire::SLOT_RESULT_FAILED) {
         pool.local.latency().recordFailure(upstream, now);
-    } else if (outcome.result == wire::SLOT_RESULT_COMPLETED || outcome.firstToken > absl::ZeroDuration()) {
+    } else if (outcome.result == wire::SLOT_RESULT_CANCELLED) {
+        pool.local.latency().recordCancelled(upstream, outcome.firstToken, outcome.betweenTokens, now);
+    } else {
         pool.local.latency().record(upstream, outcome.firstToken, outcome.betweenTokens, now);
     }
     if (pool.region.empty() && outcome.result == wire::SLOT_RESULT_COMPLETED && this->suspects[pool.service].clear(ticket.fingerprint)) {
--- a/test/core/SlotPoliciesTest.cpp
+++ b/test/core/SlotPoliciesTest.cpp
@@ -41,6 +41,22 @@
     EXPECT_FALSE(scores.ejected("u0"));
 }
 
+// Guards against a slow upstream that stays in use because all its requests lose against second attempts, and against an
+// ejection because of attempts that were cancelled for other reasons.
+TEST(LatencyScoreTest, lostSecondAttemptsEject)
+{
+    LatencyScore scores = scoresOf(6, 0, 6);
+    for (int attempt = 0; attempt < 10; ++attempt) {
+        scores.recordCancelled("u0", absl::Milliseconds(130), absl::ZeroDuration(), start);
+    }
+    EXPECT_NEAR(scores.score("u0", start), 1.0, 0.01) << "ordinary";
+    for (int attempt = 0; attempt < 3; ++attempt) {
+        EXPECT_FALSE(scores.ejected("u0"));
+        scores.recordCancelled("u0", absl::Milliseconds(350), absl::ZeroDuration(), start);
+    }
+    EXPECT_TRUE(scores.ejected("u0"));
+}
+
 // Guards against a pool that ejects itself when many upstreams are slow at once.
 TEST(LatencyScoreTest, ejectsAtMostAThird)
 {
