Resume a preempted stream at its own position

Cause: worker-death gave an answer with w14 to w18 twice. Change: the position of the resumed attempt is kept with its token count.

ModelExchangeTest.resumedStreamBehindAnEarlierAttemptRepeatsNothing makes this case; it fails without the change.

--- a/src/ModelAttempt.h
+++ b/src/ModelAttempt.h
@@ -13,11 +13,13 @@
     std::string id;
     SlotDemand demand;
     ModelRequest request;
-    /** Id, upstream and text of a preempted attempt that this one may resume. */
+    /** Id and upstream of a preempted attempt that this one may resume. */
     std::string resumeId;
     std::string resumeUpstream;
     /** Tokens received of the attempt to resume. */
     std::uint32_t resumeTokens = 0;
+    /** Characters of the answer in these tokens. */
+    std::size_t resumePosition = 0;
 };
 
 /** Gets a slot, calls the upstream and reports every step to @p report; blocks until the attempt has ended. */
--- a/src/ModelExchange.cpp
+++ b/src/ModelExchange.cpp
@@ -149,6 +149,7 @@
         plan.resumeId = this->resumeFrom->plan.id;
         plan.resumeUpstream = this->resumeFrom->upstream;
         plan.resumeTokens = this->resumeFrom->tokens;
+        plan.resumePosition = this->resumeFrom->position;
     }
     ++this->counted;
     this->attempts.push_back(attempt);
@@ -262,7 +263,8 @@
         return std::nullopt;
     }
     if (event.resumed && attempt.tokens == 0) {
-        attempt.position = this->forwarded.text().size();
+        // The resumed attempt may have been behind an earlier one, whose text was forwarded already.
+        attempt.position = attempt.plan.resumePosition;
         attempt.tokens = attempt.plan.resumeTokens;
     }
     ++attempt.tokens;
