--- a/test/scenario/CallHistory.cpp
+++ b/test/scenario/CallHistory.cpp
@@ -33,6 +33,11 @@
     return !this->answers.empty() && this->answers.back().whole && this->answers.back().status == 200;
 }
 
+absl::Duration Call::firstTokenAfter() const
+{
+    return this->answers.empty() ? absl::InfiniteDuration() : this->answers.back().firstToken - this->answers.front().sent;
+}
+
 std::string Call::state() const
 {
     return this->answers.empty() ? "" : this->answers.back().state;
--- a/test/scenario/CallHistory.h
+++ b/test/scenario/CallHistory.h
@@ -15,6 +15,8 @@
     std::string host;
     absl::Time sent;
     absl::Time ended;
+    /** Arrival of the first token; infinite future when none came. */
+    absl::Time firstToken = absl::InfiniteFuture();
     /** HTTP status; 0 when no answer came. */
     int status = 0;
     /** Whether the answer ended as it should: the end marker of a stream, the whole body otherwise. */
@@ -46,6 +48,8 @@
 
     /** Whether the last attempt brought a whole answer. */
     [[nodiscard]] bool completed() const;
+    /** From the first attempt to the first token of the last one; infinite when none came. */
+    [[nodiscard]] absl::Duration firstTokenAfter() const;
     /** State of the last error answer; empty when there was none. */
     [[nodiscard]] std::string state() const;
 };
--- a/test/scenario/Caller.cpp
+++ b/test/scenario/Caller.cpp
@@ -1,5 +1,7 @@
 #include "Caller.h"
 
+#include <algorithm>
+
 #include <httplib.h>
 
 #include <absl/strings/str_cat.h>
@@ -13,6 +15,7 @@
 // A caller gives up an attempt later than the host's own deadline, so that it sees the host's answer.
 constexpr time_t readTimeoutSeconds = 90;
 constexpr absl::Duration retryPause = absl::Milliseconds(200);
+constexpr int statusOk = 200;
 constexpr const char *dataStart = "data: ";
 
 httplib::Request requestOf(const CallPlan &plan)
@@ -167,8 +170,12 @@
         answer.status = response.status;
         return true;
     };
-    request.content_receiver = [&body](const char *data, std::size_t size, std::uint64_t, std::uint64_t) {
+    request.content_receiver = [&body, &answer](const char *data, std::size_t size, std::uint64_t, std::uint64_t) {
         body.append(data, size);
+        // Each event of a stream carries a token, so the first bytes of a successful answer are the first token.
+        if (answer.status == statusOk) {
+            answer.firstToken = std::min(answer.firstToken, absl::Now());
+        }
         return true;
     };
     const httplib::Result result = client.send(request);
--- a/test/scenario/ScenarioRunner.cpp
+++ b/test/scenario/ScenarioRunner.cpp
@@ -380,6 +380,9 @@
         const std::vector<Member *> engines = this->fleet.members(MemberKind::Engine);
         return std::count_if(engines.begin(), engines.end(), [](Member *engine) { return engine->process->alive(); });
     }
+    if (name == "engines") {
+        return this->sumOfEngines(field);
+    }
     if (this->publications.contains(name)) {
         return this->publications[name].value(field, nlohmann::json());
     }
@@ -404,6 +407,9 @@
     if (field == "not_run" || field == "unknown" || field == "run") {
         return countOf(calls, [&field](const Call &call) { return call.ended && !call.completed() && call.state() == field; });
     }
+    if (field == "late") {
+        return countOf(calls, [this](const Call &call) { return call.ended && call.firstTokenAfter() > this->firstTokenObjective(call.service); });
+    }
     if (field == "attempts") {
         return std::accumulate(calls.begin(), calls.end(), std::size_t{0}, [](std::size_t sum, const Call &call) { return sum + call.answers.size(); });
     }
@@ -420,6 +426,16 @@
     throw ScenarioError(absl::StrCat("calls have no field ", field));
 }
 
+absl::Duration ScenarioRunner::firstTokenObjective(const std::string &service)
+{
+    const nlohmann::json::json_pointer pointer("/online/firstTokenMs");
+    const nlohmann::json &file = this->fleet.service(service);
+    if (!file.contains(pointer)) {
+        throw ScenarioError(absl::StrCat("service ", service, " states no objective; give it online.firstTokenMs"));
+    }
+    return absl::Milliseconds(file.at(pointer).get<std::int64_t>());
+}
+
 nlohmann::json ScenarioRunner::valueOfJob(const Job &job, const std::string &field)
 {
     if (field == "acknowledged") {
@@ -459,6 +475,19 @@
     return json.is_object() && json.contains(pointer) ? json[pointer] : nlohmann::json();
 }
 
+nlohmann::json ScenarioRunner::sumOfEngines(const std::string &counter)
+{
+    std::int64_t sum = 0;
+    for (Member *engine : this->fleet.members(MemberKind::Engine)) {
+        const nlohmann::json value = this->valueOfMember(*engine, counter);
+        if (!value.is_number_integer()) {
+            throw ScenarioError(absl::StrCat(engine->name, " has no counter ", counter));
+        }
+        sum += value.get<std::int64_t>();
+    }
+    return sum;
+}
+
 nlohmann::json ScenarioRunner::valueOfHost(Member &host, const std::string &field)
 {
     if (field == "ready") {
--- a/test/scenario/ScenarioRunner.h
+++ b/test/scenario/ScenarioRunner.h
@@ -49,8 +49,11 @@
     bool compare(const std::string &left, const std::string &operation, const std::string &right, std::string &shown);
     nlohmann::json valueOf(const std::string &path);
     nlohmann::json valueOfGroup(const std::vector<Call> &calls, const std::string &field);
+    /** The objective to the first token that the service file states. */
+    absl::Duration firstTokenObjective(const std::string &service);
     nlohmann::json valueOfJob(const Job &job, const std::string &field);
     nlohmann::json valueOfMember(Member &member, const std::string &field);
+    nlohmann::json sumOfEngines(const std::string &counter);
     nlohmann::json valueOfHost(Member &host, const std::string &field);
 
     std::string finalReport();
