--- a/src/Host.cpp
+++ b/src/Host.cpp
@@ -74,7 +74,8 @@
     this->workers = std::make_unique<WorkerPool>(static_cast<std::size_t>(own.limits.connections + own.batchConcurrency) * attemptsPerRequest);
     this->transport = std::make_unique<Transport>(
         own.peerAddress,
-        Transport::Hooks{[this](const wire::Envelope &envelope) { this->receive(envelope); }, [this](wire::Envelope &envelope) { this->stamp(envelope); }});
+        Transport::Hooks{[this](const wire::Envelope &envelope) { this->receive(envelope); }, [this](wire::Envelope &envelope) { this->stamp(envelope); }},
+        own.peerRoutes);
     this->createServers();
     this->createServices();
     this->connectServices();
--- a/src/HostSettings.cpp
+++ b/src/HostSettings.cpp
@@ -15,17 +15,34 @@
 constexpr std::int64_t mebibyte = 1024 * 1024;
 constexpr IntegerRange timeoutRange{10, 60'000}; // ms
 
-std::string readAddress(JsonReader &reader, const std::string &key)
+void checkAddress(const std::string &address, const std::string &path)
 {
-    std::string address = reader.requiredString(key);
     const std::size_t colon = address.rfind(':');
     int port = -1;
     if (colon == std::string::npos || colon == 0 || !absl::SimpleAtoi(address.substr(colon + 1), &port) || port < 0 || port > 65535) {
-        throw JsonError(reader.pathOf(key), absl::StrCat("\"", address, "\" is not an address of the form IP:port"));
+        throw JsonError(path, absl::StrCat("\"", address, "\" is not an address of the form IP:port"));
     }
+}
+
+std::string readAddress(JsonReader &reader, const std::string &key)
+{
+    std::string address = reader.requiredString(key);
+    checkAddress(address, reader.pathOf(key));
     return address;
 }
 
+void readPeerRoutes(JsonReader &reader, std::map<std::string, std::string> &routes)
+{
+    reader.optionalMap("peerRoutes", [&routes](const std::string &announced, const nlohmann::json &route, const std::string &path) {
+        if (!route.is_string()) {
+            throw JsonError(path, "must be a string");
+        }
+        checkAddress(announced, path);
+        checkAddress(route.get<std::string>(), path);
+        routes[announced] = route.get<std::string>();
+    });
+}
+
 absl::Duration readMilliseconds(JsonReader &reader, const std::string &key, absl::Duration fallback, IntegerRange range)
 {
     return absl::Milliseconds(reader.optionalInteger(key, absl::ToInt64Milliseconds(fallback), range));
@@ -64,6 +81,7 @@
     settings.dataCentre = reader.requiredString("dataCentre");
     settings.callerAddress = readAddress(reader, "callerAddress");
     settings.peerAddress = readAddress(reader, "peerAddress");
+    readPeerRoutes(reader, settings.peerRoutes);
     settings.adminAddress = readAddress(reader, "adminAddress");
     settings.storeAddress = readAddress(reader, "storeAddress");
     settings.storeTimeout = readMilliseconds(reader, "storeTimeoutMs", settings.storeTimeout, timeoutRange);
--- a/src/HostSettings.h
+++ b/src/HostSettings.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <cstdint>
+#include <map>
 #include <stdexcept>
 #include <string>
 #include <string_view>
@@ -37,6 +38,8 @@
     std::string dataCentre;
     std::string callerAddress;
     std::string peerAddress;
+    /** Addresses through which this host reaches peers, by the peer address that they announce. */
+    std::map<std::string, std::string> peerRoutes;
     std::string adminAddress;
     std::string storeAddress;
     absl::Duration storeTimeout = absl::Seconds(2);
--- a/src/Transport.cpp
+++ b/src/Transport.cpp
@@ -25,8 +25,9 @@
 
 } // namespace
 
-Transport::Transport(const std::string &address, Hooks hooks)
+Transport::Transport(const std::string &address, Hooks hooks, std::map<std::string, std::string> routes)
     : hooks(std::move(hooks))
+    , routes(std::move(routes))
     , context(1)
     , router(this->context, zmq::socket_type::router)
     , wakeReceiver(this->context, zmq::socket_type::pair)
@@ -202,7 +203,8 @@
     socket.set(zmq::sockopt::heartbeat_timeout, heartbeatTimeout);
     socket.set(zmq::sockopt::reconnect_ivl, reconnectInterval);
     socket.set(zmq::sockopt::reconnect_ivl_max, maxReconnectInterval);
-    socket.connect("tcp://" + peerAddress);
+    const auto route = this->routes.find(peerAddress);
+    socket.connect("tcp://" + (route == this->routes.end() ? peerAddress : route->second));
     return this->dealers.emplace(peerAddress, std::move(socket)).first->second;
 }
 
--- a/src/Transport.h
+++ b/src/Transport.h
@@ -49,8 +49,11 @@
         std::function<void(wire::Envelope &)> stamp;
     };
 
-    /** Binds to @p address ("IP:port", port 0 for a free one); throws TransportError. */
-    Transport(const std::string &address, Hooks hooks);
+    /**
+     * Binds to @p address ("IP:port", port 0 for a free one); throws TransportError. A peer whose address is a key of
+     * @p routes is reached through the address given there.
+     */
+    Transport(const std::string &address, Hooks hooks, std::map<std::string, std::string> routes = {});
     ~Transport();
     Transport(const Transport &) = delete;
     Transport &operator=(const Transport &) = delete;
@@ -89,6 +92,7 @@
     zmq::socket_t &dealer(const std::string &peerAddress);
 
     Hooks hooks;
+    const std::map<std::string, std::string> routes;
     zmq::context_t context;
     zmq::socket_t router;
     zmq::socket_t wakeReceiver;
--- a/test/host/HostSettingsTest.cpp
+++ b/test/host/HostSettingsTest.cpp
@@ -48,6 +48,9 @@
     settings["storeAddress"] = "store";
     EXPECT_EQ(problemOf(settings), "host.json: storeAddress: \"store\" is not an address of the form IP:port");
     settings = completeSettings();
+    settings["peerRoutes"] = {{"10.0.0.1:7000", "relay"}};
+    EXPECT_EQ(problemOf(settings), "host.json: peerRoutes.10.0.0.1:7000: \"relay\" is not an address of the form IP:port");
+    settings = completeSettings();
     settings.erase("name");
     EXPECT_EQ(problemOf(settings), "host.json: name: is missing");
     settings = completeSettings();
--- a/test/scenario/Fleet.cpp
+++ b/test/scenario/Fleet.cpp
@@ -16,8 +16,9 @@
 namespace {
 
 constexpr absl::Duration startLimit = absl::Seconds(60);
+constexpr absl::Duration loadLimit = absl::Seconds(60);
 constexpr std::size_t logTailLines = 15;
-constexpr std::size_t hostPorts = 3;
+constexpr std::size_t hostPorts = 2;
 
 bool isPlacement(const std::string &key)
 {
@@ -64,7 +65,7 @@
 
 std::string Member::adminAddress() const
 {
-    return this->ports.at(2).address();
+    return this->ports.at(1).address();
 }
 
 bool Member::responsive() const
@@ -152,16 +153,19 @@
     nlohmann::json settings = {{"name", member.name},
                                {"region", member.region},
                                {"dataCentre", member.dataCentre},
-                               {"callerAddress", member.ports.at(0).address()},
-                               {"peerAddress", member.ports.at(1).address()},
-                               {"adminAddress", member.ports.at(2).address()},
+                               {"callerAddress", member.address()},
+                               {"peerAddress", this->peerAddress(member.name)},
+                               {"adminAddress", member.adminAddress()},
                                {"storeAddress", store},
                                {"storeTimeoutMs", 1000},
                                {"entryTimeToLiveMs", 1000},
                                {"membershipPeriodMs", 200},
                                {"eventLog", this->folder + "/" + member.name + ".events"}};
+    for (const std::string &peer : splitList(statement.option("links", ""), ',')) {
+        settings["peerRoutes"][this->peerAddress(peer)] = this->route(member.name + "-" + peer, this->peerAddress(peer));
+    }
     for (const auto &[key, value] : statement.options) {
-        if (!isPlacement(key)) {
+        if (!isPlacement(key) && key != "links") {
             settings[nlohmann::json::json_pointer("/" + absl::StrReplaceAll(key, {{".", "/"}}))] = valueOf(value);
         }
     }
@@ -170,6 +174,12 @@
     return file;
 }
 
+// Known before the host is added, so that hosts that are added earlier can be linked to it.
+std::string Fleet::peerAddress(const std::string &name)
+{
+    return this->peerPorts[name].address();
+}
+
 void Fleet::start(Member &member)
 {
     ++member.starts;
@@ -235,9 +245,9 @@
             list.push_back({{"name", name},
                             {"region", host.region},
                             {"dataCentre", host.dataCentre},
-                            {"callerAddress", host.ports.at(0).address()},
-                            {"peerAddress", host.ports.at(1).address()},
-                            {"adminAddress", host.ports.at(2).address()},
+                            {"callerAddress", host.address()},
+                            {"peerAddress", this->peerAddress(name)},
+                            {"adminAddress", host.adminAddress()},
                             {"state", state}});
         }
     }
@@ -298,6 +308,31 @@
     }
 }
 
+nlohmann::json Fleet::runLoad(const Statement &statement)
+{
+    const std::string duration = statement.option("seconds", "1");
+    const std::string shape = absl::StrCat("service=",
+                                           statement.option("service", ""),
+                                           ",ratePerSecond=",
+                                           statement.option("rate", "1"),
+                                           ",maxTokens=",
+                                           statement.option("tokens", "10"),
+                                           ",deadlineMs=",
+                                           statement.option("deadline-ms", "1000"));
+    const std::string program = this->programs.daemon.substr(0, this->programs.daemon.rfind('/') + 1) + "bergamotramp";
+    std::vector<std::string> command{program, "load", "--output", "json", "--direct", "--verify-text", "--duration", duration, "--stream", shape};
+    command.insert(command.end(), {"--concurrency", statement.option("concurrency", "64"), "--seed", statement.option("seed", "1")});
+    for (const std::string &host : splitList(statement.word(0), ',')) {
+        command.insert(command.end(), {"--entry", this->member(host).address()});
+    }
+    ChildProcess process(command, absl::StrCat(this->folder, "/load.", statement.line, ".log"));
+    const std::optional<std::string> summary = process.waitForLine("{", loadLimit);
+    if (!summary) {
+        throw ScenarioError("the load gives no summary");
+    }
+    return nlohmann::json::parse(*summary);
+}
+
 std::string Fleet::logTail(const Member &member) const
 {
     std::deque<std::string> lines;
--- a/test/scenario/Fleet.h
+++ b/test/scenario/Fleet.h
@@ -81,6 +81,8 @@
     [[nodiscard]] const nlohmann::json &service(const std::string &name) const;
     /** POSTs to a member's control interface. */
     void control(const std::string &name, const std::string &path, const nlohmann::json &body);
+    /** Runs the load program against hosts and returns its summary. */
+    nlohmann::json runLoad(const Statement &statement);
     /** The last lines of a member's log. */
     [[nodiscard]] std::string logTail(const Member &member) const;
 
@@ -89,6 +91,7 @@
     void start(Member &member);
     std::string route(const std::string &name, const std::string &target);
     std::vector<std::string> routesOf(const std::string &name) const;
+    std::string peerAddress(const std::string &name);
     std::string writeSettings(const Member &member, const Statement &statement);
     void sendHostList();
 
@@ -96,6 +99,7 @@
     std::string folder;
     FaultProxy proxy;
     std::vector<std::string> routes;
+    std::map<std::string, ReservedPort> peerPorts;
     std::map<std::string, Member> byName;
     std::map<std::string, std::string> hostStates;
     std::map<std::string, nlohmann::json> services;
--- a/test/scenario/ScenarioRunner.cpp
+++ b/test/scenario/ScenarioRunner.cpp
@@ -15,9 +15,10 @@
 
 namespace {
 
-constexpr absl::Duration waitLimit = absl::Seconds(90);
 constexpr absl::Duration pollPeriod = absl::Milliseconds(50);
 constexpr std::size_t maxViolationsShown = 5;
+// Members of a host by state, for example h1.members.dead.
+constexpr std::string_view membersField = "members.";
 
 bool compareNumbers(double left, const std::string &operation, double right)
 {
@@ -99,6 +100,7 @@
 void ScenarioRunner::addTraffic()
 {
     this->handlers["call"] = [this](const Statement &statement) { this->call(statement); };
+    this->handlers["load"] = [this](const Statement &statement) { this->load(statement); };
     this->handlers["submit"] = [this](const Statement &statement) { this->submit(statement); };
     this->handlers["resubmit"] = [this](const Statement &statement) { this->jobs.submit(this->jobs.find(statement.word(0)), statement.option("via", "h1")); };
     this->handlers["cancel"] = [this](const Statement &statement) {
@@ -158,6 +160,14 @@
 {
     this->handlers["remember"] = [this](const Statement &statement) { this->remembered[statement.word(0)] = this->valueOf(statement.word(1)); };
     this->handlers["wait-until"] = [this](const Statement &statement) { this->waitUntil(statement.text); };
+    this->handlers["within"] = [this](const Statement &statement) {
+        const std::string &milliseconds = statement.word(0);
+        std::int64_t limit = 0;
+        if (!absl::SimpleAtoi(milliseconds, &limit)) {
+            throw ScenarioError("within needs a number of milliseconds");
+        }
+        this->waitUntil(statement.text.substr(std::min(statement.text.size(), milliseconds.size() + 1)), absl::Milliseconds(limit));
+    };
     this->handlers["expect"] = [this](const Statement &statement) {
         std::string shown;
         if (!this->holds(statement.text, shown)) {
@@ -230,6 +240,19 @@
     }
 }
 
+void ScenarioRunner::load(const Statement &statement)
+{
+    if (statement.label.empty()) {
+        throw ScenarioError("load needs a label");
+    }
+    nlohmann::json summary = this->fleet.runLoad(statement).at("total");
+    const auto notRun = summary.at("errors_by_state").at("not_run").get<std::int64_t>();
+    summary["not_run"] = notRun;
+    summary["may_have_run"] = summary.at("requests").get<std::int64_t>() - notRun;
+    this->history.note(absl::StrCat("load ", statement.label, ": ", summary.dump()));
+    this->loads[statement.label] = std::move(summary);
+}
+
 CallPlan ScenarioRunner::planOf(const Statement &statement, std::int64_t number)
 {
     const std::string group = statement.label.empty() ? absl::StrCat("line-", statement.line) : statement.label;
@@ -321,9 +344,9 @@
     }
 }
 
-void ScenarioRunner::waitUntil(const std::string &expression)
+void ScenarioRunner::waitUntil(const std::string &expression, absl::Duration limit)
 {
-    const absl::Time end = absl::Now() + waitLimit;
+    const absl::Time end = absl::Now() + limit;
     std::string shown;
     while (!this->holds(expression, shown)) {
         if (absl::Now() > end) {
@@ -350,11 +373,11 @@
 bool ScenarioRunner::compare(const std::string &left, const std::string &operation, const std::string &right, std::string &shown)
 {
     const nlohmann::json found = this->valueOf(left);
-    const std::size_t dot = right.find('.');
-    const bool isPath = dot != std::string::npos && (this->fleet.has(right.substr(0, dot)) || this->jobs.has(right.substr(0, dot)));
-    const auto kept = this->remembered.find(right);
-    const nlohmann::json expected = kept != this->remembered.end() ? kept->second : isPath ? this->valueOf(right) : literal(right);
+    const nlohmann::json expected = this->expectedValue(right);
     absl::StrAppend(&shown, shown.empty() ? "" : ", ", left, " = ", textOf(found));
+    if (textOf(expected) != right) {
+        absl::StrAppend(&shown, " (", right, " = ", textOf(expected), ")");
+    }
     if (found.is_number() && expected.is_number()) {
         return compareNumbers(found.get<double>(), operation, expected.get<double>());
     }
@@ -365,6 +388,25 @@
     return equal == (operation == "==");
 }
 
+nlohmann::json ScenarioRunner::expectedValue(const std::string &word)
+{
+    // A factor stands before the value, for example 0.9*base.goodput.
+    const std::size_t star = word.find('*');
+    double factor = 0;
+    if (star != std::string::npos && absl::SimpleAtod(word.substr(0, star), &factor)) {
+        const nlohmann::json value = this->expectedValue(word.substr(star + 1));
+        return value.is_number() ? nlohmann::json(factor * value.get<double>()) : nlohmann::json();
+    }
+    const auto kept = this->remembered.find(word);
+    if (kept != this->remembered.end()) {
+        return kept->second;
+    }
+    const std::size_t dot = word.find('.');
+    const std::string name = word.substr(0, dot);
+    const bool isPath = dot != std::string::npos && (this->fleet.has(name) || this->jobs.has(name) || this->loads.contains(name) || name == "loads");
+    return isPath ? this->valueOf(word) : literal(word);
+}
+
 nlohmann::json ScenarioRunner::valueOf(const std::string &path)
 {
     const std::size_t dot = path.find('.');
@@ -386,6 +428,14 @@
     if (this->publications.contains(name)) {
         return this->publications[name].value(field, nlohmann::json());
     }
+    if (this->loads.contains(name)) {
+        return this->loads[name].value(field, nlohmann::json());
+    }
+    if (name == "loads") {
+        return std::accumulate(this->loads.begin(), this->loads.end(), std::int64_t{0}, [&field](std::int64_t sum, const auto &load) {
+            return sum + load.second.value(field, std::int64_t{0});
+        });
+    }
     const std::vector<Call> calls = name == "calls" ? this->history.calls() : this->history.group(name);
     if (calls.empty() && name != "calls") {
         throw ScenarioError(absl::StrCat("nothing is named ", name));
@@ -488,12 +538,27 @@
     return sum;
 }
 
+// Number of members that a host sees in a state, itself included.
+nlohmann::json ScenarioRunner::membersOf(const Member &host, const std::string &state)
+{
+    const std::optional<HttpAnswer> answer = httpCall("GET", host.adminAddress(), "/admin/hosts");
+    const nlohmann::json json = answer ? answer->json() : nlohmann::json();
+    if (!json.is_object() || !json.contains("hosts")) {
+        return nullptr;
+    }
+    const nlohmann::json &hosts = json["hosts"];
+    return std::count_if(hosts.begin(), hosts.end(), [&state](const nlohmann::json &member) { return member.value("state", "") == state; });
+}
+
 nlohmann::json ScenarioRunner::valueOfHost(Member &host, const std::string &field)
 {
     if (field == "ready") {
         const std::optional<HttpAnswer> answer = httpCall("GET", host.adminAddress(), "/readyz");
         return answer && answer->status == 200;
     }
+    if (field.starts_with(membersField)) {
+        return ScenarioRunner::membersOf(host, field.substr(membersField.size()));
+    }
     const bool isGeneration = field == "generation";
     const std::string path = isGeneration ? "status.generation" : field;
     const std::size_t dot = path.find('.');
--- a/test/scenario/ScenarioRunner.h
+++ b/test/scenario/ScenarioRunner.h
@@ -29,6 +29,9 @@
     std::string run(const std::string &file, const std::vector<Statement> &statements);
 
 private:
+    /** A wait without a bound of its own ends with an error after this long. */
+    static constexpr absl::Duration waitLimit = absl::Seconds(90);
+
     using Handler = std::function<void(const Statement &)>;
 
     void addTopology();
@@ -37,16 +40,19 @@
     void addProcesses();
     void addVerdicts();
     void call(const Statement &statement);
+    void load(const Statement &statement);
     CallPlan planOf(const Statement &statement, std::int64_t number);
     void submit(const Statement &statement);
     void publish(const Statement &statement);
     void slow(const Statement &statement);
-    void waitUntil(const std::string &expression);
+    void waitUntil(const std::string &expression, absl::Duration limit = waitLimit);
     void drain(const Statement &statement);
 
     /** Evaluates "A OP B and C OP D ..."; @p shown gets the values that were compared. */
     bool holds(const std::string &expression, std::string &shown);
     bool compare(const std::string &left, const std::string &operation, const std::string &right, std::string &shown);
+    /** Value of the right side of a comparison: a path, a remembered value or a literal, with a factor before it or not. */
+    nlohmann::json expectedValue(const std::string &word);
     nlohmann::json valueOf(const std::string &path);
     nlohmann::json valueOfGroup(const std::vector<Call> &calls, const std::string &field);
     /** The objective to the first token that the service file states. */
@@ -54,6 +60,7 @@
     nlohmann::json valueOfJob(const Job &job, const std::string &field);
     nlohmann::json valueOfMember(Member &member, const std::string &field);
     nlohmann::json sumOfEngines(const std::string &counter);
+    static nlohmann::json membersOf(const Member &host, const std::string &state);
     nlohmann::json valueOfHost(Member &host, const std::string &field);
 
     std::string finalReport();
@@ -66,6 +73,8 @@
     std::unique_ptr<Caller> caller;
     /** Answers of labelled publications. */
     std::map<std::string, nlohmann::json> publications;
+    /** Summaries of loads, in total. */
+    std::map<std::string, nlohmann::json> loads;
     /** Values kept by "remember". */
     std::map<std::string, nlohmann::json> remembered;
     std::int64_t generation = 0;
