Name startup and input errors and give them their types

StartupTest runs the daemon as a process. It found, and this changes: - a folder given as settings or configuration file was reported as JSON that is not valid; it can't be read, and the message says so; - errors of store calls named no store; they now begin with its address; - a publication over 1 MB and unknown admin paths got an empty answer; they get a typed error like all others; - a publication with a service defined twice was answered as store_unavailable, which asks for a repeat; it is invalid_service; - a caller's request whose body ended early was run with the part that had arrived; it is refused as not run.

--- a/src/AdminServer.cpp
+++ b/src/AdminServer.cpp
@@ -2,6 +2,7 @@
 
 #include <httplib.h>
 
+#include <absl/strings/str_cat.h>
 #include <glog/logging.h>
 
 #include "HttpListener.h"
@@ -13,22 +14,41 @@
 constexpr std::size_t adminThreads = 8;
 constexpr std::size_t maxPublicationBytes = 1024 * 1024;
 constexpr int statusAccepted = 202;
+constexpr int statusPayloadTooLarge = 413;
 constexpr int statusInternalError = 500;
 constexpr int statusUnavailable = 503;
 constexpr const char *jsonType = "application/json";
 constexpr const char *textType = "text/plain";
 
+void sendProblem(httplib::Response &response, const CallerProblem &problem)
+{
+    response.status = problem.status;
+    response.set_content(problem.toJson().dump(), jsonType);
+}
+
+// Gives the errors that the HTTP library finds by itself the form of all others.
+void sendLibraryError(const httplib::Request &request, httplib::Response &response)
+{
+    if (!response.body.empty()) {
+        return;
+    }
+    if (response.status == statusPayloadTooLarge) {
+        sendProblem(response,
+                    {response.status, "body_too_large", absl::StrCat("a publication may hold up to ", maxPublicationBytes, " bytes"), RunState::NotRun});
+    } else {
+        sendProblem(response, {response.status, "not_found", absl::StrCat("no route for ", request.method, " ", request.path), RunState::NotRun});
+    }
+}
+
 void sendJson(httplib::Response &response, const std::function<nlohmann::json()> &produce)
 {
     try {
         response.set_content(produce().dump(-1, ' ', false, nlohmann::json::error_handler_t::replace), jsonType);
     } catch (const CallerError &error) {
-        response.status = error.problem().status;
-        response.set_content(error.problem().toJson().dump(), jsonType);
+        sendProblem(response, error.problem());
     } catch (const std::exception &error) {
         LOG(ERROR) << "admin request failed: " << error.what();
-        response.status = statusInternalError;
-        response.set_content(CallerProblem{statusInternalError, "internal_error", error.what(), RunState::Unknown}.toJson().dump(), jsonType);
+        sendProblem(response, {statusInternalError, "internal_error", error.what(), RunState::Unknown});
     }
 }
 
@@ -38,6 +58,7 @@
 {
     configureServer(*this->server, adminThreads);
     this->server->set_payload_max_length(maxPublicationBytes);
+    this->server->set_error_handler([](const httplib::Request &request, httplib::Response &response) { sendLibraryError(request, response); });
     this->addRoutes();
 }
 
--- a/src/CallerServer.cpp
+++ b/src/CallerServer.cpp
@@ -17,6 +17,7 @@
 constexpr const char *jsonLinesType = "application/x-ndjson";
 constexpr int statusOk = 200;
 constexpr int statusBadRequest = 400;
+constexpr int statusNotFound = 404;
 constexpr int statusPayloadTooLarge = 413;
 constexpr int statusInternalError = 500;
 constexpr int statusUnavailable = 503;
@@ -164,7 +165,9 @@
     configureServer(*this->server, this->limits.connections + spareThreads);
     this->server->set_payload_max_length(this->limits.jobBytes);
     this->server->set_error_handler([](const httplib::Request &request, httplib::Response &response) {
-        if (response.body.empty()) {
+        if (response.body.empty() && response.status != statusNotFound) {
+            sendProblem(response, {response.status, "bad_request", "the request can't be read as HTTP", RunState::NotRun});
+        } else if (response.body.empty()) {
             sendProblem(response, {response.status, "not_found", absl::StrCat("no route for ", request.method, " ", request.path), RunState::NotRun});
         }
     });
@@ -222,12 +225,13 @@
     }
 }
 
-std::string CallerServer::readBody(const httplib::ContentReader &reader) const
+std::string CallerServer::readBody(const httplib::Request &request, const httplib::ContentReader &reader) const
 {
     std::string body;
-    bool tooLong = false;
+    // The server reads nothing of a body that is longer than its limit for jobs.
+    bool tooLong = request.get_header_value<std::uint64_t>("Content-Length") > this->limits.bodyBytes;
     // An over-long body is read to its end, so that the connection stays usable and the caller sees the error.
-    reader([this, &body, &tooLong](const char *data, std::size_t size) {
+    const bool whole = reader([this, &body, &tooLong](const char *data, std::size_t size) {
         tooLong = tooLong || body.size() + size > this->limits.bodyBytes;
         if (!tooLong) {
             body.append(data, size);
@@ -238,6 +242,10 @@
         throw CallerError(
             {statusPayloadTooLarge, "body_too_large", absl::StrCat("the body may hold up to ", this->limits.bodyBytes, " bytes"), RunState::NotRun});
     }
+    // The beginning of a body whose caller went away may be a request of its own, so it is never run.
+    if (!whole) {
+        throw badRequest("incomplete_body", "the body ended early");
+    }
     return body;
 }
 
@@ -253,10 +261,12 @@
 void CallerServer::addOnlineRoutes()
 {
     const auto model = [this](const httplib::Request &request, httplib::Response &response, const httplib::ContentReader &reader) {
-        this->guard(response, [&](ActiveRequest active) { this->answer(request, response, this->hooks.model, this->readBody(reader), std::move(active)); });
+        this->guard(response,
+                    [&](ActiveRequest active) { this->answer(request, response, this->hooks.model, this->readBody(request, reader), std::move(active)); });
     };
     const auto plainWithBody = [this](const httplib::Request &request, httplib::Response &response, const httplib::ContentReader &reader) {
-        this->guard(response, [&](ActiveRequest active) { this->answer(request, response, this->hooks.plain, this->readBody(reader), std::move(active)); });
+        this->guard(response,
+                    [&](ActiveRequest active) { this->answer(request, response, this->hooks.plain, this->readBody(request, reader), std::move(active)); });
     };
     const auto plain = [this](const httplib::Request &request, httplib::Response &response) {
         this->guard(response, [&](ActiveRequest active) { this->answer(request, response, this->hooks.plain, "", std::move(active)); });
--- a/src/CallerServer.h
+++ b/src/CallerServer.h
@@ -127,7 +127,7 @@
     void submitJob(const httplib::Request &request, httplib::Response &response, const httplib::ContentReader &reader);
     void sendResults(const httplib::Request &request, httplib::Response &response, ActiveRequest active);
     /** Reads a body of at most the limit; throws CallerError. */
-    std::string readBody(const httplib::ContentReader &reader) const;
+    std::string readBody(const httplib::Request &request, const httplib::ContentReader &reader) const;
     /** Runs @p handle and turns what it throws into an error response. */
     void guard(httplib::Response &response, const std::function<void(ActiveRequest)> &handle);
 
--- a/src/CommandContext.cpp
+++ b/src/CommandContext.cpp
@@ -1,6 +1,7 @@
 #include "CommandContext.h"
 
 #include <algorithm>
+#include <filesystem>
 #include <fstream>
 #include <iostream>
 #include <sstream>
@@ -197,7 +198,8 @@
         return text.str();
     }
     const std::ifstream stream(file, std::ios::binary);
-    if (!stream) {
+    // A folder opens like a file and reads as empty.
+    if (!stream || std::filesystem::is_directory(file)) {
         throw CliError(ExitCode::InvalidInput, file + ": cannot be read");
     }
     text << stream.rdbuf();
--- a/src/Host.cpp
+++ b/src/Host.cpp
@@ -54,7 +54,8 @@
         reader.optionalArray("services",
                              [&services](const nlohmann::json &element, const std::string &path) { services.push_back(ServiceSpec::fromJson(element, path)); });
         reader.finish();
-        return services;
+        // Also finds services that are defined twice.
+        return Catalogue::fromJsonText(Catalogue{baseGeneration, services}.toJsonText()).services;
     } catch (const JsonError &error) {
         throw CallerError({statusBadRequest, "invalid_service", error.what(), RunState::NotRun});
     }
--- a/src/HostSettings.cpp
+++ b/src/HostSettings.cpp
@@ -1,5 +1,6 @@
 #include "HostSettings.h"
 
+#include <filesystem>
 #include <fstream>
 #include <sstream>
 
@@ -116,7 +117,8 @@
 HostSettings HostSettings::load(const std::string &file)
 {
     const std::ifstream stream(file);
-    if (!stream) {
+    // A folder opens like a file and reads as empty.
+    if (!stream || std::filesystem::is_directory(file)) {
         throw SettingsError(file, "cannot be read");
     }
     std::ostringstream text;
--- a/src/StoreClient.cpp
+++ b/src/StoreClient.cpp
@@ -118,6 +118,11 @@
     return client;
 }
 
+std::string StoreClient::callName(const std::string &verb, const std::string &object) const
+{
+    return absl::StrCat("store ", this->settings.address, ": ", verb, object);
+}
+
 void StoreClient::giveBack(std::unique_ptr<httplib::Client> client)
 {
     const std::lock_guard<std::mutex> lock(this->mutex);
@@ -132,13 +137,13 @@
     PooledConnection connection(*this);
     const httplib::Result result = connection->Get(objectPath(key));
     if (!result) {
-        throw StoreError(absl::StrCat("reading ", key, ": ", httplib::to_string(result.error())));
+        throw StoreError(absl::StrCat(this->callName("reading ", key), ": ", httplib::to_string(result.error())));
     }
     if (result->status == statusNotFound) {
         return std::nullopt;
     }
     if (result->status != statusOk) {
-        throw StoreError(absl::StrCat("reading ", key, ": status ", result->status));
+        throw StoreError(absl::StrCat(this->callName("reading ", key), ": status ", result->status));
     }
     return StoredObject{key, result->body, versionOf(*result)};
 }
@@ -184,7 +189,7 @@
     ++this->reads;
     PooledConnection connection(*this);
     const httplib::Params parameters = {{"prefix", prefix}, {"after", after}, {"limit", absl::StrCat(limit)}, {"values", withValues ? "1" : "0"}};
-    const nlohmann::json body = parseBody(connection->Get("/v1/list", parameters, httplib::Headers{}), "listing " + prefix);
+    const nlohmann::json body = parseBody(connection->Get("/v1/list", parameters, httplib::Headers{}), this->callName("listing ", prefix));
     try {
         ListPage page;
         for (const nlohmann::json &object : body.at("objects")) {
@@ -194,7 +199,7 @@
         page.revision = body.at("revision");
         return page;
     } catch (const nlohmann::json::exception &error) {
-        throw StoreError(absl::StrCat("listing ", prefix, ": ", error.what()));
+        throw StoreError(absl::StrCat(this->callName("listing ", prefix), ": ", error.what()));
     }
 }
 
@@ -207,11 +212,11 @@
     const httplib::Params parameters = {{"prefix", prefix}, {"since", absl::StrCat(revision)}, {"timeout_ms", absl::StrCat(absl::ToInt64Milliseconds(wait))}};
     const httplib::Result result = connection->Get("/v1/watch", parameters, httplib::Headers{});
     connection->set_read_timeout(absl::ToChronoMicroseconds(this->settings.timeout));
-    const nlohmann::json body = parseBody(result, "watching " + prefix);
+    const nlohmann::json body = parseBody(result, this->callName("watching ", prefix));
     try {
         return {body.at("keys").get<std::vector<std::string>>(), body.at("revision")};
     } catch (const nlohmann::json::exception &error) {
-        throw StoreError(absl::StrCat("watching ", prefix, ": ", error.what()));
+        throw StoreError(absl::StrCat(this->callName("watching ", prefix), ": ", error.what()));
     }
 }
 
@@ -219,7 +224,7 @@
 {
     ++this->reads;
     PooledConnection connection(*this);
-    const nlohmann::json body = parseBody(connection->Get("/v1/hosts"), "reading the host list");
+    const nlohmann::json body = parseBody(connection->Get("/v1/hosts"), this->callName("reading ", "the host list"));
     try {
         std::vector<ListedHost> hosts;
         for (const nlohmann::json &host : body.at("hosts")) {
@@ -233,7 +238,7 @@
         }
         return hosts;
     } catch (const nlohmann::json::exception &error) {
-        throw StoreError(absl::StrCat("reading the host list: ", error.what()));
+        throw StoreError(absl::StrCat(this->callName("reading ", "the host list"), ": ", error.what()));
     }
 }
 
--- a/src/StoreClient.h
+++ b/src/StoreClient.h
@@ -79,6 +79,8 @@
 private:
     class PooledConnection;
 
+    /** How errors name a call. */
+    [[nodiscard]] std::string callName(const std::string &verb, const std::string &object) const;
     std::unique_ptr<httplib::Client> acquire();
     void giveBack(std::unique_ptr<httplib::Client> client);
 
--- a/test/cli/CommandsTest.cpp
+++ b/test/cli/CommandsTest.cpp
@@ -55,6 +55,10 @@
     EXPECT_EQ(runWith({"hosts", "--admin", "nowhere"}).code, 2);
     EXPECT_EQ(runWith({"hosts"}).code, 2);
     EXPECT_EQ(runWith({"hosts", "--config", "/nonexistent"}).code, 2);
+    const CliRun folder = runWith({"hosts", "--config", "/"});
+    EXPECT_EQ(folder.code, 2);
+    EXPECT_EQ(folder.err, "bergamotramp: /: cannot be read\n");
+    EXPECT_EQ(runWith({"publish", "/nonexistent", "--admin", "127.0.0.1:1"}).err, "bergamotramp: /nonexistent: No such file or directory\n");
 }
 
 void serveJson(TestHost &host, const std::string &path, const std::string &json)
--- a/test/http/CallerServerTest.cpp
+++ b/test/http/CallerServerTest.cpp
@@ -1,5 +1,6 @@
 #include "CallerServer.h"
 
+#include <atomic>
 #include <future>
 
 #include <gtest/gtest.h>
@@ -57,6 +58,27 @@
     EXPECT_EQ(accepted->status, 200);
 }
 
+// Guards against a request that is run with the part of its body that arrived before its caller went away.
+TEST_F(CallerServerTest, bodyThatEndsEarlyIsNotRun)
+{
+    std::atomic<int> runs{0};
+    CallerServer::Hooks hooks;
+    hooks.model = [&runs](const CallerRequest &request) {
+        ++runs;
+        return WholeAnswer{200, "application/json", request.body};
+    };
+    this->start(std::move(hooks));
+    httplib::Client client = this->client();
+    // The provider gives up after half of the announced length, which closes the connection.
+    const auto half = [](std::size_t offset, std::size_t, httplib::DataSink &sink) { return offset == 0 && sink.write("half", 4); };
+    EXPECT_FALSE(client.Post("/v1/completions", 8, half, "application/json"));
+    const httplib::Result whole = this->client().Post("/v1/completions", "whole", "application/json");
+    ASSERT_TRUE(whole);
+    EXPECT_EQ(whole->body, "whole");
+    this->server->stop();
+    EXPECT_EQ(runs, 1);
+}
+
 TEST_F(CallerServerTest, brokenHeadersAreNamed)
 {
     this->start(echoHooks());
