--- a/src/Host.cpp
+++ b/src/Host.cpp
@@ -54,7 +54,8 @@
         reader.optionalArray("services",
                              [&services](const nlohmann::json &element, const std::string &path) { services.push_back(ServiceSpec::fromJson(element, path)); });
         reader.finish();
-        return services;
+        // Also finds services that are defined twice.
+        return Catalogue::fromJsonText(Catalogue{baseGeneration, services}.toJsonText()).services;
     } catch (const JsonError &error) {
         throw CallerError({statusBadRequest, "invalid_service", error.what(), RunState::NotRun});
     }
@@ -74,7 +75,8 @@
     this->workers = std::make_unique<WorkerPool>(static_cast<std::size_t>(own.limits.connections + own.batchConcurrency) * attemptsPerRequest);
     this->transport = std::make_unique<Transport>(
         own.peerAddress,
-        Transport::Hooks{[this](const wire::Envelope &envelope) { this->receive(envelope); }, [this](wire::Envelope &envelope) { this->stamp(envelope); }});
+        Transport::Hooks{[this](const wire::Envelope &envelope) { this->receive(envelope); }, [this](wire::Envelope &envelope) { this->stamp(envelope); }},
+        own.peerRoutes);
     this->createServers();
     this->createServices();
     this->connectServices();
--- a/src/SlotPool.cpp
+++ b/src/SlotPool.cpp
@@ -113,12 +113,39 @@
         return;
     }
     const absl::Duration wait = this->demand.expectedWait(ahead - revoking, this->load.usableSlots());
-    if (now + wait > request.deadline) {
+    if (now + wait > request.deadline || !this->finishesInTime(request, now + wait)) {
         this->dropWaiting(id, now);
         this->deny(id, SlotDenialCode::deadline, std::max(minRetryAfter, wait));
     }
 }
 
+bool SlotPool::finishesInTime(const PoolRequest &request, absl::Time start) const
+{
+    return start + this->demand.expectedService(request.expectedTokens) <= request.due;
+}
+
+// A slot given to a request that can't finish any more is lost to one that can: without this, the calls answered in time
+// at three times the capacity fell to half of those at capacity.
+void SlotPool::denyUnfinishable(absl::Time now)
+{
+    const FairQueue &online = this->queue.queued(wire::WORK_CLASS_ONLINE);
+    const bool contended = online.size() > 1 || !this->load.hasRoom(wire::WORK_CLASS_ONLINE, now);
+    if (online.size() == 0 || !contended) {
+        return;
+    }
+    std::vector<GrantId> late;
+    online.forEach(true, [&](const GrantId &id) {
+        if (!this->finishesInTime(this->queue.request(id), now)) {
+            late.push_back(id);
+        }
+        return true;
+    });
+    for (const GrantId &id : late) {
+        this->dropWaiting(id, now);
+        this->deny(id, SlotDenialCode::deadline, minRetryAfter);
+    }
+}
+
 SlotQueue::Placement SlotPool::placementOf(const PoolRequest &request, absl::Time now) const
 {
     SlotQueue::Placement placement;
@@ -453,6 +480,7 @@
         return;
     }
     this->serveSuspect(now);
+    this->denyUnfinishable(now);
     this->serveOnline(now);
     this->revokeForCopies(now);
     this->revokeForOnline(now);
--- a/src/SlotPool.h
+++ b/src/SlotPool.h
@@ -114,6 +114,8 @@
     SlotActions finish(absl::Time now);
     bool refuse(const PoolRequest &request, absl::Time now);
     void deny(const GrantId &id, const char *code, absl::Duration retryAfter);
+    [[nodiscard]] bool finishesInTime(const PoolRequest &request, absl::Time start) const;
+    void denyUnfinishable(absl::Time now);
     void denyIfTooLate(const GrantId &id, absl::Time now);
     [[nodiscard]] SlotQueue::Placement placementOf(const PoolRequest &request, absl::Time now) const;
     void dropWaiting(const GrantId &id, absl::Time now);
