--- a/src/FencedOrders.cpp
+++ b/src/FencedOrders.cpp
@@ -14,11 +14,21 @@
     Wanted &entry = this->wanted[order.upstream];
     entry.replaced = entry.issued;
     entry.order = order;
+    entry.failures = 0;
     entry.notBefore = absl::InfinitePast();
 }
 
+void FencedOrders::forget(const std::string &upstream)
+{
+    this->wanted.erase(upstream);
+}
+
 void FencedOrders::leaseHeld(std::uint64_t epoch, absl::Time takenAt, absl::Time heldUntil)
 {
+    // Only a renewal after the refusal shows that the lease is still held.
+    if (epoch == this->refusedToken && heldUntil <= this->refusedUntil) {
+        return;
+    }
     if (epoch != this->token) {
         // What was issued under an older epoch is issued again, since its effect isn't known.
         this->leaseLost();
@@ -43,41 +53,59 @@
 {
     const bool mustWait = !entry.order.fencingHonoured && this->token > 1;
     const absl::Time fenced = mustWait ? this->taken + this->settings.leaseLength + this->settings.orderTimeout : this->taken;
-    return std::max(fenced, entry.notBefore);
+    return std::max({fenced, entry.notBefore, entry.expiry});
+}
+
+absl::Time FencedOrders::lastSend(const Wanted &entry) const
+{
+    return entry.order.fencingHonoured ? this->validUntil : this->validUntil - this->settings.orderTimeout;
+}
+
+absl::Duration FencedOrders::pauseAfter(int failures) const
+{
+    absl::Duration pause = this->settings.retryPause;
+    for (int count = 1; count < failures && pause < this->settings.maxRetryPause; ++count) {
+        pause *= 2;
+    }
+    return std::min(pause, this->settings.maxRetryPause);
 }
 
 std::vector<IssueOrder> FencedOrders::tick(absl::Time now)
 {
     std::vector<IssueOrder> actions;
-    if (now >= this->validUntil) {
-        return actions;
-    }
     for (auto &[upstream, entry] : this->wanted) {
-        if (!entry.issued && now >= this->earliest(entry)) {
+        if (!entry.issued && now >= this->earliest(entry) && now < this->lastSend(entry)) {
             entry.issued = true;
-            actions.push_back({entry.order, this->token, this->validUntil});
+            entry.replaced = false;
+            actions.push_back({entry.order, this->token, this->lastSend(entry)});
         }
     }
     return actions;
 }
 
-void FencedOrders::settled(const std::string &upstream, std::uint64_t issuedToken, OrderOutcome outcome, absl::Time now)
+bool FencedOrders::settled(const std::string &upstream, std::uint64_t issuedToken, OrderOutcome outcome, absl::Time now)
 {
     const auto found = this->wanted.find(upstream);
     if (found == this->wanted.end() || issuedToken != this->token || !found->second.issued) {
-        return;
+        return false;
     }
     Wanted &entry = found->second;
-    if (outcome == OrderOutcome::Fenced) {
-        this->leaseLost();
-        return;
-    }
     entry.issued = false;
-    if (outcome == OrderOutcome::Failed) {
-        entry.notBefore = now + this->settings.retryPause;
-    } else if (!std::exchange(entry.replaced, false)) {
-        this->wanted.erase(found);
+    if (outcome == OrderOutcome::Done) {
+        if (!std::exchange(entry.replaced, false)) {
+            this->wanted.erase(found);
+        }
+        return true;
     }
+    entry.notBefore = now + this->pauseAfter(++entry.failures);
+    if (outcome == OrderOutcome::Unanswered) {
+        entry.expiry = now + this->settings.orderTimeout;
+    } else if (outcome == OrderOutcome::Fenced) {
+        this->refusedToken = this->token;
+        this->refusedUntil = this->validUntil;
+        this->leaseLost();
+    }
+    return true;
 }
 
 std::size_t FencedOrders::open() const
@@ -85,4 +113,9 @@
     return this->wanted.size();
 }
 
+bool FencedOrders::isOpen(const std::string &upstream) const
+{
+    return this->wanted.contains(upstream);
+}
+
 } // namespace Bergamotramp
--- a/src/Lease.cpp
+++ b/src/Lease.cpp
@@ -7,12 +7,6 @@
 
 namespace Bergamotramp {
 
-namespace {
-
-constexpr absl::Duration retryPause = absl::Milliseconds(500);
-
-} // namespace
-
 std::string LeaseRecord::toJsonText() const
 {
     return nlohmann::json({{"holder", this->holder},
@@ -126,7 +120,7 @@
 void Lease::readFailed(absl::Time now)
 {
     this->outstanding = Call::None;
-    this->nextCall = now + retryPause;
+    this->nextCall = now + this->settings.retryPause;
 }
 
 void Lease::writeSettled(const WriteResult &result, absl::Time now)
@@ -142,7 +136,7 @@
         this->known = false;
         break;
     case WriteOutcome::Unavailable:
-        this->nextCall = now + retryPause;
+        this->nextCall = now + this->settings.retryPause;
         break;
     }
 }
--- a/src/Lease.h
+++ b/src/Lease.h
@@ -39,6 +39,8 @@
     absl::Duration renewPeriod = absl::Seconds(3);
     /** Between two looks at another holder's lease. */
     absl::Duration watchPeriod = absl::Seconds(2);
+    /** After a call that the store refused or did not answer. */
+    absl::Duration retryPause = absl::Milliseconds(500);
 };
 
 /** A call of the store: a read, or a conditional write when there is a value. */
--- a/test/core/LeaseTest.cpp
+++ b/test/core/LeaseTest.cpp
@@ -141,6 +141,37 @@
     EXPECT_EQ(orders.tick(start + absl::Seconds(3)).size(), 2U);
 }
 
+// Guards against a refused token that is sent again and again, and against a lease that gives no orders after a refusal by mistake.
+TEST(FencedOrdersTest, refusedTokenIsUsedAgainOnlyAfterARenewal)
+{
+    FencedOrders orders(FencedOrdersSettings{});
+    orders.leaseHeld(1, start, start + absl::Seconds(10));
+    orders.want({"a", "{}", true});
+    EXPECT_EQ(orders.tick(start).size(), 1U);
+    EXPECT_TRUE(orders.settled("a", 1, OrderOutcome::Fenced, start));
+    orders.leaseHeld(1, start, start + absl::Seconds(10));
+    EXPECT_TRUE(orders.tick(start + absl::Seconds(2)).empty());
+    orders.leaseHeld(1, start, start + absl::Seconds(13));
+    EXPECT_EQ(orders.tick(start + absl::Seconds(3)).size(), 1U);
+}
+
+// Guards against an upstream that is down and gets an order a second from every pool's holder.
+TEST(FencedOrdersTest, pausesBetweenFailuresGrow)
+{
+    FencedOrders orders(FencedOrdersSettings{});
+    orders.leaseHeld(1, start, start + absl::Hours(1));
+    orders.want({"a", "{}", true});
+    absl::Time now = start;
+    for (const int pause : {1, 2, 4, 8, 16, 30, 30}) {
+        EXPECT_EQ(orders.tick(now).size(), 1U);
+        EXPECT_TRUE(orders.settled("a", 1, OrderOutcome::Failed, now));
+        now += absl::Seconds(pause);
+        EXPECT_TRUE(orders.tick(now - absl::Milliseconds(1)).empty());
+    }
+    orders.want({"a", "{1}", true});
+    EXPECT_EQ(orders.tick(now - absl::Milliseconds(1)).size(), 1U);
+}
+
 } // namespace
 
 } // namespace Bergamotramp
