Order upstreams to load what the service files say

Cause: a change of a model service's model, adapter or version reached no upstream; Lease and FencedOrders were used by nothing.

Change: OrderService runs one PoolOrders and one Lease for each pool that the rendezvous hash chooses this host for, takes lease/orders/POOL and posts the orders to /admin/orders with the lease's epoch as X-Fencing-Token. GET /admin/upstreams shows the state of each order. The stand-in engine counts the orders it takes, refuses and carries out with effect, and shows what it has loaded.

Store load, worked out: 54 pools (18 models in 3 regions) renewed every 5 s make 10.8 writes a second and no reads; a test checks that a holder only renews and others make no call.

--- a/src/Host.cpp
+++ b/src/Host.cpp
@@ -135,6 +135,7 @@
         this->context, [this](const JobHeader &job, const std::string &customId, const std::string &body, CallCancellation &cancellation) {
             return this->requests->runItem(job, customId, body, cancellation);
         });
+    this->orders = std::make_unique<OrderService>(this->context, *this->upstreams);
 }
 
 void Host::connectServices()
@@ -245,7 +246,7 @@
     hooks.publish = [this](const std::string &body) { return this->publish(body); };
     hooks.services = [this] { return this->services(); };
     hooks.hosts = [this] { return this->hosts(); };
-    hooks.upstreams = [this] { return this->slots->status(); };
+    hooks.upstreams = [this] { return this->upstreamStatus(); };
     hooks.status = [this] { return this->status(); };
     hooks.drain = [this] { this->startDrain(); };
     hooks.metrics = [this] { return this->metricsText(); };
@@ -340,6 +341,13 @@
     return {{"generation", catalogue->generation}, {"services", list}};
 }
 
+nlohmann::json Host::upstreamStatus() const
+{
+    nlohmann::json json = this->slots->status();
+    json["orders"] = this->orders->status();
+    return json;
+}
+
 nlohmann::json Host::status() const
 {
     const StoreCallCounts calls = this->store->callCounts();
--- a/src/Host.h
+++ b/src/Host.h
@@ -16,6 +16,7 @@
 #include "JournalService.h"
 #include "MembershipService.h"
 #include "Metrics.h"
+#include "OrderService.h"
 #include "RepeatLimiter.h"
 #include "RequestPath.h"
 #include "SlotService.h"
@@ -60,6 +61,7 @@
     [[nodiscard]] nlohmann::json models() const;
     [[nodiscard]] nlohmann::json hosts() const;
     [[nodiscard]] nlohmann::json services() const;
+    [[nodiscard]] nlohmann::json upstreamStatus() const;
     [[nodiscard]] nlohmann::json status() const;
     nlohmann::json publish(const std::string &body);
     JobUpload openJob(const std::string &organisation, const std::string &service, const std::string &key, std::optional<absl::Duration> due);
@@ -82,6 +84,7 @@
     std::unique_ptr<JournalService> journal;
     std::unique_ptr<RequestPath> requests;
     std::unique_ptr<BatchService> batch;
+    std::unique_ptr<OrderService> orders;
     std::unique_ptr<AdminServer> admin;
     std::unique_ptr<CallerServer> callers;
 
--- /dev/null
+++ b/test/host/OrderServiceTest.cpp
@@ -0,0 +1,266 @@
+#include "OrderService.h"
+
+#include <functional>
+#include <memory>
+#include <mutex>
+#include <string>
+
+#include <absl/time/clock.h>
+#include <gtest/gtest.h>
+#include <httplib.h>
+
+#include "Lease.h"
+#include "StandinEngine.h"
+#include "TestFleet.h"
+#include "UpstreamClient.h"
+
+namespace Bergamotramp {
+
+namespace {
+
+constexpr absl::Duration generous = absl::Seconds(60);
+constexpr const char *leaseKey = "lease/orders/modelo/";
+
+bool eventually(const std::function<bool()> &condition)
+{
+    const absl::Time limit = absl::Now() + generous;
+    while (absl::Now() < limit) {
+        if (condition()) {
+            return true;
+        }
+        absl::SleepFor(absl::Milliseconds(10));
+    }
+    return false;
+}
+
+StandinEngineSettings fencing()
+{
+    StandinEngineSettings settings;
+    settings.honourFencing = true;
+    return settings;
+}
+
+/** Two hosts with order services around two engines. */
+class OrderServiceTest : public testing::Test
+{
+protected:
+    struct Host {
+        TestFleet::Host *parts = nullptr;
+        std::unique_ptr<UpstreamClient> upstreams;
+        std::unique_ptr<OrderService> orders;
+    };
+
+    void SetUp() override
+    {
+        this->publish(1, "v1");
+        for (const char *name : {"host-1", "host-2"}) {
+            Host &host = this->hosts.emplace_back();
+            host.parts = &this->fleet.add(name);
+            host.parts->context.catalogue = [this] { return this->inForce(); };
+            host.upstreams = std::make_unique<UpstreamClient>(absl::Seconds(1));
+        }
+        for (Host &host : this->hosts) {
+            this->startOrders(host);
+        }
+    }
+
+    void TearDown() override
+    {
+        for (Host &host : this->hosts) {
+            host.orders.reset();
+        }
+    }
+
+    void startOrders(Host &host)
+    {
+        OrderSettings settings;
+        settings.leaseLength = absl::Seconds(2);
+        settings.renewPeriod = absl::Milliseconds(300);
+        settings.watchPeriod = absl::Milliseconds(100);
+        settings.storeRetryPause = absl::Milliseconds(100);
+        settings.orderTimeout = absl::Seconds(1);
+        settings.retryPause = absl::Milliseconds(100);
+        host.orders = std::make_unique<OrderService>(host.parts->context, *host.upstreams, settings);
+    }
+
+    void publish(std::uint64_t generation, const std::string &version)
+    {
+        auto catalogue = std::make_shared<Catalogue>();
+        catalogue->generation = generation;
+        ServiceSpec &spec = catalogue->services.emplace_back();
+        spec.name = spec.model = "modelo";
+        spec.version = version;
+        spec.fencingHonoured = true;
+        spec.upstreams = {{"e1", this->first.address(), "", "recife-a", false}, {"e2", this->second.address(), "", "recife-a", false}};
+        const std::lock_guard<std::mutex> lock(this->mutex);
+        this->catalogue = catalogue;
+    }
+
+    std::shared_ptr<const Catalogue> inForce()
+    {
+        const std::lock_guard<std::mutex> lock(this->mutex);
+        return this->catalogue;
+    }
+
+    static nlohmann::json readEngine(const StandinEngine &engine, const std::string &path)
+    {
+        const httplib::Result result = httplib::Client("http://" + engine.address()).Get(path);
+        return result ? nlohmann::json::parse(result->body) : nlohmann::json();
+    }
+
+    bool bothLoaded(const std::string &version)
+    {
+        return eventually([&] {
+            return readEngine(this->first, "/control/counters")["loaded"].value("version", "") == version
+                   && readEngine(this->second, "/control/counters")["loaded"].value("version", "") == version;
+        });
+    }
+
+    /** The host whose lease is held, or nullptr. */
+    Host *holder()
+    {
+        for (Host &host : this->hosts) {
+            const nlohmann::json status = host.orders ? host.orders->status() : nlohmann::json::object();
+            if (status.contains("modelo/") && status["modelo/"]["lease"] == "held") {
+                return &host;
+            }
+        }
+        return nullptr;
+    }
+
+    bool confirmed(const std::string &version)
+    {
+        return eventually([&] {
+            const Host *host = this->holder();
+            const nlohmann::json status = host == nullptr ? nlohmann::json() : host->orders->status()["modelo/"]["upstreams"];
+            return status.is_object() && status["e1"]["state"] == "confirmed" && status["e1"]["confirmed"]["version"] == version
+                   && status["e2"]["state"] == "confirmed" && status["e2"]["confirmed"]["version"] == version;
+        });
+    }
+
+    std::optional<LeaseRecord> storedLease()
+    {
+        const std::optional<StoredObject> object = this->hosts[0].parts->store->get(leaseKey);
+        return object.has_value() ? LeaseRecord::fromJsonText(object->value) : std::nullopt;
+    }
+
+    StandinEngine first{fencing()};
+    StandinEngine second{fencing()};
+    std::mutex mutex;
+    std::shared_ptr<const Catalogue> catalogue;
+    TestFleet fleet;
+    std::vector<Host> hosts;
+};
+
+// Guards against a published version that some upstream is not told, and against two hosts that both order it.
+TEST_F(OrderServiceTest, publishedVersionIsOrderedOnceToEachUpstream)
+{
+    ASSERT_TRUE(this->confirmed("v1"));
+    this->publish(2, "v2");
+    ASSERT_TRUE(this->confirmed("v2"));
+    EXPECT_TRUE(this->bothLoaded("v2"));
+    EXPECT_EQ(this->first.counters().ordersTaken, 2U);
+    EXPECT_EQ(this->second.counters().ordersTaken, 2U);
+    EXPECT_EQ(this->first.counters().ordersRefused, 0U);
+}
+
+// Guards against orders that end with their holder, and against a new holder whose token is not newer.
+TEST_F(OrderServiceTest, anotherHostTakesOverWithANewerToken)
+{
+    ASSERT_TRUE(this->confirmed("v1"));
+    Host *former = this->holder();
+    ASSERT_NE(former, nullptr);
+    former->orders.reset();
+    this->fleet.setDead(former->parts->name);
+    this->publish(2, "v2");
+    ASSERT_TRUE(this->confirmed("v2"));
+    EXPECT_NE(this->holder(), former);
+    const nlohmann::json orders = readEngine(this->first, "/control/orders");
+    EXPECT_EQ(orders.front().at("token"), 1);
+    EXPECT_EQ(orders.back().at("token"), 2);
+    EXPECT_EQ(orders.back().at("accepted"), true);
+}
+
+// Guards against a lease that stays with a host which is no longer chosen.
+TEST_F(OrderServiceTest, leaseOfAPoolThatEndedIsGivenBack)
+{
+    ASSERT_TRUE(this->confirmed("v1"));
+    {
+        const std::lock_guard<std::mutex> lock(this->mutex);
+        this->catalogue = std::make_shared<Catalogue>(Catalogue{2, {}});
+    }
+    EXPECT_TRUE(eventually([this] {
+        const std::optional<LeaseRecord> lease = this->storedLease();
+        return lease.has_value() && lease->holder.empty();
+    }));
+    EXPECT_TRUE(eventually([this] { return this->hosts[0].orders->status().empty() && this->hosts[1].orders->status().empty(); }));
+    // The pool is chosen again although the catalogue did not change after the lease was gone.
+    this->publish(3, "v2");
+    EXPECT_TRUE(this->confirmed("v2"));
+}
+
+// Guards against orders without a lease during a store outage, and against orders that are not taken up after it.
+TEST_F(OrderServiceTest, storeOutageStopsNewOrdersUntilItEnds)
+{
+    ASSERT_TRUE(this->confirmed("v1"));
+    this->fleet.setFaults({{"outage", true}});
+    ASSERT_TRUE(eventually([this] { return this->holder() == nullptr; }));
+    const std::uint64_t taken = this->first.counters().ordersTaken;
+    this->publish(2, "v2");
+    ASSERT_TRUE(eventually([this] {
+        for (const Host &host : this->hosts) {
+            const nlohmann::json status = host.orders->status();
+            if (status.contains("modelo/") && status["modelo/"]["upstreams"]["e1"]["wanted"]["version"] == "v2") {
+                return true;
+            }
+        }
+        return false;
+    }));
+    EXPECT_EQ(this->first.counters().ordersTaken, taken);
+    this->fleet.setFaults({{"outage", false}});
+    EXPECT_TRUE(this->confirmed("v2"));
+}
+
+// Guards against an order that is given up when its upstream is away for a while.
+TEST_F(OrderServiceTest, refusedConnectionIsTriedAgain)
+{
+    ASSERT_TRUE(this->confirmed("v1"));
+    auto late = std::make_unique<StandinEngine>(fencing());
+    const std::string address = late->address();
+    late.reset();
+    this->publish(2, "v2");
+    {
+        const std::lock_guard<std::mutex> lock(this->mutex);
+        Catalogue changed = *this->catalogue;
+        changed.generation = 3;
+        changed.services[0].upstreams[1].address = address;
+        this->catalogue = std::make_shared<Catalogue>(changed);
+    }
+    ASSERT_TRUE(eventually([this] {
+        const Host *host = this->holder();
+        return host != nullptr && host->orders->status()["modelo/"]["upstreams"]["e2"].value("problem", "") == "no connection";
+    }));
+    StandinEngineSettings settings = fencing();
+    settings.port = std::stoi(address.substr(address.rfind(':') + 1));
+    late = std::make_unique<StandinEngine>(settings);
+    EXPECT_TRUE(this->confirmed("v2"));
+}
+
+// Guards against store calls beyond one write a renewal: reads by the holder, watches or calls by hosts that are not chosen.
+TEST_F(OrderServiceTest, onlyTheHolderCallsTheStoreAndOnlyToRenew)
+{
+    ASSERT_TRUE(this->confirmed("v1"));
+    const Host *current = this->holder();
+    ASSERT_NE(current, nullptr);
+    const Host &other = current == this->hosts.data() ? this->hosts[1] : this->hosts[0];
+    const StoreCallCounts before = current->parts->store->callCounts();
+    const StoreCallCounts otherBefore = other.parts->store->callCounts();
+    ASSERT_TRUE(eventually([&] { return current->parts->store->callCounts().writes >= before.writes + 4; }));
+    EXPECT_EQ(current->parts->store->callCounts().reads, before.reads);
+    EXPECT_EQ(other.parts->store->callCounts().reads, otherBefore.reads);
+    EXPECT_EQ(other.parts->store->callCounts().writes, otherBefore.writes);
+}
+
+} // namespace
+
+} // namespace Bergamotramp
--- a/test/standin/StandinEngine.cpp
+++ b/test/standin/StandinEngine.cpp
@@ -323,8 +323,12 @@
     this->highestToken = std::max(this->highestToken, token);
     this->orders.push_back({{"token", token}, {"order", order}, {"accepted", !stale}});
     if (stale) {
+        ++this->counts.ordersRefused;
         answerError(response, 409, "the fencing token is stale");
     } else {
+        ++this->counts.ordersTaken;
+        this->counts.ordersEffective += order == this->loaded ? 0 : 1;
+        this->loaded = order;
         answerJson(response, 200, okBody);
     }
 }
@@ -390,6 +394,7 @@
 std::string StandinEngine::countersJson()
 {
     const StandinEngineCounters current = this->counters();
+    const std::lock_guard<std::mutex> lock(this->mutex);
     return nlohmann::json{{"started", current.started},
                           {"finished", current.finished},
                           {"cancelled", current.cancelled},
@@ -398,7 +403,11 @@
                           {"tokens", current.tokens},
                           {"running", current.running},
                           {"waiting", current.waiting},
-                          {"maxRunning", current.maxRunning}}
+                          {"maxRunning", current.maxRunning},
+                          {"ordersTaken", current.ordersTaken},
+                          {"ordersRefused", current.ordersRefused},
+                          {"ordersEffective", current.ordersEffective},
+                          {"loaded", this->loaded}}
         .dump();
 }
 
--- a/test/standin/StandinEngine.h
+++ b/test/standin/StandinEngine.h
@@ -47,6 +47,11 @@
     std::int64_t running = 0;
     std::int64_t waiting = 0;
     std::int64_t maxRunning = 0;
+    std::uint64_t ordersTaken = 0;
+    /** Refused for their fencing token. */
+    std::uint64_t ordersRefused = 0;
+    /** Taken orders that changed what is loaded. */
+    std::uint64_t ordersEffective = 0;
 
     bool operator==(const StandinEngineCounters &) const = default;
 };
@@ -57,7 +62,8 @@
  * Each event of a stream also carries "token_index". Control interface: POST /control with "slowFactor", "refuse", "slots",
  * "tokenIntervalUs", "growth", "promptByteUs", "loadLagMs", "eventLagMs", "eventGap", "resumeRetentionMs", "honourFencing" or
  * "corruptEach" (each n-th answer is that of another prompt, to prove that a check notices it);
- * GET /control/counters; GET /control/orders; GET /control/runs?hash=H counts the requests whose prompt has that standinHash().
+ * GET /control/counters, with "loaded", the last order taken; GET /control/orders;
+ * GET /control/runs?hash=H counts the requests whose prompt has that standinHash().
  */
 class StandinEngine
 {
@@ -107,6 +113,8 @@
     /** Requests that arrived, by the hash of their prompt. */
     std::unordered_map<std::uint64_t, std::uint64_t> runs;
     nlohmann::json orders = nlohmann::json::array();
+    /** The last order taken: what the engine serves. */
+    nlohmann::json loaded = nlohmann::json::object();
     std::int64_t highestToken = 0;
     std::unique_ptr<StandinServer> server;
 };
