--- a/bench/measures.py
+++ b/bench/measures.py
@@ -24,7 +24,7 @@
 PLAINS = {"nordeste": 2, "sudeste": 1}
 HOSTS = {"nordeste": 4, "sudeste": 4}
 SLOTS = 8
-ENGINE_OPTIONS = ("--slots", str(SLOTS), "--token-interval-us", "10000", "--growth", "0.05")
+ENGINE_OPTIONS = ("--slots", str(SLOTS), "--token-interval-us", "10000")
 SLOW_FACTOR = 5
 SLOW_SECONDS = 3
 PAUSE_SECONDS = 2
@@ -110,7 +110,8 @@
 
 def service_files(fleet, options):
     return [
-        {"name": "modelo", "slotsPerUpstream": SLOTS, "upstreams": fleet.upstreams(fleet.engines), "online": {"reserveShare": options.reserve_share}},
+        {"name": "modelo", "slotsPerUpstream": SLOTS, "upstreams": fleet.upstreams(fleet.engines), "online": {"reserveShare": options.reserve_share},
+         "repeat": {"hedgeBudgetShare": options.hedge_share}},
         {"name": "vitrine", "kind": "plain", "upstreams": fleet.upstreams(fleet.plains), "routes": [{"path": "/", "idempotent": True}]},
     ]
 
@@ -185,7 +186,7 @@
 def run_variant(options, variant, seed):
     with Fleet(options.build) as fleet:
         fleet.start_platform()
-        fleet.start_engines(ENGINES, *ENGINE_OPTIONS)
+        fleet.start_engines(ENGINES, *ENGINE_OPTIONS, "--growth", str(options.growth))
         fleet.start_plains(PLAINS, "--delay-ms", "2")
         fleet.start_hosts(HOSTS, {"routing": variant, "entryTimeToLiveMs": 2000})
         fleet.publish(service_files(fleet, options))
@@ -246,6 +247,8 @@
     parser.add_argument("--seconds", type=float, default=6, help="measured seconds of each load")
     parser.add_argument("--warmup", type=float, default=2)
     parser.add_argument("--rate", type=float, default=60, help="online model requests a second")
+    parser.add_argument("--growth", type=float, default=0.05, help="share by which each further stream of an engine slows all its streams")
+    parser.add_argument("--hedge-share", type=float, default=0.03, help="repeat.hedgeBudgetShare of the model service")
     parser.add_argument("--reserve-share", type=float, default=0.1, help="online.reserveShare of the model service")
     parser.add_argument("--seed", type=int, default=1)
     parser.add_argument("--json", help="file for all figures")
