--- a/test/scenario/ScenarioRunner.cpp
+++ b/test/scenario/ScenarioRunner.cpp
@@ -375,7 +375,7 @@
     const nlohmann::json found = this->valueOf(left);
     const nlohmann::json expected = this->expectedValue(right);
     absl::StrAppend(&shown, shown.empty() ? "" : ", ", left, " = ", textOf(found));
-    if (textOf(expected) != right) {
+    if (expected != literal(right)) {
         absl::StrAppend(&shown, " (", right, " = ", textOf(expected), ")");
     }
     if (found.is_number() && expected.is_number()) {
