--- a/test/host/StartupTest.cpp
+++ b/test/host/StartupTest.cpp
@@ -36,8 +36,9 @@
         bound.sin_family = AF_INET;
         bound.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
         socklen_t length = sizeof(bound);
-        ::bind(this->descriptor, reinterpret_cast<sockaddr *>(&bound), sizeof(bound));
-        ::listen(this->descriptor, backlog);
+        if (::bind(this->descriptor, reinterpret_cast<sockaddr *>(&bound), sizeof(bound)) != 0 || ::listen(this->descriptor, backlog) != 0) {
+            throw std::runtime_error("no free port");
+        }
         ::getsockname(this->descriptor, reinterpret_cast<sockaddr *>(&bound), &length);
         this->port = ntohs(bound.sin_port);
     }
