--- a/src/JournalService.cpp
+++ b/src/JournalService.cpp
@@ -1,5 +1,6 @@
 #include "JournalService.h"
 
+#include <algorithm>
 #include <atomic>
 #include <condition_variable>
 #include <deque>
@@ -12,6 +13,7 @@
 
 #include <absl/strings/str_cat.h>
 
+#include "EventLog.h"
 #include "JournalBodies.h"
 #include "JournalHolder.h"
 #include "RendezvousHash.h"
@@ -33,6 +35,8 @@
 constexpr absl::Duration backgroundLimit = absl::Hours(1);
 constexpr absl::Duration drainWait = absl::Seconds(6);
 constexpr std::size_t peerThreads = 4;
+/** The hybrid clock of a host whose own clock is behind advances only with the messages that it receives. */
+constexpr absl::Duration minMessageLife = absl::Seconds(1);
 
 bool isSettled(wire::JournalState state)
 {
@@ -144,6 +148,9 @@
     void handle(const wire::Envelope &envelope)
     {
         this->peers.post([this, envelope] {
+            if (this->isStale(envelope)) {
+                return;
+            }
             this->serve(envelope, envelope.from().name(), [this, envelope](wire::Envelope answer) {
                 const std::string address = this->addressOf(envelope.from().name());
                 if (!address.empty()) {
@@ -307,6 +314,19 @@
         return answer.get();
     }
 
+    // Messages wait in the sender's queue while a link is down. The host that sent an old begin has given up, and its intent
+    // would take the key from the caller's next attempts until it expires. Dropping one is as safe as losing it.
+    bool isStale(const wire::Envelope &envelope) const
+    {
+        if (!envelope.has_journal_begin() || envelope.hybrid_time() == 0 || this->context.events == nullptr) {
+            return false;
+        }
+        const std::int64_t sent = HybridTime::unpack(envelope.hybrid_time()).wallMicroseconds;
+        const std::int64_t now = HybridTime::unpack(this->context.events->stamp()).wallMicroseconds;
+        const absl::Duration timeLeft = absl::Microseconds(envelope.journal_begin().time_left_us());
+        return absl::Microseconds(now - sent) > std::clamp(timeLeft, minMessageLife, replyTimeout);
+    }
+
     void serve(const wire::Envelope &request, const std::string &from, const Answered &answered)
     {
         const auto onAnswer = [answered](const JournalAnswer &answer) { answered(envelopeOf(answer)); };
--- a/test/host/JournalServiceTest.cpp
+++ b/test/host/JournalServiceTest.cpp
@@ -5,6 +5,8 @@
 #include <absl/strings/str_cat.h>
 #include <gtest/gtest.h>
 
+#include "HybridClock.h"
+#include "RendezvousHash.h"
 #include "TestFleet.h"
 
 namespace Bergamotramp {
@@ -87,6 +89,30 @@
     }
 }
 
+// Guards against a key that a begin takes which waited for a broken link until its sender had given up.
+TEST_F(JournalServiceTest, staleBeginsAreDropped)
+{
+    for (int count = 0; count < keyCount; ++count) {
+        wire::Envelope stale;
+        stale.mutable_from()->set_name("absent");
+        stale.set_hybrid_time(HybridTime{absl::ToUnixMicros(absl::Now() - absl::Seconds(3)), 0}.pack());
+        wire::JournalBegin &begin = *stale.mutable_journal_begin();
+        begin.set_key(absl::StrCat("key", count));
+        begin.set_shard(static_cast<std::uint32_t>(stableHash(begin.key()) % static_cast<std::uint64_t>(this->hosts[0]->context.settings.journalShards)));
+        begin.set_fingerprint(8);
+        begin.set_request(1);
+        begin.set_time_left_us(absl::ToInt64Microseconds(absl::Seconds(30)));
+        for (const std::unique_ptr<JournalService> &service : this->services) {
+            service->handle(stale);
+        }
+    }
+    // Long enough for a begin that is not dropped to be recorded.
+    std::this_thread::sleep_for(std::chrono::milliseconds(500));
+    for (int count = 0; count < keyCount; ++count) {
+        EXPECT_EQ(this->services[0]->begin(absl::StrCat("key", count), 7, false, absl::Seconds(30)).state(), wire::JOURNAL_STATE_NEW);
+    }
+}
+
 // Guards against a drained host that keeps shards, and against begins that fail while shards move.
 TEST_F(JournalServiceTest, drainHandsShardsOver)
 {
--- a/test/host/TestFleet.h
+++ b/test/host/TestFleet.h
@@ -9,6 +9,7 @@
 
 #include <httplib.h>
 
+#include "EventLog.h"
 #include "HostContext.h"
 #include "StandinPlatform.h"
 #include "StoreClient.h"
@@ -24,6 +25,7 @@
     /** One host; its services are made by the test. */
     struct Host {
         std::string name;
+        std::unique_ptr<EventLog> events;
         std::unique_ptr<StoreClient> store;
         std::unique_ptr<TimerService> timers;
         std::unique_ptr<Transport> transport;
@@ -40,6 +42,7 @@
     {
         auto host = std::make_unique<Host>();
         host->name = name;
+        host->events = std::make_unique<EventLog>(name, "");
         host->store = std::make_unique<StoreClient>(StoreSettings{this->platform.address(), this->storeTimeout});
         host->timers = std::make_unique<TimerService>();
         host->transport = std::make_unique<Transport>("127.0.0.1:0",
@@ -49,13 +52,17 @@
                                                                                raw->received(envelope);
                                                                            }
                                                                        },
-                                                                       [name](wire::Envelope &envelope) { envelope.mutable_from()->set_name(name); }});
+                                                                       [raw = host.get()](wire::Envelope &envelope) {
+                                                                           envelope.mutable_from()->set_name(raw->name);
+                                                                           envelope.set_hybrid_time(raw->events->stamp());
+                                                                       }});
         host->context.settings.name = name;
         host->context.settings.journalShards = 4;
         host->context.settings.batchConcurrency = 16;
         host->context.incarnation = ++this->incarnations;
         host->context.transport = host->transport.get();
         host->context.store = host->store.get();
+        host->context.events = host->events.get();
         host->context.timers = host->timers.get();
         host->context.liveHosts = [this] { return this->live(); };
         this->setLive(name, host->transport->address());
--- a/test/scenario/ScenarioRunner.cpp
+++ b/test/scenario/ScenarioRunner.cpp
@@ -17,6 +17,7 @@
 
 constexpr absl::Duration pollPeriod = absl::Milliseconds(50);
 constexpr std::size_t maxViolationsShown = 5;
+constexpr std::size_t maxCallsShown = 3;
 // Members of a host by state, for example h1.members.dead.
 constexpr std::string_view membersField = "members.";
 
@@ -195,12 +196,31 @@
             for (const std::string &line : this->history.linesAbout(subject)) {
                 absl::StrAppend(&report, "  ", line, "\n");
             }
-            return report + this->logs();
+            return report + this->incompleteCalls() + this->logs();
         }
     }
     return this->finalReport();
 }
 
+std::string ScenarioRunner::incompleteCalls()
+{
+    std::string text;
+    std::size_t shown = 0;
+    for (const Call &call : this->history.calls()) {
+        if (call.completed() || shown == maxCallsShown) {
+            continue;
+        }
+        ++shown;
+        absl::StrAppend(&text, "  incomplete call ", call.id, " (", call.group, "):\n");
+        for (const std::string &line : this->history.linesAbout(call.id)) {
+            if (line.find(absl::StrCat("call ", call.id, " ")) != std::string::npos) {
+                absl::StrAppend(&text, "  ", line, "\n");
+            }
+        }
+    }
+    return text;
+}
+
 std::string ScenarioRunner::finalReport()
 {
     std::string report;
--- a/test/scenario/ScenarioRunner.h
+++ b/test/scenario/ScenarioRunner.h
@@ -64,6 +64,8 @@
     nlohmann::json valueOfHost(Member &host, const std::string &field);
 
     std::string finalReport();
+    /** What became of some calls that brought no whole answer. */
+    std::string incompleteCalls();
     std::string logs();
 
     std::map<std::string, Handler> handlers;
