--- /dev/null
+++ b/src/JournalRequest.cpp
@@ -0,0 +1,66 @@
+#include "JournalRequest.h"
+
+#include <utility>
+
+namespace Bergamotramp {
+
+namespace {
+
+template <typename Message>
+Message messageOf(JournalDecision &decision)
+{
+    Message message;
+    message.set_state(decision.state);
+    if (decision.state == wire::JOURNAL_STATE_FINISHED) {
+        *message.mutable_result() = std::move(decision.result);
+    }
+    return message;
+}
+
+} // namespace
+
+const std::string &keyOf(const JournalEvent &event)
+{
+    if (const auto *intent = std::get_if<JournalIntent>(&event)) {
+        return intent->key;
+    }
+    const auto *completion = std::get_if<JournalCompletion>(&event);
+    return completion != nullptr ? completion->key : std::get<std::string>(event);
+}
+
+JournalAnswer answerOf(const JournalEvent &event, JournalDecision decision)
+{
+    if (std::holds_alternative<JournalIntent>(event)) {
+        auto begun = messageOf<wire::JournalBegun>(decision);
+        begun.set_attempt(decision.attempt);
+        begun.set_earlier_attempts(decision.earlierAttempts);
+        return begun;
+    }
+    if (std::holds_alternative<JournalCompletion>(event)) {
+        return messageOf<wire::JournalFinished>(decision);
+    }
+    return messageOf<wire::JournalRecord>(decision);
+}
+
+JournalAnswer refusalOf(const JournalEvent &event, wire::JournalState state)
+{
+    return answerOf(event, {state, 0, {}, std::nullopt});
+}
+
+void setState(JournalAnswer &answer, wire::JournalState state)
+{
+    std::visit(
+        [state](auto &message) {
+            message.Clear();
+            message.set_state(state);
+        },
+        answer);
+}
+
+bool grantsRun(const JournalAnswer &answer)
+{
+    const auto *begun = std::get_if<wire::JournalBegun>(&answer);
+    return begun != nullptr && begun->state() == wire::JOURNAL_STATE_NEW;
+}
+
+} // namespace Bergamotramp
