--- a/src/HostSettings.h
+++ b/src/HostSettings.h
@@ -49,9 +49,9 @@
     absl::Duration membershipPeriod = absl::Milliseconds(500);
     std::int64_t journalShards = 16;
     /** How long keys are kept at least after their last attempt ended. */
-    absl::Duration journalRetention = absl::Hours(2);
+    absl::Duration journalRetention = absl::Hours(1);
     /** Memory for the keys and recent results of the shards that this host holds. */
-    std::int64_t journalBytes = 16 * 1024 * 1024;
+    std::int64_t journalBytes = 12 * 1024 * 1024;
     /** Batch items that this host runs at once. */
     std::int64_t batchConcurrency = 64;
     /** Wait for the reply of a pool holder before the host falls back to its own share. */
--- a/src/JournalShard.cpp
+++ b/src/JournalShard.cpp
@@ -10,7 +10,7 @@
 namespace {
 
 /** Part of the memory for recent results. */
-constexpr std::size_t recentShare = 4;
+constexpr std::size_t recentShare = 8;
 /** Keys are evicted above this share of the index's memory, so that sweeping them is done before new ones are refused. */
 constexpr double evictionShare = 0.9;
 /** Slots that a tick sweeps; a few microseconds. */
--- a/src/JournalShard.h
+++ b/src/JournalShard.h
@@ -28,9 +28,9 @@
     std::string host;
     std::uint64_t incarnation = 0;
     /** How long keys are kept after their last attempt ended: at least the shortest, up to the longest while the bytes suffice. */
-    JournalRetentionLimits retention{absl::Hours(2), absl::Hours(24)};
+    JournalRetentionLimits retention{absl::Hours(1), absl::Hours(24)};
     /** Memory for the index and recent results; new keys are refused when it doesn't suffice for the shortest retention. */
-    std::size_t memoryBytes = 16'000'000;
+    std::size_t memoryBytes = 12 * 1024 * 1024;
     /** The longest wait of a request for the store. */
     absl::Duration requestWait = absl::Seconds(2);
     absl::Duration firstBackoff = absl::Milliseconds(50);
