--- a/test/host/JournalServiceTest.cpp
+++ b/test/host/JournalServiceTest.cpp
@@ -3,6 +3,7 @@
 #include <thread>
 
 #include <absl/strings/str_cat.h>
+#include <absl/time/clock.h>
 #include <gtest/gtest.h>
 
 #include "HybridClock.h"
