Merge the answers of several attempts in one class

ModelExchange judged repeated text at two places, for the attempt that the caller follows and for one that catches up.

--- a/src/ModelExchange.cpp
+++ b/src/ModelExchange.cpp
@@ -66,7 +66,7 @@
     : request(std::move(request))
     , parts(std::move(parts))
     , channel(std::make_shared<Channel>())
-    , forwarded(this->request.kind)
+    , merge(this->request.kind)
     , mayHaveRun(this->request.earlierMayHaveRun)
 {
 }
@@ -82,7 +82,7 @@
 
 const ModelAnswer &ModelExchange::answer() const
 {
-    return this->forwarded;
+    return this->merge.answer();
 }
 
 void ModelExchange::cancel()
@@ -269,74 +269,50 @@
     }
     ++attempt.tokens;
     try {
-        if (this->winner && *this->winner != event.attempt) {
-            return this->takeCatchUp(event);
+        const AnswerMerge::Piece piece = this->merge.take(attempt.position, event.data);
+        if (piece.step == AnswerMerge::Step::Differs) {
+            this->dropDifferent(attempt);
+            return std::nullopt;
         }
-        if (!this->winner) {
+        if (!this->winner || piece.step == AnswerMerge::Step::Extends) {
             this->becomeWinner(event);
         }
-        this->pace.onToken(event.at);
-        this->slowAt = this->pace.exceeds(this->parts.repeats->slowInterval(this->request.service));
-        return this->forwardRemainder(attempt, event.data);
+        this->notePace(event);
+        return piece.step == AnswerMerge::Step::Extends ? std::optional<std::string>(piece.event) : std::nullopt;
     } catch (const nlohmann::json::exception &error) {
         LOG(WARNING) << "request " << this->request.id << ": upstream " << event.upstream << " sent an unusable event: " << error.what();
         throw CallerError({statusBadGateway, "bad_upstream_answer", "the upstream's answer can't be read", RunState::Run});
     }
 }
 
+// A second attempt that was started while the winner was slow takes over once it has sent more than the caller has.
 void ModelExchange::becomeWinner(const AttemptEvent &event)
 {
+    if (this->winner && *this->winner == event.attempt) {
+        return;
+    }
     this->winner = event.attempt;
     this->pace = StreamPace();
     this->cancelOthers(event.attempt);
 }
 
-// A second attempt started while the winner was slow. It takes over once it has sent more than the caller already has.
-std::optional<std::string> ModelExchange::takeCatchUp(const AttemptEvent &event)
+void ModelExchange::notePace(const AttemptEvent &event)
 {
-    Attempt &attempt = *this->attempts[event.attempt];
-    const std::string text = ModelAnswer::textOf(this->request.kind, event.data);
-    const std::string &sent = this->forwarded.text();
-    const std::size_t overlap = std::min(text.size(), sent.size() - attempt.position);
-    if (sent.compare(attempt.position, overlap, text, 0, overlap) != 0) {
-        // An engine that samples gives another text; only the first attempt can complete such an answer.
-        attempt.running = false;
-        attempt.cancellation.cancel();
-        return std::nullopt;
-    }
-    if (overlap == text.size() && !text.empty()) {
-        attempt.position += overlap;
-        return std::nullopt;
-    }
-    if (attempt.position + overlap < sent.size()) {
-        return std::nullopt;
+    if (*this->winner == event.attempt) {
+        this->pace.onToken(event.at);
+        this->slowAt = this->pace.exceeds(this->parts.repeats->slowInterval(this->request.service));
     }
-    this->becomeWinner(event);
-    return this->forwardRemainder(attempt, event.data);
 }
 
-std::optional<std::string> ModelExchange::forwardRemainder(Attempt &attempt, const std::string &data)
+// An engine that samples gives another text; only the attempt that the caller follows can complete such an answer.
+void ModelExchange::dropDifferent(Attempt &attempt)
 {
-    const std::string text = ModelAnswer::textOf(this->request.kind, data);
-    const std::string &sent = this->forwarded.text();
-    const std::size_t position = attempt.position;
-    attempt.position += text.size();
-    if (position >= sent.size()) {
-        this->forwarded.add(data);
-        return data;
-    }
-    // A later attempt repeats what the caller already has; an answer may only be continued if both agree.
-    const std::size_t overlap = std::min(text.size(), sent.size() - position);
-    if (sent.compare(position, overlap, text, 0, overlap) != 0) {
+    if (!this->othersRunning(attempt.plan.index)) {
         throw CallerError(
             {statusBadGateway, "answer_interrupted", "the upstream failed in mid-answer and another attempt gave a different answer", RunState::Run});
     }
-    if (overlap == text.size()) {
-        return std::nullopt;
-    }
-    std::string remainder = ModelAnswer::withText(this->request.kind, data, text.substr(overlap));
-    this->forwarded.add(remainder);
-    return remainder;
+    attempt.running = false;
+    attempt.cancellation.cancel();
 }
 
 void ModelExchange::finishWith(const AttemptEvent &event)
@@ -350,7 +326,7 @@
     switch (event.kind) {
     case AttemptEvent::Kind::Done:
         this->mayHaveRun = true;
-        if (!this->winner || *this->winner == event.attempt || attempt.position == this->forwarded.text().size()) {
+        if (!this->winner || *this->winner == event.attempt || this->merge.caughtUp(attempt.position)) {
             this->cancelOthers(event.attempt);
             this->complete = true;
         }
--- a/src/ModelExchange.h
+++ b/src/ModelExchange.h
@@ -12,6 +12,7 @@
 
 #include <absl/time/time.h>
 
+#include "AnswerMerge.h"
 #include "AttemptPolicy.h"
 #include "CallerError.h"
 #include "ModelAnswer.h"
@@ -119,9 +120,9 @@
     [[nodiscard]] std::optional<AttemptEvent> waitForEvent();
     std::optional<std::string> takeEvent(const AttemptEvent &event);
     std::optional<std::string> takeData(const AttemptEvent &event);
-    std::optional<std::string> takeCatchUp(const AttemptEvent &event);
     void becomeWinner(const AttemptEvent &event);
-    std::optional<std::string> forwardRemainder(Attempt &attempt, const std::string &data);
+    void notePace(const AttemptEvent &event);
+    void dropDifferent(Attempt &attempt);
     void finishWith(const AttemptEvent &event);
     void handleEnd(const AttemptEvent &event);
     void handleDenial(const AttemptEvent &event);
@@ -144,7 +145,7 @@
     /** The preempted attempt that the next one may resume. */
     std::shared_ptr<Attempt> resumeFrom;
     std::optional<std::size_t> winner;
-    ModelAnswer forwarded;
+    AnswerMerge merge;
     std::vector<std::string> excluded;
     absl::Time firstAttemptAt;
     absl::Time hedgeAt = absl::InfiniteFuture();
