--- a/test/host/BatchServiceTest.cpp
+++ b/test/host/BatchServiceTest.cpp
@@ -9,6 +9,7 @@
 #include <httplib.h>
 
 #include "EventLog.h"
+#include "Eventually.h"
 #include "StandinPlatform.h"
 #include "StoreClient.h"
 #include "TimerService.h"
@@ -17,20 +18,6 @@
 
 namespace {
 
-constexpr absl::Duration generous = absl::Seconds(60);
-
-bool eventually(const std::function<bool()> &condition)
-{
-    const absl::Time limit = absl::Now() + generous;
-    while (absl::Now() < limit) {
-        if (condition()) {
-            return true;
-        }
-        absl::SleepFor(absl::Milliseconds(10));
-    }
-    return false;
-}
-
 /** One host's batch service, with the live hosts that the test decides. */
 struct BatchHost {
     BatchHost(const std::string &name, const std::string &storeAddress, std::function<std::vector<HostInfo>()> live, BatchService::RunItem runItem)
--- a/test/host/HostTest.cpp
+++ b/test/host/HostTest.cpp
@@ -3,6 +3,7 @@
 #include <gtest/gtest.h>
 #include <httplib.h>
 
+#include "Eventually.h"
 #include "StandinEngine.h"
 #include "StandinPlain.h"
 #include "StandinPlatform.h"
@@ -15,19 +16,6 @@
 constexpr const char *jsonType = "application/json";
 constexpr absl::Duration generous = absl::Seconds(60);
 
-/** Waits until @p condition holds; the limit only ends a test that has failed. */
-bool eventually(const std::function<bool()> &condition)
-{
-    const absl::Time limit = absl::Now() + generous;
-    while (absl::Now() < limit) {
-        if (condition()) {
-            return true;
-        }
-        absl::SleepFor(absl::Milliseconds(10));
-    }
-    return false;
-}
-
 /** Three hosts in one process, with a platform, two engines and a plain service. */
 class HostTest : public testing::Test
 {
--- a/test/host/OrderServiceTest.cpp
+++ b/test/host/OrderServiceTest.cpp
@@ -9,6 +9,7 @@
 #include <gtest/gtest.h>
 #include <httplib.h>
 
+#include "Eventually.h"
 #include "Lease.h"
 #include "StandinEngine.h"
 #include "TestFleet.h"
@@ -18,21 +19,8 @@
 
 namespace {
 
-constexpr absl::Duration generous = absl::Seconds(60);
 constexpr const char *leaseKey = "lease/orders/modelo/";
 
-bool eventually(const std::function<bool()> &condition)
-{
-    const absl::Time limit = absl::Now() + generous;
-    while (absl::Now() < limit) {
-        if (condition()) {
-            return true;
-        }
-        absl::SleepFor(absl::Milliseconds(10));
-    }
-    return false;
-}
-
 StandinEngineSettings fencing()
 {
     StandinEngineSettings settings;
--- a/test/host/SlotServiceTest.cpp
+++ b/test/host/SlotServiceTest.cpp
@@ -10,6 +10,7 @@
 #include <gtest/gtest.h>
 
 #include "CrashSuspects.h"
+#include "Eventually.h"
 #include "RendezvousHash.h"
 #include "TimerService.h"
 #include "Transport.h"
@@ -31,19 +32,6 @@
     return spec;
 }
 
-/** Waits for a condition that other threads bring about; only a fault lets it fail. */
-bool eventually(const std::function<bool()> &condition)
-{
-    const absl::Time limit = absl::Now() + longTime;
-    while (!condition()) {
-        if (absl::Now() > limit) {
-            return false;
-        }
-        absl::SleepFor(absl::Milliseconds(5));
-    }
-    return true;
-}
-
 /** Slot services of three hosts of one region in one process. */
 class SlotServiceTest : public testing::Test
 {
