--- a/scripts/generate-protobuf.sh
+++ b/scripts/generate-protobuf.sh
@@ -2,4 +2,4 @@
 # Regenerates src/generated from proto/. Needs protobuf-compiler 3.21.
 set -euo pipefail
 cd "$(dirname "$0")/.."
-protoc --proto_path=proto --cpp_out=src/generated proto/bergamotramp.proto
+protoc --proto_path=proto --cpp_out=src/generated proto/bergamotramp.proto proto/peer.proto
--- /dev/null
+++ b/src/EntryHost.cpp
@@ -0,0 +1,652 @@
+#include "EntryHost.h"
+
+#include <unistd.h>
+
+#include <absl/strings/str_cat.h>
+#include <absl/time/clock.h>
+
+#include "CallRefusal.h"
+#include "RendezvousHash.h"
+
+namespace Bergamotramp {
+
+namespace {
+
+constexpr absl::Duration tickPeriod = absl::Milliseconds(40);
+// The store is asked for the configuration first after an outage; the other kinds follow at once when it answers.
+constexpr absl::Duration firstRetry = absl::Milliseconds(350);
+constexpr absl::Duration laterRetry = absl::Seconds(3);
+// Jobs have seconds until a cancel has to be known, and their progress changes often.
+constexpr absl::Duration jobCoalesce = absl::Milliseconds(700);
+constexpr absl::Duration watchWait = absl::Seconds(25);
+constexpr absl::Duration upstreamConnectTimeout = absl::Milliseconds(300);
+constexpr absl::Duration peerConnectTimeout = absl::Milliseconds(200);
+// For the answer of another host beyond the time that it may wait by request.
+constexpr absl::Duration peerAnswerTimeout = absl::Milliseconds(600);
+// A client that was told an address keeps it for a few seconds, so that a stopping host still takes connections for a while.
+constexpr absl::Duration acceptWhileStopping = absl::Milliseconds(3500);
+// Requests that arrive later than this after the signal could not end within the grace.
+constexpr absl::Duration serveWhileStopping = absl::Seconds(5);
+constexpr absl::Duration stopMargin = absl::Milliseconds(500);
+constexpr absl::Duration idleCloseMargin = absl::Milliseconds(1500);
+constexpr absl::Duration startingRetryAfter = absl::Milliseconds(400);
+constexpr absl::Duration storeRetryAfter = absl::Milliseconds(700);
+constexpr absl::Duration limitRetryAfter = absl::Seconds(1);
+// A submission is answered before its caller gives up.
+constexpr absl::Duration answerMargin = absl::Milliseconds(300);
+constexpr absl::Duration longestStoreRetry = absl::Seconds(3);
+constexpr std::size_t controlConnections = 500;
+constexpr const char *snapshotPath = "/peer/snapshot";
+constexpr const char *hostKind = "hosts";
+
+std::uint64_t startNumber()
+{
+    return static_cast<std::uint64_t>(absl::ToUnixMicros(absl::Now()));
+}
+
+std::string portOf(const std::string &address)
+{
+    return address.substr(address.rfind(':') + 1);
+}
+
+std::string ipOf(const std::string &address)
+{
+    return address.substr(0, address.rfind(':'));
+}
+
+HostPlace placeOf(const EntrySettings &settings)
+{
+    return {.dataCentre = settings.dataCentre, .region = settings.region, .regions = settings.regions};
+}
+
+nlohmann::json objectJson(const StoredObject &object)
+{
+    return {{"name", object.name}, {"revision", object.revision}, {"content", object.content}};
+}
+
+StoredObject objectFromJson(const nlohmann::json &json)
+{
+    return {.name = json.at("name"), .revision = json.at("revision"), .content = json.at("content"), .status = nullptr};
+}
+
+} // namespace
+
+EntryHost::EntryHost(EventLoop &loop, EntrySettings hostSettings, PlatformLink link, JsonLog &log, EntryMetrics &metrics)
+    : loop(loop)
+    , settings(std::move(hostSettings))
+    , platform(std::move(link))
+    , log(log)
+    , metrics(metrics)
+    , random(stableHash(this->settings.name) ^ startNumber())
+    , choice(this->upstreams, this->load, this->health, placeOf(this->settings), [this] { return this->draw(); })
+    , upstreamClient(loop, {.connectTimeout = upstreamConnectTimeout})
+    , peerClient(loop, {.connectTimeout = peerConnectTimeout})
+{
+    const std::uint64_t incarnation = startNumber();
+    const Peer self{.name = this->settings.name,
+                    .region = this->settings.region,
+                    .dataCentre = this->settings.dataCentre,
+                    .entryAddress = this->settings.entryAddress,
+                    .controlAddress = this->settings.controlAddress,
+                    .peerAddress = this->settings.peerAddress,
+                    .incarnation = incarnation};
+    const auto connections = static_cast<std::size_t>(this->settings.maxConnections);
+    this->entryServer = std::make_unique<HttpServer>(loop, this->settings.entryAddress, connections, [this](const auto &call) { this->onEntryRequest(call); });
+    this->readyServer =
+        std::make_unique<HttpServer>(loop, this->settings.readyAddress, controlConnections, [this](const auto &call) { this->onReadyRequest(call); });
+    this->directoryServer =
+        std::make_unique<HttpServer>(loop, this->settings.directoryAddress, connections, [this](const auto &call) { this->onDirectoryRequest(call); });
+    this->controlServer =
+        std::make_unique<HttpServer>(loop, this->settings.controlAddress, controlConnections, [this](const auto &call) { this->onControlRequest(call); });
+    this->metricsServer =
+        std::make_unique<HttpServer>(loop, this->settings.metricsAddress, controlConnections, [this](const auto &call) { this->onMetricsRequest(call); });
+    this->exchange = std::make_unique<PeerExchange>(
+        loop,
+        self,
+        this->peers,
+        this->load,
+        this->suspects,
+        PeerExchange::Hooks{
+            .ownState =
+                [this] { return OwnState{.ready = this->ready(), .leaving = this->stopping, .configRevision = this->config ? this->config->revision : 0}; },
+            .heard = [this](const Peer &peer) { this->heard(peer); }});
+    const AttemptContext attempts{.loop = loop, .client = this->upstreamClient, .load = this->load, .health = this->health, .protocol = this->platform.serving};
+    this->jobs = std::make_unique<JobService>(
+        JobContext{.attempts = attempts,
+                   .store = *this->platform.store,
+                   .choice = this->choice,
+                   .upstreams = this->upstreams,
+                   .log = this->log,
+                   .metrics = this->metrics,
+                   .host = this->settings.name,
+                   .writer = absl::StrCat(this->settings.name, ".", incarnation),
+                   .config = [this] { return this->config; },
+                   .runningHost = [this](const std::string &jobId, const std::string &owner) { return this->runningHost(jobId, owner); }});
+    this->startWatchers();
+    this->meetPeers();
+    this->tickTimer = this->loop.after(tickPeriod, [this] { this->tick(); });
+}
+
+EntryHost::~EntryHost() = default;
+
+double EntryHost::draw()
+{
+    return std::uniform_real_distribution<double>(0.0, 1.0)(this->random);
+}
+
+KindWatcher::Hooks EntryHost::watchHooks(const std::string &kind)
+{
+    return {.listed = {},
+            .changed = {},
+            .lost = [this, kind](StoreResult result) { this->storeLost(kind, result); },
+            .regained = [this] { this->storeRegained(); }};
+}
+
+void EntryHost::startWatchers()
+{
+    KindWatcher::Hooks hooks = this->watchHooks(this->platform.configKind);
+    hooks.listed = [this](const std::vector<StoredObject> &objects) {
+        for (const StoredObject &object : objects) {
+            this->takeConfig(object);
+        }
+    };
+    hooks.changed = [this](const ObjectChange &change) {
+        if (!change.removed) {
+            this->takeConfig(change.object);
+        }
+    };
+    const KindWatcher::Pace first{.watchWait = watchWait, .coalesce = absl::ZeroDuration(), .retry = firstRetry};
+    this->configWatcher = std::make_unique<KindWatcher>(this->loop, *this->platform.store, this->platform.configKind, first, hooks);
+
+    hooks = this->watchHooks(this->platform.upstreamKind);
+    hooks.listed = [this](const std::vector<StoredObject> &objects) { this->takeUpstreams(objects); };
+    hooks.changed = [this](const ObjectChange &change) { this->changeUpstream(change); };
+    const KindWatcher::Pace later{.watchWait = watchWait, .coalesce = absl::ZeroDuration(), .retry = laterRetry};
+    this->upstreamWatcher = std::make_unique<KindWatcher>(this->loop, *this->platform.store, this->platform.upstreamKind, later, hooks);
+
+    hooks = this->watchHooks(JobArchive::headerKind);
+    hooks.listed = [this](const std::vector<StoredObject> &objects) { this->jobs->setHeaders(objects); };
+    hooks.changed = [this](const ObjectChange &change) { this->jobs->changeHeader(change); };
+    const KindWatcher::Pace coalesced{.watchWait = watchWait, .coalesce = jobCoalesce, .retry = laterRetry};
+    this->jobWatcher = std::make_unique<KindWatcher>(this->loop, *this->platform.store, JobArchive::headerKind, coalesced, hooks);
+
+    this->configWatcher->start();
+    this->upstreamWatcher->start();
+    this->jobWatcher->start();
+}
+
+void EntryHost::meetPeers()
+{
+    for (const std::string &seed : this->settings.seeds) {
+        this->exchange->introduce(absl::StrCat(ipOf(seed), ":", portOf(this->settings.peerAddress)));
+    }
+    // Seeds may be out of date, so each host leaves its address in the store once.
+    const std::string name = absl::StrCat(ipOf(this->settings.peerAddress), "-", portOf(this->settings.peerAddress));
+    this->platform.store->create(hostKind, name, {{"name", this->settings.name}, {"peerAddress", this->settings.peerAddress}}, [this](const ObjectReply &) {
+        this->platform.store->list(hostKind, [this](const ListReply &reply) {
+            this->log.write("hosts_listed", {{"ok", reply.result == StoreResult::Done}, {"hosts", static_cast<std::uint64_t>(reply.objects.size())}});
+            for (const StoredObject &object : reply.objects) {
+                if (object.content.is_object()) {
+                    this->exchange->introduce(object.content.value("peerAddress", this->settings.peerAddress));
+                }
+            }
+        });
+    });
+}
+
+void EntryHost::storeLost(const std::string &kind, StoreResult result)
+{
+    if (this->storeAvailable) {
+        this->storeAvailable = false;
+        this->upstreams.registryLost(this->loop.now());
+        this->log.write("store_lost", {{"kind", kind}, {"unanswered", result == StoreResult::Unanswered}});
+    }
+}
+
+void EntryHost::storeRegained()
+{
+    if (!this->storeAvailable) {
+        this->storeAvailable = true;
+        this->upstreams.registryRegained(this->loop.now());
+        this->log.write("store_regained", {});
+        this->configWatcher->retryNow();
+        this->upstreamWatcher->retryNow();
+        this->jobWatcher->retryNow();
+    }
+}
+
+void EntryHost::takeConfig(const StoredObject &object)
+{
+    if (object.name != this->platform.configName || (this->config && object.revision <= this->config->revision)) {
+        return;
+    }
+    auto decoded = this->platform.decodeConfig(object);
+    if (!decoded) {
+        this->log.write("config_unreadable", {{"revision", object.revision}});
+        return;
+    }
+    this->config = std::make_shared<const RoutingConfig>(std::move(*decoded));
+    this->configObject = objectJson(object);
+    this->entryServer->setBounds(this->config->callerBounds);
+    this->log.write("config_in_force",
+                    {{"revision", object.revision}, {"version", this->config->version}, {"routes", static_cast<std::uint64_t>(this->config->routes.size())}});
+}
+
+void EntryHost::takeUpstreams(const std::vector<StoredObject> &objects)
+{
+    std::vector<UpstreamInfo> decoded;
+    this->upstreamObjects.clear();
+    for (const StoredObject &object : objects) {
+        if (const auto upstream = this->platform.decodeUpstream(object)) {
+            decoded.push_back(*upstream);
+            this->upstreamObjects[object.name] = objectJson(object);
+        } else {
+            this->log.write("upstream_unreadable", {{"upstream", object.name}, {"revision", object.revision}});
+        }
+    }
+    this->upstreamsKnown = true;
+    this->upstreams.replaceAll(decoded, this->loop.now());
+    this->log.write("upstreams_listed", {{"upstreams", static_cast<std::uint64_t>(decoded.size())}});
+}
+
+void EntryHost::changeUpstream(const ObjectChange &change)
+{
+    const std::string &id = change.object.name;
+    const UpstreamInfo *known = this->upstreams.find(id);
+    const std::string address = known == nullptr ? std::string() : known->address;
+    const auto upstream = change.removed ? std::nullopt : this->platform.decodeUpstream(change.object);
+    this->log.write("upstream_changed",
+                    {{"upstream", id},
+                     {"revision", change.object.revision},
+                     {"removed", change.removed},
+                     {"leaving", upstream && upstream->leaving},
+                     {"readable", upstream.has_value()}});
+    if (!upstream) {
+        this->upstreams.remove(id, this->loop.now());
+        this->upstreamObjects.erase(id);
+        this->upstreamClient.forget(address);
+        return;
+    }
+    if (known != nullptr && known->startedAtMs != upstream->startedAtMs) {
+        this->health.forget(id);
+        this->upstreamClient.forget(address);
+    }
+    this->upstreams.put(*upstream);
+    this->upstreamObjects[id] = objectJson(change.object);
+}
+
+void EntryHost::heard(const Peer &peer)
+{
+    const std::uint64_t own = this->config ? this->config->revision : 0;
+    if (peer.configRevision > own) {
+        this->askPeerForConfig(peer);
+    }
+}
+
+void EntryHost::callPeer(const Peer &peer, const HttpRequest &request, absl::Duration timeout, std::function<void(const std::optional<HttpResponse> &)> done)
+{
+    const auto call = std::make_shared<PeerCall>();
+    const auto response = std::make_shared<HttpResponse>();
+    this->peerCalls.insert(call);
+    const auto finish = [this, call, done = std::move(done)](const std::optional<HttpResponse> &result) {
+        if (this->peerCalls.erase(call) > 0) {
+            call->timer.cancel();
+            call->call.cancel();
+            done(result);
+        }
+    };
+    call->timer = this->loop.after(timeout, [finish] { finish(std::nullopt); });
+    call->call = this->peerClient.send(peer.controlAddress,
+                                       request,
+                                       {.belongs = {},
+                                        .head = [response](const HttpHead &head) { response->head = head; },
+                                        .body = [response](std::string_view bytes) { response->body.append(bytes); },
+                                        .completed = [finish, response] { finish(*response); },
+                                        .failed = [finish](HttpCallError) { finish(std::nullopt); },
+                                        .sent = {}});
+}
+
+void EntryHost::askPeerForConfig(const Peer &peer)
+{
+    if (this->askingPeer) {
+        return;
+    }
+    this->askingPeer = true;
+    this->callPeer(
+        peer, {.method = "GET", .target = snapshotPath, .fields = {}, .body = {}}, peerAnswerTimeout, [this](const std::optional<HttpResponse> &response) {
+            this->askingPeer = false;
+            if (response && response->head.status == 200) {
+                this->takeSnapshot(response->body);
+            }
+        });
+}
+
+nlohmann::json EntryHost::snapshot() const
+{
+    nlohmann::json upstreamList = nlohmann::json::array();
+    for (const auto &[id, object] : this->upstreamObjects) {
+        upstreamList.push_back(object);
+    }
+    return {{"config", this->configObject}, {"upstreams", upstreamList}};
+}
+
+void EntryHost::takeSnapshot(const std::string &body)
+{
+    try {
+        const nlohmann::json json = nlohmann::json::parse(body);
+        if (json.at("config").is_object()) {
+            this->takeConfig(objectFromJson(json.at("config")));
+        }
+        if (!this->upstreamsKnown) {
+            std::vector<StoredObject> objects;
+            for (const nlohmann::json &object : json.at("upstreams")) {
+                objects.push_back(objectFromJson(object));
+            }
+            this->takeUpstreams(objects);
+        }
+    } catch (const nlohmann::json::exception &error) {
+        this->log.write("snapshot_unreadable", {{"error", error.what()}});
+    }
+}
+
+void EntryHost::onReadyRequest(const std::shared_ptr<HttpExchange> &request)
+{
+    const bool known = this->platform.isReadyCheck(request->request());
+    request->respond(jsonResponse(known ? (this->ready() ? 200 : 503) : 404, "{}"));
+}
+
+void EntryHost::onMetricsRequest(const std::shared_ptr<HttpExchange> &request)
+{
+    this->metrics.setGauge("calls", static_cast<double>(this->calls.size()));
+    this->metrics.setGauge("items_running", static_cast<double>(this->jobs->runningItems()));
+    this->metrics.setGauge("peers_live", static_cast<double>(this->peers.liveHosts(this->loop.now()).size()));
+    this->metrics.setGauge("log_lines_dropped", static_cast<double>(this->log.droppedLines()));
+    this->metrics.setGauge("upstream_connections_opened", static_cast<double>(this->upstreamClient.connectionsOpened()));
+    request->respond({.head = {.status = 200, .fields = {{"Content-Type", "text/plain; version=0.0.4"}}}, .body = this->metrics.text()});
+}
+
+void EntryHost::onDirectoryRequest(const std::shared_ptr<HttpExchange> &request)
+{
+    const auto query = this->platform.decodeDirectoryQuery(request->request());
+    if (!query) {
+        request->respond(failureResponse(404, "no_such_call", "this address answers only which addresses to use", "not_run"));
+        return;
+    }
+    const std::vector<std::string> addresses = entryAddresses(this->readyEntries(), query->region, query->dataCentre);
+    if (addresses.empty()) {
+        request->respond(notRunResponse("no_ready_host", "no host is ready", startingRetryAfter));
+        return;
+    }
+    request->respond(this->platform.encodeAddresses(addresses, this->settings.addressTimeToLive));
+}
+
+std::vector<EntryPoint> EntryHost::readyEntries() const
+{
+    std::vector<EntryPoint> entries;
+    if (this->ready()) {
+        entries.push_back({.address = this->settings.entryAddress, .region = this->settings.region, .dataCentre = this->settings.dataCentre});
+    }
+    for (const Peer &peer : this->peers.liveHosts(this->loop.now())) {
+        if (peer.ready) {
+            entries.push_back({.address = peer.entryAddress, .region = peer.region, .dataCentre = peer.dataCentre});
+        }
+    }
+    return entries;
+}
+
+void EntryHost::onControlRequest(const std::shared_ptr<HttpExchange> &request)
+{
+    if (request->request().path() == snapshotPath) {
+        request->respond(jsonResponse(200, this->snapshot().dump()));
+        return;
+    }
+    const CallerCall call = this->platform.serving.decodeCall(request->request());
+    if (call.kind == CallKind::Request) {
+        request->respond(failureResponse(404, "no_such_call", "hosts forward only calls about jobs", "not_run"));
+        return;
+    }
+    this->onJobCall(request, call, true);
+}
+
+void EntryHost::onEntryRequest(const std::shared_ptr<HttpExchange> &request)
+{
+    const CallerCall call = this->platform.serving.decodeCall(request->request());
+    if (call.kind != CallKind::Request) {
+        this->onJobCall(request, call, false);
+        return;
+    }
+    if (!this->config) {
+        request->respond(notRunResponse("starting", "this host does not know the configuration yet", startingRetryAfter));
+        return;
+    }
+    const Route *route = this->config->match(call.host, request->request().path());
+    if (route == nullptr) {
+        this->log.write("no_route", {{"request", call.id}, {"path", request->request().path()}, {"revision", this->config->revision}});
+        request->respond(failureResponse(404, "no_route", "no route begins this path", "not_run"));
+        return;
+    }
+    if (call.id.empty()) {
+        request->respond(failureResponse(400, "no_request_id", "the request has no id", "not_run"));
+        return;
+    }
+    if (this->stopping && this->loop.now() > this->stopBegan + serveWhileStopping) {
+        request->respond(notRunResponse("stopping", "this host is stopping", absl::ZeroDuration()));
+        return;
+    }
+    if (route->kind == RouteKind::Batch) {
+        this->submitJob(request, call, *route);
+    } else {
+        this->startOnline(request, call, *route);
+    }
+}
+
+void EntryHost::startOnline(const std::shared_ptr<HttpExchange> &request, const CallerCall &call, const Route &route)
+{
+    const OnlineContext context{
+        .attempts = {.loop = this->loop, .client = this->upstreamClient, .load = this->load, .health = this->health, .protocol = this->platform.serving},
+        .choice = this->choice,
+        .upstreams = this->upstreams,
+        .suspects = this->suspects,
+        .log = this->log,
+        .metrics = this->metrics,
+        .crashed = [this](const auto &counts) { this->exchange->announceCrashes(counts); }};
+    const std::string service = chooseTarget(route, this->draw());
+    const auto holder = std::make_shared<std::weak_ptr<OnlineCall>>();
+    const auto online = std::make_shared<OnlineCall>(context, request, call, route, service, [this, holder] {
+        if (const auto ended = holder->lock()) {
+            this->calls.erase(ended);
+        }
+    });
+    *holder = online;
+    this->calls.insert(online);
+    online->start();
+}
+
+void EntryHost::submitJob(const std::shared_ptr<HttpExchange> &request, const CallerCall &call, const Route &route)
+{
+    if (this->stopping) {
+        request->respond(notRunResponse("stopping", "this host is stopping", absl::ZeroDuration()));
+        return;
+    }
+    JobSubmission submission;
+    try {
+        submission = this->platform.serving.decodeSubmission(request->request());
+    } catch (const JobFormatError &error) {
+        request->respond(failureResponse(400, "bad_job", error.what(), "not_run"));
+        return;
+    }
+    const absl::Time giveUpAt = request->received() + std::min(longestStoreRetry, call.timeBudget - answerMargin);
+    this->jobs->submit(submission, route, call.host, giveUpAt, [this, request, name = route.name](SubmitResult result) {
+        switch (result) {
+        case SubmitResult::Accepted:
+            request->respond(jsonResponse(202, "{}"));
+            break;
+        case SubmitResult::TooMuchWaiting: {
+            HttpResponse refusal = notRunResponse("limit", "too many tokens wait on this route", limitRetryAfter);
+            refusal.head.status = 429;
+            request->respond(refusal);
+            break;
+        }
+        case SubmitResult::Unavailable:
+            request->respond(notRunResponse("store_unavailable", "the store can't take the job", storeRetryAfter));
+            break;
+        case SubmitResult::Unknown:
+            request->respond(failureResponse(504, "store_unanswered", "the store did not answer", "unknown"));
+            break;
+        }
+        this->metrics.answered(name, result == SubmitResult::Accepted ? 202 : 503, this->loop.now() - request->received());
+    });
+}
+
+std::string EntryHost::runningHost(const std::string &jobId, const std::string &owner) const
+{
+    if (owner == this->settings.name || this->peers.live(owner, this->loop.now())) {
+        return owner;
+    }
+    std::vector<std::string> hosts{this->settings.name};
+    for (const Peer &peer : this->peers.liveHosts(this->loop.now())) {
+        hosts.push_back(peer.name);
+    }
+    return rendezvousPick(jobId, hosts);
+}
+
+void EntryHost::onJobCall(const std::shared_ptr<HttpExchange> &request, const CallerCall &call, bool forwarded)
+{
+    if (forwarded || call.kind == CallKind::EndJob) {
+        this->answerJobCall(request, call);
+        return;
+    }
+    this->jobs->locate(call.id, [this, request, call](JobLookup result, const std::string &host) {
+        const Peer *owner = result == JobLookup::Found && host != this->settings.name ? this->peers.find(host) : nullptr;
+        if (result != JobLookup::Found) {
+            this->refuseJobLookup(request, result);
+        } else if (owner != nullptr && this->peers.live(host, this->loop.now())) {
+            this->forwardJobCall(request, call, *owner);
+        } else {
+            this->answerJobCall(request, call);
+        }
+    });
+}
+
+void EntryHost::forwardJobCall(const std::shared_ptr<HttpExchange> &request, const CallerCall &call, const Peer &owner)
+{
+    HttpRequest copy = request->request();
+    copy.fields = copy.fields.endToEnd();
+    this->callPeer(owner, copy, call.wait + peerAnswerTimeout, [this, request, call](const std::optional<HttpResponse> &response) {
+        if (!response || response->head.status >= 500) {
+            this->answerJobCall(request, call);
+            return;
+        }
+        request->respond({.head = {.status = response->head.status, .fields = response->head.fields.endToEnd()}, .body = response->body});
+    });
+}
+
+void EntryHost::refuseJobLookup(const std::shared_ptr<HttpExchange> &request, JobLookup lookup)
+{
+    if (lookup == JobLookup::Missing) {
+        request->respond(failureResponse(404, "no_such_job", "there is no such job or item", "not_run"));
+    } else {
+        request->respond(notRunResponse("store_unavailable", "the store does not answer", storeRetryAfter));
+    }
+}
+
+void EntryHost::answerJobCall(const std::shared_ptr<HttpExchange> &request, const CallerCall &call)
+{
+    switch (call.kind) {
+    case CallKind::ReadJob:
+        this->jobs->read(call.id, call.position, call.wait, [this, request](JobLookup result, const JobPage &page) {
+            if (result == JobLookup::Found) {
+                request->respond(this->platform.serving.encodePage(page));
+            } else {
+                this->refuseJobLookup(request, result);
+            }
+        });
+        break;
+    case CallKind::ReadItemBody:
+        this->jobs->itemBody(call.id, call.itemId, [this, request](JobLookup result, const std::string &body) {
+            if (result == JobLookup::Found) {
+                request->respond({.head = {.status = 200, .fields = {{"Content-Type", "application/octet-stream"}}}, .body = body});
+            } else {
+                this->refuseJobLookup(request, result);
+            }
+        });
+        break;
+    case CallKind::EndJob:
+        this->endJob(request, call);
+        break;
+    case CallKind::Request:
+        break;
+    }
+}
+
+void EntryHost::endJob(const std::shared_ptr<HttpExchange> &request, const CallerCall &call)
+{
+    const absl::Time giveUpAt = request->received() + std::min(longestStoreRetry, call.timeBudget - answerMargin);
+    this->jobs->cancel(call.id, giveUpAt, [this, request](JobLookup result) {
+        if (result == JobLookup::Found) {
+            request->respond(jsonResponse(200, "{}"));
+        } else {
+            this->refuseJobLookup(request, result);
+        }
+    });
+}
+
+bool EntryHost::ready() const
+{
+    return this->config != nullptr && this->upstreamsKnown && !this->stopping;
+}
+
+void EntryHost::tick()
+{
+    this->tickTimer = this->loop.after(tickPeriod, [this] { this->tick(); });
+    const absl::Time now = this->loop.now();
+    this->upstreams.expire(now);
+    const std::set<std::shared_ptr<OnlineCall>> current = this->calls;
+    for (const auto &call : current) {
+        call->checkProgress(now);
+    }
+    this->jobs->tick();
+}
+
+void EntryHost::reload(const EntrySettings &changed)
+{
+    this->settings.addressTimeToLive = changed.addressTimeToLive;
+    this->settings.stopGrace = changed.stopGrace;
+    this->settings.seeds = changed.seeds;
+    this->log.write("settings_reloaded", {{"addressTimeToLiveMs", changed.addressTimeToLive}, {"stopGraceMs", changed.stopGrace}});
+}
+
+void EntryHost::stop()
+{
+    if (this->stopping) {
+        return;
+    }
+    this->stopping = true;
+    this->stopBegan = this->loop.now();
+    this->log.write("stopping", {{"calls", static_cast<std::uint64_t>(this->calls.size())}, {"items", static_cast<std::uint64_t>(this->jobs->runningItems())}});
+    this->jobs->stop();
+    this->exchange->announceNow();
+    this->entryServer->closeAfterResponses();
+    this->checkStopped();
+}
+
+void EntryHost::checkStopped()
+{
+    const absl::Duration since = this->loop.now() - this->stopBegan;
+    if (since >= acceptWhileStopping) {
+        this->entryServer->stopAccepting();
+    }
+    if (since >= this->settings.stopGrace - idleCloseMargin) {
+        this->entryServer->closeIdle();
+    }
+    const bool served = since >= acceptWhileStopping && this->entryServer->connections() == 0;
+    if (served || since >= this->settings.stopGrace - stopMargin) {
+        this->log.write("stopped", {{"calls", static_cast<std::uint64_t>(this->calls.size())}, {"afterMs", since}});
+        this->log.flush();
+        this->loop.stop();
+        return;
+    }
+    this->stopTimer = this->loop.after(tickPeriod, [this] { this->checkStopped(); });
+}
+
+} // namespace Bergamotramp
--- /dev/null
+++ b/src/EntryHost.h
@@ -0,0 +1,127 @@
+#pragma once
+
+#include <functional>
+#include <memory>
+#include <optional>
+#include <random>
+#include <set>
+#include <string>
+
+#include "CrashSuspects.h"
+#include "EntryMetrics.h"
+#include "EntrySettings.h"
+#include "EventLoop.h"
+#include "FleetLoad.h"
+#include "HttpClient.h"
+#include "HttpServer.h"
+#include "JobService.h"
+#include "JsonLog.h"
+#include "KindWatcher.h"
+#include "OnlineCall.h"
+#include "PeerBoard.h"
+#include "PeerExchange.h"
+#include "PlatformLink.h"
+#include "UpstreamChoice.h"
+#include "UpstreamHealth.h"
+#include "UpstreamTable.h"
+
+namespace Bergamotramp {
+
+/** One entry host on the users' platform: the composition of its parts. */
+class EntryHost
+{
+public:
+    /** Binds the addresses and starts; throws std::runtime_error. */
+    EntryHost(EventLoop &loop, EntrySettings settings, PlatformLink platform, JsonLog &log, EntryMetrics &metrics);
+    ~EntryHost();
+    EntryHost(const EntryHost &) = delete;
+    EntryHost &operator=(const EntryHost &) = delete;
+
+    /** Begins a planned stop; the event loop is stopped when it has ended. */
+    void stop();
+    /** Takes settings that changed while the host runs. */
+    void reload(const EntrySettings &changed);
+
+private:
+    void startWatchers();
+    void meetPeers();
+    KindWatcher::Hooks watchHooks(const std::string &kind);
+    void storeLost(const std::string &kind, StoreResult result);
+    void storeRegained();
+    void takeConfig(const StoredObject &object);
+    void takeUpstreams(const std::vector<StoredObject> &objects);
+    void changeUpstream(const ObjectChange &change);
+    void heard(const Peer &peer);
+    void askPeerForConfig(const Peer &peer);
+    void callPeer(const Peer &peer, const HttpRequest &request, absl::Duration timeout, std::function<void(const std::optional<HttpResponse> &)> done);
+    void takeSnapshot(const std::string &body);
+
+    void onEntryRequest(const std::shared_ptr<HttpExchange> &exchange);
+    void onControlRequest(const std::shared_ptr<HttpExchange> &exchange);
+    void onDirectoryRequest(const std::shared_ptr<HttpExchange> &exchange);
+    void onReadyRequest(const std::shared_ptr<HttpExchange> &exchange);
+    void onMetricsRequest(const std::shared_ptr<HttpExchange> &exchange);
+    void startOnline(const std::shared_ptr<HttpExchange> &exchange, const CallerCall &call, const Route &route);
+    void submitJob(const std::shared_ptr<HttpExchange> &exchange, const CallerCall &call, const Route &route);
+    void onJobCall(const std::shared_ptr<HttpExchange> &exchange, const CallerCall &call, bool forwarded);
+    void answerJobCall(const std::shared_ptr<HttpExchange> &exchange, const CallerCall &call);
+    void forwardJobCall(const std::shared_ptr<HttpExchange> &exchange, const CallerCall &call, const Peer &owner);
+    void refuseJobLookup(const std::shared_ptr<HttpExchange> &exchange, JobLookup lookup);
+    void endJob(const std::shared_ptr<HttpExchange> &exchange, const CallerCall &call);
+
+    void tick();
+    void checkStopped();
+    [[nodiscard]] bool ready() const;
+    [[nodiscard]] std::vector<EntryPoint> readyEntries() const;
+    [[nodiscard]] std::string runningHost(const std::string &jobId, const std::string &owner) const;
+    [[nodiscard]] nlohmann::json snapshot() const;
+    double draw();
+
+    EventLoop &loop;
+    EntrySettings settings;
+    PlatformLink platform;
+    JsonLog &log;
+    EntryMetrics &metrics;
+    std::mt19937_64 random;
+
+    UpstreamTable upstreams;
+    FleetLoad load;
+    UpstreamHealth health;
+    UpstreamChoice choice;
+    CrashSuspects suspects;
+    PeerBoard peers;
+    std::shared_ptr<const RoutingConfig> config;
+    nlohmann::json configObject;
+    std::map<std::string, nlohmann::json> upstreamObjects;
+    bool upstreamsKnown = false;
+    bool storeAvailable = true;
+
+    HttpClient upstreamClient;
+    HttpClient peerClient;
+    std::unique_ptr<PeerExchange> exchange;
+    std::unique_ptr<JobService> jobs;
+    std::unique_ptr<KindWatcher> configWatcher;
+    std::unique_ptr<KindWatcher> upstreamWatcher;
+    std::unique_ptr<KindWatcher> jobWatcher;
+    std::unique_ptr<HttpServer> entryServer;
+    std::unique_ptr<HttpServer> readyServer;
+    std::unique_ptr<HttpServer> directoryServer;
+    std::unique_ptr<HttpServer> controlServer;
+    std::unique_ptr<HttpServer> metricsServer;
+
+    std::set<std::shared_ptr<OnlineCall>> calls;
+    /** A call to another host with its time-out. */
+    struct PeerCall {
+        HttpCall call;
+        LoopTimer timer;
+    };
+    /** Calls that run; each removes itself. */
+    std::set<std::shared_ptr<PeerCall>> peerCalls;
+    bool askingPeer = false;
+    bool stopping = false;
+    absl::Time stopBegan = absl::InfinitePast();
+    LoopTimer tickTimer;
+    LoopTimer stopTimer;
+};
+
+} // namespace Bergamotramp
--- /dev/null
+++ b/src/EntryMetrics.cpp
@@ -0,0 +1,86 @@
+#include "EntryMetrics.h"
+
+#include <prometheus/counter.h>
+#include <prometheus/gauge.h>
+#include <prometheus/histogram.h>
+#include <prometheus/registry.h>
+#include <prometheus/text_serializer.h>
+
+namespace Bergamotramp {
+
+namespace {
+
+// Seconds. The users' aims for the first event lie between 0.15 and 1.2 s.
+const prometheus::Histogram::BucketBoundaries latencySeconds{0.005, 0.01, 0.025, 0.05, 0.1, 0.15, 0.2, 0.3, 0.4, 0.6, 0.8, 1.2, 2.5, 5, 10};
+
+} // namespace
+
+class EntryMetrics::Families
+{
+public:
+    prometheus::Registry registry;
+    prometheus::Family<prometheus::Counter> &answers =
+        prometheus::BuildCounter().Name("bergamotramp_answers_total").Help("Answers to callers by route and status.").Register(registry);
+    prometheus::Family<prometheus::Histogram> &latency =
+        prometheus::BuildHistogram().Name("bergamotramp_answer_seconds").Help("Time from the request to the end of its answer.").Register(registry);
+    prometheus::Family<prometheus::Histogram> &first =
+        prometheus::BuildHistogram().Name("bergamotramp_first_event_seconds").Help("Time from the request to the first event.").Register(registry);
+    prometheus::Family<prometheus::Counter> &attempts =
+        prometheus::BuildCounter().Name("bergamotramp_attempts_total").Help("Requests sent to upstreams by service and end.").Register(registry);
+    prometheus::Family<prometheus::Counter> &yields =
+        prometheus::BuildCounter().Name("bergamotramp_batch_yields_total").Help("Batch requests taken away for online requests.").Register(registry);
+    prometheus::Family<prometheus::Counter> &items =
+        prometheus::BuildCounter().Name("bergamotramp_items_total").Help("Runs of batch items by service and end.").Register(registry);
+    prometheus::Family<prometheus::Counter> &storeCalls =
+        prometheus::BuildCounter().Name("bergamotramp_store_calls_total").Help("Calls to the store by kind of call and result.").Register(registry);
+    prometheus::Family<prometheus::Gauge> &gauges = prometheus::BuildGauge().Name("bergamotramp_state").Help("State of this host by name.").Register(registry);
+};
+
+EntryMetrics::EntryMetrics() : families(std::make_unique<Families>())
+{
+}
+
+EntryMetrics::~EntryMetrics() = default;
+
+void EntryMetrics::answered(const std::string &route, int status, absl::Duration latency)
+{
+    this->families->answers.Add({{"route", route}, {"status", std::to_string(status)}}).Increment();
+    this->families->latency.Add({{"route", route}}, latencySeconds).Observe(absl::ToDoubleSeconds(latency));
+}
+
+void EntryMetrics::firstEvent(const std::string &route, absl::Duration latency)
+{
+    this->families->first.Add({{"route", route}}, latencySeconds).Observe(absl::ToDoubleSeconds(latency));
+}
+
+void EntryMetrics::attemptEnded(const std::string &service, const std::string &end)
+{
+    this->families->attempts.Add({{"service", service}, {"end", end}}).Increment();
+}
+
+void EntryMetrics::batchYielded(const std::string &service)
+{
+    this->families->yields.Add({{"service", service}}).Increment();
+}
+
+void EntryMetrics::itemEnded(const std::string &service, const std::string &end)
+{
+    this->families->items.Add({{"service", service}, {"end", end}}).Increment();
+}
+
+void EntryMetrics::storeCall(const std::string &call, const std::string &result)
+{
+    this->families->storeCalls.Add({{"call", call}, {"result", result}}).Increment();
+}
+
+void EntryMetrics::setGauge(const std::string &name, double value)
+{
+    this->families->gauges.Add({{"name", name}}).Set(value);
+}
+
+std::string EntryMetrics::text() const
+{
+    return prometheus::TextSerializer().Serialize(this->families->registry.Collect());
+}
+
+} // namespace Bergamotramp
--- /dev/null
+++ b/src/EntryMetrics.h
@@ -0,0 +1,38 @@
+#pragma once
+
+#include <cstdint>
+#include <memory>
+#include <string>
+
+#include <absl/time/time.h>
+
+namespace Bergamotramp {
+
+/** Counters and latency histograms of an entry host in the Prometheus text format. Names begin with bergamotramp_. */
+class EntryMetrics
+{
+public:
+    EntryMetrics();
+    ~EntryMetrics();
+    EntryMetrics(const EntryMetrics &) = delete;
+    EntryMetrics &operator=(const EntryMetrics &) = delete;
+
+    /** Counts an answer by its route and status, and observes the time since the request was read. */
+    void answered(const std::string &route, int status, absl::Duration latency);
+    void firstEvent(const std::string &route, absl::Duration latency);
+    /** Counts an attempt by its service and end. */
+    void attemptEnded(const std::string &service, const std::string &end);
+    void batchYielded(const std::string &service);
+    void itemEnded(const std::string &service, const std::string &end);
+    void storeCall(const std::string &call, const std::string &result);
+    void setGauge(const std::string &name, double value);
+
+    [[nodiscard]] std::string text() const;
+
+private:
+    class Families;
+
+    std::unique_ptr<Families> families;
+};
+
+} // namespace Bergamotramp
--- /dev/null
+++ b/src/EntrySettings.cpp
@@ -0,0 +1,105 @@
+#include "EntrySettings.h"
+
+#include <fstream>
+#include <sstream>
+
+#include "JsonReader.h"
+#include "TcpStream.h"
+
+namespace Bergamotramp {
+
+namespace {
+
+constexpr IntegerRange connectionRange{1, 100'000};
+constexpr IntegerRange timeRange{100, 600'000}; // ms
+
+std::string checkedAddress(std::string address, const std::string &path)
+{
+    try {
+        parseEndpoint(address);
+    } catch (const std::invalid_argument &error) {
+        throw JsonError(path, error.what());
+    }
+    return address;
+}
+
+std::string readAddress(JsonReader &reader, const std::string &key)
+{
+    return checkedAddress(reader.requiredString(key), reader.pathOf(key));
+}
+
+void readPlace(JsonReader &reader, EntrySettings &settings)
+{
+    settings.name = reader.requiredString("name");
+    settings.role = reader.choice("role", {"entry", "disk"}, "entry") == "entry" ? HostRole::Entry : HostRole::Disk;
+    settings.region = reader.requiredString("region");
+    settings.dataCentre = reader.requiredString("dataCentre");
+    reader.optionalMap("regions", [&settings](const std::string &dataCentre, const nlohmann::json &region, const std::string &path) {
+        if (!region.is_string()) {
+            throw JsonError(path, "must be a string");
+        }
+        settings.regions[dataCentre] = region.get<std::string>();
+    });
+}
+
+void readEntryAddresses(JsonReader &reader, EntrySettings &settings)
+{
+    settings.entryAddress = readAddress(reader, "entryAddress");
+    settings.readyAddress = readAddress(reader, "readyAddress");
+    settings.directoryAddress = readAddress(reader, "directoryAddress");
+    settings.controlAddress = readAddress(reader, "controlAddress");
+    settings.peerAddress = readAddress(reader, "peerAddress");
+    reader.optionalArray("seeds", [&settings](const nlohmann::json &seed, const std::string &path) {
+        if (!seed.is_string()) {
+            throw JsonError(path, "must be a string");
+        }
+        settings.seeds.push_back(checkedAddress(seed.get<std::string>(), path));
+    });
+}
+
+EntrySettings read(JsonReader &reader)
+{
+    EntrySettings settings;
+    readPlace(reader, settings);
+    settings.storeAddress = readAddress(reader, "storeAddress");
+    settings.metricsAddress = readAddress(reader, "metricsAddress");
+    if (settings.role == HostRole::Entry) {
+        readEntryAddresses(reader, settings);
+    }
+    settings.maxConnections = reader.optionalInteger("maxConnections", settings.maxConnections, connectionRange);
+    settings.addressTimeToLive =
+        absl::Milliseconds(reader.optionalInteger("addressTimeToLiveMs", absl::ToInt64Milliseconds(settings.addressTimeToLive), timeRange));
+    settings.stopGrace = absl::Seconds(reader.optionalNumber("stopGraceS", absl::ToDoubleSeconds(settings.stopGrace), 0.1, 600.0));
+    reader.finish();
+    return settings;
+}
+
+} // namespace
+
+EntrySettingsError::EntrySettingsError(const std::string &file, const std::string &problem) : std::runtime_error(file + ": " + problem)
+{
+}
+
+EntrySettings EntrySettings::parse(const std::string &file, std::string_view text)
+{
+    try {
+        const nlohmann::json document = JsonReader::parse(text);
+        JsonReader reader(document, "");
+        return read(reader);
+    } catch (const JsonError &error) {
+        throw EntrySettingsError(file, error.what());
+    }
+}
+
+EntrySettings EntrySettings::load(const std::string &file)
+{
+    std::ifstream stream(file);
+    if (!stream) {
+        throw EntrySettingsError(file, "cannot be opened");
+    }
+    std::ostringstream text;
+    text << stream.rdbuf();
+    return parse(file, text.str());
+}
+
+} // namespace Bergamotramp
--- /dev/null
+++ b/src/EventLoop.h
@@ -0,0 +1,70 @@
+#pragma once
+
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <utility>
+
+#include <absl/time/time.h>
+
+#include "Asio.h"
+
+namespace Bergamotramp {
+
+class EventLoop;
+
+/** Ends its timer when destroyed or cancelled. Must not outlive its event loop. */
+class LoopTimer
+{
+public:
+    LoopTimer() = default;
+    LoopTimer(EventLoop *loop, std::pair<absl::Time, std::uint64_t> key);
+    LoopTimer(LoopTimer &&other) noexcept;
+    LoopTimer &operator=(LoopTimer &&other) noexcept;
+    LoopTimer(const LoopTimer &) = delete;
+    LoopTimer &operator=(const LoopTimer &) = delete;
+    ~LoopTimer();
+
+    void cancel();
+    [[nodiscard]] bool active() const;
+
+private:
+    EventLoop *loop = nullptr;
+    std::pair<absl::Time, std::uint64_t> key;
+};
+
+/** The event loop and timer service of a single-threaded daemon. Not thread-safe. */
+class EventLoop
+{
+public:
+    EventLoop();
+
+    /** Time that never goes back within a process; close to the time of day at the start. */
+    [[nodiscard]] absl::Time now() const;
+    /** Calls @p callback once after @p delay. */
+    [[nodiscard]] LoopTimer after(absl::Duration delay, std::function<void()> callback);
+    /** Calls @p callback from the loop as soon as the present one has returned. */
+    void post(std::function<void()> callback);
+    void run();
+    void stop();
+    asio::io_context &context();
+
+private:
+    friend class LoopTimer;
+    using Key = std::pair<absl::Time, std::uint64_t>;
+
+    void cancel(const Key &key);
+    [[nodiscard]] bool contains(const Key &key) const;
+    void arm();
+    void runDue();
+
+    asio::io_context io{1};
+    asio::steady_timer alarm;
+    absl::Time startTime;
+    std::chrono::steady_clock::time_point startSteady;
+    std::map<Key, std::function<void()>> timers;
+    absl::Time armedFor = absl::InfiniteFuture();
+    std::uint64_t nextId = 1;
+};
+
+} // namespace Bergamotramp
--- /dev/null
+++ b/src/HttpParser.cpp
@@ -0,0 +1,216 @@
+#include "HttpParser.h"
+
+#include <utility>
+
+#include <boost/asio/buffer.hpp>
+#include <boost/beast/http/basic_parser.hpp>
+#include <boost/beast/http/error.hpp>
+
+#include <absl/strings/match.h>
+
+namespace Bergamotramp {
+
+namespace {
+
+namespace http = boost::beast::http;
+using BeastView = boost::beast::string_view;
+using BeastError = boost::beast::error_code;
+
+std::string text(BeastView view)
+{
+    return {view.data(), view.size()};
+}
+
+HttpParseError parseError(const BeastError &error)
+{
+    if (error == http::error::header_limit) {
+        return HttpParseError::HeaderTooLarge;
+    }
+    return error == http::error::body_limit ? HttpParseError::BodyTooLarge : HttpParseError::Malformed;
+}
+
+/** The common part of both directions: header fields and body. */
+template <bool isRequest>
+class MessageParser : public http::basic_parser<isRequest>
+{
+public:
+    explicit MessageParser(const HttpBounds &bounds)
+    {
+        this->header_limit(bounds.headerBytes);
+        this->body_limit(bounds.bodyBytes);
+    }
+
+    /** Returns after the head, so that a caller sees it before the body. */
+    HttpProgress feed(std::string_view bytes)
+    {
+        HttpProgress progress;
+        BeastError error;
+        const bool headBefore = this->is_header_done();
+        while (progress.consumed < bytes.size() && !this->is_done() && this->is_header_done() == headBefore) {
+            const std::size_t taken = this->put(boost::asio::const_buffer(bytes.data() + progress.consumed, bytes.size() - progress.consumed), error);
+            progress.consumed += taken;
+            if (error == http::error::need_more) {
+                error = {};
+                if (taken == 0) {
+                    break;
+                }
+                continue;
+            }
+            if (error) {
+                progress.error = parseError(error);
+                break;
+            }
+        }
+        progress.headComplete = this->is_header_done();
+        progress.complete = this->is_done();
+        return progress;
+    }
+
+    std::string method;
+    std::string target;
+    int status = 0;
+    HttpFields fields;
+    std::function<void(std::string_view)> body;
+
+private:
+    void on_request_impl(http::verb, BeastView method, BeastView target, int, BeastError &) override
+    {
+        this->method = text(method);
+        this->target = text(target);
+    }
+    void on_response_impl(int status, BeastView, int, BeastError &) override
+    {
+        this->status = status;
+    }
+    void on_field_impl(http::field, BeastView name, BeastView value, BeastError &) override
+    {
+        this->fields.add(text(name), text(value));
+    }
+    void on_header_impl(BeastError &) override
+    {
+    }
+    void on_body_init_impl(const boost::optional<std::uint64_t> &, BeastError &) override
+    {
+    }
+    std::size_t on_body_impl(BeastView body, BeastError &) override
+    {
+        this->body(std::string_view(body.data(), body.size()));
+        return body.size();
+    }
+    void on_chunk_header_impl(std::uint64_t, BeastView, BeastError &) override
+    {
+    }
+    std::size_t on_chunk_body_impl(std::uint64_t, BeastView body, BeastError &) override
+    {
+        this->body(std::string_view(body.data(), body.size()));
+        return body.size();
+    }
+    void on_finish_impl(BeastError &) override
+    {
+    }
+};
+
+} // namespace
+
+class HttpRequestParser::Parser : public MessageParser<true>
+{
+public:
+    using MessageParser<true>::MessageParser;
+
+    HttpRequest request;
+};
+
+HttpRequestParser::HttpRequestParser(const HttpBounds &bounds) : parser(std::make_unique<Parser>(bounds))
+{
+    this->parser->body = [target = this->parser.get()](std::string_view bytes) { target->request.body.append(bytes); };
+}
+
+HttpRequestParser::~HttpRequestParser() = default;
+
+HttpProgress HttpRequestParser::feed(std::string_view bytes)
+{
+    const bool headBefore = this->parser->is_header_done();
+    const HttpProgress progress = this->parser->feed(bytes);
+    if (!headBefore && progress.headComplete) {
+        this->parser->request.method = this->parser->method;
+        this->parser->request.target = this->parser->target;
+        this->parser->request.fields = this->parser->fields;
+    }
+    return progress;
+}
+
+const HttpRequest &HttpRequestParser::request() const
+{
+    return this->parser->request;
+}
+
+HttpRequest HttpRequestParser::take()
+{
+    return std::move(this->parser->request);
+}
+
+bool HttpRequestParser::keepAlive() const
+{
+    return this->parser->keep_alive();
+}
+
+bool HttpRequestParser::expectsContinue() const
+{
+    const auto value = this->parser->fields.find("expect");
+    return value && absl::EqualsIgnoreCase(absl::string_view(value->data(), value->size()), "100-continue");
+}
+
+class HttpResponseParser::Parser : public MessageParser<false>
+{
+public:
+    using MessageParser<false>::MessageParser;
+
+    HttpHead head;
+};
+
+HttpResponseParser::HttpResponseParser(const HttpBounds &bounds, std::function<void(std::string_view)> body) : parser(std::make_unique<Parser>(bounds))
+{
+    this->parser->body = std::move(body);
+}
+
+HttpResponseParser::~HttpResponseParser() = default;
+
+HttpProgress HttpResponseParser::feed(std::string_view bytes)
+{
+    const bool headBefore = this->parser->is_header_done();
+    const HttpProgress progress = this->parser->feed(bytes);
+    if (!headBefore && progress.headComplete) {
+        this->parser->head.status = this->parser->status;
+        this->parser->head.fields = this->parser->fields;
+    }
+    return progress;
+}
+
+HttpProgress HttpResponseParser::endOfStream()
+{
+    HttpProgress progress;
+    BeastError error;
+    if (this->parser->is_header_done() && !this->parser->is_done()) {
+        this->parser->put_eof(error);
+    }
+    progress.headComplete = this->parser->is_header_done();
+    progress.complete = this->parser->is_done() && !error;
+    return progress;
+}
+
+const HttpHead &HttpResponseParser::head() const
+{
+    return this->parser->head;
+}
+
+bool HttpResponseParser::keepAlive() const
+{
+    return this->parser->keep_alive();
+}
+
+bool HttpResponseParser::framed() const
+{
+    return this->parser->chunked() || this->parser->content_length();
+}
+
+} // namespace Bergamotramp
--- /dev/null
+++ b/src/JobArchive.cpp
@@ -0,0 +1,153 @@
+#include "JobArchive.h"
+
+#include <absl/strings/str_format.h>
+
+namespace Bergamotramp {
+
+namespace {
+
+constexpr const char *itemsKind = "job-items";
+constexpr const char *resultsKind = "job-results";
+// Bytes of an item beside its body: names, numbers and JSON syntax.
+constexpr std::size_t itemOverheadBytes = 512;
+
+std::string partName(const std::string &jobId, std::uint64_t number)
+{
+    return absl::StrFormat("%s.%05d", jobId, number);
+}
+
+std::size_t jsonBytes(const JobItem &item)
+{
+    std::size_t bytes = itemOverheadBytes + item.body.size() * 4 / 3;
+    for (const HttpField &field : item.fields.all()) {
+        bytes += field.name.size() + field.value.size();
+    }
+    return bytes;
+}
+
+std::vector<nlohmann::json> splitItems(const std::vector<JobItem> &items)
+{
+    std::vector<nlohmann::json> parts;
+    std::vector<JobItem> part;
+    std::size_t bytes = 0;
+    for (const JobItem &item : items) {
+        if (!part.empty() && bytes + jsonBytes(item) > JobArchive::maxObjectBytes) {
+            parts.push_back(itemsToJson(part));
+            part.clear();
+            bytes = 0;
+        }
+        bytes += jsonBytes(item);
+        part.push_back(item);
+    }
+    parts.push_back(itemsToJson(part));
+    return parts;
+}
+
+} // namespace
+
+JobArchive::JobArchive(ObjectStore &store) : store(store)
+{
+}
+
+void JobArchive::writeItems(const JobSubmission &submission, std::function<void(StoreResult, std::size_t)> done)
+{
+    this->writePart(std::make_shared<std::vector<nlohmann::json>>(splitItems(submission.items)), submission.id, 0, std::move(done));
+}
+
+void JobArchive::writePart(std::shared_ptr<std::vector<nlohmann::json>> parts,
+                           const std::string &jobId,
+                           std::size_t part,
+                           std::function<void(StoreResult, std::size_t)> done)
+{
+    if (part == parts->size()) {
+        done(StoreResult::Done, parts->size());
+        return;
+    }
+    this->store.create(itemsKind, partName(jobId, part), (*parts)[part], [this, parts, jobId, part, done = std::move(done)](const ObjectReply &reply) {
+        if (reply.result == StoreResult::Done || reply.result == StoreResult::Conflict) {
+            this->writePart(parts, jobId, part + 1, done);
+        } else {
+            done(reply.result, 0);
+        }
+    });
+}
+
+void JobArchive::writeHeader(const JobHeader &header, ObjectStore::ObjectHandler done)
+{
+    this->store.create(headerKind, header.id, header.toJson(), std::move(done));
+}
+
+void JobArchive::readHeader(const std::string &jobId, ObjectStore::ObjectHandler done)
+{
+    this->store.get(headerKind, jobId, std::move(done));
+}
+
+void JobArchive::readItems(const JobHeader &header, std::function<void(StoreResult, std::vector<JobItem>)> done)
+{
+    this->readPart(header, 0, std::make_shared<std::vector<JobItem>>(), std::move(done));
+}
+
+void JobArchive::readPart(const JobHeader &header,
+                          std::size_t part,
+                          std::shared_ptr<std::vector<JobItem>> items,
+                          std::function<void(StoreResult, std::vector<JobItem>)> done)
+{
+    if (part == header.inputParts) {
+        done(StoreResult::Done, std::move(*items));
+        return;
+    }
+    this->store.get(itemsKind, partName(header.id, part), [this, header, part, items, done = std::move(done)](const ObjectReply &reply) {
+        if (reply.result != StoreResult::Done) {
+            done(reply.result, {});
+            return;
+        }
+        std::vector<JobItem> read = itemsFromJson(reply.object->content);
+        std::move(read.begin(), read.end(), std::back_inserter(*items));
+        this->readPart(header, part + 1, items, done);
+    });
+}
+
+void JobArchive::readResults(const std::string &jobId, std::uint64_t number, std::function<void(StoreResult, std::vector<JobResult>)> done)
+{
+    this->store.get(resultsKind, partName(jobId, number), [done = std::move(done)](const ObjectReply &reply) {
+        done(reply.result, reply.result == StoreResult::Done ? resultsFromJson(reply.object->content) : std::vector<JobResult>());
+    });
+}
+
+void JobArchive::appendResults(const std::string &jobId,
+                               std::uint64_t number,
+                               const std::string &writer,
+                               const std::vector<JobResult> &results,
+                               std::function<void(StoreResult, std::vector<JobResult>)> done)
+{
+    this->store.create(
+        resultsKind, partName(jobId, number), resultsToJson(writer, results), [this, jobId, number, results, done = std::move(done)](const ObjectReply &reply) {
+            if (reply.result != StoreResult::Conflict) {
+                done(reply.result, reply.result == StoreResult::Done ? results : std::vector<JobResult>());
+            } else if (reply.object && !reply.object->content.is_null()) {
+                done(StoreResult::Done, resultsFromJson(reply.object->content));
+            } else {
+                this->readResults(jobId, number, done);
+            }
+        });
+}
+
+void JobArchive::writeProgress(const std::string &jobId, std::uint64_t revision, const JobProgress &progress, ObjectStore::ObjectHandler done)
+{
+    this->store.putStatus(headerKind, jobId, revision, progress.toJson(), std::move(done));
+}
+
+void JobArchive::remove(const JobHeader &header, std::uint64_t resultObjects)
+{
+    const auto ignored = [](const ObjectReply &) {};
+    // The header goes first: without it the rest is not reachable any more.
+    this->store.remove(headerKind, header.id, ignored);
+    for (std::size_t part = 0; part < header.inputParts; ++part) {
+        this->store.remove(itemsKind, partName(header.id, part), ignored);
+    }
+    for (std::uint64_t number = 0; number < resultObjects; ++number) {
+        this->store.remove(resultsKind, partName(header.id, number), ignored);
+    }
+}
+
+} // namespace Bergamotramp
--- /dev/null
+++ b/src/JobTypes.cpp
@@ -0,0 +1,134 @@
+#include "JobTypes.h"
+
+#include <functional>
+
+#include <absl/strings/escaping.h>
+
+namespace Bergamotramp {
+
+namespace {
+
+/** Turns the errors of the JSON library into the project's own. */
+template <typename Value>
+Value translated(const std::function<Value()> &read)
+{
+    try {
+        return read();
+    } catch (const nlohmann::json::exception &error) {
+        throw JobFormatError(error.what());
+    }
+}
+
+} // namespace
+
+std::int64_t JobSubmission::tokens() const
+{
+    std::int64_t sum = 0;
+    for (const JobItem &item : this->items) {
+        sum += item.tokens;
+    }
+    return sum;
+}
+
+nlohmann::json JobHeader::toJson() const
+{
+    return {{"host", this->host},
+            {"pathPrefix", this->pathPrefix},
+            {"owner", this->owner},
+            {"submittedMs", absl::ToUnixMillis(this->submitted)},
+            {"tokens", this->tokens},
+            {"items", this->items},
+            {"inputParts", this->inputParts}};
+}
+
+JobHeader JobHeader::fromJson(const std::string &id, const nlohmann::json &json)
+{
+    return translated<JobHeader>([&] {
+        return JobHeader{.id = id,
+                         .host = json.at("host"),
+                         .pathPrefix = json.at("pathPrefix"),
+                         .owner = json.at("owner"),
+                         .submitted = absl::FromUnixMillis(json.at("submittedMs")),
+                         .tokens = json.at("tokens"),
+                         .items = json.at("items"),
+                         .inputParts = json.at("inputParts")};
+    });
+}
+
+bool JobProgress::open() const
+{
+    return !this->cancelled && !this->finished;
+}
+
+nlohmann::json JobProgress::toJson() const
+{
+    return {{"cancelled", this->cancelled}, {"finished", this->finished}, {"tokensFinished", this->tokensFinished}};
+}
+
+JobProgress JobProgress::fromJson(const nlohmann::json &json)
+{
+    JobProgress progress;
+    if (json.is_object()) {
+        progress.cancelled = json.value("cancelled", false);
+        progress.finished = json.value("finished", false);
+        progress.tokensFinished = json.value("tokensFinished", std::int64_t{0});
+    }
+    return progress;
+}
+
+nlohmann::json itemsToJson(const std::vector<JobItem> &items)
+{
+    nlohmann::json list = nlohmann::json::array();
+    for (const JobItem &item : items) {
+        nlohmann::json fields = nlohmann::json::array();
+        for (const HttpField &field : item.fields.all()) {
+            fields.push_back({field.name, field.value});
+        }
+        list.push_back({{"id", item.id}, {"path", item.path}, {"fields", fields}, {"body", absl::Base64Escape(item.body)}, {"tokens", item.tokens}});
+    }
+    return {{"items", list}};
+}
+
+std::vector<JobItem> itemsFromJson(const nlohmann::json &json)
+{
+    return translated<std::vector<JobItem>>([&] {
+        std::vector<JobItem> items;
+        for (const nlohmann::json &entry : json.at("items")) {
+            JobItem item{.id = entry.at("id"), .path = entry.at("path"), .fields = {}, .body = {}, .tokens = entry.at("tokens")};
+            for (const nlohmann::json &field : entry.at("fields")) {
+                item.fields.add(field.at(0), field.at(1));
+            }
+            if (!absl::Base64Unescape(entry.at("body").get<std::string>(), &item.body)) {
+                throw JobFormatError("the body of item " + item.id + " is not base64");
+            }
+            items.push_back(std::move(item));
+        }
+        return items;
+    });
+}
+
+nlohmann::json resultsToJson(const std::string &writer, const std::vector<JobResult> &results)
+{
+    nlohmann::json list = nlohmann::json::array();
+    for (const JobResult &result : results) {
+        list.push_back({{"item", result.itemId}, {"completed", result.completed}, {"output", absl::Base64Escape(result.output)}});
+    }
+    return {{"writer", writer}, {"results", list}};
+}
+
+std::vector<JobResult> resultsFromJson(const nlohmann::json &json)
+{
+    return translated<std::vector<JobResult>>([&] {
+        std::vector<JobResult> results;
+        for (const nlohmann::json &entry : json.at("results")) {
+            JobResult result{.itemId = entry.at("item"), .completed = entry.at("completed"), .output = {}};
+            if (!absl::Base64Unescape(entry.at("output").get<std::string>(), &result.output)) {
+                throw JobFormatError("the output of item " + result.itemId + " is not base64");
+            }
+            results.push_back(std::move(result));
+        }
+        return results;
+    });
+}
+
+} // namespace Bergamotramp
--- /dev/null
+++ b/src/KindWatcher.cpp
@@ -0,0 +1,92 @@
+#include "KindWatcher.h"
+
+namespace Bergamotramp {
+
+KindWatcher::KindWatcher(EventLoop &loop, ObjectStore &store, std::string kind, const Pace &pace, Hooks hooks)
+    : loop(loop), store(store), kind(std::move(kind)), pace(pace), hooks(std::move(hooks))
+{
+}
+
+void KindWatcher::start()
+{
+    this->list();
+}
+
+void KindWatcher::list()
+{
+    this->waitingToRetry = false;
+    this->store.list(this->kind, [this](const ListReply &reply) {
+        if (reply.result != StoreResult::Done) {
+            this->failed(reply.result);
+            return;
+        }
+        this->answered();
+        this->revision = reply.revision;
+        this->listedOnce = true;
+        this->hooks.listed(reply.objects);
+        this->watch();
+    });
+}
+
+void KindWatcher::watch()
+{
+    this->waitingToRetry = false;
+    this->store.watch(this->kind, this->revision, this->pace.watchWait, [this](const WatchReply &reply) {
+        if (reply.result == StoreResult::HistoryGone) {
+            this->answered();
+            this->listedOnce = false;
+            this->list();
+            return;
+        }
+        if (reply.result != StoreResult::Done) {
+            this->failed(reply.result);
+            return;
+        }
+        this->answered();
+        this->revision = reply.revision;
+        for (const ObjectChange &change : reply.changes) {
+            this->hooks.changed(change);
+        }
+        if (reply.changes.empty() || this->pace.coalesce == absl::ZeroDuration()) {
+            this->watch();
+        } else {
+            this->timer = this->loop.after(this->pace.coalesce, [this] { this->watch(); });
+        }
+    });
+}
+
+void KindWatcher::failed(StoreResult result)
+{
+    this->available = false;
+    this->waitingToRetry = true;
+    this->hooks.lost(result);
+    this->timer = this->loop.after(this->pace.retry, [this] { this->retryNow(); });
+}
+
+void KindWatcher::retryNow()
+{
+    if (!this->waitingToRetry) {
+        return;
+    }
+    this->timer.cancel();
+    if (this->listedOnce) {
+        this->watch();
+    } else {
+        this->list();
+    }
+}
+
+void KindWatcher::answered()
+{
+    if (!this->available) {
+        this->available = true;
+        this->hooks.regained();
+    }
+}
+
+bool KindWatcher::current() const
+{
+    return this->available && this->listedOnce;
+}
+
+} // namespace Bergamotramp
--- /dev/null
+++ b/src/PeerBoard.cpp
@@ -0,0 +1,90 @@
+#include "PeerBoard.h"
+
+namespace Bergamotramp {
+
+namespace {
+
+// A single host of a data centre leaves its callers nothing to turn to while it restarts.
+constexpr std::size_t fewestAddresses = 2;
+// Callers take no more addresses than this.
+constexpr std::size_t maxAddresses = 64;
+
+std::vector<std::string> select(const std::vector<EntryPoint> &ready, std::string EntryPoint::*member, std::string_view value)
+{
+    std::vector<std::string> addresses;
+    for (const EntryPoint &entry : ready) {
+        if (entry.*member == value && addresses.size() < maxAddresses) {
+            addresses.push_back(entry.address);
+        }
+    }
+    return addresses;
+}
+
+} // namespace
+
+bool PeerBoard::update(const Peer &peer)
+{
+    Peer &known = this->peers[peer.name];
+    const bool older = peer.incarnation < known.incarnation || (peer.incarnation == known.incarnation && peer.sequence <= known.sequence);
+    if (!known.name.empty() && older) {
+        return false;
+    }
+    known = peer;
+    return true;
+}
+
+void PeerBoard::forgetSilent(absl::Time now)
+{
+    std::erase_if(this->peers, [now](const auto &entry) { return now > entry.second.lastHeard + forgetAfter; });
+}
+
+const Peer *PeerBoard::find(std::string_view name) const
+{
+    const auto found = this->peers.find(name);
+    return found == this->peers.end() ? nullptr : &found->second;
+}
+
+bool PeerBoard::live(std::string_view name, absl::Time now) const
+{
+    const Peer *peer = this->find(name);
+    return peer != nullptr && !peer->leaving && now <= peer->lastHeard + silenceLimit;
+}
+
+std::vector<Peer> PeerBoard::liveHosts(absl::Time now) const
+{
+    std::vector<Peer> result;
+    for (const auto &[name, peer] : this->peers) {
+        if (this->live(name, now)) {
+            result.push_back(peer);
+        }
+    }
+    return result;
+}
+
+std::vector<Peer> PeerBoard::all() const
+{
+    std::vector<Peer> result;
+    for (const auto &[name, peer] : this->peers) {
+        result.push_back(peer);
+    }
+    return result;
+}
+
+std::vector<std::string> entryAddresses(const std::vector<EntryPoint> &ready, std::string_view region, std::string_view dataCentre)
+{
+    std::vector<std::string> addresses = select(ready, &EntryPoint::dataCentre, dataCentre);
+    if (addresses.size() < fewestAddresses) {
+        addresses = select(ready, &EntryPoint::region, region);
+    }
+    if (addresses.size() < fewestAddresses) {
+        addresses.clear();
+        for (const EntryPoint &entry : ready) {
+            if (addresses.size() < maxAddresses) {
+                addresses.push_back(entry.address);
+            }
+        }
+    }
+    return addresses;
+}
+
+} // namespace Bergamotramp
--- /dev/null
+++ b/src/PeerExchange.cpp
@@ -0,0 +1,211 @@
+#include "PeerExchange.h"
+
+#include <stdexcept>
+
+#include "RendezvousHash.h"
+#include "TcpStream.h"
+#include "peer.pb.h"
+
+namespace Bergamotramp {
+
+namespace {
+
+// Loads that changed are announced this often; fleets of more hosts announce less often, so that what a host receives
+// stays bounded.
+constexpr absl::Duration fastestPeriod = absl::Milliseconds(80);
+constexpr absl::Duration periodPerPeer = absl::Milliseconds(4);
+// Unchanged state is announced this often, for the other hosts to see that this one lives.
+constexpr absl::Duration slowestPeriod = absl::Milliseconds(500);
+constexpr absl::Duration identityPeriod = absl::Seconds(1);
+constexpr absl::Duration crashAnnouncementTime = absl::Seconds(3);
+constexpr std::size_t maxDatagramBytes = 60'000;
+
+asio::ip::udp::endpoint udpEndpoint(const std::string &address)
+{
+    const asio::ip::tcp::endpoint endpoint = parseEndpoint(address);
+    return {endpoint.address(), endpoint.port()};
+}
+
+} // namespace
+
+PeerExchange::PeerExchange(EventLoop &loop, Peer self, PeerBoard &board, FleetLoad &load, CrashSuspects &suspects, Hooks hooks)
+    : loop(loop), self(std::move(self)), board(board), load(load), suspects(suspects), hooks(std::move(hooks)), socket(loop.context())
+{
+    boost::system::error_code error;
+    const asio::ip::udp::endpoint endpoint = udpEndpoint(this->self.peerAddress);
+    this->socket.open(endpoint.protocol(), error);
+    this->socket.bind(endpoint, error);
+    if (error) {
+        throw std::runtime_error("cannot bind " + this->self.peerAddress + " for datagrams: " + error.message());
+    }
+    this->socket.non_blocking(true, error);
+    this->receive();
+    this->timer = this->loop.after(fastestPeriod, [this] { this->tick(); });
+}
+
+void PeerExchange::introduce(const std::string &peerAddress)
+{
+    if (peerAddress != this->self.peerAddress) {
+        this->introductions.insert(peerAddress);
+    }
+}
+
+void PeerExchange::tick()
+{
+    const absl::Time now = this->loop.now();
+    const auto peers = static_cast<std::int64_t>(this->board.all().size());
+    const absl::Duration period = std::max(fastestPeriod, periodPerPeer * peers);
+    this->timer = this->loop.after(period, [this] { this->tick(); });
+    this->board.forgetSilent(now);
+    const bool identityDue = now >= this->lastIdentity + identityPeriod;
+    const bool changed = this->load.changes() != this->announcedChanges;
+    if (identityDue || changed || now >= this->lastAnnounced + slowestPeriod) {
+        this->announce(identityDue);
+    }
+}
+
+void PeerExchange::announceNow()
+{
+    this->announce(true);
+}
+
+void PeerExchange::announceCrashes(const std::vector<std::pair<std::uint64_t, std::uint32_t>> &counts)
+{
+    if (this->loop.now() > this->crashesUntil) {
+        this->crashes.clear();
+    }
+    this->crashes.insert(this->crashes.end(), counts.begin(), counts.end());
+    this->crashesUntil = this->loop.now() + crashAnnouncementTime;
+}
+
+void PeerExchange::announce(bool withIdentity)
+{
+    const absl::Time now = this->loop.now();
+    this->lastAnnounced = now;
+    this->announcedChanges = this->load.changes();
+    const std::string bytes = this->encode(withIdentity);
+    if (bytes.size() > maxDatagramBytes) {
+        return;
+    }
+    boost::system::error_code ignored;
+    for (const Peer &peer : this->board.all()) {
+        // A silent host gets identities only, in case it comes back at the same address.
+        if (withIdentity || this->board.live(peer.name, now)) {
+            this->socket.send_to(asio::buffer(bytes), udpEndpoint(peer.peerAddress), 0, ignored);
+        }
+        this->introductions.erase(peer.peerAddress);
+    }
+    if (withIdentity) {
+        this->lastIdentity = now;
+        for (const std::string &address : this->introductions) {
+            this->socket.send_to(asio::buffer(bytes), udpEndpoint(address), 0, ignored);
+        }
+    }
+}
+
+std::string PeerExchange::encode(bool withIdentity)
+{
+    const OwnState state = this->hooks.ownState();
+    peer::HostState message;
+    message.set_host(upstreamKey(this->self.name));
+    message.set_incarnation(this->self.incarnation);
+    message.set_sequence(++this->self.sequence);
+    message.set_ready(state.ready);
+    message.set_leaving(state.leaving);
+    message.set_config_revision(state.configRevision);
+    for (const UpstreamUse &use : this->load.announcement()) {
+        peer::UpstreamUse *entry = message.add_uses();
+        entry->set_upstream(use.upstream);
+        entry->set_online(static_cast<std::uint32_t>(use.counts.online));
+        entry->set_batch(static_cast<std::uint32_t>(use.counts.batch));
+    }
+    if (this->loop.now() <= this->crashesUntil) {
+        for (const auto &[fingerprint, count] : this->crashes) {
+            peer::CrashCount *entry = message.add_crashes();
+            entry->set_fingerprint(fingerprint);
+            entry->set_crashes(count);
+        }
+    }
+    if (withIdentity) {
+        peer::Identity *identity = message.mutable_identity();
+        identity->set_name(this->self.name);
+        identity->set_region(this->self.region);
+        identity->set_data_centre(this->self.dataCentre);
+        identity->set_entry_address(this->self.entryAddress);
+        identity->set_control_address(this->self.controlAddress);
+        for (const Peer &peer : this->board.liveHosts(this->loop.now())) {
+            identity->add_known_peers(peer.peerAddress);
+        }
+    }
+    return message.SerializeAsString();
+}
+
+void PeerExchange::receive()
+{
+    this->socket.async_wait(asio::ip::udp::socket::wait_read, [this](const boost::system::error_code &error) {
+        if (error) {
+            return;
+        }
+        std::array<char, 65536> buffer{};
+        asio::ip::udp::endpoint sender;
+        boost::system::error_code readError;
+        while (true) {
+            const std::size_t size = this->socket.receive_from(asio::buffer(buffer), sender, 0, readError);
+            if (readError) {
+                break;
+            }
+            this->take(std::string(buffer.data(), size), sender.address().to_string() + ":" + std::to_string(sender.port()));
+        }
+        this->receive();
+    });
+}
+
+void PeerExchange::take(const std::string &bytes, const std::string &sender)
+{
+    peer::HostState message;
+    if (!message.ParseFromString(bytes) || message.host() == upstreamKey(this->self.name)) {
+        return;
+    }
+    const absl::Time now = this->loop.now();
+    Peer heard;
+    if (message.has_identity()) {
+        const peer::Identity &identity = message.identity();
+        this->names[message.host()] = identity.name();
+        heard = {.name = identity.name(),
+                 .region = identity.region(),
+                 .dataCentre = identity.data_centre(),
+                 .entryAddress = identity.entry_address(),
+                 .controlAddress = identity.control_address()};
+        for (const std::string &address : identity.known_peers()) {
+            this->introduce(address);
+        }
+    } else {
+        const auto name = this->names.find(message.host());
+        const Peer *known = name == this->names.end() ? nullptr : this->board.find(name->second);
+        if (known == nullptr) {
+            return;
+        }
+        heard = *known;
+    }
+    heard.peerAddress = sender;
+    heard.incarnation = message.incarnation();
+    heard.sequence = message.sequence();
+    heard.ready = message.ready();
+    heard.leaving = message.leaving();
+    heard.configRevision = message.config_revision();
+    heard.lastHeard = now;
+    if (!this->board.update(heard)) {
+        return;
+    }
+    std::vector<UpstreamUse> uses;
+    for (const peer::UpstreamUse &use : message.uses()) {
+        uses.push_back({.upstream = use.upstream(), .counts = {.online = use.online(), .batch = use.batch()}});
+    }
+    this->load.announce(heard.name, uses, now);
+    for (const peer::CrashCount &crash : message.crashes()) {
+        this->suspects.merge(crash.fingerprint(), crash.crashes(), now);
+    }
+    this->hooks.heard(heard);
+}
+
+} // namespace Bergamotramp
--- /dev/null
+++ b/src/PeerExchange.h
@@ -0,0 +1,76 @@
+#pragma once
+
+#include <array>
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <set>
+#include <string>
+#include <vector>
+
+#include <absl/time/time.h>
+
+#include "CrashSuspects.h"
+#include "EventLoop.h"
+#include "FleetLoad.h"
+#include "PeerBoard.h"
+
+namespace Bergamotramp {
+
+/** What a host announces of itself. */
+struct OwnState {
+    bool ready = false;
+    bool leaving = false;
+    std::uint64_t configRevision = 0;
+
+    bool operator==(const OwnState &) const = default;
+};
+
+/**
+ * Announces this host's state and load to the other hosts by datagrams, and takes theirs. A lost datagram is replaced by
+ * the next one; nothing that has to last is sent this way.
+ */
+class PeerExchange
+{
+public:
+    struct Hooks {
+        std::function<OwnState()> ownState;
+        std::function<void(const Peer &)> heard;
+    };
+
+    /** Binds @p self.peerAddress; throws std::runtime_error. */
+    PeerExchange(EventLoop &loop, Peer self, PeerBoard &board, FleetLoad &load, CrashSuspects &suspects, Hooks hooks);
+
+    /** Announces this host to an address of another one. */
+    void introduce(const std::string &peerAddress);
+    /** Announces the present state to all hosts at once, for example before a stop. */
+    void announceNow();
+    /** Sends the crash counts of these fingerprints with the next announcements. */
+    void announceCrashes(const std::vector<std::pair<std::uint64_t, std::uint32_t>> &counts);
+
+private:
+    void tick();
+    void announce(bool withIdentity);
+    [[nodiscard]] std::string encode(bool withIdentity);
+    void receive();
+    void take(const std::string &bytes, const std::string &sender);
+
+    EventLoop &loop;
+    Peer self;
+    PeerBoard &board;
+    FleetLoad &load;
+    CrashSuspects &suspects;
+    Hooks hooks;
+    asio::ip::udp::socket socket;
+    std::set<std::string> introductions;
+    /** Names by the short number that datagrams without an identity carry. */
+    std::map<std::uint32_t, std::string> names;
+    std::vector<std::pair<std::uint64_t, std::uint32_t>> crashes;
+    absl::Time crashesUntil = absl::InfinitePast();
+    std::uint64_t announcedChanges = 0;
+    absl::Time lastAnnounced = absl::InfinitePast();
+    absl::Time lastIdentity = absl::InfinitePast();
+    LoopTimer timer;
+};
+
+} // namespace Bergamotramp
--- /dev/null
+++ b/src/TcpStream.cpp
@@ -0,0 +1,248 @@
+#include "TcpStream.h"
+
+#include <array>
+#include <stdexcept>
+
+#include <netinet/tcp.h>
+#include <sys/socket.h>
+
+#include <absl/strings/numbers.h>
+
+namespace Bergamotramp {
+
+namespace {
+
+constexpr std::size_t readBytes = 32 * 1024;
+// A peer that vanished without a reset is noticed after about three seconds, within the time in which
+// configuration changes and leaving upstreams have to be known.
+constexpr int keepAliveIdleSeconds = 1;
+constexpr int keepAliveIntervalSeconds = 1;
+constexpr int keepAliveProbes = 2;
+constexpr unsigned unacknowledgedMilliseconds = 3000;
+// A peer that reads nothing keeps a closing connection no longer than this.
+constexpr absl::Duration closeTimeout = absl::Seconds(3);
+
+void setOption(int socket, int level, int name, unsigned value)
+{
+    setsockopt(socket, level, name, &value, sizeof value);
+}
+
+/** Shared by all connections, because the event loop reads from one at a time. */
+std::array<char, readBytes> readBuffer;
+
+} // namespace
+
+asio::ip::tcp::endpoint parseEndpoint(const std::string &address)
+{
+    const std::size_t colon = address.rfind(':');
+    int port = 0;
+    boost::system::error_code error;
+    if (colon == std::string::npos || !absl::SimpleAtoi(address.substr(colon + 1), &port) || port < 0 || port > 65535) {
+        throw std::invalid_argument("\"" + address + "\" is not an address of the form IP:port");
+    }
+    const asio::ip::address ip = asio::ip::make_address(address.substr(0, colon), error);
+    if (error) {
+        throw std::invalid_argument("\"" + address + "\" is not an address of the form IP:port");
+    }
+    return {ip, static_cast<unsigned short>(port)};
+}
+
+TcpStream::TcpStream(EventLoop &loop, asio::ip::tcp::socket socket) : loop(loop), socket(std::move(socket))
+{
+    this->configure();
+}
+
+void TcpStream::configure()
+{
+    boost::system::error_code ignored;
+    this->socket.non_blocking(true, ignored);
+    const int descriptor = this->socket.native_handle();
+    setOption(descriptor, IPPROTO_TCP, TCP_NODELAY, 1);
+    setOption(descriptor, SOL_SOCKET, SO_KEEPALIVE, 1);
+    setOption(descriptor, IPPROTO_TCP, TCP_KEEPIDLE, keepAliveIdleSeconds);
+    setOption(descriptor, IPPROTO_TCP, TCP_KEEPINTVL, keepAliveIntervalSeconds);
+    setOption(descriptor, IPPROTO_TCP, TCP_KEEPCNT, keepAliveProbes);
+    setOption(descriptor, IPPROTO_TCP, TCP_USER_TIMEOUT, unacknowledgedMilliseconds);
+}
+
+void TcpStream::connect(EventLoop &loop, const std::string &address, absl::Duration timeout, std::function<void(std::shared_ptr<TcpStream>)> done)
+{
+    struct Attempt {
+        explicit Attempt(EventLoop &loop) : socket(loop.context())
+        {
+        }
+        asio::ip::tcp::socket socket;
+        LoopTimer timer;
+    };
+    const auto attempt = std::make_shared<Attempt>(loop);
+    attempt->timer = loop.after(timeout, [weak = std::weak_ptr<Attempt>(attempt)] {
+        if (const auto pending = weak.lock()) {
+            boost::system::error_code ignored;
+            pending->socket.close(ignored);
+        }
+    });
+    attempt->socket.async_connect(parseEndpoint(address), [&loop, attempt, done = std::move(done)](const boost::system::error_code &error) {
+        attempt->timer.cancel();
+        done(error || !attempt->socket.is_open() ? nullptr : std::make_shared<TcpStream>(loop, std::move(attempt->socket)));
+    });
+}
+
+void TcpStream::start(Handlers handlers)
+{
+    this->handlers = std::move(handlers);
+    this->resumeReading();
+}
+
+void TcpStream::resumeReading()
+{
+    this->reading = true;
+    this->waitReadable();
+}
+
+void TcpStream::pauseReading()
+{
+    this->reading = false;
+}
+
+void TcpStream::waitReadable()
+{
+    if (this->waitingReadable || !this->reading || !this->socket.is_open()) {
+        return;
+    }
+    this->waitingReadable = true;
+    this->socket.async_wait(asio::ip::tcp::socket::wait_read, [self = this->shared_from_this()](const boost::system::error_code &error) {
+        self->waitingReadable = false;
+        if (!error && self->reading) {
+            self->onReadable();
+        }
+    });
+}
+
+void TcpStream::onReadable()
+{
+    boost::system::error_code error;
+    const std::size_t size = this->socket.read_some(asio::buffer(readBuffer), error);
+    if (error == asio::error::would_block || error == asio::error::try_again) {
+        this->waitReadable();
+        return;
+    }
+    if (error) {
+        this->end(error == asio::error::eof ? StreamEnd::EndOfStream : StreamEnd::Broken);
+        return;
+    }
+    if (this->handlers.data) {
+        // A handler may replace or release itself.
+        const auto data = this->handlers.data;
+        data(std::string_view(readBuffer.data(), size));
+    }
+    this->waitReadable();
+}
+
+void TcpStream::write(std::string_view bytes)
+{
+    if (!this->socket.is_open() || this->closing) {
+        return;
+    }
+    const bool idle = this->unsent.empty();
+    this->unsent.append(bytes);
+    if (idle) {
+        this->flush();
+    }
+}
+
+void TcpStream::flush()
+{
+    boost::system::error_code error;
+    while (!this->unsent.empty()) {
+        const std::size_t sent = this->socket.write_some(asio::buffer(this->unsent), error);
+        if (error) {
+            break;
+        }
+        this->unsent.erase(0, sent);
+    }
+    if (this->unsent.empty()) {
+        if (this->closing) {
+            this->shut();
+        }
+        return;
+    }
+    if (error != asio::error::would_block && error != asio::error::try_again) {
+        // The reader reports the end, after what the peer may still have sent.
+        this->unsent.clear();
+        if (this->closing || !this->reading) {
+            this->end(StreamEnd::Broken);
+        }
+        return;
+    }
+    if (this->waitingWritable) {
+        return;
+    }
+    this->waitingWritable = true;
+    this->socket.async_wait(asio::ip::tcp::socket::wait_write, [self = this->shared_from_this()](const boost::system::error_code &waitError) {
+        self->waitingWritable = false;
+        if (!waitError && self->socket.is_open()) {
+            self->flush();
+        }
+    });
+}
+
+void TcpStream::close()
+{
+    this->handlers = {};
+    this->reading = false;
+    if (!this->socket.is_open() || this->closing) {
+        return;
+    }
+    this->closing = true;
+    if (this->unsent.empty()) {
+        this->shut();
+        return;
+    }
+    this->closeTimer = this->loop.after(closeTimeout, [self = this->shared_from_this()] { self->reset(); });
+}
+
+void TcpStream::reset()
+{
+    this->handlers = {};
+    this->reading = false;
+    this->unsent.clear();
+    if (!this->socket.is_open()) {
+        return;
+    }
+    const linger immediately{.l_onoff = 1, .l_linger = 0};
+    setsockopt(this->socket.native_handle(), SOL_SOCKET, SO_LINGER, &immediately, sizeof immediately);
+    this->shut();
+}
+
+void TcpStream::shut()
+{
+    this->closeTimer.cancel();
+    boost::system::error_code ignored;
+    this->socket.close(ignored);
+}
+
+void TcpStream::end(StreamEnd how)
+{
+    const auto ended = std::move(this->handlers.ended);
+    this->handlers = {};
+    this->reading = false;
+    if (how == StreamEnd::Broken) {
+        this->unsent.clear();
+        this->shut();
+    }
+    if (ended) {
+        ended(how);
+    }
+}
+
+bool TcpStream::open() const
+{
+    return this->socket.is_open() && !this->closing;
+}
+
+std::size_t TcpStream::unsentBytes() const
+{
+    return this->unsent.size();
+}
+
+} // namespace Bergamotramp
--- /dev/null
+++ b/src/UpstreamChoice.cpp
@@ -0,0 +1,112 @@
+#include "UpstreamChoice.h"
+
+#include <algorithm>
+#include <cmath>
+#include <limits>
+
+namespace Bergamotramp {
+
+namespace {
+
+// Costs are in units of a whole upstream's load: 1 is the difference between an idle and a full one.
+// A batch request gives its slot back within a few milliseconds, another online request only when it has ended.
+constexpr double preemptionCost = 0.5;
+constexpr double queuedCost = 1.5;
+// Between regions a round trip adds 24 ms and the link is narrow; between data centres only bytes are charged.
+constexpr double otherDataCentreCost = 0.04;
+constexpr double otherRegionCost = 0.2;
+// Spreads the hosts that see the same loads at the same time.
+constexpr double drawnCost = 0.1;
+constexpr double pausedCost = 100.0;
+constexpr double fullCost = 3.0;
+// Requests beyond the slots that an upstream may be sent; it refuses more than it can queue.
+constexpr std::int64_t maxQueuedPerUpstream = 16;
+// Slots that batch leaves free at each upstream for the online requests that arrive before batch can yield.
+constexpr std::int64_t batchReserve = 1;
+
+} // namespace
+
+UpstreamChoice::UpstreamChoice(const UpstreamTable &table, const FleetLoad &load, const UpstreamHealth &health, HostPlace place, std::function<double()> draw)
+    : table(table), load(load), health(health), place(std::move(place)), draw(std::move(draw))
+{
+}
+
+double UpstreamChoice::distance(const UpstreamInfo &upstream) const
+{
+    if (upstream.dataCentre == this->place.dataCentre) {
+        return 0.0;
+    }
+    const auto region = this->place.regions.find(upstream.dataCentre);
+    const bool sameRegion = region != this->place.regions.end() && region->second == this->place.region;
+    return sameRegion ? otherDataCentreCost : otherRegionCost;
+}
+
+double UpstreamChoice::onlineCost(const UpstreamInfo &upstream, absl::Time now) const
+{
+    const ClassCounts counts = this->load.total(upstream.id, now);
+    const auto slots = static_cast<double>(std::max<std::int64_t>(1, upstream.slots));
+    double cost = static_cast<double>(counts.total()) / slots;
+    if (counts.online >= upstream.slots) {
+        cost += queuedCost * static_cast<double>(counts.online + 1 - upstream.slots);
+    } else if (counts.total() >= upstream.slots) {
+        cost += preemptionCost;
+    }
+    if (this->health.paused(upstream.id, now)) {
+        cost += pausedCost;
+    }
+    if (this->health.recentlyFull(upstream.id, now)) {
+        cost += fullCost;
+    }
+    return cost + this->distance(upstream) + this->draw() * drawnCost;
+}
+
+const UpstreamInfo *UpstreamChoice::forOnline(std::string_view service, const std::set<std::string> &excluded, absl::Time now) const
+{
+    const UpstreamInfo *best = nullptr;
+    double bestCost = std::numeric_limits<double>::infinity();
+    for (const UpstreamInfo *upstream : this->table.available(service)) {
+        if (excluded.contains(upstream->id) || this->load.total(upstream->id, now).online >= upstream->slots + maxQueuedPerUpstream) {
+            continue;
+        }
+        const double cost = this->onlineCost(*upstream, now);
+        if (cost < bestCost) {
+            best = upstream;
+            bestCost = cost;
+        }
+    }
+    return best;
+}
+
+const UpstreamInfo *UpstreamChoice::forBatch(std::string_view service, const std::set<std::string> &excluded, absl::Time now) const
+{
+    const UpstreamInfo *best = nullptr;
+    double bestCost = std::numeric_limits<double>::infinity();
+    for (const UpstreamInfo *upstream : this->table.available(service)) {
+        const ClassCounts counts = this->load.total(upstream->id, now);
+        const bool room = counts.total() + 1 <= std::max<std::int64_t>(1, upstream->slots - batchReserve);
+        if (excluded.contains(upstream->id) || !room || this->health.paused(upstream->id, now) || this->health.recentlyFull(upstream->id, now)) {
+            continue;
+        }
+        const double cost = this->onlineCost(*upstream, now);
+        if (cost < bestCost) {
+            best = upstream;
+            bestCost = cost;
+        }
+    }
+    return best;
+}
+
+std::int64_t UpstreamChoice::batchToYield(const UpstreamInfo &upstream, absl::Time now) const
+{
+    const ClassCounts own = this->load.own(upstream.id);
+    const ClassCounts all = this->load.total(upstream.id, now);
+    const std::int64_t excess = all.total() - upstream.slots;
+    if (own.batch == 0 || all.online == 0 || excess <= 0) {
+        return 0;
+    }
+    // Each host with batch requests there takes its share, so that together they make the room that is missing.
+    const double share = static_cast<double>(excess) * static_cast<double>(own.batch) / static_cast<double>(all.batch);
+    return std::min(own.batch, static_cast<std::int64_t>(std::ceil(share)));
+}
+
+} // namespace Bergamotramp
--- /dev/null
+++ b/src/UpstreamChoice.h
@@ -0,0 +1,49 @@
+#pragma once
+
+#include <functional>
+#include <map>
+#include <set>
+#include <string>
+#include <string_view>
+
+#include "FleetLoad.h"
+#include "UpstreamHealth.h"
+#include "UpstreamTable.h"
+
+namespace Bergamotramp {
+
+/** The place of this host, and the region of each data centre. */
+struct HostPlace {
+    std::string dataCentre;
+    std::string region;
+    std::map<std::string, std::string> regions;
+
+    bool operator==(const HostPlace &) const = default;
+};
+
+/** Chooses the upstream of a request by the load of the whole fleet, the upstream's health and the distance. */
+class UpstreamChoice
+{
+public:
+    /** @p draw returns a number evenly drawn from 0 to 1. */
+    UpstreamChoice(const UpstreamTable &table, const FleetLoad &load, const UpstreamHealth &health, HostPlace place, std::function<double()> draw);
+
+    /** The best upstream for an online request, or null when none can take it. Never one in @p excluded. */
+    [[nodiscard]] const UpstreamInfo *forOnline(std::string_view service, const std::set<std::string> &excluded, absl::Time now) const;
+    /** An upstream with room that online requests do not need, or null. */
+    [[nodiscard]] const UpstreamInfo *forBatch(std::string_view service, const std::set<std::string> &excluded, absl::Time now) const;
+    /** Batch requests that this host should take away from an upstream, because more is there than it can run. */
+    [[nodiscard]] std::int64_t batchToYield(const UpstreamInfo &upstream, absl::Time now) const;
+
+private:
+    [[nodiscard]] double distance(const UpstreamInfo &upstream) const;
+    [[nodiscard]] double onlineCost(const UpstreamInfo &upstream, absl::Time now) const;
+
+    const UpstreamTable &table;
+    const FleetLoad &load;
+    const UpstreamHealth &health;
+    HostPlace place;
+    std::function<double()> draw;
+};
+
+} // namespace Bergamotramp
--- /dev/null
+++ b/src/UpstreamTable.cpp
@@ -0,0 +1,95 @@
+#include "UpstreamTable.h"
+
+#include <set>
+
+namespace Bergamotramp {
+
+void UpstreamTable::put(const UpstreamInfo &upstream)
+{
+    this->entries[upstream.id] = {.info = upstream, .lapsed = false};
+}
+
+bool UpstreamTable::mayLapse(absl::Time now) const
+{
+    return this->lost || now < this->regainedAt + lapseGrace;
+}
+
+void UpstreamTable::remove(std::string_view id, absl::Time now)
+{
+    const auto found = this->entries.find(id);
+    if (found == this->entries.end()) {
+        return;
+    }
+    if (this->mayLapse(now) && !found->second.info.leaving) {
+        found->second.lapsed = true;
+        return;
+    }
+    this->entries.erase(found);
+}
+
+void UpstreamTable::replaceAll(const std::vector<UpstreamInfo> &upstreams, absl::Time now)
+{
+    std::set<std::string, std::less<>> present;
+    for (const UpstreamInfo &upstream : upstreams) {
+        present.insert(upstream.id);
+        this->put(upstream);
+    }
+    std::vector<std::string> missing;
+    for (const auto &[id, entry] : this->entries) {
+        if (!present.contains(id)) {
+            missing.push_back(id);
+        }
+    }
+    for (const std::string &id : missing) {
+        this->remove(id, now);
+    }
+}
+
+void UpstreamTable::registryLost(absl::Time now)
+{
+    this->expire(now);
+    this->lost = true;
+}
+
+void UpstreamTable::registryRegained(absl::Time now)
+{
+    if (this->lost) {
+        this->lost = false;
+        this->regainedAt = now;
+    }
+}
+
+void UpstreamTable::expire(absl::Time now)
+{
+    if (!this->mayLapse(now)) {
+        std::erase_if(this->entries, [](const auto &entry) { return entry.second.lapsed; });
+    }
+}
+
+std::vector<const UpstreamInfo *> UpstreamTable::available(std::string_view service) const
+{
+    std::vector<const UpstreamInfo *> result;
+    for (const auto &[id, entry] : this->entries) {
+        if (entry.info.service == service && !entry.info.leaving) {
+            result.push_back(&entry.info);
+        }
+    }
+    return result;
+}
+
+const UpstreamInfo *UpstreamTable::find(std::string_view id) const
+{
+    const auto found = this->entries.find(id);
+    return found == this->entries.end() ? nullptr : &found->second.info;
+}
+
+std::vector<UpstreamInfo> UpstreamTable::all() const
+{
+    std::vector<UpstreamInfo> result;
+    for (const auto &[id, entry] : this->entries) {
+        result.push_back(entry.info);
+    }
+    return result;
+}
+
+} // namespace Bergamotramp
