Restart all store watches after one lost call, and record takeovers of jobs

One unanswered call now restarts all watches, and the configuration is watched in steps of 5 s. A takeover is now written to the job's status under its revision, the runner is the one named there, and its results show only after the former one has had time to learn of it. Ruled out: lost objects of the chain; all ten results were in the store.

--- a/src/EntryHost.cpp
+++ b/src/EntryHost.cpp
@@ -17,8 +17,11 @@
 constexpr absl::Duration firstRetry = absl::Milliseconds(350);
 constexpr absl::Duration laterRetry = absl::Seconds(3);
 // Jobs have seconds until a cancel has to be known, and their progress changes often.
-constexpr absl::Duration jobCoalesce = absl::Milliseconds(700);
+constexpr absl::Duration jobCoalesce = absl::Milliseconds(500);
 constexpr absl::Duration watchWait = absl::Seconds(25);
+// A store that goes silent forgets the watches that wait. The watch of the configuration is repeated more often than the
+// others; its failure restarts them all.
+constexpr absl::Duration configWatchWait = absl::Seconds(5);
 constexpr absl::Duration upstreamConnectTimeout = absl::Milliseconds(300);
 constexpr absl::Duration peerConnectTimeout = absl::Milliseconds(200);
 // For the answer of another host beyond the time that it may wait by request.
@@ -121,7 +124,8 @@
                    .host = this->settings.name,
                    .writer = absl::StrCat(this->settings.name, ".", incarnation),
                    .config = [this] { return this->config; },
-                   .runningHost = [this](const std::string &jobId, const std::string &owner) { return this->runningHost(jobId, owner); }});
+                   .runningHost = [this](const std::string &jobId, const std::string &owner) { return this->runningHost(jobId, owner); },
+                                                         .storeUnanswered = [this] { this->storeLost("job call", StoreResult::Unanswered); }});
     this->startWatchers();
     this->meetPeers();
     this->tickTimer = this->loop.after(tickPeriod, [this] { this->tick(); });
@@ -155,7 +159,7 @@
             this->takeConfig(change.object);
         }
     };
-    const KindWatcher::Pace first{.watchWait = watchWait, .coalesce = absl::ZeroDuration(), .retry = firstRetry};
+    const KindWatcher::Pace first{.watchWait = configWatchWait, .coalesce = absl::ZeroDuration(), .retry = firstRetry};
     this->configWatcher = std::make_unique<KindWatcher>(this->loop, *this->platform.store, this->platform.configKind, first, hooks);
 
     hooks = this->watchHooks(this->platform.upstreamKind);
@@ -200,9 +204,17 @@
         this->storeAvailable = false;
         this->upstreams.registryLost(this->loop.now());
         this->log.write("store_lost", {{"kind", kind}, {"unanswered", result == StoreResult::Unanswered}});
+        this->restartWatches();
     }
 }
 
+void EntryHost::restartWatches()
+{
+    this->configWatcher->restart();
+    this->upstreamWatcher->restart();
+    this->jobWatcher->restart();
+}
+
 void EntryHost::storeRegained()
 {
     if (!this->storeAvailable) {
--- a/src/EntryHost.h
+++ b/src/EntryHost.h
@@ -48,6 +48,8 @@
     KindWatcher::Hooks watchHooks(const std::string &kind);
     void storeLost(const std::string &kind, StoreResult result);
     void storeRegained();
+    /** Restarts all watches, because one call showed that the store was lost. */
+    void restartWatches();
     void takeConfig(const StoredObject &object);
     void takeUpstreams(const std::vector<StoredObject> &objects);
     void changeUpstream(const ObjectChange &change);
--- a/src/JobService.cpp
+++ b/src/JobService.cpp
@@ -10,6 +10,8 @@
 constexpr std::size_t maxPageBytes = 600 * 1024;
 // A host that starts knows no other hosts yet, and takes over their jobs no sooner than this.
 constexpr absl::Duration takeoverDelay = absl::Seconds(3);
+// The former runner learns of a takeover by its watch of the store within this time, and then no longer answers from memory.
+constexpr absl::Duration takeoverNotice = absl::Milliseconds(1200);
 constexpr absl::Duration storeRetryDelay = absl::Milliseconds(300);
 constexpr absl::Duration progressPeriod = absl::Seconds(1);
 // Results that end soon after one another take one call to the store.
@@ -189,18 +191,52 @@
 void JobService::locate(const std::string &jobId, std::function<void(JobLookup, const std::string &)> done)
 {
     this->lookUp(jobId, [this, done = std::move(done)](JobLookup result, Entry *entry) {
-        done(result, entry == nullptr ? std::string() : this->context.runningHost(entry->header.id, entry->header.owner));
+        done(result, entry == nullptr ? std::string() : this->context.runningHost(entry->header.id, runnerOf(*entry)));
     });
 }
 
+const std::string &JobService::runnerOf(const Entry &entry)
+{
+    return entry.progress.runner.empty() ? entry.header.owner : entry.progress.runner;
+}
+
 bool JobService::runsHere(const Entry &entry) const
 {
-    if (this->stopping) {
-        return false;
+    return !this->stopping && runnerOf(entry) == this->context.host;
+}
+
+void JobService::takeOver(Entry &entry, absl::Time now)
+{
+    const bool settled = now > this->startedAt + takeoverDelay;
+    if (this->stopping || !settled || entry.writingProgress || now < entry.retryAt || this->context.runningHost(entry.header.id, runnerOf(entry)) != this->context.host) {
+        return;
+    }
+    entry.writingProgress = true;
+    JobProgress progress = entry.progress;
+    progress.runner = this->context.host;
+    this->context.log.write("job_takeover", {{"job", entry.header.id}, {"from", runnerOf(entry)}, {"revision", entry.revision}});
+    this->archive.writeProgress(entry.header.id, entry.revision, progress, [this, jobId = entry.header.id](const ObjectReply &reply) {
+        const auto found = this->entries.find(jobId);
+        if (found == this->entries.end()) {
+            return;
+        }
+        found->second.writingProgress = false;
+        found->second.appendFrom = this->context.attempts.loop.now() + takeoverNotice;
+        if (reply.object) {
+            this->adopt(*reply.object);
+        }
+        if (reply.result != StoreResult::Done && reply.result != StoreResult::Conflict) {
+            this->storeFailed(found->second, reply.result);
+        }
+    });
+}
+
+void JobService::storeFailed(Entry &entry, StoreResult result)
+{
+    entry.retryAt = this->context.attempts.loop.now() + storeRetryDelay;
+    if (result == StoreResult::Unanswered) {
+        this->context.storeUnanswered();
     }
-    const bool named = entry.header.owner == this->context.host;
-    const bool settled = this->context.attempts.loop.now() > this->startedAt + takeoverDelay;
-    return named || (settled && this->context.runningHost(entry.header.id, entry.header.owner) == this->context.host);
 }
 
 void JobService::load(Entry &entry, bool withItems, std::function<void(StoreResult)> done)
@@ -259,7 +295,7 @@
     Entry &entry = this->entries.at(jobId);
     entry.loading = false;
     if (result != StoreResult::Done) {
-        entry.retryAt = this->context.attempts.loop.now() + storeRetryDelay;
+        this->storeFailed(entry, result);
     }
     this->context.log.write("job_loaded",
                             {{"job", jobId},
@@ -426,6 +462,7 @@
     }
     if (!this->runsHere(entry)) {
         this->stopRuns(entry.header.id);
+        this->takeOver(entry, now);
         return;
     }
     if (!entry.itemsLoaded) {
@@ -437,7 +474,7 @@
     if (entry.loading) {
         return;
     }
-    if (entry.job->hasUnstored() && !entry.appending && now >= entry.retryAt) {
+    if (entry.job->hasUnstored() && !entry.appending && now >= std::max(entry.retryAt, entry.appendFrom)) {
         this->append(entry);
     }
     const bool finished = entry.job->complete();
@@ -468,7 +505,7 @@
                 "results_stored",
                 {{"job", jobId}, {"object", number}, {"ok", result == StoreResult::Done}, {"results", static_cast<std::uint64_t>(results.size())}});
             if (result != StoreResult::Done) {
-                target.retryAt = this->context.attempts.loop.now() + storeRetryDelay;
+                this->storeFailed(target, result);
                 return;
             }
             if (target.job->nextObject() == number) {
@@ -496,7 +533,7 @@
             this->adopt(*reply.object);
         }
         if (reply.result != StoreResult::Done && reply.result != StoreResult::Conflict) {
-            found->second.retryAt = this->context.attempts.loop.now() + storeRetryDelay;
+            this->storeFailed(found->second, reply.result);
         }
     });
 }
--- a/src/JobService.h
+++ b/src/JobService.h
@@ -50,8 +50,10 @@
     std::string writer;
     /** The configuration in force, or null. */
     std::function<std::shared_ptr<const RoutingConfig>()> config;
-    /** The host that runs a job, of those that live now. */
-    std::function<std::string(const std::string &jobId, const std::string &owner)> runningHost;
+    /** The host that is to run a job: @p runner while it lives, else one of those that live now. */
+    std::function<std::string(const std::string &jobId, const std::string &runner)> runningHost;
+    /** A call got no answer, so that the store may be gone. */
+    std::function<void()> storeUnanswered;
 };
 
 /** Accepts jobs, runs those of this host and answers for all. Results are shown only once they are stored. */
@@ -104,6 +106,8 @@
         bool appending = false;
         bool writingProgress = false;
         absl::Time retryAt = absl::InfinitePast();
+        /** A host that took the job over shows no results of its own before this. */
+        absl::Time appendFrom = absl::InfinitePast();
         absl::Time progressAt = absl::InfinitePast();
         absl::Time lastUse = absl::InfinitePast();
         std::vector<std::function<void(StoreResult)>> loaders;
@@ -122,7 +126,10 @@
     void readLoaded(Entry &entry, std::size_t position, absl::Duration wait, std::function<void(JobLookup, const JobPage &)> done);
     void answerReaders(Entry &entry);
     void writeCancel(const std::string &jobId, std::uint64_t revision, JobProgress progress, absl::Time giveUpAt, std::function<void(JobLookup)> done);
+    [[nodiscard]] static const std::string &runnerOf(const Entry &entry);
     [[nodiscard]] bool runsHere(const Entry &entry) const;
+    void takeOver(Entry &entry, absl::Time now);
+    void storeFailed(Entry &entry, StoreResult result);
     void tickEntry(Entry &entry, absl::Time now);
     void append(Entry &entry);
     void writeProgress(Entry &entry);
--- a/src/JobTypes.cpp
+++ b/src/JobTypes.cpp
@@ -62,7 +62,7 @@
 
 nlohmann::json JobProgress::toJson() const
 {
-    return {{"cancelled", this->cancelled}, {"finished", this->finished}, {"tokensFinished", this->tokensFinished}};
+    return {{"cancelled", this->cancelled}, {"finished", this->finished}, {"tokensFinished", this->tokensFinished}, {"runner", this->runner}};
 }
 
 JobProgress JobProgress::fromJson(const nlohmann::json &json)
@@ -72,6 +72,7 @@
         progress.cancelled = json.value("cancelled", false);
         progress.finished = json.value("finished", false);
         progress.tokensFinished = json.value("tokensFinished", std::int64_t{0});
+        progress.runner = json.value("runner", std::string());
     }
     return progress;
 }
--- a/src/JobTypes.h
+++ b/src/JobTypes.h
@@ -47,7 +47,7 @@
     std::string id;
     std::string host;
     std::string pathPrefix;
-    /** The host that runs the job while it lives. */
+    /** The host that accepted the job; it runs the job until another one takes it over. */
     std::string owner;
     absl::Time submitted;
     std::int64_t tokens = 0;
@@ -68,6 +68,8 @@
     /** All items have a result. */
     bool finished = false;
     std::int64_t tokensFinished = 0;
+    /** The host that took the job over; empty while the owner runs it. */
+    std::string runner{};
 
     [[nodiscard]] bool open() const;
     [[nodiscard]] nlohmann::json toJson() const;
--- a/src/KindWatcher.cpp
+++ b/src/KindWatcher.cpp
@@ -15,7 +15,10 @@
 void KindWatcher::list()
 {
     this->waitingToRetry = false;
-    this->store.list(this->kind, [this](const ListReply &reply) {
+    this->store.list(this->kind, [this, current = this->round](const ListReply &reply) {
+        if (current != this->round) {
+            return;
+        }
         if (reply.result != StoreResult::Done) {
             this->failed(reply.result);
             return;
@@ -31,10 +34,12 @@
 void KindWatcher::watch()
 {
     this->waitingToRetry = false;
-    this->store.watch(this->kind, this->revision, this->pace.watchWait, [this](const WatchReply &reply) {
+    this->store.watch(this->kind, this->revision, this->pace.watchWait, [this, current = this->round](const WatchReply &reply) {
+        if (current != this->round) {
+            return;
+        }
         if (reply.result == StoreResult::HistoryGone) {
             this->answered();
-            this->listedOnce = false;
             this->list();
             return;
         }
@@ -59,8 +64,8 @@
 {
     this->available = false;
     this->waitingToRetry = true;
-    this->hooks.lost(result);
     this->timer = this->loop.after(this->pace.retry, [this] { this->retryNow(); });
+    this->hooks.lost(result);
 }
 
 void KindWatcher::retryNow()
@@ -69,11 +74,19 @@
         return;
     }
     this->timer.cancel();
-    if (this->listedOnce) {
-        this->watch();
-    } else {
-        this->list();
+    // A list is answered at once where a watch would wait, so it shows sooner whether the store is there.
+    this->list();
+}
+
+void KindWatcher::restart()
+{
+    if (this->waitingToRetry) {
+        return;
     }
+    ++this->round;
+    this->available = false;
+    this->waitingToRetry = true;
+    this->timer = this->loop.after(this->pace.retry, [this] { this->retryNow(); });
 }
 
 void KindWatcher::answered()
--- a/src/KindWatcher.h
+++ b/src/KindWatcher.h
@@ -42,6 +42,8 @@
     void start();
     /** Repeats a failed call now. */
     void retryNow();
+    /** Gives up a watch that waits, because the store was lost meanwhile and may have forgotten it. */
+    void restart();
     [[nodiscard]] bool current() const;
 
 private:
@@ -57,6 +59,8 @@
     Hooks hooks;
     std::uint64_t revision = 0;
     bool listedOnce = false;
+    /** Answers to calls before the last restart are ignored. */
+    std::uint64_t round = 0;
     bool waitingToRetry = false;
     bool available = true;
     LoopTimer timer;
