Store results and progress of jobs in fewer calls

Results of 700 ms go into one object, and progress is written only when the limit on waiting tokens is near, and at the end.

--- a/src/Job.cpp
+++ b/src/Job.cpp
@@ -201,6 +201,11 @@
     return this->finishedTokens;
 }
 
+bool Job::allSettled() const
+{
+    return std::ranges::all_of(this->states, [](const ItemState &state) { return state.settled; });
+}
+
 bool Job::complete() const
 {
     return this->storedList.size() >= this->jobHeader.items;
--- a/src/Job.h
+++ b/src/Job.h
@@ -60,6 +60,8 @@
     [[nodiscard]] JobPage page(std::size_t position, std::size_t maxBytes) const;
     [[nodiscard]] std::size_t storedResults() const;
     [[nodiscard]] std::int64_t tokensFinished() const;
+    /** Whether every item has a result, stored or not. */
+    [[nodiscard]] bool allSettled() const;
     /** Whether every item has a stored result. */
     [[nodiscard]] bool complete() const;
     [[nodiscard]] std::size_t running() const;
--- a/src/JobService.cpp
+++ b/src/JobService.cpp
@@ -13,8 +13,11 @@
 // The former runner learns of a takeover by its watch of the store within this time, and then no longer answers from memory.
 constexpr absl::Duration takeoverNotice = absl::Milliseconds(1200);
 constexpr absl::Duration storeRetryDelay = absl::Milliseconds(300);
+// Only the limit on waiting tokens needs the progress of open jobs; far below the limit the end of a job is enough.
 constexpr absl::Duration progressPeriod = absl::Seconds(1);
+constexpr double progressShareOfLimit = 0.4;
 // Results that end soon after one another take one call to the store.
+constexpr absl::Duration appendDelay = absl::Milliseconds(700);
 constexpr absl::Duration viewPollDelay = absl::Milliseconds(400);
 // Started in one tick; the loads of the other hosts are known only some time later.
 constexpr int maxStartsPerTick = 4;
@@ -475,15 +478,35 @@
         return;
     }
     if (entry.job->hasUnstored() && !entry.appending && now >= std::max(entry.retryAt, entry.appendFrom)) {
-        this->append(entry);
+        this->appendWhenDue(entry, now);
     }
     const bool finished = entry.job->complete();
-    const bool progressed = entry.job->tokensFinished() > entry.progress.tokensFinished && now >= entry.progressAt + progressPeriod;
+    const bool progressed = entry.job->tokensFinished() > entry.progress.tokensFinished && now >= entry.progressAt + progressPeriod && this->nearLimit(entry);
     if (!entry.writingProgress && now >= entry.retryAt && (finished || progressed)) {
         this->writeProgress(entry);
     }
 }
 
+bool JobService::nearLimit(const Entry &entry) const
+{
+    const auto config = this->context.config();
+    const Route *route = config ? config->match(entry.header.host, entry.header.pathPrefix) : nullptr;
+    if (route == nullptr || route->maxWaitingTokens == 0) {
+        return false;
+    }
+    const auto waiting = static_cast<double>(this->waitingTokens(entry.header.host, entry.header.pathPrefix));
+    return waiting > progressShareOfLimit * static_cast<double>(route->maxWaitingTokens);
+}
+
+void JobService::appendWhenDue(Entry &entry, absl::Time now)
+{
+    entry.unstoredSince = std::min(entry.unstoredSince, now);
+    if (entry.job->allSettled() || now >= entry.unstoredSince + appendDelay) {
+        entry.unstoredSince = absl::InfiniteFuture();
+        this->append(entry);
+    }
+}
+
 void JobService::append(Entry &entry)
 {
     entry.appending = true;
--- a/src/JobService.h
+++ b/src/JobService.h
@@ -109,6 +109,7 @@
         /** A host that took the job over shows no results of its own before this. */
         absl::Time appendFrom = absl::InfinitePast();
         absl::Time progressAt = absl::InfinitePast();
+        absl::Time unstoredSince = absl::InfiniteFuture();
         absl::Time lastUse = absl::InfinitePast();
         std::vector<std::function<void(StoreResult)>> loaders;
         std::list<std::shared_ptr<Reader>> readers;
@@ -131,6 +132,8 @@
     void takeOver(Entry &entry, absl::Time now);
     void storeFailed(Entry &entry, StoreResult result);
     void tickEntry(Entry &entry, absl::Time now);
+    [[nodiscard]] bool nearLimit(const Entry &entry) const;
+    void appendWhenDue(Entry &entry, absl::Time now);
     void append(Entry &entry);
     void writeProgress(Entry &entry);
     void startItems(absl::Time now);
