Share starts and yields of batch items between the hosts

A host now starts its share of the free room by what waits at each host, takes its share away, rounded at random, and does either at most every 120 ms. Ruled out: a fixed cap for each host, which leaves room unused when few hosts have jobs.

--- a/src/EntryHost.cpp
+++ b/src/EntryHost.cpp
@@ -125,7 +125,7 @@
                    .writer = absl::StrCat(this->settings.name, ".", incarnation),
                    .config = [this] { return this->config; },
                    .runningHost = [this](const std::string &jobId, const std::string &owner) { return this->runningHost(jobId, owner); },
-                                                         .storeUnanswered = [this] { this->storeLost("job call", StoreResult::Unanswered); }});
+                   .storeUnanswered = [this] { this->storeLost("job call", StoreResult::Unanswered); }});
     this->startWatchers();
     this->meetPeers();
     this->tickTimer = this->loop.after(tickPeriod, [this] { this->tick(); });
--- a/src/FleetLoad.cpp
+++ b/src/FleetLoad.cpp
@@ -34,9 +34,10 @@
     ++this->changeCount;
 }
 
-void FleetLoad::announce(const std::string &host, const std::vector<UpstreamUse> &uses, absl::Time now)
+void FleetLoad::announce(const std::string &host, const std::vector<UpstreamUse> &uses, std::int64_t waiting, absl::Time now)
 {
     Announcement &announcement = this->others[host];
+    announcement.batchWaiting = waiting;
     announcement.received = now;
     announcement.uses.clear();
     for (const UpstreamUse &use : uses) {
@@ -81,6 +82,27 @@
     return uses;
 }
 
+void FleetLoad::setOwnBatchWaiting(std::int64_t items)
+{
+    this->batchWaiting = items;
+}
+
+std::int64_t FleetLoad::ownBatchWaiting() const
+{
+    return this->batchWaiting;
+}
+
+std::int64_t FleetLoad::totalBatchWaiting(absl::Time now) const
+{
+    std::int64_t sum = this->batchWaiting;
+    for (const auto &[host, announcement] : this->others) {
+        if (now <= announcement.received + announcementLifetime) {
+            sum += announcement.batchWaiting;
+        }
+    }
+    return sum;
+}
+
 std::uint64_t FleetLoad::changes() const
 {
     return this->changeCount;
--- a/src/FleetLoad.h
+++ b/src/FleetLoad.h
@@ -41,24 +41,30 @@
     void add(const std::string &upstreamId, bool batch);
     void remove(const std::string &upstreamId, bool batch);
     /** Takes the complete announcement of another host. */
-    void announce(const std::string &host, const std::vector<UpstreamUse> &uses, absl::Time now);
+    void announce(const std::string &host, const std::vector<UpstreamUse> &uses, std::int64_t batchWaiting, absl::Time now);
     void forgetHost(const std::string &host);
 
     [[nodiscard]] ClassCounts own(std::string_view upstreamId) const;
     [[nodiscard]] ClassCounts total(std::string_view upstreamId, absl::Time now) const;
     /** This host's announcement. */
     [[nodiscard]] std::vector<UpstreamUse> announcement() const;
+    /** Batch items that wait for room, at this host and at all. */
+    void setOwnBatchWaiting(std::int64_t items);
+    [[nodiscard]] std::int64_t ownBatchWaiting() const;
+    [[nodiscard]] std::int64_t totalBatchWaiting(absl::Time now) const;
     /** Grows whenever a count of this host changes. */
     [[nodiscard]] std::uint64_t changes() const;
 
 private:
     struct Announcement {
         absl::flat_hash_map<std::uint32_t, ClassCounts> uses;
+        std::int64_t batchWaiting = 0;
         absl::Time received;
     };
 
     std::map<std::string, ClassCounts, std::less<>> ownCounts;
     std::map<std::string, Announcement> others;
+    std::int64_t batchWaiting = 0;
     std::uint64_t changeCount = 0;
 };
 
--- a/src/Job.cpp
+++ b/src/Job.cpp
@@ -211,9 +211,9 @@
     return this->storedList.size() >= this->jobHeader.items;
 }
 
-std::size_t Job::running() const
+std::size_t Job::waiting() const
 {
-    return static_cast<std::size_t>(std::ranges::count_if(this->states, [](const ItemState &state) { return state.running; }));
+    return static_cast<std::size_t>(std::ranges::count_if(this->states, [](const ItemState &state) { return !state.running && !state.settled; }));
 }
 
 } // namespace Bergamotramp
--- a/src/Job.h
+++ b/src/Job.h
@@ -64,7 +64,8 @@
     [[nodiscard]] bool allSettled() const;
     /** Whether every item has a stored result. */
     [[nodiscard]] bool complete() const;
-    [[nodiscard]] std::size_t running() const;
+    /** Items without a result that do not run. */
+    [[nodiscard]] std::size_t waiting() const;
 
 private:
     struct ItemState {
--- a/src/JobService.cpp
+++ b/src/JobService.cpp
@@ -19,8 +19,9 @@
 // Results that end soon after one another take one call to the store.
 constexpr absl::Duration appendDelay = absl::Milliseconds(700);
 constexpr absl::Duration viewPollDelay = absl::Milliseconds(400);
-// Started in one tick; the loads of the other hosts are known only some time later.
-constexpr int maxStartsPerTick = 4;
+// What the other hosts started or took away is known only after their next announcement, so that decisions which rest on
+// the whole fleet's load are no more frequent than those.
+constexpr absl::Duration loadNoticeTime = absl::Milliseconds(120);
 // An upstream sends an event every few tens of milliseconds.
 constexpr absl::Duration itemSilenceLimit = absl::Milliseconds(900);
 constexpr absl::Duration firstEventLimit = absl::Seconds(2);
@@ -211,7 +212,8 @@
 void JobService::takeOver(Entry &entry, absl::Time now)
 {
     const bool settled = now > this->startedAt + takeoverDelay;
-    if (this->stopping || !settled || entry.writingProgress || now < entry.retryAt || this->context.runningHost(entry.header.id, runnerOf(entry)) != this->context.host) {
+    if (this->stopping || !settled || entry.writingProgress || now < entry.retryAt
+        || this->context.runningHost(entry.header.id, runnerOf(entry)) != this->context.host) {
         return;
     }
     entry.writingProgress = true;
@@ -574,12 +576,32 @@
         }
     }
     std::ranges::sort(candidates, {}, [](const Entry *entry) { return entry->header.submitted; });
-    int started = 0;
+    std::int64_t left = this->startsThisRound(candidates, *config, now);
     for (Entry *entry : candidates) {
-        while (started < maxStartsPerTick && this->startItem(*entry, *config, now)) {
-            ++started;
+        while (left > 0 && this->startItem(*entry, *config, now)) {
+            --left;
+        }
+    }
+}
+
+std::int64_t JobService::startsThisRound(const std::vector<Entry *> &candidates, const RoutingConfig &config, absl::Time now)
+{
+    std::int64_t waiting = 0;
+    std::set<std::string> services;
+    for (const Entry *entry : candidates) {
+        waiting += static_cast<std::int64_t>(entry->job->waiting());
+        if (const Route *route = config.match(entry->header.host, entry->header.pathPrefix)) {
+            for (const RouteTarget &target : route->targets) {
+                services.insert(target.service);
+            }
         }
     }
+    this->context.attempts.load.setOwnBatchWaiting(waiting);
+    if (now < this->nextRound) {
+        return 0;
+    }
+    this->nextRound = now + loadNoticeTime;
+    return this->context.choice.batchToStart(services, now);
 }
 
 bool JobService::startItem(Entry &entry, const RoutingConfig &config, absl::Time now)
@@ -690,7 +712,8 @@
     for (const auto &run : this->runs) {
         const UpstreamInfo &upstream = run->attempt->upstream();
         if (!wanted.contains(upstream.id)) {
-            wanted[upstream.id] = this->context.choice.batchToYield(upstream, now);
+            const bool settled = now >= this->yieldedAt[upstream.id] + loadNoticeTime;
+            wanted[upstream.id] = settled ? this->context.choice.batchToYield(upstream, now) : 0;
         }
     }
     // The newest runs hold the least that has to be read again.
@@ -699,6 +722,7 @@
         std::int64_t &left = wanted[run->attempt->upstream().id];
         if (left > 0) {
             --left;
+            this->yieldedAt[run->attempt->upstream().id] = now;
             this->context.metrics.batchYielded(run->service);
             this->endRun(run, ItemEnd::Interrupted);
         }
--- a/src/JobService.h
+++ b/src/JobService.h
@@ -137,6 +137,7 @@
     void append(Entry &entry);
     void writeProgress(Entry &entry);
     void startItems(absl::Time now);
+    [[nodiscard]] std::int64_t startsThisRound(const std::vector<Entry *> &candidates, const RoutingConfig &config, absl::Time now);
     bool startItem(Entry &entry, const RoutingConfig &config, absl::Time now);
     void onItemEvent(const std::shared_ptr<Run> &run, const StreamEvent &event);
     void onItemEnded(const std::shared_ptr<Run> &run, const AttemptResult &result);
@@ -151,6 +152,8 @@
     std::map<std::string, Entry> entries;
     std::list<std::shared_ptr<Run>> runs;
     absl::Time startedAt;
+    absl::Time nextRound = absl::InfinitePast();
+    std::map<std::string, absl::Time> yieldedAt;
     bool stopping = false;
 };
 
--- a/src/PeerExchange.cpp
+++ b/src/PeerExchange.cpp
@@ -113,6 +113,7 @@
     message.set_ready(state.ready);
     message.set_leaving(state.leaving);
     message.set_config_revision(state.configRevision);
+    message.set_batch_waiting(static_cast<std::uint32_t>(this->load.ownBatchWaiting()));
     for (const UpstreamUse &use : this->load.announcement()) {
         peer::UpstreamUse *entry = message.add_uses();
         entry->set_upstream(use.upstream);
@@ -201,7 +202,7 @@
     for (const peer::UpstreamUse &use : message.uses()) {
         uses.push_back({.upstream = use.upstream(), .counts = {.online = use.online(), .batch = use.batch()}});
     }
-    this->load.announce(heard.name, uses, now);
+    this->load.announce(heard.name, uses, message.batch_waiting(), now);
     for (const peer::CrashCount &crash : message.crashes()) {
         this->suspects.merge(crash.fingerprint(), crash.crashes(), now);
     }
--- a/src/UpstreamChoice.cpp
+++ b/src/UpstreamChoice.cpp
@@ -77,14 +77,40 @@
     return best;
 }
 
+std::int64_t UpstreamChoice::batchRoom(const UpstreamInfo &upstream, absl::Time now) const
+{
+    if (this->health.paused(upstream.id, now) || this->health.recentlyFull(upstream.id, now)) {
+        return 0;
+    }
+    return std::max<std::int64_t>(1, upstream.slots - batchReserve) - this->load.total(upstream.id, now).total();
+}
+
+std::int64_t UpstreamChoice::drawnShare(double share) const
+{
+    // Rounded at random, so that hosts with the same view together take what there is, no more and no less.
+    const double whole = std::floor(share);
+    return static_cast<std::int64_t>(whole) + (this->draw() < share - whole ? 1 : 0);
+}
+
+std::int64_t UpstreamChoice::batchToStart(const std::set<std::string> &services, absl::Time now) const
+{
+    std::int64_t room = 0;
+    for (const std::string &service : services) {
+        for (const UpstreamInfo *upstream : this->table.available(service)) {
+            room += std::max<std::int64_t>(0, this->batchRoom(*upstream, now));
+        }
+    }
+    const std::int64_t all = std::max<std::int64_t>(1, this->load.totalBatchWaiting(now));
+    const double share = static_cast<double>(room) * static_cast<double>(this->load.ownBatchWaiting()) / static_cast<double>(all);
+    return this->drawnShare(share);
+}
+
 const UpstreamInfo *UpstreamChoice::forBatch(std::string_view service, const std::set<std::string> &excluded, absl::Time now) const
 {
     const UpstreamInfo *best = nullptr;
     double bestCost = std::numeric_limits<double>::infinity();
     for (const UpstreamInfo *upstream : this->table.available(service)) {
-        const ClassCounts counts = this->load.total(upstream->id, now);
-        const bool room = counts.total() + 1 <= std::max<std::int64_t>(1, upstream->slots - batchReserve);
-        if (excluded.contains(upstream->id) || !room || this->health.paused(upstream->id, now) || this->health.recentlyFull(upstream->id, now)) {
+        if (excluded.contains(upstream->id) || this->batchRoom(*upstream, now) <= 0) {
             continue;
         }
         const double cost = this->onlineCost(*upstream, now);
@@ -106,7 +132,7 @@
     }
     // Each host with batch requests there takes its share, so that together they make the room that is missing.
     const double share = static_cast<double>(excess) * static_cast<double>(own.batch) / static_cast<double>(all.batch);
-    return std::min(own.batch, static_cast<std::int64_t>(std::ceil(share)));
+    return std::min(own.batch, this->drawnShare(share));
 }
 
 } // namespace Bergamotramp
--- a/src/UpstreamChoice.h
+++ b/src/UpstreamChoice.h
@@ -32,10 +32,14 @@
     [[nodiscard]] const UpstreamInfo *forOnline(std::string_view service, const std::set<std::string> &excluded, absl::Time now) const;
     /** An upstream with room that online requests do not need, or null. */
     [[nodiscard]] const UpstreamInfo *forBatch(std::string_view service, const std::set<std::string> &excluded, absl::Time now) const;
+    /** Batch requests that this host may start now: its share of the free room of the services that wait for it. */
+    [[nodiscard]] std::int64_t batchToStart(const std::set<std::string> &services, absl::Time now) const;
     /** Batch requests that this host should take away from an upstream, because more is there than it can run. */
     [[nodiscard]] std::int64_t batchToYield(const UpstreamInfo &upstream, absl::Time now) const;
 
 private:
+    [[nodiscard]] std::int64_t drawnShare(double share) const;
+    [[nodiscard]] std::int64_t batchRoom(const UpstreamInfo &upstream, absl::Time now) const;
     [[nodiscard]] double distance(const UpstreamInfo &upstream) const;
     [[nodiscard]] double onlineCost(const UpstreamInfo &upstream, absl::Time now) const;
 
