--- /dev/null
+++ b/test/core/JobTest.cpp
@@ -0,0 +1,155 @@
+#include "Job.h"
+
+#include <set>
+
+#include <gtest/gtest.h>
+#include <rapidcheck.h>
+
+namespace Bergamotramp {
+
+namespace {
+
+const absl::Time start = absl::FromUnixSeconds(1'000'000);
+constexpr std::size_t anyBytes = 1'000'000;
+constexpr int maxFailures = 3;
+
+JobHeader header(std::size_t items)
+{
+    return {.id = "job", .host = "host.example", .pathPrefix = "/b/", .owner = "one", .submitted = start, .tokens = static_cast<std::int64_t>(items) * 10, .items = items, .inputParts = 1};
+}
+
+std::vector<JobItem> items(std::size_t count)
+{
+    std::vector<JobItem> result;
+    for (std::size_t index = 0; index < count; ++index) {
+        result.push_back({.id = "item-" + std::to_string(index), .path = "/b/x", .fields = {}, .body = "body", .tokens = 10});
+    }
+    return result;
+}
+
+void complete(Job &job, std::size_t index)
+{
+    job.started(index);
+    job.event(index, 1, "text");
+    job.ended(index, ItemEnd::Completed, maxFailures, start);
+}
+
+// Guards against an output with an event missing, repeated, or joined from runs that do not follow each other.
+TEST(JobTest, outputGoesOnAfterTheLastEvent)
+{
+    Job job(header(1), items(1));
+    job.started(0);
+    EXPECT_TRUE(job.event(0, 1, "one"));
+    EXPECT_TRUE(job.event(0, 1, "again"));
+    EXPECT_FALSE(job.event(0, 3, "three"));
+    job.ended(0, ItemEnd::Interrupted, maxFailures, start);
+    EXPECT_EQ(job.lastEvent(0), 1U);
+    job.started(0);
+    EXPECT_TRUE(job.event(0, 2, "two"));
+    job.ended(0, ItemEnd::Completed, maxFailures, start);
+    ASSERT_EQ(job.unstored(anyBytes).size(), 1U);
+    EXPECT_EQ(job.unstored(anyBytes).front().output, "one\ntwo");
+}
+
+// Guards against an item that is given up before its failures allow it, or that is tried for ever.
+TEST(JobTest, itemsAreGivenUpByTheirFailures)
+{
+    Job job(header(2), items(2));
+    for (int failure = 1; failure <= maxFailures; ++failure) {
+        EXPECT_FALSE(job.hasUnstored());
+        job.started(0);
+        job.ended(0, ItemEnd::Failed, maxFailures, start);
+    }
+    job.started(1);
+    job.ended(1, ItemEnd::Impossible, maxFailures, start);
+    ASSERT_EQ(job.unstored(anyBytes).size(), 2U);
+    EXPECT_FALSE(job.unstored(anyBytes)[0].completed);
+    EXPECT_FALSE(job.nextItem(start + absl::Hours(1)));
+}
+
+// Guards against an item that crashes its upstream and is sent on at once, upstream after upstream.
+TEST(JobTest, interruptionsWithoutProgressSlowAnItemDown)
+{
+    Job job(header(1), items(1));
+    absl::Time now = start;
+    absl::Duration pause;
+    for (int run = 0; run < 12; ++run) {
+        job.started(0);
+        job.ended(0, ItemEnd::Interrupted, maxFailures, now);
+        const absl::Time ended = now;
+        while (!job.nextItem(now)) {
+            now += absl::Milliseconds(10);
+        }
+        pause = now - ended;
+    }
+    EXPECT_GE(pause, absl::Seconds(2));
+}
+
+// Guards against results that are shown before they are stored.
+TEST(JobTest, onlyStoredResultsAreShown)
+{
+    Job job(header(2), items(2));
+    complete(job, 1);
+    EXPECT_EQ(job.page(0, anyBytes).results.size(), 0U);
+    job.stored(job.unstored(anyBytes));
+    EXPECT_EQ(job.page(0, anyBytes).results.size(), 1U);
+    EXPECT_EQ(job.page(0, anyBytes).total, 2U);
+    EXPECT_EQ(job.page(7, anyBytes).next, 7U);
+    EXPECT_EQ(job.tokensFinished(), 10);
+    EXPECT_FALSE(job.complete());
+}
+
+/** The chain of a job's result objects: created at the next number only, as the store does it. */
+struct Chain {
+    std::vector<std::vector<JobResult>> objects;
+
+    /** Appends, or gives the object that is there. */
+    std::vector<JobResult> create(std::uint64_t number, const std::vector<JobResult> &results)
+    {
+        if (number < this->objects.size()) {
+            return this->objects[number];
+        }
+        this->objects.push_back(results);
+        return results;
+    }
+};
+
+// Guards against two hosts that both run a job, after a split or a pause: a position never changes, no item stands at two
+// positions, and both hosts come to show the same.
+TEST(JobTest, twoRunnersShareOneChain)
+{
+    EXPECT_TRUE(rc::check("positions are fixed", [] {
+        constexpr std::size_t count = 6;
+        Chain chain;
+        Job jobs[2] = {Job(header(count), items(count)), Job(header(count), items(count))};
+        std::vector<JobResult> seen;
+        const auto steps = *rc::gen::container<std::vector<int>>(rc::gen::inRange(0, 100));
+        for (const int step : steps) {
+            Job &job = jobs[step % 2];
+            const std::size_t index = static_cast<std::size_t>(step / 2) % count;
+            if (step % 3 != 0) {
+                if (const auto next = job.nextItem(start); next && *next <= index) {
+                    complete(job, *next);
+                }
+            } else if (job.hasUnstored()) {
+                job.stored(chain.create(job.nextObject(), job.unstored(anyBytes)));
+            }
+            const JobPage page = job.page(0, anyBytes);
+            for (std::size_t position = 0; position < page.results.size(); ++position) {
+                if (position < seen.size()) {
+                    RC_ASSERT(seen[position] == page.results[position]);
+                } else {
+                    seen.push_back(page.results[position]);
+                }
+            }
+        }
+        std::set<std::string> ids;
+        for (const JobResult &result : seen) {
+            RC_ASSERT(ids.insert(result.itemId).second);
+        }
+    }));
+}
+
+} // namespace
+
+} // namespace Bergamotramp
--- /dev/null
+++ b/test/core/UpstreamTableTest.cpp
@@ -0,0 +1,59 @@
+#include "UpstreamTable.h"
+
+#include <gtest/gtest.h>
+
+namespace Bergamotramp {
+
+namespace {
+
+const absl::Time start = absl::FromUnixSeconds(1'000'000);
+
+UpstreamInfo upstream(const std::string &id)
+{
+    return {.id = id, .service = "modelo", .address = "10.0.0.1:80", .dataCentre = "recife-a", .slots = 8};
+}
+
+// Guards against new work for an upstream that leaves, or whose registration vanished without a notice.
+TEST(UpstreamTableTest, leavingAndRemovedUpstreamsTakeNothing)
+{
+    UpstreamTable table;
+    table.put(upstream("one"));
+    table.put(upstream("two"));
+    UpstreamInfo leaving = upstream("one");
+    leaving.leaving = true;
+    table.put(leaving);
+    table.remove("two", start);
+    EXPECT_TRUE(table.available("modelo").empty());
+    EXPECT_NE(table.find("one"), nullptr);
+}
+
+// Guards against a service without upstreams because their registrations lapsed while the registry was away.
+TEST(UpstreamTableTest, lapsedRegistrationsStayUntilTheyCouldBeRenewed)
+{
+    UpstreamTable table;
+    table.put(upstream("one"));
+    table.put(upstream("two"));
+    table.registryLost(start);
+    table.registryRegained(start + absl::Seconds(5));
+    table.replaceAll({}, start + absl::Seconds(5));
+    EXPECT_EQ(table.available("modelo").size(), 2U);
+    table.put(upstream("two"));
+    table.expire(start + absl::Seconds(5) + UpstreamTable::lapseGrace + absl::Milliseconds(1));
+    ASSERT_EQ(table.available("modelo").size(), 1U);
+    EXPECT_EQ(table.available("modelo").front()->id, "two");
+}
+
+// Guards against a lapse that hides a planned departure long after the outage.
+TEST(UpstreamTableTest, removalCountsAtOnceWhenTheRegistryWasThere)
+{
+    UpstreamTable table;
+    table.put(upstream("one"));
+    table.registryLost(start);
+    table.registryRegained(start);
+    table.remove("one", start + UpstreamTable::lapseGrace + absl::Milliseconds(1));
+    EXPECT_EQ(table.find("one"), nullptr);
+}
+
+} // namespace
+
+} // namespace Bergamotramp
