Announce changed loads every 25 ms

Announcements now carry only changed counts as absolute values, and all of them twice a second. Ruled out: more random spread, which sends requests past idle upstreams.

--- a/src/FleetLoad.cpp
+++ b/src/FleetLoad.cpp
@@ -18,7 +18,7 @@
 {
     ClassCounts &counts = this->ownCounts[upstreamId];
     ++(batch ? counts.batch : counts.online);
-    ++this->changeCount;
+    this->changedUpstreams.insert(upstreamId);
 }
 
 void FleetLoad::remove(const std::string &upstreamId, bool batch)
@@ -31,17 +31,19 @@
     if (found->second == ClassCounts{}) {
         this->ownCounts.erase(found);
     }
-    ++this->changeCount;
+    this->changedUpstreams.insert(upstreamId);
 }
 
-void FleetLoad::announce(const std::string &host, const std::vector<UpstreamUse> &uses, std::int64_t waiting, absl::Time now)
+void FleetLoad::announce(const std::string &host, const LoadAnnouncement &announcement, absl::Time now)
 {
-    Announcement &announcement = this->others[host];
-    announcement.batchWaiting = waiting;
-    announcement.received = now;
-    announcement.uses.clear();
-    for (const UpstreamUse &use : uses) {
-        announcement.uses[use.upstream] = use.counts;
+    HostLoad &load = this->others[host];
+    load.received = now;
+    load.batchWaiting = announcement.batchWaiting;
+    if (announcement.complete) {
+        load.uses.clear();
+    }
+    for (const UpstreamUse &use : announcement.uses) {
+        load.uses[use.upstream] = use.counts;
     }
 }
 
@@ -60,12 +62,12 @@
 {
     ClassCounts sum = this->own(upstreamId);
     const std::uint32_t key = upstreamKey(upstreamId);
-    for (const auto &[host, announcement] : this->others) {
-        if (now > announcement.received + announcementLifetime) {
+    for (const auto &[host, load] : this->others) {
+        if (now > load.received + announcementLifetime) {
             continue;
         }
-        const auto found = announcement.uses.find(key);
-        if (found != announcement.uses.end()) {
+        const auto found = load.uses.find(key);
+        if (found != load.uses.end()) {
             sum.online += found->second.online;
             sum.batch += found->second.batch;
         }
@@ -73,13 +75,20 @@
     return sum;
 }
 
-std::vector<UpstreamUse> FleetLoad::announcement() const
+LoadAnnouncement FleetLoad::takeAnnouncement(bool complete)
 {
-    std::vector<UpstreamUse> uses;
-    for (const auto &[id, counts] : this->ownCounts) {
-        uses.push_back({.upstream = upstreamKey(id), .counts = counts});
+    LoadAnnouncement announcement{.complete = complete, .uses = {}, .batchWaiting = this->batchWaiting};
+    if (complete) {
+        for (const auto &[id, counts] : this->ownCounts) {
+            announcement.uses.push_back({.upstream = upstreamKey(id), .counts = counts});
+        }
+    } else {
+        for (const std::string &id : this->changedUpstreams) {
+            announcement.uses.push_back({.upstream = upstreamKey(id), .counts = this->own(id)});
+        }
     }
-    return uses;
+    this->changedUpstreams.clear();
+    return announcement;
 }
 
 void FleetLoad::setOwnBatchWaiting(std::int64_t items)
@@ -95,17 +104,17 @@
 std::int64_t FleetLoad::totalBatchWaiting(absl::Time now) const
 {
     std::int64_t sum = this->batchWaiting;
-    for (const auto &[host, announcement] : this->others) {
-        if (now <= announcement.received + announcementLifetime) {
-            sum += announcement.batchWaiting;
+    for (const auto &[host, load] : this->others) {
+        if (now <= load.received + announcementLifetime) {
+            sum += load.batchWaiting;
         }
     }
     return sum;
 }
 
-std::uint64_t FleetLoad::changes() const
+bool FleetLoad::changed() const
 {
-    return this->changeCount;
+    return !this->changedUpstreams.empty();
 }
 
 } // namespace Bergamotramp
--- a/src/FleetLoad.h
+++ b/src/FleetLoad.h
@@ -2,6 +2,7 @@
 
 #include <cstdint>
 #include <map>
+#include <set>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -28,6 +29,17 @@
     bool operator==(const UpstreamUse &) const = default;
 };
 
+/** What one host tells of its load. */
+struct LoadAnnouncement {
+    /** Whether upstreams that are not named have nothing from the host. */
+    bool complete = false;
+    std::vector<UpstreamUse> uses;
+    /** Batch items that wait for room. */
+    std::int64_t batchWaiting = 0;
+
+    bool operator==(const LoadAnnouncement &) const = default;
+};
+
 /** A short name of an upstream that is the same on all hosts. */
 std::uint32_t upstreamKey(std::string_view upstreamId);
 
@@ -40,32 +52,32 @@
 
     void add(const std::string &upstreamId, bool batch);
     void remove(const std::string &upstreamId, bool batch);
-    /** Takes the complete announcement of another host. */
-    void announce(const std::string &host, const std::vector<UpstreamUse> &uses, std::int64_t batchWaiting, absl::Time now);
+    /** Takes the announcement of another host. */
+    void announce(const std::string &host, const LoadAnnouncement &announcement, absl::Time now);
     void forgetHost(const std::string &host);
 
     [[nodiscard]] ClassCounts own(std::string_view upstreamId) const;
     [[nodiscard]] ClassCounts total(std::string_view upstreamId, absl::Time now) const;
-    /** This host's announcement. */
-    [[nodiscard]] std::vector<UpstreamUse> announcement() const;
+    /** This host's announcement with all counts, or with those that have changed since the last call. */
+    [[nodiscard]] LoadAnnouncement takeAnnouncement(bool complete);
     /** Batch items that wait for room, at this host and at all. */
     void setOwnBatchWaiting(std::int64_t items);
-    [[nodiscard]] std::int64_t ownBatchWaiting() const;
     [[nodiscard]] std::int64_t totalBatchWaiting(absl::Time now) const;
-    /** Grows whenever a count of this host changes. */
-    [[nodiscard]] std::uint64_t changes() const;
+    [[nodiscard]] std::int64_t ownBatchWaiting() const;
+    /** Whether a count has changed since the last announcement. */
+    [[nodiscard]] bool changed() const;
 
 private:
-    struct Announcement {
+    struct HostLoad {
         absl::flat_hash_map<std::uint32_t, ClassCounts> uses;
         std::int64_t batchWaiting = 0;
         absl::Time received;
     };
 
     std::map<std::string, ClassCounts, std::less<>> ownCounts;
-    std::map<std::string, Announcement> others;
+    std::map<std::string, HostLoad> others;
     std::int64_t batchWaiting = 0;
-    std::uint64_t changeCount = 0;
+    std::set<std::string, std::less<>> changedUpstreams;
 };
 
 } // namespace Bergamotramp
--- a/src/PeerExchange.cpp
+++ b/src/PeerExchange.cpp
@@ -12,10 +12,10 @@
 
 // Loads that changed are announced this often; fleets of more hosts announce less often, so that what a host receives
 // stays bounded.
-constexpr absl::Duration fastestPeriod = absl::Milliseconds(80);
+constexpr absl::Duration fastestPeriod = absl::Milliseconds(25);
 constexpr absl::Duration periodPerPeer = absl::Milliseconds(4);
-// Unchanged state is announced this often, for the other hosts to see that this one lives.
-constexpr absl::Duration slowestPeriod = absl::Milliseconds(500);
+// All state is announced this often, to replace what was lost and for the other hosts to see that this one lives.
+constexpr absl::Duration completePeriod = absl::Milliseconds(500);
 constexpr absl::Duration identityPeriod = absl::Seconds(1);
 constexpr absl::Duration crashAnnouncementTime = absl::Seconds(3);
 constexpr std::size_t maxDatagramBytes = 60'000;
@@ -58,15 +58,15 @@
     this->timer = this->loop.after(period, [this] { this->tick(); });
     this->board.forgetSilent(now);
     const bool identityDue = now >= this->lastIdentity + identityPeriod;
-    const bool changed = this->load.changes() != this->announcedChanges;
-    if (identityDue || changed || now >= this->lastAnnounced + slowestPeriod) {
-        this->announce(identityDue);
+    const bool completeDue = identityDue || now >= this->lastComplete + completePeriod;
+    if (completeDue || this->load.changed()) {
+        this->announce(completeDue, identityDue);
     }
 }
 
 void PeerExchange::announceNow()
 {
-    this->announce(true);
+    this->announce(true, true);
 }
 
 void PeerExchange::announceCrashes(const std::vector<std::pair<std::uint64_t, std::uint32_t>> &counts)
@@ -78,12 +78,13 @@
     this->crashesUntil = this->loop.now() + crashAnnouncementTime;
 }
 
-void PeerExchange::announce(bool withIdentity)
+void PeerExchange::announce(bool complete, bool withIdentity)
 {
     const absl::Time now = this->loop.now();
-    this->lastAnnounced = now;
-    this->announcedChanges = this->load.changes();
-    const std::string bytes = this->encode(withIdentity);
+    if (complete) {
+        this->lastComplete = now;
+    }
+    const std::string bytes = this->encode(complete, withIdentity);
     if (bytes.size() > maxDatagramBytes) {
         return;
     }
@@ -103,7 +104,7 @@
     }
 }
 
-std::string PeerExchange::encode(bool withIdentity)
+std::string PeerExchange::encode(bool complete, bool withIdentity)
 {
     const OwnState state = this->hooks.ownState();
     peer::HostState message;
@@ -113,8 +114,10 @@
     message.set_ready(state.ready);
     message.set_leaving(state.leaving);
     message.set_config_revision(state.configRevision);
-    message.set_batch_waiting(static_cast<std::uint32_t>(this->load.ownBatchWaiting()));
-    for (const UpstreamUse &use : this->load.announcement()) {
+    const LoadAnnouncement announcement = this->load.takeAnnouncement(complete);
+    message.set_complete(announcement.complete);
+    message.set_batch_waiting(static_cast<std::uint32_t>(announcement.batchWaiting));
+    for (const UpstreamUse &use : announcement.uses) {
         peer::UpstreamUse *entry = message.add_uses();
         entry->set_upstream(use.upstream);
         entry->set_online(static_cast<std::uint32_t>(use.counts.online));
@@ -198,11 +201,11 @@
     if (!this->board.update(heard)) {
         return;
     }
-    std::vector<UpstreamUse> uses;
+    LoadAnnouncement announcement{.complete = message.complete(), .uses = {}, .batchWaiting = message.batch_waiting()};
     for (const peer::UpstreamUse &use : message.uses()) {
-        uses.push_back({.upstream = use.upstream(), .counts = {.online = use.online(), .batch = use.batch()}});
+        announcement.uses.push_back({.upstream = use.upstream(), .counts = {.online = use.online(), .batch = use.batch()}});
     }
-    this->load.announce(heard.name, uses, message.batch_waiting(), now);
+    this->load.announce(heard.name, announcement, now);
     for (const peer::CrashCount &crash : message.crashes()) {
         this->suspects.merge(crash.fingerprint(), crash.crashes(), now);
     }
--- a/src/PeerExchange.h
+++ b/src/PeerExchange.h
@@ -50,8 +50,8 @@
 
 private:
     void tick();
-    void announce(bool withIdentity);
-    [[nodiscard]] std::string encode(bool withIdentity);
+    void announce(bool complete, bool withIdentity);
+    [[nodiscard]] std::string encode(bool complete, bool withIdentity);
     void receive();
     void take(const std::string &bytes, const std::string &sender);
 
@@ -67,8 +67,7 @@
     std::map<std::uint32_t, std::string> names;
     std::vector<std::pair<std::uint64_t, std::uint32_t>> crashes;
     absl::Time crashesUntil = absl::InfinitePast();
-    std::uint64_t announcedChanges = 0;
-    absl::Time lastAnnounced = absl::InfinitePast();
+    absl::Time lastComplete = absl::InfinitePast();
     absl::Time lastIdentity = absl::InfinitePast();
     LoopTimer timer;
 };
--- a/src/UpstreamChoice.cpp
+++ b/src/UpstreamChoice.cpp
@@ -127,7 +127,7 @@
     const ClassCounts own = this->load.own(upstream.id);
     const ClassCounts all = this->load.total(upstream.id, now);
     const std::int64_t excess = all.total() - upstream.slots;
-    if (own.batch == 0 || all.online == 0 || excess <= 0) {
+    if (own.batch == 0 || excess <= 0) {
         return 0;
     }
     // Each host with batch requests there takes its share, so that together they make the room that is missing.
--- a/test/core/JobTest.cpp
+++ b/test/core/JobTest.cpp
@@ -15,7 +15,14 @@
 
 JobHeader header(std::size_t items)
 {
-    return {.id = "job", .host = "host.example", .pathPrefix = "/b/", .owner = "one", .submitted = start, .tokens = static_cast<std::int64_t>(items) * 10, .items = items, .inputParts = 1};
+    return {.id = "job",
+            .host = "host.example",
+            .pathPrefix = "/b/",
+            .owner = "one",
+            .submitted = start,
+            .tokens = static_cast<std::int64_t>(items) * 10,
+            .items = items,
+            .inputParts = 1};
 }
 
 std::vector<JobItem> items(std::size_t count)
--- a/test/core/UpstreamChoiceTest.cpp
+++ b/test/core/UpstreamChoiceTest.cpp
@@ -28,6 +28,11 @@
     UpstreamChoice choice{table, load, health, place, [this] { return this->draw(); }};
 };
 
+void announce(View &view, const std::vector<UpstreamUse> &uses)
+{
+    view.load.announce("other", {.complete = true, .uses = uses, .batchWaiting = 0}, start);
+}
+
 // Guards against bytes between data centres and regions that nothing is gained by.
 TEST(UpstreamChoiceTest, nearUpstreamsGoFirstAtEqualLoad)
 {
@@ -46,23 +51,38 @@
     View view;
     view.table.put(upstream("near", "a"));
     view.table.put(upstream("beside", "b"));
-    view.load.announce("other", {{.upstream = upstreamKey("near"), .counts = {.online = 7, .batch = 0}}}, 0, start);
+    announce(view, {{.upstream = upstreamKey("near"), .counts = {.online = 7, .batch = 0}}});
     EXPECT_EQ(view.choice.forOnline("modelo", {}, start)->id, "beside");
     // An announcement that is not renewed is forgotten, because its host may be gone.
     const absl::Time later = start + FleetLoad::announcementLifetime + absl::Milliseconds(1);
     EXPECT_EQ(view.choice.forOnline("modelo", {}, later)->id, "near");
 }
 
+// Guards against counts of an upstream that are kept although its last request has ended.
+TEST(UpstreamChoiceTest, changesReplaceTheCountsOfTheirUpstreams)
+{
+    View sender;
+    View receiver;
+    sender.load.add("near", false);
+    sender.load.add("beside", false);
+    receiver.load.announce("other", sender.load.takeAnnouncement(true), start);
+    sender.load.remove("near", false);
+    EXPECT_TRUE(sender.load.changed());
+    receiver.load.announce("other", sender.load.takeAnnouncement(false), start);
+    EXPECT_FALSE(sender.load.changed());
+    EXPECT_EQ(receiver.load.total("near", start).total(), 0);
+    EXPECT_EQ(receiver.load.total("beside", start).online, 1);
+}
+
 // Guards against online requests that wait behind other online requests where batch would give its slot back.
 TEST(UpstreamChoiceTest, onlinePrefersASlotThatBatchHolds)
 {
     View view;
     view.table.put(upstream("online", "a"));
     view.table.put(upstream("batch", "c"));
-    view.load.announce("other",
-                       {{.upstream = upstreamKey("online"), .counts = {.online = 8, .batch = 0}}, {.upstream = upstreamKey("batch"), .counts = {.online = 0, .batch = 8}}},
-                       0,
-                       start);
+    announce(
+        view,
+        {{.upstream = upstreamKey("online"), .counts = {.online = 8, .batch = 0}}, {.upstream = upstreamKey("batch"), .counts = {.online = 0, .batch = 8}}});
     EXPECT_EQ(view.choice.forOnline("modelo", {}, start)->id, "batch");
 }
 
@@ -83,7 +103,7 @@
 {
     View view;
     view.table.put(upstream("near", "a"));
-    view.load.announce("other", {{.upstream = upstreamKey("near"), .counts = {.online = 6, .batch = 0}}}, 0, start);
+    announce(view, {{.upstream = upstreamKey("near"), .counts = {.online = 6, .batch = 0}}});
     EXPECT_NE(view.choice.forBatch("modelo", {}, start), nullptr);
     view.load.add("near", true);
     EXPECT_EQ(view.choice.forBatch("modelo", {}, start), nullptr);
@@ -95,7 +115,7 @@
     View view;
     view.table.put(upstream("near", "a"));
     view.load.add("near", true);
-    view.load.announce("other", {{.upstream = upstreamKey("near"), .counts = {.online = 5, .batch = 3}}}, 0, start);
+    announce(view, {{.upstream = upstreamKey("near"), .counts = {.online = 5, .batch = 3}}});
     view.draw = [] { return 0.2; };
     EXPECT_EQ(view.choice.batchToYield(*view.table.find("near"), start), 1);
     view.draw = [] { return 0.3; };
@@ -103,7 +123,7 @@
 }
 
 /**
- * Seven hosts before twelve upstreams of eight slots, whose views of each other are 100 ms old: batch fills the room that
+ * Seven hosts before twelve upstreams of eight slots, whose views of each other are up to 30 ms old: batch fills the room that
  * online leaves, while online jumps between 15 and 72 requests every three seconds.
  */
 class SharedPool
@@ -123,14 +143,19 @@
             }
             host->load.setOwnBatchWaiting(1000);
         }
+        this->exchange();
     }
 
-    /** One round: online to its target, then every host yields and starts by its view, then the views are exchanged. */
+    /** One round: online requests end and arrive, then every host yields and starts by its view, then the views are exchanged. */
     void round(int online)
     {
-        this->now += absl::Milliseconds(120);
-        this->setOnline(online);
+        this->now += roundTime;
+        this->replaceOnline(online);
+        ++this->rounds;
         for (std::size_t host = 0; host < hostCount; ++host) {
+            if ((this->rounds + host) % batchPeriod != 0) {
+                continue;
+            }
             this->yield(host);
             const std::int64_t starts = this->hosts[host]->choice.batchToStart({"modelo"}, this->now);
             for (std::int64_t start = 0; start < starts; ++start) {
@@ -139,13 +164,7 @@
                 }
             }
         }
-        for (std::size_t from = 0; from < hostCount; ++from) {
-            for (std::size_t to = 0; to < hostCount; ++to) {
-                if (from != to) {
-                    this->hosts[to]->load.announce("host-" + std::to_string(from), this->hosts[from]->load.announcement(), 1000, this->now);
-                }
-            }
-        }
+        this->exchange();
     }
 
     [[nodiscard]] std::int64_t batch() const
@@ -170,6 +189,28 @@
     std::int64_t yielded = 0;
 
 private:
+    static constexpr int roundsOfARequest = 24;
+    static constexpr absl::Duration roundTime = absl::Milliseconds(30);
+    /** Rounds between two decisions of a host about its batch requests. */
+    static constexpr std::size_t batchPeriod = 4;
+
+    struct Placed {
+        std::size_t host;
+        std::string upstream;
+        absl::Time endsAt;
+    };
+
+    void exchange()
+    {
+        for (std::size_t from = 0; from < hostCount; ++from) {
+            for (std::size_t to = 0; to < hostCount; ++to) {
+                if (from != to) {
+                    this->hosts[to]->load.announce("host-" + std::to_string(from), this->hosts[from]->load.takeAnnouncement(true), this->now);
+                }
+            }
+        }
+    }
+
     [[nodiscard]] std::int64_t sum(std::int64_t ClassCounts::*member) const
     {
         std::int64_t total = 0;
@@ -181,18 +222,18 @@
         return total;
     }
 
-    void setOnline(int target)
+    /** Requests that have run for their time end, and as many arrive as keep @p target of them running. */
+    void replaceOnline(int target)
     {
-        for (; static_cast<int>(this->placed.size()) < target; ++this->nextHost) {
+        for (; !this->placed.empty() && this->placed.front().endsAt <= this->now; this->placed.pop_front()) {
+            this->hosts[this->placed.front().host]->load.remove(this->placed.front().upstream, false);
+        }
+        for (int arrival = 0; arrival < target / roundsOfARequest; ++arrival, ++this->nextHost) {
             View &host = *this->hosts[this->nextHost % hostCount];
             const UpstreamInfo *chosen = host.choice.forOnline("modelo", {}, this->now);
             ASSERT_NE(chosen, nullptr);
             host.load.add(chosen->id, false);
-            this->placed.emplace_back(this->nextHost % hostCount, chosen->id);
-        }
-        while (static_cast<int>(this->placed.size()) > target) {
-            this->hosts[this->placed.front().first]->load.remove(this->placed.front().second, false);
-            this->placed.pop_front();
+            this->placed.push_back({.host = this->nextHost % hostCount, .upstream = chosen->id, .endsAt = this->now + roundsOfARequest * roundTime});
         }
     }
 
@@ -210,8 +251,9 @@
 
     std::mt19937_64 random{7};
     std::array<std::unique_ptr<View>, hostCount> hosts;
-    std::deque<std::pair<std::size_t, std::string>> placed;
+    std::deque<Placed> placed;
     std::size_t nextHost = 0;
+    std::size_t rounds = 0;
     absl::Time now = start;
 };
 
@@ -220,7 +262,7 @@
 TEST(UpstreamChoiceTest, batchFillsTheRoomAndYieldsOnceInABurst)
 {
     SharedPool pool;
-    for (int round = 0; round < 25; ++round) {
+    for (int round = 0; round < 100; ++round) {
         pool.round(15);
     }
     // 96 slots, one left free at each of 12 upstreams, 15 taken by online requests.
@@ -228,7 +270,7 @@
     EXPECT_LE(pool.excess(), 4);
     const std::int64_t before = pool.batch();
     pool.yielded = 0;
-    for (int round = 0; round < 25; ++round) {
+    for (int round = 0; round < 100; ++round) {
         pool.round(72);
     }
     EXPECT_LE(pool.excess(), 4);
