Test the entry host over stand-ins of the platform on one event loop

The stand-ins speak the platform's protocol: an object store that can be busy, silent, compacted or lose answers, and upstreams that refuse, fail, cut streams or are silent. Found by them: timers of connections under way were cancelled in an event loop that had already destroyed its map of timers; the loop now releases callbacks first. Types that had the names of older ones are renamed.

--- a/apps/bergamotramp-entryd.cpp
+++ b/apps/bergamotramp-entryd.cpp
@@ -53,13 +53,15 @@
     asio::signal_set signals(loop.context(), SIGTERM, SIGINT, SIGHUP);
     PlatformLink platform = connectPlatform(loop, settings.storeAddress, metrics);
     if (settings.role == HostRole::Disk) {
-        DiskHost host(loop, settings, std::move(platform), log, metrics);
+        const DiskHost host(loop, settings, std::move(platform), log, metrics);
         handleSignals(
-            signals, [&host] { host.stop(); }, [] {});
+            signals, [&loop] { loop.stop(); }, [] {});
         loop.run();
+        log.write("stopped", {});
+        log.flush();
         return;
     }
-    EntryHost host(loop, settings, std::move(platform), log, metrics);
+    EntryHost host(loop, settings, std::move(platform), log, metrics, [&loop] { loop.stop(); });
     handleSignals(
         signals, [&host] { host.stop(); }, [&file, &log, &host] { reloadFrom(file, log, host); });
     loop.run();
--- a/src/DiskHost.cpp
+++ b/src/DiskHost.cpp
@@ -21,8 +21,8 @@
                                                   this->platform.emptyingKind,
                                                   KindWatcher::Pace{.watchWait = absl::Seconds(30), .coalesce = absl::ZeroDuration(), .retry = retryDelay},
                                                   KindWatcher::Hooks{.listed =
-                                                                         [this](const std::vector<StoredObject> &objects) {
-                                                                             for (const StoredObject &object : objects) {
+                                                                         [this](const std::vector<ObjectRecord> &objects) {
+                                                                             for (const ObjectRecord &object : objects) {
                                                                                  this->take(object);
                                                                              }
                                                                          },
@@ -40,7 +40,7 @@
     this->watcher->start();
 }
 
-void DiskHost::take(const StoredObject &object)
+void DiskHost::take(const ObjectRecord &object)
 {
     const nlohmann::json status = this->platform.encodeEmptying({.host = this->settings.name, .done = true});
     if (object.name != this->settings.name || object.status == status) {
@@ -56,11 +56,4 @@
     });
 }
 
-void DiskHost::stop()
-{
-    this->log.write("stopped", {});
-    this->log.flush();
-    this->loop.stop();
-}
-
 } // namespace Bergamotramp
--- a/src/DiskHost.h
+++ b/src/DiskHost.h
@@ -21,10 +21,8 @@
 public:
     DiskHost(EventLoop &loop, EntrySettings settings, PlatformLink platform, JsonLog &log, EntryMetrics &metrics);
 
-    void stop();
-
 private:
-    void take(const StoredObject &object);
+    void take(const ObjectRecord &object);
 
     EventLoop &loop;
     EntrySettings settings;
--- a/src/EntryHost.cpp
+++ b/src/EntryHost.cpp
@@ -62,29 +62,31 @@
     return {.dataCentre = settings.dataCentre, .region = settings.region, .regions = settings.regions};
 }
 
-nlohmann::json objectJson(const StoredObject &object)
+nlohmann::json objectJson(const ObjectRecord &object)
 {
     return {{"name", object.name}, {"revision", object.revision}, {"content", object.content}};
 }
 
-StoredObject objectFromJson(const nlohmann::json &json)
+ObjectRecord objectFromJson(const nlohmann::json &json)
 {
     return {.name = json.at("name"), .revision = json.at("revision"), .content = json.at("content"), .status = nullptr};
 }
 
 } // namespace
 
-EntryHost::EntryHost(EventLoop &loop, EntrySettings hostSettings, PlatformLink link, JsonLog &log, EntryMetrics &metrics)
+EntryHost::EntryHost(EventLoop &loop, EntrySettings hostSettings, PlatformLink link, JsonLog &log, EntryMetrics &metrics, std::function<void()> stopped)
     : loop(loop)
     , settings(std::move(hostSettings))
     , platform(std::move(link))
     , log(log)
     , metrics(metrics)
+    , stopped(std::move(stopped))
     , random(stableHash(this->settings.name) ^ startNumber())
     , choice(this->upstreams, this->load, this->health, placeOf(this->settings), [this] { return this->draw(); })
     , upstreamClient(loop, {.connectTimeout = upstreamConnectTimeout})
     , peerClient(loop, {.connectTimeout = peerConnectTimeout})
 {
+    this->startServers();
     const std::uint64_t incarnation = startNumber();
     const Peer self{.name = this->settings.name,
                     .region = this->settings.region,
@@ -93,16 +95,6 @@
                     .controlAddress = this->settings.controlAddress,
                     .peerAddress = this->settings.peerAddress,
                     .incarnation = incarnation};
-    const auto connections = static_cast<std::size_t>(this->settings.maxConnections);
-    this->entryServer = std::make_unique<HttpServer>(loop, this->settings.entryAddress, connections, [this](const auto &call) { this->onEntryRequest(call); });
-    this->readyServer =
-        std::make_unique<HttpServer>(loop, this->settings.readyAddress, controlConnections, [this](const auto &call) { this->onReadyRequest(call); });
-    this->directoryServer =
-        std::make_unique<HttpServer>(loop, this->settings.directoryAddress, connections, [this](const auto &call) { this->onDirectoryRequest(call); });
-    this->controlServer =
-        std::make_unique<HttpServer>(loop, this->settings.controlAddress, controlConnections, [this](const auto &call) { this->onControlRequest(call); });
-    this->metricsServer =
-        std::make_unique<HttpServer>(loop, this->settings.metricsAddress, controlConnections, [this](const auto &call) { this->onMetricsRequest(call); });
     this->exchange = std::make_unique<PeerExchange>(
         loop,
         self,
@@ -126,6 +118,7 @@
                    .config = [this] { return this->config; },
                    .runningHost = [this](const std::string &jobId, const std::string &owner) { return this->runningHost(jobId, owner); },
                    .storeUnanswered = [this] { this->storeLost("job call", StoreResult::Unanswered); }});
+    this->settings.peerAddress = this->exchange->address();
     this->startWatchers();
     this->meetPeers();
     this->tickTimer = this->loop.after(tickPeriod, [this] { this->tick(); });
@@ -133,6 +126,31 @@
 
 EntryHost::~EntryHost() = default;
 
+void EntryHost::startServers()
+{
+    const auto connections = static_cast<std::size_t>(this->settings.maxConnections);
+    this->entryServer =
+        std::make_unique<HttpServer>(this->loop, this->settings.entryAddress, connections, [this](const auto &call) { this->onEntryRequest(call); });
+    this->readyServer =
+        std::make_unique<HttpServer>(this->loop, this->settings.readyAddress, controlConnections, [this](const auto &call) { this->onReadyRequest(call); });
+    this->directoryServer =
+        std::make_unique<HttpServer>(this->loop, this->settings.directoryAddress, connections, [this](const auto &call) { this->onDirectoryRequest(call); });
+    this->controlServer =
+        std::make_unique<HttpServer>(this->loop, this->settings.controlAddress, controlConnections, [this](const auto &call) { this->onControlRequest(call); });
+    this->metricsServer =
+        std::make_unique<HttpServer>(this->loop, this->settings.metricsAddress, controlConnections, [this](const auto &call) { this->onMetricsRequest(call); });
+    this->settings.entryAddress = this->entryServer->address();
+    this->settings.readyAddress = this->readyServer->address();
+    this->settings.directoryAddress = this->directoryServer->address();
+    this->settings.controlAddress = this->controlServer->address();
+    this->settings.metricsAddress = this->metricsServer->address();
+}
+
+const EntrySettings &EntryHost::currentSettings() const
+{
+    return this->settings;
+}
+
 double EntryHost::draw()
 {
     return std::uniform_real_distribution<double>(0.0, 1.0)(this->random);
@@ -149,8 +167,8 @@
 void EntryHost::startWatchers()
 {
     KindWatcher::Hooks hooks = this->watchHooks(this->platform.configKind);
-    hooks.listed = [this](const std::vector<StoredObject> &objects) {
-        for (const StoredObject &object : objects) {
+    hooks.listed = [this](const std::vector<ObjectRecord> &objects) {
+        for (const ObjectRecord &object : objects) {
             this->takeConfig(object);
         }
     };
@@ -163,13 +181,13 @@
     this->configWatcher = std::make_unique<KindWatcher>(this->loop, *this->platform.store, this->platform.configKind, first, hooks);
 
     hooks = this->watchHooks(this->platform.upstreamKind);
-    hooks.listed = [this](const std::vector<StoredObject> &objects) { this->takeUpstreams(objects); };
+    hooks.listed = [this](const std::vector<ObjectRecord> &objects) { this->takeUpstreams(objects); };
     hooks.changed = [this](const ObjectChange &change) { this->changeUpstream(change); };
     const KindWatcher::Pace later{.watchWait = watchWait, .coalesce = absl::ZeroDuration(), .retry = laterRetry};
     this->upstreamWatcher = std::make_unique<KindWatcher>(this->loop, *this->platform.store, this->platform.upstreamKind, later, hooks);
 
     hooks = this->watchHooks(JobArchive::headerKind);
-    hooks.listed = [this](const std::vector<StoredObject> &objects) { this->jobs->setHeaders(objects); };
+    hooks.listed = [this](const std::vector<ObjectRecord> &objects) { this->jobs->setHeaders(objects); };
     hooks.changed = [this](const ObjectChange &change) { this->jobs->changeHeader(change); };
     const KindWatcher::Pace coalesced{.watchWait = watchWait, .coalesce = jobCoalesce, .retry = laterRetry};
     this->jobWatcher = std::make_unique<KindWatcher>(this->loop, *this->platform.store, JobArchive::headerKind, coalesced, hooks);
@@ -189,7 +207,7 @@
     this->platform.store->create(hostKind, name, {{"name", this->settings.name}, {"peerAddress", this->settings.peerAddress}}, [this](const ObjectReply &) {
         this->platform.store->list(hostKind, [this](const ListReply &reply) {
             this->log.write("hosts_listed", {{"ok", reply.result == StoreResult::Done}, {"hosts", static_cast<std::uint64_t>(reply.objects.size())}});
-            for (const StoredObject &object : reply.objects) {
+            for (const ObjectRecord &object : reply.objects) {
                 if (object.content.is_object()) {
                     this->exchange->introduce(object.content.value("peerAddress", this->settings.peerAddress));
                 }
@@ -227,7 +245,7 @@
     }
 }
 
-void EntryHost::takeConfig(const StoredObject &object)
+void EntryHost::takeConfig(const ObjectRecord &object)
 {
     if (object.name != this->platform.configName || (this->config && object.revision <= this->config->revision)) {
         return;
@@ -244,11 +262,11 @@
                     {{"revision", object.revision}, {"version", this->config->version}, {"routes", static_cast<std::uint64_t>(this->config->routes.size())}});
 }
 
-void EntryHost::takeUpstreams(const std::vector<StoredObject> &objects)
+void EntryHost::takeUpstreams(const std::vector<ObjectRecord> &objects)
 {
     std::vector<UpstreamInfo> decoded;
     this->upstreamObjects.clear();
-    for (const StoredObject &object : objects) {
+    for (const ObjectRecord &object : objects) {
         if (const auto upstream = this->platform.decodeUpstream(object)) {
             decoded.push_back(*upstream);
             this->upstreamObjects[object.name] = objectJson(object);
@@ -350,7 +368,7 @@
             this->takeConfig(objectFromJson(json.at("config")));
         }
         if (!this->upstreamsKnown) {
-            std::vector<StoredObject> objects;
+            std::vector<ObjectRecord> objects;
             for (const nlohmann::json &object : json.at("upstreams")) {
                 objects.push_back(objectFromJson(object));
             }
@@ -480,7 +498,7 @@
         request->respond(notRunResponse("stopping", "this host is stopping", absl::ZeroDuration()));
         return;
     }
-    JobSubmission submission;
+    SubmittedJob submission;
     try {
         submission = this->platform.serving.decodeSubmission(request->request());
     } catch (const JobFormatError &error) {
@@ -655,7 +673,7 @@
     if (served || since >= this->settings.stopGrace - stopMargin) {
         this->log.write("stopped", {{"calls", static_cast<std::uint64_t>(this->calls.size())}, {"afterMs", since}});
         this->log.flush();
-        this->loop.stop();
+        this->stopped();
         return;
     }
     this->stopTimer = this->loop.after(tickPeriod, [this] { this->checkStopped(); });
--- a/src/EntryHost.h
+++ b/src/EntryHost.h
@@ -31,18 +31,23 @@
 class EntryHost
 {
 public:
-    /** Binds the addresses and starts; throws std::runtime_error. */
-    EntryHost(EventLoop &loop, EntrySettings settings, PlatformLink platform, JsonLog &log, EntryMetrics &metrics);
+    /** Binds the addresses and starts; throws std::runtime_error. @p stopped is called when a planned stop has ended. */
+    EntryHost(EventLoop &loop, EntrySettings settings, PlatformLink platform, JsonLog &log, EntryMetrics &metrics, std::function<void()> stopped);
     ~EntryHost();
     EntryHost(const EntryHost &) = delete;
     EntryHost &operator=(const EntryHost &) = delete;
 
-    /** Begins a planned stop; the event loop is stopped when it has ended. */
+    /** Begins a planned stop. */
     void stop();
+    /** The settings in force, with the ports that were chosen. */
+    [[nodiscard]] const EntrySettings &currentSettings() const;
+    /** Whether callers are sent here. */
+    [[nodiscard]] bool ready() const;
     /** Takes settings that changed while the host runs. */
     void reload(const EntrySettings &changed);
 
 private:
+    void startServers();
     void startWatchers();
     void meetPeers();
     KindWatcher::Hooks watchHooks(const std::string &kind);
@@ -50,8 +55,8 @@
     void storeRegained();
     /** Restarts all watches, because one call showed that the store was lost. */
     void restartWatches();
-    void takeConfig(const StoredObject &object);
-    void takeUpstreams(const std::vector<StoredObject> &objects);
+    void takeConfig(const ObjectRecord &object);
+    void takeUpstreams(const std::vector<ObjectRecord> &objects);
     void changeUpstream(const ObjectChange &change);
     void heard(const Peer &peer);
     void askPeerForConfig(const Peer &peer);
@@ -73,7 +78,6 @@
 
     void tick();
     void checkStopped();
-    [[nodiscard]] bool ready() const;
     [[nodiscard]] std::vector<EntryPoint> readyEntries() const;
     [[nodiscard]] std::string runningHost(const std::string &jobId, const std::string &owner) const;
     [[nodiscard]] nlohmann::json snapshot() const;
@@ -84,6 +88,7 @@
     PlatformLink platform;
     JsonLog &log;
     EntryMetrics &metrics;
+    std::function<void()> stopped;
     std::mt19937_64 random;
 
     UpstreamTable upstreams;
--- a/src/EventLoop.cpp
+++ b/src/EventLoop.cpp
@@ -43,6 +43,13 @@
 {
 }
 
+EventLoop::~EventLoop()
+{
+    // Callbacks may hold sockets, which need the I/O context, and timers, which remove themselves from the map.
+    auto pending = std::exchange(this->timers, {});
+    pending.clear();
+}
+
 absl::Time EventLoop::now() const
 {
     return this->startTime + absl::FromChrono(std::chrono::steady_clock::now() - this->startSteady);
--- a/src/EventLoop.h
+++ b/src/EventLoop.h
@@ -38,6 +38,9 @@
 {
 public:
     EventLoop();
+    ~EventLoop();
+    EventLoop(const EventLoop &) = delete;
+    EventLoop &operator=(const EventLoop &) = delete;
 
     /** Time that never goes back within a process; close to the time of day at the start. */
     [[nodiscard]] absl::Time now() const;
@@ -58,11 +61,12 @@
     void arm();
     void runDue();
 
+    /** Destroyed after the I/O context, whose handlers cancel timers when they are destroyed. */
+    std::map<Key, std::function<void()>> timers;
     asio::io_context io{1};
     asio::steady_timer alarm;
     absl::Time startTime;
     std::chrono::steady_clock::time_point startSteady;
-    std::map<Key, std::function<void()>> timers;
     absl::Time armedFor = absl::InfiniteFuture();
     std::uint64_t nextId = 1;
 };
--- a/src/Job.cpp
+++ b/src/Job.cpp
@@ -20,24 +20,24 @@
 
 } // namespace
 
-Job::Job(JobHeader header, std::vector<JobItem> itemList) : jobHeader(std::move(header)), items(std::move(itemList)), states(items.size())
+Job::Job(JobRecord header, std::vector<BatchItem> itemList) : jobHeader(std::move(header)), items(std::move(itemList)), states(items.size())
 {
     for (std::size_t index = 0; index < this->items.size(); ++index) {
         this->indexes[this->items[index].id] = index;
     }
 }
 
-const JobHeader &Job::header() const
+const JobRecord &Job::header() const
 {
     return this->jobHeader;
 }
 
-const JobItem &Job::item(std::size_t index) const
+const BatchItem &Job::item(std::size_t index) const
 {
     return this->items[index];
 }
 
-const JobItem *Job::findItem(std::string_view id) const
+const BatchItem *Job::findItem(std::string_view id) const
 {
     const auto found = this->indexes.find(std::string(id));
     return found == this->indexes.end() ? nullptr : &this->items[found->second];
@@ -93,7 +93,7 @@
     return true;
 }
 
-void Job::ended(std::size_t index, ItemEnd end, int maxFailures, absl::Time now)
+void Job::ended(std::size_t index, RunEnd end, int maxFailures, absl::Time now)
 {
     ItemState &state = this->states[index];
     state.running = false;
@@ -101,20 +101,20 @@
         return;
     }
     switch (end) {
-    case ItemEnd::Completed:
+    case RunEnd::Completed:
         this->settle(index, true);
         break;
-    case ItemEnd::Impossible:
+    case RunEnd::Impossible:
         this->settle(index, false);
         break;
-    case ItemEnd::Failed:
+    case RunEnd::Failed:
         ++state.failures;
         state.notBefore = now + failurePause;
         if (state.failures >= maxFailures) {
             this->settle(index, false);
         }
         break;
-    case ItemEnd::Interrupted:
+    case RunEnd::Interrupted:
         ++state.interruptions;
         state.notBefore = now + interruptionPause(state.interruptions);
         break;
--- a/src/Job.h
+++ b/src/Job.h
@@ -15,7 +15,7 @@
 namespace Bergamotramp {
 
 /** How a run of an item ended. */
-enum class ItemEnd {
+enum class RunEnd {
     /** The whole output is there. */
     Completed,
     /** The upstream says that the item can never be done. */
@@ -30,11 +30,11 @@
 class Job
 {
 public:
-    Job(JobHeader header, std::vector<JobItem> items);
+    Job(JobRecord header, std::vector<BatchItem> items);
 
-    [[nodiscard]] const JobHeader &header() const;
-    [[nodiscard]] const JobItem &item(std::size_t index) const;
-    [[nodiscard]] const JobItem *findItem(std::string_view id) const;
+    [[nodiscard]] const JobRecord &header() const;
+    [[nodiscard]] const BatchItem &item(std::size_t index) const;
+    [[nodiscard]] const BatchItem *findItem(std::string_view id) const;
 
     /** An item that is due for a run, or nothing. Items that were interrupted come before new ones. */
     [[nodiscard]] std::optional<std::size_t> nextItem(absl::Time now) const;
@@ -44,7 +44,7 @@
     /** Takes one event; false when it doesn't follow the last one, so that the run has to end. */
     bool event(std::size_t index, std::optional<std::uint64_t> id, std::string_view data);
     /** Takes the end of a run. @p maxFailures failed runs give the item up. */
-    void ended(std::size_t index, ItemEnd end, int maxFailures, absl::Time now);
+    void ended(std::size_t index, RunEnd end, int maxFailures, absl::Time now);
     /** Gives up every item without a result. */
     void giveUpRest();
 
@@ -82,8 +82,8 @@
 
     void settle(std::size_t index, bool completed);
 
-    JobHeader jobHeader;
-    std::vector<JobItem> items;
+    JobRecord jobHeader;
+    std::vector<BatchItem> items;
     std::vector<ItemState> states;
     absl::flat_hash_map<std::string, std::size_t> indexes;
     std::vector<JobResult> storedList;
--- a/src/JobArchive.cpp
+++ b/src/JobArchive.cpp
@@ -16,7 +16,7 @@
     return absl::StrFormat("%s.%05d", jobId, number);
 }
 
-std::size_t jsonBytes(const JobItem &item)
+std::size_t jsonBytes(const BatchItem &item)
 {
     std::size_t bytes = itemOverheadBytes + item.body.size() * 4 / 3;
     for (const HttpField &field : item.fields.all()) {
@@ -25,12 +25,12 @@
     return bytes;
 }
 
-std::vector<nlohmann::json> splitItems(const std::vector<JobItem> &items)
+std::vector<nlohmann::json> splitItems(const std::vector<BatchItem> &items)
 {
     std::vector<nlohmann::json> parts;
-    std::vector<JobItem> part;
+    std::vector<BatchItem> part;
     std::size_t bytes = 0;
-    for (const JobItem &item : items) {
+    for (const BatchItem &item : items) {
         if (!part.empty() && bytes + jsonBytes(item) > JobArchive::maxObjectBytes) {
             parts.push_back(itemsToJson(part));
             part.clear();
@@ -49,7 +49,7 @@
 {
 }
 
-void JobArchive::writeItems(const JobSubmission &submission, std::function<void(StoreResult, std::size_t)> done)
+void JobArchive::writeItems(const SubmittedJob &submission, std::function<void(StoreResult, std::size_t)> done)
 {
     this->writePart(std::make_shared<std::vector<nlohmann::json>>(splitItems(submission.items)), submission.id, 0, std::move(done));
 }
@@ -72,7 +72,7 @@
     });
 }
 
-void JobArchive::writeHeader(const JobHeader &header, ObjectStore::ObjectHandler done)
+void JobArchive::writeHeader(const JobRecord &header, ObjectStore::ObjectHandler done)
 {
     this->store.create(headerKind, header.id, header.toJson(), std::move(done));
 }
@@ -82,15 +82,15 @@
     this->store.get(headerKind, jobId, std::move(done));
 }
 
-void JobArchive::readItems(const JobHeader &header, std::function<void(StoreResult, std::vector<JobItem>)> done)
+void JobArchive::readItems(const JobRecord &header, std::function<void(StoreResult, std::vector<BatchItem>)> done)
 {
-    this->readPart(header, 0, std::make_shared<std::vector<JobItem>>(), std::move(done));
+    this->readPart(header, 0, std::make_shared<std::vector<BatchItem>>(), std::move(done));
 }
 
-void JobArchive::readPart(const JobHeader &header,
+void JobArchive::readPart(const JobRecord &header,
                           std::size_t part,
-                          std::shared_ptr<std::vector<JobItem>> items,
-                          std::function<void(StoreResult, std::vector<JobItem>)> done)
+                          std::shared_ptr<std::vector<BatchItem>> items,
+                          std::function<void(StoreResult, std::vector<BatchItem>)> done)
 {
     if (part == header.inputParts) {
         done(StoreResult::Done, std::move(*items));
@@ -101,7 +101,7 @@
             done(reply.result, {});
             return;
         }
-        std::vector<JobItem> read = itemsFromJson(reply.object->content);
+        std::vector<BatchItem> read = itemsFromJson(reply.object->content);
         std::move(read.begin(), read.end(), std::back_inserter(*items));
         this->readPart(header, part + 1, items, done);
     });
@@ -137,7 +137,7 @@
     this->store.putStatus(headerKind, jobId, revision, progress.toJson(), std::move(done));
 }
 
-void JobArchive::remove(const JobHeader &header, std::uint64_t resultObjects)
+void JobArchive::remove(const JobRecord &header, std::uint64_t resultObjects)
 {
     const auto ignored = [](const ObjectReply &) {};
     // The header goes first: without it the rest is not reachable any more.
--- a/src/JobArchive.h
+++ b/src/JobArchive.h
@@ -25,11 +25,11 @@
     explicit JobArchive(ObjectStore &store);
 
     /** Writes the items of a job in as many objects as they need. Objects that exist are those of an earlier try. */
-    void writeItems(const JobSubmission &submission, std::function<void(StoreResult, std::size_t parts)> done);
+    void writeItems(const SubmittedJob &submission, std::function<void(StoreResult, std::size_t parts)> done);
     /** Makes the job accepted; Conflict means that it was already. */
-    void writeHeader(const JobHeader &header, ObjectStore::ObjectHandler done);
+    void writeHeader(const JobRecord &header, ObjectStore::ObjectHandler done);
     void readHeader(const std::string &jobId, ObjectStore::ObjectHandler done);
-    void readItems(const JobHeader &header, std::function<void(StoreResult, std::vector<JobItem>)> done);
+    void readItems(const JobRecord &header, std::function<void(StoreResult, std::vector<BatchItem>)> done);
     void readResults(const std::string &jobId, std::uint64_t number, std::function<void(StoreResult, std::vector<JobResult>)> done);
     /** Done with the given results, or with those that another host wrote at this number. */
     void appendResults(const std::string &jobId,
@@ -39,17 +39,17 @@
                        std::function<void(StoreResult, std::vector<JobResult>)> done);
     void writeProgress(const std::string &jobId, std::uint64_t revision, const JobProgress &progress, ObjectStore::ObjectHandler done);
     /** Removes all objects of a job; those that are missing are skipped. */
-    void remove(const JobHeader &header, std::uint64_t resultObjects);
+    void remove(const JobRecord &header, std::uint64_t resultObjects);
 
 private:
     void writePart(std::shared_ptr<std::vector<nlohmann::json>> parts,
                    const std::string &jobId,
                    std::size_t part,
                    std::function<void(StoreResult, std::size_t)> done);
-    void readPart(const JobHeader &header,
+    void readPart(const JobRecord &header,
                   std::size_t part,
-                  std::shared_ptr<std::vector<JobItem>> items,
-                  std::function<void(StoreResult, std::vector<JobItem>)> done);
+                  std::shared_ptr<std::vector<BatchItem>> items,
+                  std::function<void(StoreResult, std::vector<BatchItem>)> done);
 
     ObjectStore &store;
 };
--- a/src/JobService.cpp
+++ b/src/JobService.cpp
@@ -38,14 +38,14 @@
 
 JobService::~JobService() = default;
 
-JobService::Entry *JobService::adopt(const StoredObject &object)
+JobService::Entry *JobService::adopt(const ObjectRecord &object)
 {
     Entry &entry = this->entries[object.name];
     if (object.revision < entry.revision) {
         return &entry;
     }
     try {
-        entry.header = JobHeader::fromJson(object.name, object.content);
+        entry.header = JobRecord::fromJson(object.name, object.content);
     } catch (const JobFormatError &error) {
         this->context.log.write("job_unreadable", {{"job", object.name}, {"error", error.what()}});
         this->entries.erase(object.name);
@@ -62,9 +62,9 @@
     return &entry;
 }
 
-void JobService::setHeaders(const std::vector<StoredObject> &objects)
+void JobService::setHeaders(const std::vector<ObjectRecord> &objects)
 {
-    for (const StoredObject &object : objects) {
+    for (const ObjectRecord &object : objects) {
         this->adopt(object);
     }
 }
@@ -109,7 +109,7 @@
 }
 
 void JobService::submit(
-    const JobSubmission &submission, const Route &route, const std::string &host, absl::Time giveUpAt, std::function<void(SubmitResult)> done)
+    const SubmittedJob &submission, const Route &route, const std::string &host, absl::Time giveUpAt, std::function<void(SubmitResult)> done)
 {
     if (this->entries.contains(submission.id)) {
         done(SubmitResult::Accepted);
@@ -129,7 +129,7 @@
         });
         return;
     }
-    const JobHeader header{.id = submission.id,
+    const JobRecord header{.id = submission.id,
                            .host = host,
                            .pathPrefix = route.pathPrefix,
                            .owner = this->context.host,
@@ -139,7 +139,7 @@
     this->writeItems(submission, header, giveUpAt, std::move(done));
 }
 
-void JobService::writeItems(const JobSubmission &submission, JobHeader header, absl::Time giveUpAt, std::function<void(SubmitResult)> done)
+void JobService::writeItems(const SubmittedJob &submission, JobRecord header, absl::Time giveUpAt, std::function<void(SubmitResult)> done)
 {
     this->archive.writeItems(submission, [this, submission, header, giveUpAt, done = std::move(done)](StoreResult result, std::size_t parts) mutable {
         if (result == StoreResult::Done) {
@@ -158,7 +158,7 @@
 }
 
 void JobService::writeHeader(
-    const JobSubmission &submission, const JobHeader &header, bool unanswered, absl::Time giveUpAt, std::function<void(SubmitResult)> done)
+    const SubmittedJob &submission, const JobRecord &header, bool unanswered, absl::Time giveUpAt, std::function<void(SubmitResult)> done)
 {
     this->archive.writeHeader(header, [this, submission, header, unanswered, giveUpAt, done = std::move(done)](const ObjectReply &reply) {
         if (reply.result == StoreResult::Done) {
@@ -257,11 +257,11 @@
         return;
     }
     if (!withItems) {
-        entry.job = std::make_unique<Job>(entry.header, std::vector<JobItem>());
+        entry.job = std::make_unique<Job>(entry.header, std::vector<BatchItem>());
         this->loadResults(jobId);
         return;
     }
-    this->archive.readItems(entry.header, [this, jobId](StoreResult result, std::vector<JobItem> items) {
+    this->archive.readItems(entry.header, [this, jobId](StoreResult result, std::vector<BatchItem> items) {
         const auto found = this->entries.find(jobId);
         if (found == this->entries.end()) {
             return;
@@ -397,7 +397,7 @@
                 done(JobLookup::Unsure, {});
                 return;
             }
-            const JobItem *item = found->second.job->findItem(itemId);
+            const BatchItem *item = found->second.job->findItem(itemId);
             done(item == nullptr ? JobLookup::Missing : JobLookup::Found, item == nullptr ? std::string() : item->body);
         };
         if (entry->itemsLoaded) {
@@ -647,7 +647,7 @@
                                                                                 }});
     entry.job->started(*index);
     this->runs.push_back(run);
-    const JobItem &item = entry.job->item(*index);
+    const BatchItem &item = entry.job->item(*index);
     this->context.log.write("item_started",
                             {{"job", entry.header.id}, {"item", item.id}, {"upstream", upstream->id}, {"after", entry.job->lastEvent(*index).value_or(0)}});
     const AttemptTerms terms{.timeLeft = absl::InfiniteDuration(), .resumeAfter = entry.job->lastEvent(*index)};
@@ -660,24 +660,24 @@
 {
     const auto found = this->entries.find(run->jobId);
     if (found == this->entries.end() || !found->second.job || !found->second.job->event(run->item, event.id, event.data)) {
-        this->endRun(run, ItemEnd::Interrupted);
+        this->endRun(run, RunEnd::Interrupted);
     }
 }
 
 void JobService::onItemEnded(const std::shared_ptr<Run> &run, const AttemptResult &result)
 {
-    ItemEnd end = ItemEnd::Interrupted;
+    RunEnd end = RunEnd::Interrupted;
     if (result.head.status == impossibleStatus && result.end == AttemptEnd::Completed) {
-        end = ItemEnd::Impossible;
+        end = RunEnd::Impossible;
     } else if (result.end == AttemptEnd::Failed || (result.end == AttemptEnd::Completed && result.head.status / 100 != 2)) {
-        end = ItemEnd::Failed;
+        end = RunEnd::Failed;
     } else if (result.end == AttemptEnd::Completed) {
-        end = ItemEnd::Completed;
+        end = RunEnd::Completed;
     }
     this->endRun(run, end);
 }
 
-void JobService::endRun(const std::shared_ptr<Run> &run, ItemEnd end)
+void JobService::endRun(const std::shared_ptr<Run> &run, RunEnd end)
 {
     const absl::Time now = this->context.attempts.loop.now();
     const std::string upstream = run->attempt->upstream().id;
@@ -701,7 +701,7 @@
     const std::list<std::shared_ptr<Run>> current = this->runs;
     for (const auto &run : current) {
         if (run->jobId == jobId) {
-            this->endRun(run, ItemEnd::Interrupted);
+            this->endRun(run, RunEnd::Interrupted);
         }
     }
 }
@@ -724,7 +724,7 @@
             --left;
             this->yieldedAt[run->attempt->upstream().id] = now;
             this->context.metrics.batchYielded(run->service);
-            this->endRun(run, ItemEnd::Interrupted);
+            this->endRun(run, RunEnd::Interrupted);
         }
     }
 }
@@ -740,7 +740,7 @@
             if (now - this->context.attempts.health.lastHeard(upstream) > itemSilenceLimit) {
                 this->context.attempts.health.failed(upstream, now);
             }
-            this->endRun(run, ItemEnd::Interrupted);
+            this->endRun(run, RunEnd::Interrupted);
         }
     }
 }
@@ -764,7 +764,7 @@
     this->stopping = true;
     const std::list<std::shared_ptr<Run>> current = this->runs;
     for (const auto &run : current) {
-        this->endRun(run, ItemEnd::Interrupted);
+        this->endRun(run, RunEnd::Interrupted);
     }
 }
 
--- a/src/JobService.h
+++ b/src/JobService.h
@@ -65,7 +65,7 @@
     JobService(const JobService &) = delete;
     JobService &operator=(const JobService &) = delete;
 
-    void submit(const JobSubmission &submission, const Route &route, const std::string &host, absl::Time giveUpAt, std::function<void(SubmitResult)> done);
+    void submit(const SubmittedJob &submission, const Route &route, const std::string &host, absl::Time giveUpAt, std::function<void(SubmitResult)> done);
     /** The host that runs a job. */
     void locate(const std::string &jobId, std::function<void(JobLookup, const std::string &host)> done);
     /** Results from a position on; waits up to @p wait for one. */
@@ -74,7 +74,7 @@
     void cancel(const std::string &jobId, absl::Time giveUpAt, std::function<void(JobLookup)> done);
 
     /** Takes the complete list of job headers. */
-    void setHeaders(const std::vector<StoredObject> &objects);
+    void setHeaders(const std::vector<ObjectRecord> &objects);
     void changeHeader(const ObjectChange &change);
     /** Starts, stops and stores what is due; called several times a second. */
     void tick();
@@ -97,7 +97,7 @@
         LoopTimer timer;
     };
     struct Entry {
-        JobHeader header;
+        JobRecord header;
         JobProgress progress;
         std::uint64_t revision = 0;
         std::unique_ptr<Job> job;
@@ -116,11 +116,11 @@
     };
     using LookupHandler = std::function<void(JobLookup, Entry *)>;
 
-    Entry *adopt(const StoredObject &object);
+    Entry *adopt(const ObjectRecord &object);
     void lookUp(const std::string &jobId, LookupHandler done);
     [[nodiscard]] std::int64_t waitingTokens(const std::string &host, const std::string &pathPrefix) const;
-    void writeItems(const JobSubmission &submission, JobHeader header, absl::Time giveUpAt, std::function<void(SubmitResult)> done);
-    void writeHeader(const JobSubmission &submission, const JobHeader &header, bool unanswered, absl::Time giveUpAt, std::function<void(SubmitResult)> done);
+    void writeItems(const SubmittedJob &submission, JobRecord header, absl::Time giveUpAt, std::function<void(SubmitResult)> done);
+    void writeHeader(const SubmittedJob &submission, const JobRecord &header, bool unanswered, absl::Time giveUpAt, std::function<void(SubmitResult)> done);
     void load(Entry &entry, bool withItems, std::function<void(StoreResult)> done);
     void loadResults(const std::string &jobId);
     void loaded(const std::string &jobId, StoreResult result);
@@ -141,7 +141,7 @@
     bool startItem(Entry &entry, const RoutingConfig &config, absl::Time now);
     void onItemEvent(const std::shared_ptr<Run> &run, const StreamEvent &event);
     void onItemEnded(const std::shared_ptr<Run> &run, const AttemptResult &result);
-    void endRun(const std::shared_ptr<Run> &run, ItemEnd end);
+    void endRun(const std::shared_ptr<Run> &run, RunEnd end);
     void stopRuns(const std::string &jobId);
     void yieldToOnline(absl::Time now);
     void replaceSilent(absl::Time now);
--- a/src/JobTypes.cpp
+++ b/src/JobTypes.cpp
@@ -21,16 +21,16 @@
 
 } // namespace
 
-std::int64_t JobSubmission::tokens() const
+std::int64_t SubmittedJob::tokens() const
 {
     std::int64_t sum = 0;
-    for (const JobItem &item : this->items) {
+    for (const BatchItem &item : this->items) {
         sum += item.tokens;
     }
     return sum;
 }
 
-nlohmann::json JobHeader::toJson() const
+nlohmann::json JobRecord::toJson() const
 {
     return {{"host", this->host},
             {"pathPrefix", this->pathPrefix},
@@ -41,10 +41,10 @@
             {"inputParts", this->inputParts}};
 }
 
-JobHeader JobHeader::fromJson(const std::string &id, const nlohmann::json &json)
+JobRecord JobRecord::fromJson(const std::string &id, const nlohmann::json &json)
 {
-    return translated<JobHeader>([&] {
-        return JobHeader{.id = id,
+    return translated<JobRecord>([&] {
+        return JobRecord{.id = id,
                          .host = json.at("host"),
                          .pathPrefix = json.at("pathPrefix"),
                          .owner = json.at("owner"),
@@ -77,10 +77,10 @@
     return progress;
 }
 
-nlohmann::json itemsToJson(const std::vector<JobItem> &items)
+nlohmann::json itemsToJson(const std::vector<BatchItem> &items)
 {
     nlohmann::json list = nlohmann::json::array();
-    for (const JobItem &item : items) {
+    for (const BatchItem &item : items) {
         nlohmann::json fields = nlohmann::json::array();
         for (const HttpField &field : item.fields.all()) {
             fields.push_back({field.name, field.value});
@@ -90,12 +90,12 @@
     return {{"items", list}};
 }
 
-std::vector<JobItem> itemsFromJson(const nlohmann::json &json)
+std::vector<BatchItem> itemsFromJson(const nlohmann::json &json)
 {
-    return translated<std::vector<JobItem>>([&] {
-        std::vector<JobItem> items;
+    return translated<std::vector<BatchItem>>([&] {
+        std::vector<BatchItem> items;
         for (const nlohmann::json &entry : json.at("items")) {
-            JobItem item{.id = entry.at("id"), .path = entry.at("path"), .fields = {}, .body = {}, .tokens = entry.at("tokens")};
+            BatchItem item{.id = entry.at("id"), .path = entry.at("path"), .fields = {}, .body = {}, .tokens = entry.at("tokens")};
             for (const nlohmann::json &field : entry.at("fields")) {
                 item.fields.add(field.at(0), field.at(1));
             }
--- a/src/JobTypes.h
+++ b/src/JobTypes.h
@@ -22,7 +22,7 @@
 };
 
 /** One request of a job. */
-struct JobItem {
+struct BatchItem {
     std::string id;
     std::string path;
     HttpFields fields;
@@ -30,20 +30,20 @@
     /** Prompt tokens and the most output tokens, together. */
     std::int64_t tokens = 0;
 
-    bool operator==(const JobItem &) const = default;
+    bool operator==(const BatchItem &) const = default;
 };
 
 /** A job as its caller sent it. */
-struct JobSubmission {
+struct SubmittedJob {
     std::string id;
-    std::vector<JobItem> items;
+    std::vector<BatchItem> items;
 
     [[nodiscard]] std::int64_t tokens() const;
-    bool operator==(const JobSubmission &) const = default;
+    bool operator==(const SubmittedJob &) const = default;
 };
 
 /** What every host knows of a job; the content of its object in the store. */
-struct JobHeader {
+struct JobRecord {
     std::string id;
     std::string host;
     std::string pathPrefix;
@@ -57,8 +57,8 @@
 
     [[nodiscard]] nlohmann::json toJson() const;
     /** Throws JobFormatError. */
-    static JobHeader fromJson(const std::string &id, const nlohmann::json &json);
-    bool operator==(const JobHeader &) const = default;
+    static JobRecord fromJson(const std::string &id, const nlohmann::json &json);
+    bool operator==(const JobRecord &) const = default;
 };
 
 /** How far a job is; the status of its object in the store. */
@@ -96,9 +96,9 @@
     bool operator==(const JobPage &) const = default;
 };
 
-nlohmann::json itemsToJson(const std::vector<JobItem> &items);
+nlohmann::json itemsToJson(const std::vector<BatchItem> &items);
 /** Throws JobFormatError. */
-std::vector<JobItem> itemsFromJson(const nlohmann::json &json);
+std::vector<BatchItem> itemsFromJson(const nlohmann::json &json);
 /** One object of a job's chain of results, with the name of its writer. */
 nlohmann::json resultsToJson(const std::string &writer, const std::vector<JobResult> &results);
 /** Throws JobFormatError. */
--- a/src/KindWatcher.h
+++ b/src/KindWatcher.h
@@ -17,7 +17,7 @@
 public:
     struct Hooks {
         /** The complete list. */
-        std::function<void(const std::vector<StoredObject> &)> listed;
+        std::function<void(const std::vector<ObjectRecord> &)> listed;
         std::function<void(const ObjectChange &)> changed;
         /** A call failed; objects may be out of date from now on. */
         std::function<void(StoreResult)> lost;
--- a/src/ObjectStore.h
+++ b/src/ObjectStore.h
@@ -26,19 +26,19 @@
 };
 
 /** One object of the store. */
-struct StoredObject {
+struct ObjectRecord {
     std::string name;
     std::uint64_t revision = 0;
     nlohmann::json content;
     nlohmann::json status;
 
-    bool operator==(const StoredObject &) const = default;
+    bool operator==(const ObjectRecord &) const = default;
 };
 
 /** Answer to a call about one object; after a conflict with the object as it is. */
 struct ObjectReply {
     StoreResult result = StoreResult::Unavailable;
-    std::optional<StoredObject> object;
+    std::optional<ObjectRecord> object;
 
     bool operator==(const ObjectReply &) const = default;
 };
@@ -46,7 +46,7 @@
 /** All objects of a kind, at one revision of the store. */
 struct ListReply {
     StoreResult result = StoreResult::Unavailable;
-    std::vector<StoredObject> objects;
+    std::vector<ObjectRecord> objects;
     std::uint64_t revision = 0;
 
     bool operator==(const ListReply &) const = default;
@@ -55,7 +55,7 @@
 /** One change of a kind. */
 struct ObjectChange {
     bool removed = false;
-    StoredObject object;
+    ObjectRecord object;
 
     bool operator==(const ObjectChange &) const = default;
 };
--- a/src/PeerExchange.cpp
+++ b/src/PeerExchange.cpp
@@ -38,11 +38,18 @@
     if (error) {
         throw std::runtime_error("cannot bind " + this->self.peerAddress + " for datagrams: " + error.message());
     }
+    const asio::ip::udp::endpoint bound = this->socket.local_endpoint();
+    this->self.peerAddress = bound.address().to_string() + ":" + std::to_string(bound.port());
     this->socket.non_blocking(true, error);
     this->receive();
     this->timer = this->loop.after(fastestPeriod, [this] { this->tick(); });
 }
 
+const std::string &PeerExchange::address() const
+{
+    return this->self.peerAddress;
+}
+
 void PeerExchange::introduce(const std::string &peerAddress)
 {
     if (peerAddress != this->self.peerAddress) {
--- a/src/PeerExchange.h
+++ b/src/PeerExchange.h
@@ -41,6 +41,8 @@
     /** Binds @p self.peerAddress; throws std::runtime_error. */
     PeerExchange(EventLoop &loop, Peer self, PeerBoard &board, FleetLoad &load, CrashSuspects &suspects, Hooks hooks);
 
+    /** The bound address, with the port that was chosen. */
+    [[nodiscard]] const std::string &address() const;
     /** Announces this host to an address of another one. */
     void introduce(const std::string &peerAddress);
     /** Announces the present state to all hosts at once, for example before a stop. */
--- a/src/PlatformLink.h
+++ b/src/PlatformLink.h
@@ -40,8 +40,8 @@
     std::string upstreamKind;
     std::string emptyingKind;
     /** Nothing when the object can't be read. */
-    std::function<std::optional<RoutingConfig>(const StoredObject &)> decodeConfig;
-    std::function<std::optional<UpstreamInfo>(const StoredObject &)> decodeUpstream;
+    std::function<std::optional<RoutingConfig>(const ObjectRecord &)> decodeConfig;
+    std::function<std::optional<UpstreamInfo>(const ObjectRecord &)> decodeUpstream;
     std::function<nlohmann::json(const EmptyingState &)> encodeEmptying;
     /** Whether the request asks for addresses, and for which place. */
     std::function<std::optional<DirectoryQuery>(const HttpRequest &)> decodeDirectoryQuery;
--- a/src/ServingProtocol.h
+++ b/src/ServingProtocol.h
@@ -57,11 +57,11 @@
 struct ServingProtocol {
     std::function<CallerCall(const HttpRequest &)> decodeCall;
     /** Reads the items of a job; throws JobFormatError. */
-    std::function<JobSubmission(const HttpRequest &)> decodeSubmission;
+    std::function<SubmittedJob(const HttpRequest &)> decodeSubmission;
     std::function<HttpResponse(const JobPage &)> encodePage;
     /** The request as an upstream gets it. */
     std::function<HttpRequest(const HttpRequest &, const UpstreamInfo &, const AttemptTerms &)> prepareAttempt;
-    std::function<HttpRequest(const JobItem &, const std::string &host)> itemRequest;
+    std::function<HttpRequest(const BatchItem &, const std::string &host)> itemRequest;
     /** Whether the response is to the request with this id. */
     std::function<bool(const HttpHead &, const std::string &id)> belongs;
     /** Whether the response states that the request has not run. */
--- a/test/core/JobTest.cpp
+++ b/test/core/JobTest.cpp
@@ -13,7 +13,7 @@
 constexpr std::size_t anyBytes = 1'000'000;
 constexpr int maxFailures = 3;
 
-JobHeader header(std::size_t items)
+JobRecord header(std::size_t items)
 {
     return {.id = "job",
             .host = "host.example",
@@ -25,9 +25,9 @@
             .inputParts = 1};
 }
 
-std::vector<JobItem> items(std::size_t count)
+std::vector<BatchItem> items(std::size_t count)
 {
-    std::vector<JobItem> result;
+    std::vector<BatchItem> result;
     for (std::size_t index = 0; index < count; ++index) {
         result.push_back({.id = "item-" + std::to_string(index), .path = "/b/x", .fields = {}, .body = "body", .tokens = 10});
     }
@@ -38,7 +38,7 @@
 {
     job.started(index);
     job.event(index, 1, "text");
-    job.ended(index, ItemEnd::Completed, maxFailures, start);
+    job.ended(index, RunEnd::Completed, maxFailures, start);
 }
 
 // Guards against an output with an event missing, repeated, or joined from runs that do not follow each other.
@@ -49,11 +49,11 @@
     EXPECT_TRUE(job.event(0, 1, "one"));
     EXPECT_TRUE(job.event(0, 1, "again"));
     EXPECT_FALSE(job.event(0, 3, "three"));
-    job.ended(0, ItemEnd::Interrupted, maxFailures, start);
+    job.ended(0, RunEnd::Interrupted, maxFailures, start);
     EXPECT_EQ(job.lastEvent(0), 1U);
     job.started(0);
     EXPECT_TRUE(job.event(0, 2, "two"));
-    job.ended(0, ItemEnd::Completed, maxFailures, start);
+    job.ended(0, RunEnd::Completed, maxFailures, start);
     ASSERT_EQ(job.unstored(anyBytes).size(), 1U);
     EXPECT_EQ(job.unstored(anyBytes).front().output, "one\ntwo");
 }
@@ -65,10 +65,10 @@
     for (int failure = 1; failure <= maxFailures; ++failure) {
         EXPECT_FALSE(job.hasUnstored());
         job.started(0);
-        job.ended(0, ItemEnd::Failed, maxFailures, start);
+        job.ended(0, RunEnd::Failed, maxFailures, start);
     }
     job.started(1);
-    job.ended(1, ItemEnd::Impossible, maxFailures, start);
+    job.ended(1, RunEnd::Impossible, maxFailures, start);
     ASSERT_EQ(job.unstored(anyBytes).size(), 2U);
     EXPECT_FALSE(job.unstored(anyBytes)[0].completed);
     EXPECT_FALSE(job.nextItem(start + absl::Hours(1)));
@@ -82,7 +82,7 @@
     absl::Duration pause;
     for (int run = 0; run < 12; ++run) {
         job.started(0);
-        job.ended(0, ItemEnd::Interrupted, maxFailures, now);
+        job.ended(0, RunEnd::Interrupted, maxFailures, now);
         const absl::Time ended = now;
         while (!job.nextItem(now)) {
             now += absl::Milliseconds(10);
--- /dev/null
+++ b/test/standin/ObjectApi.h
@@ -0,0 +1,81 @@
+#pragma once
+
+#include <cstdint>
+#include <deque>
+#include <map>
+#include <memory>
+#include <set>
+#include <string>
+#include <vector>
+
+#include <nlohmann/json.hpp>
+
+#include "EventLoop.h"
+#include "HttpServer.h"
+
+namespace Bergamotramp {
+
+/** How the stand-in treats calls. */
+enum class ObjectApiMode {
+    Serving,
+    /** Takes requests and answers nothing, also to watches that wait already. */
+    Silent,
+    /** 503 to every call. */
+    Busy,
+    /** Carries out writes and then ends the connection. */
+    AnswersLost,
+};
+
+/** Stand-in for the platform's object store, on an event loop of the caller. */
+class ObjectApi
+{
+public:
+    explicit ObjectApi(EventLoop &loop, const std::string &address = "127.0.0.1:0");
+
+    [[nodiscard]] std::string address() const;
+    void setMode(ObjectApiMode mode);
+    /** Drops the history, so that watches from earlier revisions get 410. */
+    void compact();
+    /** Writes an object as the platform or its operator does. */
+    void write(const std::string &kind, const std::string &name, const nlohmann::json &spec);
+    void erase(const std::string &kind, const std::string &name);
+    /** The object with its metadata, or null. */
+    [[nodiscard]] nlohmann::json read(const std::string &kind, const std::string &name) const;
+    [[nodiscard]] std::vector<std::string> names(const std::string &kind) const;
+    [[nodiscard]] std::uint64_t calls() const;
+
+private:
+    struct Change {
+        std::uint64_t revision;
+        std::string kind;
+        bool removed;
+        nlohmann::json object;
+    };
+    struct Watch {
+        std::shared_ptr<HttpExchange> exchange;
+        std::string kind;
+        std::uint64_t since;
+        LoopTimer timer;
+    };
+
+    void handle(const std::shared_ptr<HttpExchange> &exchange);
+    void get(const std::shared_ptr<HttpExchange> &exchange, const std::string &kind, const std::string &name);
+    void write(const std::shared_ptr<HttpExchange> &exchange, const std::string &kind, const std::vector<std::string> &parts);
+    void watch(const std::shared_ptr<HttpExchange> &exchange, const std::string &kind, std::uint64_t since);
+    bool answerWatch(const Watch &watch);
+    void record(const std::string &kind, bool removed, const nlohmann::json &object);
+    void answer(const std::shared_ptr<HttpExchange> &exchange, int status, const nlohmann::json &body, bool write);
+
+    EventLoop &loop;
+    std::map<std::string, std::map<std::string, nlohmann::json>> kinds;
+    std::deque<Change> history;
+    std::set<std::shared_ptr<Watch>> watches;
+    std::vector<std::shared_ptr<HttpExchange>> unanswered;
+    ObjectApiMode mode = ObjectApiMode::Serving;
+    std::uint64_t revision = 1;
+    std::uint64_t compacted = 0;
+    std::uint64_t callCount = 0;
+    HttpServer server;
+};
+
+} // namespace Bergamotramp
--- /dev/null
+++ b/test/standin/StreamUpstream.cpp
@@ -0,0 +1,138 @@
+#include "StreamUpstream.h"
+
+#include <absl/strings/numbers.h>
+#include <absl/strings/str_cat.h>
+
+#include "CallRefusal.h"
+
+namespace Bergamotramp {
+
+namespace {
+
+constexpr std::size_t maxConnections = 1000;
+constexpr int eventsBeforeCut = 2;
+
+std::string text(const HttpRequest &request, std::string_view name)
+{
+    return std::string(request.fields.find(name).value_or(std::string_view()));
+}
+
+} // namespace
+
+StreamUpstream::StreamUpstream(EventLoop &loop, std::string id, int events, absl::Duration eventInterval, const std::string &address)
+    : loop(loop)
+    , upstreamId(std::move(id))
+    , events(events)
+    , eventInterval(eventInterval)
+    , server(loop, address, maxConnections, [this](const std::shared_ptr<HttpExchange> &exchange) { this->handle(exchange); })
+{
+}
+
+std::string StreamUpstream::address() const
+{
+    return this->server.address();
+}
+
+const std::string &StreamUpstream::id() const
+{
+    return this->upstreamId;
+}
+
+void StreamUpstream::setMode(UpstreamMode newMode)
+{
+    this->mode = newMode;
+}
+
+const std::map<std::string, int> &StreamUpstream::runs() const
+{
+    return this->runCounts;
+}
+
+std::size_t StreamUpstream::running() const
+{
+    return this->active.size();
+}
+
+std::string StreamUpstream::eventData(int number)
+{
+    return absl::StrCat("token-", number);
+}
+
+HttpFields StreamUpstream::answerFields(const HttpRequest &request) const
+{
+    return {{"X-Request-Id", text(request, "X-Request-Id")}, {"X-Response-Signature", absl::StrCat("by-", this->upstreamId)}};
+}
+
+void StreamUpstream::handle(const std::shared_ptr<HttpExchange> &exchange)
+{
+    const HttpRequest &request = exchange->request();
+    if (text(request, "X-Expect-Instance") != this->upstreamId) {
+        exchange->respond({.head = {.status = 421, .fields = {{"X-Instance-Id", this->upstreamId}}}, .body = {}});
+        return;
+    }
+    if (this->mode == UpstreamMode::Full) {
+        exchange->respond({.head = {.status = 503, .fields = {{"X-Not-Executed", "1"}}}, .body = {}});
+        return;
+    }
+    ++this->runCounts[text(request, "X-Request-Id")];
+    if (this->mode == UpstreamMode::Failing || this->mode == UpstreamMode::Impossible) {
+        exchange->respond({.head = {.status = this->mode == UpstreamMode::Failing ? 500 : 422, .fields = this->answerFields(request)}, .body = "failed"});
+        return;
+    }
+    if (this->mode == UpstreamMode::AnswersLost) {
+        exchange->abort();
+        return;
+    }
+    const auto run = std::make_shared<Run>(Run{.exchange = exchange, .next = 1, .timer = {}});
+    int last = 0;
+    if (absl::SimpleAtoi(text(request, "Last-Event-Id"), &last)) {
+        run->next = last + 1;
+    }
+    this->active.insert(run);
+    exchange->onCallerLeft([this, weak = std::weak_ptr<Run>(run)] {
+        if (const auto left = weak.lock()) {
+            this->active.erase(left);
+        }
+    });
+    if (this->mode == UpstreamMode::Silent) {
+        return;
+    }
+    run->timer = this->loop.after(this->eventInterval, [this, weak = std::weak_ptr<Run>(run)] {
+        if (const auto due = weak.lock()) {
+            this->sendNext(due);
+        }
+    });
+}
+
+void StreamUpstream::sendNext(const std::shared_ptr<Run> &run)
+{
+    if (this->events == 0) {
+        this->active.erase(run);
+        run->exchange->respond({.head = {.status = 200, .fields = this->answerFields(run->exchange->request())}, .body = "plain answer"});
+        return;
+    }
+    if (!run->exchange->started()) {
+        HttpFields fields = this->answerFields(run->exchange->request());
+        fields.add("Content-Type", "text/event-stream");
+        run->exchange->startBody({.status = 200, .fields = fields});
+    }
+    if (this->mode == UpstreamMode::CutsStreams && run->next > eventsBeforeCut) {
+        run->exchange->sendBody(absl::StrCat("id: ", run->next, "\ndata: tok"));
+        this->active.erase(run);
+        run->exchange->abort();
+        return;
+    }
+    run->exchange->sendBody(absl::StrCat("id: ", run->next, "\ndata: ", eventData(run->next), "\n\n"));
+    if (++run->next > this->events) {
+        this->active.erase(run);
+        run->exchange->finishBody();
+        return;
+    }
+    run->timer = this->loop.after(this->eventInterval, [this, weak = std::weak_ptr<Run>(run)] {
+        if (const auto due = weak.lock()) {
+            this->sendNext(due);
+        }
+    });
+}
+
+} // namespace Bergamotramp
