Bound what announcements and watches cost in large fleets

Watches now take more changes in one call the more hosts there are, a host whose call the store leaves unanswered tells the others, so that the configuration's watch may wait longer, and only hosts of the same data centre hear of loads every 25 ms.

--- a/src/EntryHost.cpp
+++ b/src/EntryHost.cpp
@@ -16,12 +16,18 @@
 // The store is asked for the configuration first after an outage; the other kinds follow at once when it answers.
 constexpr absl::Duration firstRetry = absl::Milliseconds(350);
 constexpr absl::Duration laterRetry = absl::Seconds(3);
-// Jobs have seconds until a cancel has to be known, and their progress changes often.
+// Jobs have seconds until a cancel has to be known, and their headers change often. Each change is fetched by every host, so
+// that large fleets take more changes in one call.
 constexpr absl::Duration jobCoalesce = absl::Milliseconds(500);
+constexpr absl::Duration longestJobCoalesce = absl::Milliseconds(1500);
 constexpr absl::Duration watchWait = absl::Seconds(25);
 // A store that goes silent forgets the watches that wait. The watch of the configuration is repeated more often than the
-// others; its failure restarts them all.
+// others; its failure restarts them all, here and at the other hosts.
 constexpr absl::Duration configWatchWait = absl::Seconds(5);
+constexpr std::size_t hostsOfShortPace = 8;
+constexpr absl::Duration storeSilenceNotice = absl::Seconds(2);
+// A notice from another host is not followed again within this time, because the store may be silent for that host only.
+constexpr absl::Duration storeNoticeInterval = absl::Seconds(6);
 constexpr absl::Duration upstreamConnectTimeout = absl::Milliseconds(300);
 constexpr absl::Duration peerConnectTimeout = absl::Milliseconds(200);
 // For the answer of another host beyond the time that it may wait by request.
@@ -95,16 +101,20 @@
                     .controlAddress = this->settings.controlAddress,
                     .peerAddress = this->settings.peerAddress,
                     .incarnation = incarnation};
-    this->exchange = std::make_unique<PeerExchange>(
-        loop,
-        self,
-        this->peers,
-        this->load,
-        this->suspects,
-        PeerExchange::Hooks{
-            .ownState =
-                [this] { return OwnState{.ready = this->ready(), .leaving = this->stopping, .configRevision = this->config ? this->config->revision : 0}; },
-            .heard = [this](const Peer &peer) { this->heard(peer); }});
+    this->exchange =
+        std::make_unique<PeerExchange>(loop,
+                                       self,
+                                       this->peers,
+                                       this->load,
+                                       this->suspects,
+                                       PeerExchange::Hooks{.ownState =
+                                                               [this] {
+                                                                   return OwnState{.ready = this->ready(),
+                                                                                   .leaving = this->stopping,
+                                                                                   .configRevision = this->config ? this->config->revision : 0,
+                                                                                   .storeSilent = this->loop.now() < this->storeSilentAt + storeSilenceNotice};
+                                                               },
+                                                           .heard = [this](const Peer &peer) { this->heard(peer); }});
     const AttemptContext attempts{.loop = loop, .client = this->upstreamClient, .load = this->load, .health = this->health, .protocol = this->platform.serving};
     this->jobs = std::make_unique<JobService>(
         JobContext{.attempts = attempts,
@@ -218,6 +228,9 @@
 
 void EntryHost::storeLost(const std::string &kind, StoreResult result)
 {
+    if (result == StoreResult::Unanswered) {
+        this->storeSilentAt = this->loop.now();
+    }
     if (this->storeAvailable) {
         this->storeAvailable = false;
         this->upstreams.registryLost(this->loop.now());
@@ -311,6 +324,18 @@
     if (peer.configRevision > own) {
         this->askPeerForConfig(peer);
     }
+    if (peer.storeSilent && this->storeAvailable && this->loop.now() > this->storeNoticeAt + storeNoticeInterval) {
+        this->storeNoticeAt = this->loop.now();
+        this->log.write("store_silent_elsewhere", {{"peer", peer.name}});
+        this->restartWatches();
+    }
+}
+
+void EntryHost::adaptPace()
+{
+    const double scale = std::max(1.0, static_cast<double>(this->peers.size()) / static_cast<double>(hostsOfShortPace));
+    this->configWatcher->setPace({.watchWait = std::min(watchWait, configWatchWait * scale), .coalesce = absl::ZeroDuration(), .retry = firstRetry});
+    this->jobWatcher->setPace({.watchWait = watchWait, .coalesce = std::min(longestJobCoalesce, jobCoalesce * scale), .retry = laterRetry});
 }
 
 void EntryHost::callPeer(const Peer &peer, const HttpRequest &request, absl::Duration timeout, std::function<void(const std::optional<HttpResponse> &)> done)
@@ -631,6 +656,7 @@
     this->tickTimer = this->loop.after(tickPeriod, [this] { this->tick(); });
     const absl::Time now = this->loop.now();
     this->upstreams.expire(now);
+    this->adaptPace();
     const std::set<std::shared_ptr<OnlineCall>> current = this->calls;
     for (const auto &call : current) {
         call->checkProgress(now);
--- a/src/EntryHost.h
+++ b/src/EntryHost.h
@@ -59,6 +59,7 @@
     void takeUpstreams(const std::vector<ObjectRecord> &objects);
     void changeUpstream(const ObjectChange &change);
     void heard(const Peer &peer);
+    void adaptPace();
     void askPeerForConfig(const Peer &peer);
     void callPeer(const Peer &peer, const HttpRequest &request, absl::Duration timeout, std::function<void(const std::optional<HttpResponse> &)> done);
     void takeSnapshot(const std::string &body);
@@ -102,6 +103,8 @@
     std::map<std::string, nlohmann::json> upstreamObjects;
     bool upstreamsKnown = false;
     bool storeAvailable = true;
+    absl::Time storeSilentAt = absl::InfinitePast();
+    absl::Time storeNoticeAt = absl::InfinitePast();
 
     HttpClient upstreamClient;
     HttpClient peerClient;
--- a/src/JobService.cpp
+++ b/src/JobService.cpp
@@ -11,13 +11,13 @@
 // A host that starts knows no other hosts yet, and takes over their jobs no sooner than this.
 constexpr absl::Duration takeoverDelay = absl::Seconds(3);
 // The former runner learns of a takeover by its watch of the store within this time, and then no longer answers from memory.
-constexpr absl::Duration takeoverNotice = absl::Milliseconds(1200);
+constexpr absl::Duration takeoverNotice = absl::Milliseconds(2200);
 constexpr absl::Duration storeRetryDelay = absl::Milliseconds(300);
 // Only the limit on waiting tokens needs the progress of open jobs; far below the limit the end of a job is enough.
 constexpr absl::Duration progressPeriod = absl::Seconds(1);
 constexpr double progressShareOfLimit = 0.4;
 // Results that end soon after one another take one call to the store.
-constexpr absl::Duration appendDelay = absl::Milliseconds(700);
+constexpr absl::Duration appendDelay = absl::Seconds(1);
 constexpr absl::Duration viewPollDelay = absl::Milliseconds(400);
 // What the other hosts started or took away is known only after their next announcement, so that decisions which rest on
 // the whole fleet's load are no more frequent than those.
--- a/src/KindWatcher.cpp
+++ b/src/KindWatcher.cpp
@@ -12,6 +12,11 @@
     this->list();
 }
 
+void KindWatcher::setPace(const Pace &changed)
+{
+    this->pace = changed;
+}
+
 void KindWatcher::list()
 {
     this->waitingToRetry = false;
--- a/src/KindWatcher.h
+++ b/src/KindWatcher.h
@@ -40,6 +40,8 @@
     KindWatcher(EventLoop &loop, ObjectStore &store, std::string kind, const Pace &pace, Hooks hooks);
 
     void start();
+    /** Changes the pauses of the calls that follow. */
+    void setPace(const Pace &changed);
     /** Repeats a failed call now. */
     void retryNow();
     /** Gives up a watch that waits, because the store was lost meanwhile and may have forgotten it. */
--- a/src/PeerBoard.cpp
+++ b/src/PeerBoard.cpp
@@ -70,6 +70,11 @@
     return result;
 }
 
+std::size_t PeerBoard::size() const
+{
+    return this->peers.size();
+}
+
 std::vector<std::string> entryAddresses(const std::vector<EntryPoint> &ready, std::string_view region, std::string_view dataCentre)
 {
     std::vector<std::string> addresses = select(ready, &EntryPoint::dataCentre, dataCentre);
--- a/src/PeerBoard.h
+++ b/src/PeerBoard.h
@@ -25,6 +25,8 @@
     bool ready = false;
     bool leaving = false;
     std::uint64_t configRevision = 0;
+    /** The store has left a call of the host unanswered a moment ago. */
+    bool storeSilent = false;
     absl::Time lastHeard = absl::InfinitePast();
 
     bool operator==(const Peer &) const = default;
@@ -48,6 +50,7 @@
     /** Live hosts. */
     [[nodiscard]] std::vector<Peer> liveHosts(absl::Time now) const;
     [[nodiscard]] std::vector<Peer> all() const;
+    [[nodiscard]] std::size_t size() const;
 
 private:
     std::map<std::string, Peer, std::less<>> peers;
--- a/src/PeerExchange.cpp
+++ b/src/PeerExchange.cpp
@@ -10,10 +10,11 @@
 
 namespace {
 
-// Loads that changed are announced this often; fleets of more hosts announce less often, so that what a host receives
-// stays bounded.
-constexpr absl::Duration fastestPeriod = absl::Milliseconds(25);
-constexpr absl::Duration periodPerPeer = absl::Milliseconds(4);
+// Loads that changed are announced this often to the near hosts: those of the same data centre, or all of a small fleet.
+constexpr absl::Duration nearPeriod = absl::Milliseconds(25);
+constexpr std::size_t smallFleet = 12;
+// The other hosts hear of them less often the more hosts there are, so that what a host receives stays bounded.
+constexpr absl::Duration farPeriodPerPeer = absl::Milliseconds(4);
 // All state is announced this often, to replace what was lost and for the other hosts to see that this one lives.
 constexpr absl::Duration completePeriod = absl::Milliseconds(500);
 constexpr absl::Duration identityPeriod = absl::Seconds(1);
@@ -42,7 +43,7 @@
     this->self.peerAddress = bound.address().to_string() + ":" + std::to_string(bound.port());
     this->socket.non_blocking(true, error);
     this->receive();
-    this->timer = this->loop.after(fastestPeriod, [this] { this->tick(); });
+    this->timer = this->loop.after(nearPeriod, [this] { this->tick(); });
 }
 
 const std::string &PeerExchange::address() const
@@ -60,20 +61,30 @@
 void PeerExchange::tick()
 {
     const absl::Time now = this->loop.now();
-    const auto peers = static_cast<std::int64_t>(this->board.all().size());
-    const absl::Duration period = std::max(fastestPeriod, periodPerPeer * peers);
-    this->timer = this->loop.after(period, [this] { this->tick(); });
+    this->timer = this->loop.after(nearPeriod, [this] { this->tick(); });
     this->board.forgetSilent(now);
+    const auto everyone = [](const Peer &) { return true; };
     const bool identityDue = now >= this->lastIdentity + identityPeriod;
-    const bool completeDue = identityDue || now >= this->lastComplete + completePeriod;
-    if (completeDue || this->load.changed()) {
-        this->announce(completeDue, identityDue);
+    if (identityDue || now >= this->lastComplete + completePeriod) {
+        this->announce(true, identityDue, everyone);
+        return;
+    }
+    const absl::Duration farPeriod = farPeriodPerPeer * static_cast<std::int64_t>(this->board.size());
+    if (this->board.size() > smallFleet && now >= this->lastFar + farPeriod) {
+        this->announce(true, false, everyone);
+    } else if (this->load.changed()) {
+        this->announce(false, false, [this](const Peer &peer) { return this->near(peer); });
     }
 }
 
+bool PeerExchange::near(const Peer &peer) const
+{
+    return this->board.size() <= smallFleet || peer.dataCentre == this->self.dataCentre;
+}
+
 void PeerExchange::announceNow()
 {
-    this->announce(true, true);
+    this->announce(true, true, [](const Peer &) { return true; });
 }
 
 void PeerExchange::announceCrashes(const std::vector<std::pair<std::uint64_t, std::uint32_t>> &counts)
@@ -85,20 +96,21 @@
     this->crashesUntil = this->loop.now() + crashAnnouncementTime;
 }
 
-void PeerExchange::announce(bool complete, bool withIdentity)
+void PeerExchange::announce(bool complete, bool withIdentity, const std::function<bool(const Peer &)> &receiver)
 {
     const absl::Time now = this->loop.now();
     if (complete) {
         this->lastComplete = now;
+        this->lastFar = now;
     }
-    const std::string bytes = this->encode(complete, withIdentity);
+    const std::string bytes = this->encode(this->load.takeAnnouncement(complete), withIdentity);
     if (bytes.size() > maxDatagramBytes) {
         return;
     }
     boost::system::error_code ignored;
     for (const Peer &peer : this->board.all()) {
         // A silent host gets identities only, in case it comes back at the same address.
-        if (withIdentity || this->board.live(peer.name, now)) {
+        if (withIdentity || (this->board.live(peer.name, now) && receiver(peer))) {
             this->socket.send_to(asio::buffer(bytes), udpEndpoint(peer.peerAddress), 0, ignored);
         }
         this->introductions.erase(peer.peerAddress);
@@ -111,7 +123,7 @@
     }
 }
 
-std::string PeerExchange::encode(bool complete, bool withIdentity)
+std::string PeerExchange::encode(const LoadAnnouncement &announcement, bool withIdentity)
 {
     const OwnState state = this->hooks.ownState();
     peer::HostState message;
@@ -121,7 +133,7 @@
     message.set_ready(state.ready);
     message.set_leaving(state.leaving);
     message.set_config_revision(state.configRevision);
-    const LoadAnnouncement announcement = this->load.takeAnnouncement(complete);
+    message.set_store_silent(state.storeSilent);
     message.set_complete(announcement.complete);
     message.set_batch_waiting(static_cast<std::uint32_t>(announcement.batchWaiting));
     for (const UpstreamUse &use : announcement.uses) {
@@ -204,6 +216,7 @@
     heard.ready = message.ready();
     heard.leaving = message.leaving();
     heard.configRevision = message.config_revision();
+    heard.storeSilent = message.store_silent();
     heard.lastHeard = now;
     if (!this->board.update(heard)) {
         return;
--- a/src/PeerExchange.h
+++ b/src/PeerExchange.h
@@ -22,6 +22,7 @@
     bool ready = false;
     bool leaving = false;
     std::uint64_t configRevision = 0;
+    bool storeSilent = false;
 
     bool operator==(const OwnState &) const = default;
 };
@@ -52,8 +53,10 @@
 
 private:
     void tick();
-    void announce(bool complete, bool withIdentity);
-    [[nodiscard]] std::string encode(bool complete, bool withIdentity);
+    /** Sends to the hosts that @p receiver accepts. */
+    void announce(bool complete, bool withIdentity, const std::function<bool(const Peer &)> &receiver);
+    [[nodiscard]] std::string encode(const LoadAnnouncement &announcement, bool withIdentity);
+    [[nodiscard]] bool near(const Peer &peer) const;
     void receive();
     void take(const std::string &bytes, const std::string &sender);
 
@@ -70,6 +73,7 @@
     std::vector<std::pair<std::uint64_t, std::uint32_t>> crashes;
     absl::Time crashesUntil = absl::InfinitePast();
     absl::Time lastComplete = absl::InfinitePast();
+    absl::Time lastFar = absl::InfinitePast();
     absl::Time lastIdentity = absl::InfinitePast();
     LoopTimer timer;
 };
