Keep vanished upstreams as the last resort and weigh far loads by their age

An upstream that vanished now takes requests for two seconds if its service has no other one. Cause 2: in large fleets the loads of other data centres are 220 ms old, so that hosts there crowded the same upstreams. They cost more the older they are, and batch items stay in their data centre unless they are urgent.

--- a/src/EntryHost.cpp
+++ b/src/EntryHost.cpp
@@ -333,6 +333,7 @@
 
 void EntryHost::adaptPace()
 {
+    this->choice.setFarLoadAge(this->exchange->farLoadAge());
     const double scale = std::max(1.0, static_cast<double>(this->peers.size()) / static_cast<double>(hostsOfShortPace));
     this->configWatcher->setPace({.watchWait = std::min(watchWait, configWatchWait * scale), .coalesce = absl::ZeroDuration(), .retry = firstRetry});
     this->jobWatcher->setPace({.watchWait = watchWait, .coalesce = std::min(longestJobCoalesce, jobCoalesce * scale), .retry = laterRetry});
--- a/src/FleetLoad.h
+++ b/src/FleetLoad.h
@@ -36,6 +36,8 @@
     std::vector<UpstreamUse> uses;
     /** Batch items that wait for room. */
     std::int64_t batchWaiting = 0;
+    /** Whether the host competes with this one for the same upstreams. */
+    bool near = true;
 
     bool operator==(const LoadAnnouncement &) const = default;
 };
@@ -60,9 +62,9 @@
     [[nodiscard]] ClassCounts total(std::string_view upstreamId, absl::Time now) const;
     /** This host's announcement with all counts, or with those that have changed since the last call. */
     [[nodiscard]] LoadAnnouncement takeAnnouncement(bool complete);
-    /** Batch items that wait for room, at this host and at all. */
+    /** Batch items that wait for room, at this host and at it and the near ones together. */
     void setOwnBatchWaiting(std::int64_t items);
-    [[nodiscard]] std::int64_t totalBatchWaiting(absl::Time now) const;
+    [[nodiscard]] std::int64_t nearBatchWaiting(absl::Time now) const;
     [[nodiscard]] std::int64_t ownBatchWaiting() const;
     /** Whether a count has changed since the last announcement. */
     [[nodiscard]] bool changed() const;
@@ -71,6 +73,7 @@
     struct HostLoad {
         absl::flat_hash_map<std::uint32_t, ClassCounts> uses;
         std::int64_t batchWaiting = 0;
+        bool near = true;
         absl::Time received;
     };
 
--- a/src/JobService.cpp
+++ b/src/JobService.cpp
@@ -19,9 +19,11 @@
 // Results that end soon after one another take one call to the store.
 constexpr absl::Duration appendDelay = absl::Seconds(1);
 constexpr absl::Duration viewPollDelay = absl::Milliseconds(400);
-// What the other hosts started or took away is known only after their next announcement, so that decisions which rest on
-// the whole fleet's load are no more frequent than those.
+// What the near hosts started or took away is known after their next announcement; it crosses the link between regions and
+// waits for the receiver's next decision.
 constexpr absl::Duration loadNoticeTime = absl::Milliseconds(120);
+// Share of the time until a job is due after which its items also run far from their host.
+constexpr double urgentShareOfDue = 0.5;
 // An upstream sends an event every few tens of milliseconds.
 constexpr absl::Duration itemSilenceLimit = absl::Milliseconds(900);
 constexpr absl::Duration firstEventLimit = absl::Seconds(2);
@@ -597,6 +599,7 @@
         }
     }
     this->context.attempts.load.setOwnBatchWaiting(waiting);
+    // Decisions that rest on the whole fleet's load are no more frequent than the announcements that show their effect.
     if (now < this->nextRound) {
         return 0;
     }
@@ -617,7 +620,8 @@
         return false;
     }
     const std::string service = chooseTarget(*route, static_cast<double>(*index % 100) / 100.0);
-    const UpstreamInfo *upstream = this->context.choice.forBatch(service, {}, now);
+    const bool urgent = now > entry.header.submitted + route->jobDue * urgentShareOfDue;
+    const UpstreamInfo *upstream = this->context.choice.forBatch(service, urgent ? BatchReach::All : BatchReach::Near, now);
     if (upstream == nullptr) {
         return false;
     }
--- a/src/PeerExchange.cpp
+++ b/src/PeerExchange.cpp
@@ -51,6 +51,11 @@
     return this->self.peerAddress;
 }
 
+absl::Duration PeerExchange::farLoadAge() const
+{
+    return this->board.size() <= smallFleet ? absl::ZeroDuration() : farPeriodPerPeer * static_cast<std::int64_t>(this->board.size());
+}
+
 void PeerExchange::introduce(const std::string &peerAddress)
 {
     if (peerAddress != this->self.peerAddress) {
@@ -69,8 +74,7 @@
         this->announce(true, identityDue, everyone);
         return;
     }
-    const absl::Duration farPeriod = farPeriodPerPeer * static_cast<std::int64_t>(this->board.size());
-    if (this->board.size() > smallFleet && now >= this->lastFar + farPeriod) {
+    if (this->board.size() > smallFleet && now >= this->lastFar + this->farLoadAge()) {
         this->announce(true, false, everyone);
     } else if (this->load.changed()) {
         this->announce(false, false, [this](const Peer &peer) { return this->near(peer); });
@@ -221,7 +225,7 @@
     if (!this->board.update(heard)) {
         return;
     }
-    LoadAnnouncement announcement{.complete = message.complete(), .uses = {}, .batchWaiting = message.batch_waiting()};
+    LoadAnnouncement announcement{.complete = message.complete(), .uses = {}, .batchWaiting = message.batch_waiting(), .near = this->near(heard)};
     for (const peer::UpstreamUse &use : message.uses()) {
         announcement.uses.push_back({.upstream = use.upstream(), .counts = {.online = use.online(), .batch = use.batch()}});
     }
--- a/src/PeerExchange.h
+++ b/src/PeerExchange.h
@@ -44,6 +44,8 @@
 
     /** The bound address, with the port that was chosen. */
     [[nodiscard]] const std::string &address() const;
+    /** Age that the known loads of other data centres may have, beyond those of the near hosts. */
+    [[nodiscard]] absl::Duration farLoadAge() const;
     /** Announces this host to an address of another one. */
     void introduce(const std::string &peerAddress);
     /** Announces the present state to all hosts at once, for example before a stop. */
--- a/src/UpstreamChoice.cpp
+++ b/src/UpstreamChoice.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <cmath>
+#include <iterator>
 #include <limits>
 
 namespace Bergamotramp {
@@ -15,6 +16,8 @@
 // Between regions a round trip adds 24 ms and the link is narrow; between data centres only bytes are charged.
 constexpr double otherDataCentreCost = 0.04;
 constexpr double otherRegionCost = 0.2;
+// A load may have grown by this much in each second since it was announced.
+constexpr double costPerSecondOfAge = 1.5;
 // Spreads the hosts that see the same loads at the same time.
 constexpr double drawnCost = 0.1;
 constexpr double pausedCost = 100.0;
@@ -31,6 +34,11 @@
 {
 }
 
+void UpstreamChoice::setFarLoadAge(absl::Duration age)
+{
+    this->farLoadAge = age;
+}
+
 double UpstreamChoice::distance(const UpstreamInfo &upstream) const
 {
     if (upstream.dataCentre == this->place.dataCentre) {
@@ -38,7 +46,7 @@
     }
     const auto region = this->place.regions.find(upstream.dataCentre);
     const bool sameRegion = region != this->place.regions.end() && region->second == this->place.region;
-    return sameRegion ? otherDataCentreCost : otherRegionCost;
+    return (sameRegion ? otherDataCentreCost : otherRegionCost) + costPerSecondOfAge * absl::ToDoubleSeconds(this->farLoadAge);
 }
 
 double UpstreamChoice::onlineCost(const UpstreamInfo &upstream, absl::Time now) const
@@ -96,21 +104,33 @@
 {
     std::int64_t room = 0;
     for (const std::string &service : services) {
-        for (const UpstreamInfo *upstream : this->table.available(service)) {
+        for (const UpstreamInfo *upstream : this->batchUpstreams(service, BatchReach::Near)) {
             room += std::max<std::int64_t>(0, this->batchRoom(*upstream, now));
         }
     }
-    const std::int64_t all = std::max<std::int64_t>(1, this->load.totalBatchWaiting(now));
+    const std::int64_t all = std::max<std::int64_t>(1, this->load.nearBatchWaiting(now));
     const double share = static_cast<double>(room) * static_cast<double>(this->load.ownBatchWaiting()) / static_cast<double>(all);
     return this->drawnShare(share);
 }
 
-const UpstreamInfo *UpstreamChoice::forBatch(std::string_view service, const std::set<std::string> &excluded, absl::Time now) const
+std::vector<const UpstreamInfo *> UpstreamChoice::batchUpstreams(std::string_view service, BatchReach reach) const
+{
+    std::vector<const UpstreamInfo *> all = this->table.available(service);
+    if (reach == BatchReach::All || this->farLoadAge == absl::ZeroDuration()) {
+        return all;
+    }
+    // Hosts elsewhere would hear late that their batch requests are in the way.
+    std::vector<const UpstreamInfo *> near;
+    std::ranges::copy_if(all, std::back_inserter(near), [this](const UpstreamInfo *upstream) { return upstream->dataCentre == this->place.dataCentre; });
+    return near.empty() ? all : near;
+}
+
+const UpstreamInfo *UpstreamChoice::forBatch(std::string_view service, BatchReach reach, absl::Time now) const
 {
     const UpstreamInfo *best = nullptr;
     double bestCost = std::numeric_limits<double>::infinity();
-    for (const UpstreamInfo *upstream : this->table.available(service)) {
-        if (excluded.contains(upstream->id) || this->batchRoom(*upstream, now) <= 0) {
+    for (const UpstreamInfo *upstream : this->batchUpstreams(service, reach)) {
+        if (this->batchRoom(*upstream, now) <= 0) {
             continue;
         }
         const double cost = this->onlineCost(*upstream, now);
--- a/src/UpstreamTable.cpp
+++ b/src/UpstreamTable.cpp
@@ -6,7 +6,7 @@
 
 void UpstreamTable::put(const UpstreamInfo &upstream)
 {
-    this->entries[upstream.id] = {.info = upstream, .lapsed = false};
+    this->entries[upstream.id] = {.info = upstream, .presence = Presence::Registered, .vanished = absl::InfinitePast()};
 }
 
 bool UpstreamTable::mayLapse(absl::Time now) const
@@ -20,11 +20,12 @@
     if (found == this->entries.end()) {
         return;
     }
-    if (this->mayLapse(now) && !found->second.info.leaving) {
-        found->second.lapsed = true;
-        return;
+    if (found->second.info.leaving) {
+        this->entries.erase(found);
+    } else if (found->second.presence == Presence::Registered) {
+        found->second.presence = this->mayLapse(now) ? Presence::Lapsed : Presence::Removed;
+        found->second.vanished = now;
     }
-    this->entries.erase(found);
 }
 
 void UpstreamTable::replaceAll(const std::vector<UpstreamInfo> &upstreams, absl::Time now)
@@ -61,20 +62,23 @@
 
 void UpstreamTable::expire(absl::Time now)
 {
-    if (!this->mayLapse(now)) {
-        std::erase_if(this->entries, [](const auto &entry) { return entry.second.lapsed; });
-    }
+    const bool lapseOver = !this->mayLapse(now);
+    std::erase_if(this->entries, [lapseOver, now](const auto &named) {
+        const Entry &entry = named.second;
+        return (entry.presence == Presence::Lapsed && lapseOver) || (entry.presence == Presence::Removed && now > entry.vanished + lastResortGrace);
+    });
 }
 
 std::vector<const UpstreamInfo *> UpstreamTable::available(std::string_view service) const
 {
     std::vector<const UpstreamInfo *> result;
+    std::vector<const UpstreamInfo *> lastResort;
     for (const auto &[id, entry] : this->entries) {
         if (entry.info.service == service && !entry.info.leaving) {
-            result.push_back(&entry.info);
+            (entry.presence == Presence::Removed ? lastResort : result).push_back(&entry.info);
         }
     }
-    return result;
+    return result.empty() ? lastResort : result;
 }
 
 const UpstreamInfo *UpstreamTable::find(std::string_view id) const
--- a/src/UpstreamTable.h
+++ b/src/UpstreamTable.h
@@ -36,6 +36,11 @@
 public:
     /** Time after the registry's return within which living upstreams register again. */
     static constexpr absl::Duration lapseGrace = absl::Milliseconds(2300);
+    /**
+     * Time for which an upstream whose registration vanished takes requests if its service has no other one. Upstreams that
+     * leave without a notice serve on for longer than this.
+     */
+    static constexpr absl::Duration lastResortGrace = absl::Seconds(2);
 
     void put(const UpstreamInfo &upstream);
     void remove(std::string_view id, absl::Time now);
@@ -43,18 +48,26 @@
     void replaceAll(const std::vector<UpstreamInfo> &upstreams, absl::Time now);
     void registryLost(absl::Time now);
     void registryRegained(absl::Time now);
-    /** Drops lapsed registrations whose grace has passed. */
+    /** Drops vanished registrations whose grace has passed. */
     void expire(absl::Time now);
 
-    /** Upstreams of a service that take new requests. */
+    /** Upstreams of a service that take new requests; those that have vanished a moment ago if there are no others. */
     [[nodiscard]] std::vector<const UpstreamInfo *> available(std::string_view service) const;
     [[nodiscard]] const UpstreamInfo *find(std::string_view id) const;
     [[nodiscard]] std::vector<UpstreamInfo> all() const;
 
 private:
+    enum class Presence {
+        Registered,
+        /** Vanished during an outage of the registry. */
+        Lapsed,
+        /** Vanished while the registry was there. */
+        Removed,
+    };
     struct Entry {
         UpstreamInfo info;
-        bool lapsed = false;
+        Presence presence = Presence::Registered;
+        absl::Time vanished = absl::InfinitePast();
     };
 
     [[nodiscard]] bool mayLapse(absl::Time now) const;
