--- a/src/EntryHost.cpp
+++ b/src/EntryHost.cpp
@@ -16,6 +16,9 @@
 // The store is asked for the configuration first after an outage; the other kinds follow at once when it answers.
 constexpr absl::Duration firstRetry = absl::Milliseconds(350);
 constexpr absl::Duration laterRetry = absl::Seconds(3);
+// Upstreams register and leave in groups. The first change is known at once, those that follow it a little later.
+constexpr absl::Duration upstreamCoalesce = absl::Milliseconds(100);
+constexpr absl::Duration longestUpstreamCoalesce = absl::Milliseconds(600);
 // Jobs have seconds until a cancel has to be known, and their headers change often. Each change is fetched by every host, so
 // that large fleets take more changes in one call.
 constexpr absl::Duration jobCoalesce = absl::Milliseconds(500);
@@ -193,7 +196,7 @@
     hooks = this->watchHooks(this->platform.upstreamKind);
     hooks.listed = [this](const std::vector<ObjectRecord> &objects) { this->takeUpstreams(objects); };
     hooks.changed = [this](const ObjectChange &change) { this->changeUpstream(change); };
-    const KindWatcher::Pace later{.watchWait = watchWait, .coalesce = absl::ZeroDuration(), .retry = laterRetry};
+    const KindWatcher::Pace later{.watchWait = watchWait, .coalesce = upstreamCoalesce, .retry = laterRetry};
     this->upstreamWatcher = std::make_unique<KindWatcher>(this->loop, *this->platform.store, this->platform.upstreamKind, later, hooks);
 
     hooks = this->watchHooks(JobArchive::headerKind);
@@ -336,6 +339,7 @@
     this->choice.setFarLoadAge(this->exchange->farLoadAge());
     const double scale = std::max(1.0, static_cast<double>(this->peers.size()) / static_cast<double>(hostsOfShortPace));
     this->configWatcher->setPace({.watchWait = std::min(watchWait, configWatchWait * scale), .coalesce = absl::ZeroDuration(), .retry = firstRetry});
+    this->upstreamWatcher->setPace({.watchWait = watchWait, .coalesce = std::min(longestUpstreamCoalesce, upstreamCoalesce * scale), .retry = laterRetry});
     this->jobWatcher->setPace({.watchWait = watchWait, .coalesce = std::min(longestJobCoalesce, jobCoalesce * scale), .retry = laterRetry});
 }
 
