Hold jobs with spoilt objects apart, and bound near announcements

An object of a job that another writer spoiled threw out of the event loop and ended the process (found by reading; test JobServiceTest.spoiltObjectsStopOnlyTheirJob). It is now logged and read again every ten seconds. Announcements to the hosts of one data centre come less often the more of them there are. Lint covers platform/, and checkouts in different folders share the compiler cache.

--- a/scripts/lint.sh
+++ b/scripts/lint.sh
@@ -2,6 +2,6 @@
 # Runs clang-tidy over src and apps; the argument is a build folder with compile_commands.json.
 set -euo pipefail
 cd "$(dirname "$0")/.."
-git ls-files --cached --others --exclude-standard 'src/*.cpp' 'apps/*.cpp' |
+git ls-files --cached --others --exclude-standard 'src/*.cpp' 'apps/*.cpp' 'platform/*.cpp' |
     xargs -P "$(nproc)" -n 2 clang-tidy --quiet -p "${1:-build/debug}" 2>/dev/null
 echo "lint: clean"
--- a/scripts/test.sh
+++ b/scripts/test.sh
@@ -12,6 +12,8 @@
 export UBSAN_OPTIONS=halt_on_error=1:print_stacktrace=1
 export TSAN_OPTIONS="halt_on_error=1:suppressions=$PWD/test/tsan.supp"
 jobs=$(nproc)
+# Lets checkouts in different folders share the compiler cache.
+export CCACHE_BASEDIR=$PWD CCACHE_NOHASHDIR=1
 
 if [ "${1:-}" = --all ]; then
     scripts/check-format.sh
--- a/src/JobArchive.cpp
+++ b/src/JobArchive.cpp
@@ -43,6 +43,18 @@
     return parts;
 }
 
+void deliverResults(const ObjectRecord &object, const std::function<void(StoreResult, std::vector<JobResult>)> &done)
+{
+    std::vector<JobResult> results;
+    try {
+        results = resultsFromJson(object.content);
+    } catch (const JobFormatError &) {
+        done(StoreResult::Unreadable, {});
+        return;
+    }
+    done(StoreResult::Done, std::move(results));
+}
+
 } // namespace
 
 JobArchive::JobArchive(ObjectStore &store) : store(store)
@@ -101,8 +113,13 @@
             done(reply.result, {});
             return;
         }
-        std::vector<BatchItem> read = itemsFromJson(reply.object->content);
-        std::move(read.begin(), read.end(), std::back_inserter(*items));
+        try {
+            std::vector<BatchItem> read = itemsFromJson(reply.object->content);
+            std::move(read.begin(), read.end(), std::back_inserter(*items));
+        } catch (const JobFormatError &) {
+            done(StoreResult::Unreadable, {});
+            return;
+        }
         this->readPart(header, part + 1, items, done);
     });
 }
@@ -110,7 +127,11 @@
 void JobArchive::readResults(const std::string &jobId, std::uint64_t number, std::function<void(StoreResult, std::vector<JobResult>)> done)
 {
     this->store.get(resultsKind, partName(jobId, number), [done = std::move(done)](const ObjectReply &reply) {
-        done(reply.result, reply.result == StoreResult::Done ? resultsFromJson(reply.object->content) : std::vector<JobResult>());
+        if (reply.result == StoreResult::Done) {
+            deliverResults(*reply.object, done);
+        } else {
+            done(reply.result, {});
+        }
     });
 }
 
@@ -125,7 +146,7 @@
             if (reply.result != StoreResult::Conflict) {
                 done(reply.result, reply.result == StoreResult::Done ? results : std::vector<JobResult>());
             } else if (reply.object && !reply.object->content.is_null()) {
-                done(StoreResult::Done, resultsFromJson(reply.object->content));
+                deliverResults(*reply.object, done);
             } else {
                 this->readResults(jobId, number, done);
             }
--- a/src/JobService.cpp
+++ b/src/JobService.cpp
@@ -13,6 +13,8 @@
 // The former runner learns of a takeover by its watch of the store within this time, and then no longer answers from memory.
 constexpr absl::Duration takeoverNotice = absl::Milliseconds(2200);
 constexpr absl::Duration storeRetryDelay = absl::Milliseconds(300);
+// Objects that another writer spoiled may be put right by an operator.
+constexpr absl::Duration unreadableRetryDelay = absl::Seconds(10);
 // Only the limit on waiting tokens needs the progress of open jobs; far below the limit the end of a job is enough.
 constexpr absl::Duration progressPeriod = absl::Seconds(1);
 constexpr double progressShareOfLimit = 0.4;
@@ -240,7 +242,10 @@
 
 void JobService::storeFailed(Entry &entry, StoreResult result)
 {
-    entry.retryAt = this->context.attempts.loop.now() + storeRetryDelay;
+    entry.retryAt = this->context.attempts.loop.now() + (result == StoreResult::Unreadable ? unreadableRetryDelay : storeRetryDelay);
+    if (result == StoreResult::Unreadable) {
+        this->context.log.write("job_unreadable", {{"job", entry.header.id}});
+    }
     if (result == StoreResult::Unanswered) {
         this->context.storeUnanswered();
     }
--- a/src/ObjectStore.h
+++ b/src/ObjectStore.h
@@ -23,6 +23,8 @@
     Unanswered,
     /** The changes since the revision are no longer known. */
     HistoryGone,
+    /** The object is there, but it is not what this program writes. */
+    Unreadable,
 };
 
 /** One object of the store. */
--- a/src/PeerExchange.cpp
+++ b/src/PeerExchange.cpp
@@ -1,5 +1,6 @@
 #include "PeerExchange.h"
 
+#include <algorithm>
 #include <stdexcept>
 
 #include "RendezvousHash.h"
@@ -12,6 +13,7 @@
 
 // Loads that changed are announced this often to the near hosts: those of the same data centre, or all of a small fleet.
 constexpr absl::Duration nearPeriod = absl::Milliseconds(25);
+constexpr absl::Duration nearPeriodPerPeer = absl::Milliseconds(2);
 constexpr std::size_t smallFleet = 12;
 // The other hosts hear of them less often the more hosts there are, so that what a host receives stays bounded.
 constexpr absl::Duration farPeriodPerPeer = absl::Milliseconds(4);
@@ -66,7 +68,8 @@
 void PeerExchange::tick()
 {
     const absl::Time now = this->loop.now();
-    this->timer = this->loop.after(nearPeriod, [this] { this->tick(); });
+    const auto nearHosts = std::ranges::count_if(this->board.all(), [this](const Peer &peer) { return this->near(peer); });
+    this->timer = this->loop.after(std::max(nearPeriod, nearPeriodPerPeer * static_cast<std::int64_t>(nearHosts)), [this] { this->tick(); });
     this->board.forgetSilent(now);
     const auto everyone = [](const Peer &) { return true; };
     const bool identityDue = now >= this->lastIdentity + identityPeriod;
--- a/test/site/JobServiceTest.cpp
+++ b/test/site/JobServiceTest.cpp
@@ -174,6 +174,20 @@
     EXPECT_EQ(this->submit(*this->hosts[1], "job-2", 90), 202);
 }
 
+// Guards against a host that ends, or stops its other work, because an object of a job was spoiled.
+TEST_F(JobServiceTest, spoiltObjectsStopOnlyTheirJob)
+{
+    this->start(2, absl::Milliseconds(100));
+    EXPECT_EQ(this->submit(*this->hosts[0], "job-1", 30), 202);
+    this->store.write("job-items", "job-1.00000", "spoilt");
+    this->store.write("job-results", "job-1.00000", {{"results", 7}});
+    this->store.write("jobs", "job-odd", "spoilt");
+    this->kill(*this->hosts[0]);
+    EXPECT_EQ(this->readJob(*this->hosts[1], "job-1", 0)["status"], 503);
+    EXPECT_EQ(this->submit(*this->hosts[1], "job-2", 3), 202);
+    expectAllCompleted(this->readWholeJob(*this->hosts[1], "job-2", 3), 3);
+}
+
 // Guards against the body of an item that a host can't give although the job is kept.
 TEST_F(JobServiceTest, bodiesAreReadableAtEveryHost)
 {
