--- a/src/EntryHost.cpp
+++ b/src/EntryHost.cpp
@@ -255,10 +255,15 @@
         this->storeAvailable = true;
         this->upstreams.registryRegained(this->loop.now());
         this->log.write("store_regained", {});
-        this->configWatcher->retryNow();
-        this->upstreamWatcher->retryNow();
-        this->jobWatcher->retryNow();
     }
+    this->retryWatches();
+}
+
+void EntryHost::retryWatches()
+{
+    this->configWatcher->retryNow();
+    this->upstreamWatcher->retryNow();
+    this->jobWatcher->retryNow();
 }
 
 void EntryHost::takeConfig(const ObjectRecord &object)
@@ -331,6 +336,8 @@
         this->storeNoticeAt = this->loop.now();
         this->log.write("store_silent_elsewhere", {{"peer", peer.name}});
         this->restartWatches();
+        // The store may be there for this host, so that nothing is to be waited for.
+        this->retryWatches();
     }
 }
 
--- a/src/EntryHost.h
+++ b/src/EntryHost.h
@@ -55,6 +55,8 @@
     void storeRegained();
     /** Restarts all watches, because one call showed that the store was lost. */
     void restartWatches();
+    /** Lists what waits to be listed, now. */
+    void retryWatches();
     void takeConfig(const ObjectRecord &object);
     void takeUpstreams(const std::vector<ObjectRecord> &objects);
     void changeUpstream(const ObjectChange &change);
