--- a/test/site/PlatformStoreTest.cpp
+++ b/test/site/PlatformStoreTest.cpp
@@ -71,6 +71,17 @@
     EXPECT_EQ(this->wait([&](auto done) { this->store.get("things", "none", done); }).result, StoreResult::Missing);
 }
 
+// Guards against a fleet that asks again and again for a large object over a full link, and never gets it.
+TEST_F(PlatformStoreTest, answerThatArrivesSlowlyIsWaitedFor)
+{
+    this->api.write("things", "one", "content");
+    this->api.setMode(ObjectApiMode::SlowLink);
+    const absl::Time begun = this->loop.now();
+    const ObjectReply reply = this->wait([&](auto done) { this->store.get("things", "one", done); });
+    EXPECT_EQ(reply.result, StoreResult::Done);
+    EXPECT_GT(this->loop.now() - begun, absl::Milliseconds(1500)) << "no longer than the time-out for one answer";
+}
+
 /** Follows a kind and keeps its objects. */
 struct Follower {
     Follower(EventLoop &loop, ObjectStore &store, const KindWatcher::Pace &pace)
--- a/test/standin/ObjectApi.cpp
+++ b/test/standin/ObjectApi.cpp
@@ -11,6 +11,8 @@
 
 constexpr const char *pathPrefix = "/bergamotramp/objects/";
 constexpr std::size_t maxConnections = 1000;
+constexpr std::size_t slowPieces = 5;
+constexpr absl::Duration slowPause = absl::Milliseconds(500);
 
 std::uint64_t number(const std::string &text)
 {
@@ -149,9 +151,25 @@
         exchange->abort();
         return;
     }
+    if (this->mode == ObjectApiMode::SlowLink) {
+        exchange->startBody({.status = status, .fields = {{"Content-Type", "application/json"}}});
+        this->sendSlowly(exchange, body.dump(), 0);
+        return;
+    }
     exchange->respond(jsonResponse(status, body.dump()));
 }
 
+void ObjectApi::sendSlowly(const std::shared_ptr<HttpExchange> &exchange, const std::string &text, std::size_t from)
+{
+    const std::size_t piece = text.size() / slowPieces + 1;
+    exchange->sendBody(std::string_view(text).substr(from, piece));
+    if (from + piece >= text.size()) {
+        exchange->finishBody();
+        return;
+    }
+    this->pieces.push_back(this->loop.after(slowPause, [this, exchange, text, next = from + piece] { this->sendSlowly(exchange, text, next); }));
+}
+
 void ObjectApi::get(const std::shared_ptr<HttpExchange> &exchange, const std::string &kind, const std::string &name)
 {
     const HttpRequest &request = exchange->request();
--- a/test/standin/ObjectApi.h
+++ b/test/standin/ObjectApi.h
@@ -2,6 +2,7 @@
 
 #include <cstdint>
 #include <deque>
+#include <list>
 #include <map>
 #include <memory>
 #include <set>
@@ -24,6 +25,8 @@
     Busy,
     /** Carries out writes and then ends the connection. */
     AnswersLost,
+    /** Answers in pieces over about two seconds, as over a full link. */
+    SlowLink,
 };
 
 /** Stand-in for the platform's object store, on an event loop of the caller. */
@@ -65,12 +68,14 @@
     bool answerWatch(const Watch &watch);
     void record(const std::string &kind, bool removed, const nlohmann::json &object);
     void answer(const std::shared_ptr<HttpExchange> &exchange, int status, const nlohmann::json &body, bool write);
+    void sendSlowly(const std::shared_ptr<HttpExchange> &exchange, const std::string &text, std::size_t from);
 
     EventLoop &loop;
     std::map<std::string, std::map<std::string, nlohmann::json>> kinds;
     std::deque<Change> history;
     std::set<std::shared_ptr<Watch>> watches;
     std::vector<std::shared_ptr<HttpExchange>> unanswered;
+    std::list<LoopTimer> pieces;
     ObjectApiMode mode = ObjectApiMode::Serving;
     std::uint64_t revision = 1;
     std::uint64_t compacted = 0;
