Soak the entry hosts as processes, meet other hosts again after an outage, and drop unused code

test/soak runs real hosts, a store and upstreams as processes behind the fault proxy, with overlapping faults and calm phases of planned work from a seed, and checks what callers and upstreams see.

A host that starts while the store is away asked for the other hosts only once; it asks again until it has an answer (new test).

UpstreamChoice has one loop for the cheapest upstream.

--- a/src/EntryHost.cpp
+++ b/src/EntryHost.cpp
@@ -47,6 +47,8 @@
 // A submission is answered before its caller gives up.
 constexpr absl::Duration answerMargin = absl::Milliseconds(300);
 constexpr absl::Duration longestStoreRetry = absl::Seconds(3);
+// Before a host that started without the store tries again to learn of the other hosts.
+constexpr absl::Duration meetRetry = absl::Seconds(2);
 constexpr std::size_t controlConnections = 500;
 constexpr const char *snapshotPath = "/peer/snapshot";
 constexpr const char *hostKind = "hosts";
@@ -215,17 +217,35 @@
     for (const std::string &seed : this->settings.seeds) {
         this->exchange->introduce(absl::StrCat(ipOf(seed), ":", portOf(this->settings.peerAddress)));
     }
+    this->storeOwnAddress();
+}
+
+void EntryHost::storeOwnAddress()
+{
     // Seeds may be out of date, so each host leaves its address in the store once.
     const std::string name = absl::StrCat(ipOf(this->settings.peerAddress), "-", portOf(this->settings.peerAddress));
-    this->platform.store->create(hostKind, name, {{"name", this->settings.name}, {"peerAddress", this->settings.peerAddress}}, [this](const ObjectReply &) {
-        this->platform.store->list(hostKind, [this](const ListReply &reply) {
-            this->log.write("hosts_listed", {{"ok", reply.result == StoreResult::Done}, {"hosts", static_cast<std::uint64_t>(reply.objects.size())}});
-            for (const ObjectRecord &object : reply.objects) {
-                if (object.content.is_object()) {
-                    this->exchange->introduce(object.content.value("peerAddress", this->settings.peerAddress));
-                }
+    const nlohmann::json content{{"name", this->settings.name}, {"peerAddress", this->settings.peerAddress}};
+    this->platform.store->create(hostKind, name, content, [this](const ObjectReply &reply) {
+        if (reply.result == StoreResult::Done || reply.result == StoreResult::Conflict) {
+            this->listHosts();
+        } else {
+            this->meetTimer = this->loop.after(meetRetry, [this] { this->storeOwnAddress(); });
+        }
+    });
+}
+
+void EntryHost::listHosts()
+{
+    this->platform.store->list(hostKind, [this](const ListReply &reply) {
+        this->log.write("hosts_listed", {{"ok", reply.result == StoreResult::Done}, {"hosts", static_cast<std::uint64_t>(reply.objects.size())}});
+        if (reply.result != StoreResult::Done) {
+            this->meetTimer = this->loop.after(meetRetry, [this] { this->listHosts(); });
+        }
+        for (const ObjectRecord &object : reply.objects) {
+            if (object.content.is_object()) {
+                this->exchange->introduce(object.content.value("peerAddress", this->settings.peerAddress));
             }
-        });
+        }
     });
 }
 
@@ -369,8 +389,7 @@
                                         .head = [response](const HttpHead &head) { response->head = head; },
                                         .body = [response](std::string_view bytes) { response->body.append(bytes); },
                                         .completed = [finish, response] { finish(*response); },
-                                        .failed = [finish](HttpCallError) { finish(std::nullopt); },
-                                        .sent = {}});
+                                        .failed = [finish](HttpCallError) { finish(std::nullopt); }});
 }
 
 void EntryHost::askPeerForConfig(const Peer &peer)
--- a/src/EntryHost.h
+++ b/src/EntryHost.h
@@ -50,6 +50,8 @@
     void startServers();
     void startWatchers();
     void meetPeers();
+    void storeOwnAddress();
+    void listHosts();
     KindWatcher::Hooks watchHooks(const std::string &kind);
     void storeLost(const std::string &kind, StoreResult result);
     void storeRegained();
@@ -132,6 +134,7 @@
     bool askingPeer = false;
     bool stopping = false;
     absl::Time stopBegan = absl::InfinitePast();
+    LoopTimer meetTimer;
     LoopTimer tickTimer;
     LoopTimer stopTimer;
 };
--- a/src/FleetLoad.cpp
+++ b/src/FleetLoad.cpp
@@ -48,11 +48,6 @@
     }
 }
 
-void FleetLoad::forgetHost(const std::string &host)
-{
-    this->others.erase(host);
-}
-
 ClassCounts FleetLoad::own(std::string_view upstreamId) const
 {
     const auto found = this->ownCounts.find(upstreamId);
--- a/src/FleetLoad.h
+++ b/src/FleetLoad.h
@@ -56,7 +56,6 @@
     void remove(const std::string &upstreamId, bool batch);
     /** Takes the announcement of another host. */
     void announce(const std::string &host, const LoadAnnouncement &announcement, absl::Time now);
-    void forgetHost(const std::string &host);
 
     [[nodiscard]] ClassCounts own(std::string_view upstreamId) const;
     [[nodiscard]] ClassCounts total(std::string_view upstreamId, absl::Time now) const;
--- a/src/HttpParser.cpp
+++ b/src/HttpParser.cpp
@@ -139,11 +139,6 @@
     return progress;
 }
 
-const HttpRequest &HttpRequestParser::request() const
-{
-    return this->parser->request;
-}
-
 HttpRequest HttpRequestParser::take()
 {
     return std::move(this->parser->request);
--- a/src/HttpParser.h
+++ b/src/HttpParser.h
@@ -44,7 +44,6 @@
 
     /** Takes bytes up to the end of the head, then of the body; the rest must be presented again, alone or with more. */
     HttpProgress feed(std::string_view bytes);
-    [[nodiscard]] const HttpRequest &request() const;
     [[nodiscard]] HttpRequest take();
     [[nodiscard]] bool keepAlive() const;
     [[nodiscard]] bool expectsContinue() const;
--- a/src/KindWatcher.cpp
+++ b/src/KindWatcher.cpp
@@ -30,7 +30,6 @@
         }
         this->answered();
         this->revision = reply.revision;
-        this->listedOnce = true;
         this->hooks.listed(reply.objects);
         this->watch();
     });
@@ -102,9 +101,4 @@
     }
 }
 
-bool KindWatcher::current() const
-{
-    return this->available && this->listedOnce;
-}
-
 } // namespace Bergamotramp
--- a/src/KindWatcher.h
+++ b/src/KindWatcher.h
@@ -46,7 +46,6 @@
     void retryNow();
     /** Gives up a watch that waits, because the store was lost meanwhile and may have forgotten it. */
     void restart();
-    [[nodiscard]] bool current() const;
 
 private:
     void list();
@@ -60,7 +59,6 @@
     Pace pace;
     Hooks hooks;
     std::uint64_t revision = 0;
-    bool listedOnce = false;
     /** Answers to calls before the last restart are ignored. */
     std::uint64_t round = 0;
     bool waitingToRetry = false;
--- a/src/RoutingConfig.h
+++ b/src/RoutingConfig.h
@@ -65,21 +65,11 @@
     bool operator==(const Route &) const = default;
 };
 
-/** What the configuration says of a service. */
-struct ServiceTarget {
-    std::string name;
-    /** Requests that one upstream runs at once; 0 when only the upstreams say. */
-    std::int64_t slots = 0;
-
-    bool operator==(const ServiceTarget &) const = default;
-};
-
 /** Everything that the operator has set, at one revision of the store. Immutable once it is in force. */
 struct RoutingConfig {
     std::uint64_t revision = 0;
     std::int64_t version = 0;
     std::vector<Route> routes{};
-    std::vector<ServiceTarget> services{};
     HttpServerBounds callerBounds{};
 
     /** The route of the host whose prefix is the longest that begins @p path, or null. */
--- a/src/UpstreamChoice.cpp
+++ b/src/UpstreamChoice.cpp
@@ -68,12 +68,14 @@
     return cost + this->distance(upstream) + this->draw() * drawnCost;
 }
 
-const UpstreamInfo *UpstreamChoice::forOnline(std::string_view service, const std::set<std::string> &excluded, absl::Time now) const
+const UpstreamInfo *UpstreamChoice::cheapest(const std::vector<const UpstreamInfo *> &candidates,
+                                             const std::function<bool(const UpstreamInfo &)> &admits,
+                                             absl::Time now) const
 {
     const UpstreamInfo *best = nullptr;
     double bestCost = std::numeric_limits<double>::infinity();
-    for (const UpstreamInfo *upstream : this->table.available(service)) {
-        if (excluded.contains(upstream->id) || this->load.total(upstream->id, now).online >= upstream->slots + maxQueuedPerUpstream) {
+    for (const UpstreamInfo *upstream : candidates) {
+        if (!admits(*upstream)) {
             continue;
         }
         const double cost = this->onlineCost(*upstream, now);
@@ -85,6 +87,14 @@
     return best;
 }
 
+const UpstreamInfo *UpstreamChoice::forOnline(std::string_view service, const std::set<std::string> &excluded, absl::Time now) const
+{
+    const auto admits = [&](const UpstreamInfo &upstream) {
+        return !excluded.contains(upstream.id) && this->load.total(upstream.id, now).online < upstream.slots + maxQueuedPerUpstream;
+    };
+    return this->cheapest(this->table.available(service), admits, now);
+}
+
 std::int64_t UpstreamChoice::batchRoom(const UpstreamInfo &upstream, absl::Time now) const
 {
     if (this->health.paused(upstream.id, now) || this->health.recentlyFull(upstream.id, now)) {
@@ -127,19 +137,8 @@
 
 const UpstreamInfo *UpstreamChoice::forBatch(std::string_view service, BatchReach reach, absl::Time now) const
 {
-    const UpstreamInfo *best = nullptr;
-    double bestCost = std::numeric_limits<double>::infinity();
-    for (const UpstreamInfo *upstream : this->batchUpstreams(service, reach)) {
-        if (this->batchRoom(*upstream, now) <= 0) {
-            continue;
-        }
-        const double cost = this->onlineCost(*upstream, now);
-        if (cost < bestCost) {
-            best = upstream;
-            bestCost = cost;
-        }
-    }
-    return best;
+    return this->cheapest(
+        this->batchUpstreams(service, reach), [&](const UpstreamInfo &upstream) { return this->batchRoom(upstream, now) > 0; }, now);
 }
 
 std::int64_t UpstreamChoice::batchToYield(const UpstreamInfo &upstream, absl::Time now) const
--- a/src/UpstreamChoice.h
+++ b/src/UpstreamChoice.h
@@ -47,6 +47,10 @@
     [[nodiscard]] std::int64_t batchToYield(const UpstreamInfo &upstream, absl::Time now) const;
 
 private:
+    /** The candidate of the least cost among those that @p admits takes, or null. */
+    [[nodiscard]] const UpstreamInfo *cheapest(const std::vector<const UpstreamInfo *> &candidates,
+                                               const std::function<bool(const UpstreamInfo &)> &admits,
+                                               absl::Time now) const;
     [[nodiscard]] std::vector<const UpstreamInfo *> batchUpstreams(std::string_view service, BatchReach reach) const;
     [[nodiscard]] std::int64_t drawnShare(double share) const;
     [[nodiscard]] std::int64_t batchRoom(const UpstreamInfo &upstream, absl::Time now) const;
--- a/test/core/SlotPoliciesTest.cpp
+++ b/test/core/SlotPoliciesTest.cpp
@@ -3,7 +3,6 @@
 #include "CrashSuspects.h"
 #include "HedgePolicy.h"
 #include "LatencyScore.h"
-#include "RateLimit.h"
 #include "RetryBudget.h"
 
 namespace Bergamotramp {
@@ -148,19 +147,6 @@
     EXPECT_EQ(granted, 3) << "the budget of a new service";
 }
 
-TEST(RateLimitTest, remoteUseCounts)
-{
-    RateLimit limit(1.0, 3.0);
-    EXPECT_TRUE(limit.tryAcquire("acme", start));
-    limit.addRemoteUse("acme", 2, start);
-    EXPECT_FALSE(limit.tryAcquire("acme", start));
-    EXPECT_EQ(limit.retryAfter("acme", start), absl::Seconds(1));
-    EXPECT_TRUE(limit.tryAcquire("other", start));
-    EXPECT_EQ(limit.takeLocalUse(), (std::map<std::string, std::uint64_t>{{"acme", 1}, {"other", 1}}));
-    EXPECT_TRUE(limit.takeLocalUse().empty());
-    EXPECT_TRUE(limit.tryAcquire("acme", start + absl::Seconds(1)));
-}
-
 // Guards against an unbounded table and against a flood of innocent suspects that pushes out a convicted request.
 TEST(CrashSuspectsTest, keepsConvictedWhenFull)
 {
--- a/test/site/RequestTest.cpp
+++ b/test/site/RequestTest.cpp
@@ -197,6 +197,28 @@
     EXPECT_EQ(this->request(*this->hosts[0], "/nowhere/x", "id-2").head.status, 404);
 }
 
+// Guards against a host that starts while the store is away and then never learns of the other hosts.
+TEST_F(RequestTest, hostThatStartsWithoutTheStoreMeetsTheOthersLater)
+{
+    this->writeConfig(1);
+    this->addUpstream("model", 3);
+    this->startHosts(1);
+    this->store.setMode(ObjectApiMode::Busy);
+    const RunningHost &late = this->startHost("host-late");
+    runFor(this->loop, absl::Milliseconds(300));
+    this->store.setMode(ObjectApiMode::Serving);
+    const auto knowsBoth = [this, &late] {
+        const Answer &answer = this->wait(this->send(late, "GET", "/bergamotramp/resolve?name=x&region=north&zone=a", {}));
+        return answer.head.status == 200 && nlohmann::json::parse(answer.body).at("addresses").size() == 2;
+    };
+    bool met = false;
+    for (int attempt = 0; attempt < 100 && !met; ++attempt) {
+        runFor(this->loop, absl::Milliseconds(100));
+        met = knowsBoth();
+    }
+    EXPECT_TRUE(met);
+}
+
 } // namespace
 
 } // namespace Bergamotramp
--- a/test/site/SiteFleet.cpp
+++ b/test/site/SiteFleet.cpp
@@ -123,8 +123,7 @@
                                       .head = [raw = answer.get()](const HttpHead &head) { raw->head = head; },
                                       .body = [raw = answer.get()](std::string_view bytes) { raw->body.append(bytes); },
                                       .completed = [raw = answer.get()] { raw->completed = true; },
-                                      .failed = [raw = answer.get()](HttpCallError) { raw->failed = true; },
-                                      .sent = {}});
+                                      .failed = [raw = answer.get()](HttpCallError) { raw->failed = true; }});
     this->answers.push_back(answer);
     return answer;
 }
--- /dev/null
+++ b/test/soak/SoakFleet.cpp
@@ -0,0 +1,441 @@
+#include "SoakFleet.h"
+
+#include <csignal>
+#include <fstream>
+#include <stdexcept>
+
+#include <absl/strings/str_cat.h>
+
+namespace Bergamotramp {
+
+namespace {
+
+constexpr absl::Duration startLimit = absl::Seconds(30);
+// A registration lapses after three missed heartbeats.
+constexpr absl::Duration registrationLapse = absl::Milliseconds(3600);
+constexpr absl::Duration registerDelay = absl::Milliseconds(300);
+// A leaving upstream serves a little longer than its drain time.
+constexpr absl::Duration leaveDelay = absl::Milliseconds(3500);
+constexpr absl::Duration afterStop = absl::Milliseconds(200);
+constexpr int modelSlots = 8;
+constexpr int plainSlots = 6;
+constexpr int eventIntervalUs = 15'000;
+constexpr int keptRoutes = 2;
+constexpr std::int64_t waitingTokenLimit = 100'000;
+
+enum HostPort {
+    Entry,
+    Ready,
+    Directory,
+    Control,
+    Peer,
+    Metrics,
+    PortCount
+};
+
+std::string portOf(const ReservedPort &port)
+{
+    const std::string address = port.address();
+    return address.substr(address.rfind(':') + 1);
+}
+
+nlohmann::json route(const std::string &name, const std::string &prefix, const std::string &kind, const std::string &service)
+{
+    return {{"name", name},
+            {"host", SoakFleet::callerHost},
+            {"pathPrefix", prefix},
+            {"kind", kind},
+            {"service", service},
+            {"timeoutMs", absl::ToInt64Milliseconds(SoakBounds::requestTimeout)},
+            {"targetLatencyMs", 300},
+            {"gapTargetMs", 400},
+            {"priority", 0},
+            {"maxAttempts", SoakBounds::maxAttempts}};
+}
+
+} // namespace
+
+SoakFleet::SoakFleet(EventLoop &loop, SoakSetup soakSetup, SoakReport &report)
+    : loop(loop), setup(std::move(soakSetup)), report(report), client(loop, {}), hostPorts(PortCount)
+{
+    this->startStore();
+    for (int number = 0; number < this->setup.models; ++number) {
+        this->addUpstream(absl::StrCat("model-", number), "model");
+    }
+    for (int number = 0; number < this->setup.plains; ++number) {
+        this->addUpstream(absl::StrCat("plain-", number), "plain");
+    }
+    this->writeConfig([](int) {});
+    for (int number = 0; number < this->setup.hosts; ++number) {
+        this->addHost(static_cast<std::size_t>(number));
+    }
+}
+
+void SoakFleet::startStore()
+{
+    this->store = std::make_unique<ChildProcess>(
+        std::vector<std::string>{
+            this->setup.standins + "/standin-objects", "--address", this->storePort.address(), "--control", this->storeControlPort.address()},
+        this->setup.folder + "/store.log");
+    if (!this->store->waitForLine("listening", startLimit)) {
+        throw std::runtime_error("the store does not start, see " + this->store->logFile());
+    }
+}
+
+void SoakFleet::addUpstream(const std::string &name, const std::string &service)
+{
+    auto upstream = std::make_unique<Upstream>();
+    upstream->name = name;
+    upstream->service = service;
+    upstream->route = name;
+    upstream->shownAddress = this->proxy.addRoute(name, upstream->port.address());
+    this->startUpstream(*upstream);
+    this->upstreams.push_back(std::move(upstream));
+}
+
+void SoakFleet::startUpstream(Upstream &upstream)
+{
+    const bool model = upstream.service == "model";
+    upstream.id = absl::StrCat(upstream.name, ".", ++upstream.starts);
+    upstream.down = false;
+    upstream.draining = false;
+    upstream.process = std::make_unique<ChildProcess>(std::vector<std::string>{this->setup.standins + "/standin-stream",
+                                                                               "--id",
+                                                                               upstream.id,
+                                                                               "--runs",
+                                                                               absl::StrCat(this->setup.folder, "/", upstream.name, ".runs"),
+                                                                               "--address",
+                                                                               upstream.port.address(),
+                                                                               "--control",
+                                                                               upstream.controlPort.address(),
+                                                                               "--events",
+                                                                               absl::StrCat(model ? SoakBounds::events : 0),
+                                                                               "--interval-us",
+                                                                               absl::StrCat(eventIntervalUs),
+                                                                               "--slots",
+                                                                               absl::StrCat(model ? modelSlots : plainSlots)},
+                                                      absl::StrCat(this->setup.folder, "/", upstream.name, ".log"));
+    this->timers.push_back(this->loop.after(registerDelay, [this, raw = &upstream, id = upstream.id] {
+        if (raw->id == id && !raw->down) {
+            this->registerUpstream(*raw, "ready", [] {});
+        }
+    }));
+}
+
+void SoakFleet::registerUpstream(const Upstream &upstream, const std::string &state, std::function<void()> acknowledged)
+{
+    this->controlStore(absl::StrCat("/put?kind=servers&name=", upstream.id),
+                       {{"service", upstream.service},
+                        {"address", upstream.shownAddress},
+                        {"zone", "a"},
+                        {"version", "v1"},
+                        {"slots", upstream.service == "model" ? modelSlots : plainSlots},
+                        {"state", state},
+                        {"born", upstream.starts}},
+                       std::move(acknowledged));
+}
+
+void SoakFleet::eraseLater(const std::string &id, absl::Duration delay)
+{
+    this->timers.push_back(this->loop.after(delay, [this, id] { this->controlStore("/erase?kind=servers&name=" + id, nullptr, [] {}); }));
+}
+
+void SoakFleet::controlStore(const std::string &target, const nlohmann::json &body, std::function<void()> done)
+{
+    this->controlCalls.push_back({.request = {.method = "POST", .target = target, .fields = {}, .body = body.dump()}, .done = std::move(done)});
+    this->nextControl();
+}
+
+void SoakFleet::nextControl()
+{
+    if (this->controlBusy || this->controlCalls.empty()) {
+        return;
+    }
+    this->controlBusy = true;
+    const auto ended = [this](bool answered) {
+        this->controlBusy = false;
+        if (answered) {
+            const auto done = std::move(this->controlCalls.front().done);
+            this->controlCalls.pop_front();
+            done();
+        }
+        this->nextControl();
+    };
+    this->control = this->client.send(this->storeControlPort.address(),
+                                      this->controlCalls.front().request,
+                                      {.belongs = {},
+                                       .head = [](const HttpHead &) {},
+                                       .body = {},
+                                       .completed = [ended] { ended(true); },
+                                       .failed = [ended](HttpCallError) { ended(false); }});
+}
+
+void SoakFleet::addHost(std::size_t number)
+{
+    Host host;
+    host.name = absl::StrCat("host-", number);
+    host.ip = absl::StrCat("127.0.1.", number + 1);
+    host.route = host.name;
+    host.settingsFile = absl::StrCat(this->setup.folder, "/", host.name, ".json");
+    const auto address = [this, &host](HostPort port) { return absl::StrCat(host.ip, ":", portOf(this->hostPorts[port])); };
+    nlohmann::json seeds = nlohmann::json::array();
+    for (int seed = 1; seed <= 3; ++seed) {
+        seeds.push_back(absl::StrCat("127.0.1.", seed, ":", portOf(this->hostPorts[Control])));
+    }
+    const nlohmann::json settings{{"name", host.name},
+                                  {"role", "entry"},
+                                  {"region", "north"},
+                                  {"dataCentre", "a"},
+                                  {"regions", {{"a", "north"}}},
+                                  {"entryAddress", address(Entry)},
+                                  {"readyAddress", address(Ready)},
+                                  {"directoryAddress", address(Directory)},
+                                  {"controlAddress", address(Control)},
+                                  {"peerAddress", address(Peer)},
+                                  {"metricsAddress", address(Metrics)},
+                                  {"storeAddress", this->proxy.addRoute(host.route, this->storePort.address())},
+                                  {"seeds", seeds},
+                                  {"stopGraceS", absl::ToDoubleSeconds(SoakBounds::stopGrace)}};
+    std::ofstream(host.settingsFile) << settings.dump(1);
+    this->hosts.push_back(std::move(host));
+    this->startHost(this->hosts.back());
+}
+
+void SoakFleet::startHost(Host &host)
+{
+    host.down = false;
+    host.stopBegan = absl::InfiniteFuture();
+    host.process = std::make_unique<ChildProcess>(std::vector<std::string>{this->setup.daemon, "--settings", host.settingsFile},
+                                                  absl::StrCat(this->setup.folder, "/", host.name, ".log"));
+}
+
+std::size_t SoakFleet::hostCount() const
+{
+    return this->hosts.size();
+}
+
+std::string SoakFleet::entryAddress(std::size_t host) const
+{
+    return absl::StrCat(this->hosts[host].ip, ":", portOf(this->hostPorts[Entry]));
+}
+
+std::string SoakFleet::directoryAddress(std::size_t host) const
+{
+    return absl::StrCat(this->hosts[host].ip, ":", portOf(this->hostPorts[Directory]));
+}
+
+void SoakFleet::killHost(std::size_t host)
+{
+    this->report.note("kill " + this->hosts[host].name);
+    this->hosts[host].process->kill();
+    this->hosts[host].down = true;
+}
+
+void SoakFleet::pauseHost(std::size_t host)
+{
+    this->report.note("pause " + this->hosts[host].name);
+    this->hosts[host].process->sendSignal(SIGSTOP);
+}
+
+void SoakFleet::recoverHost(std::size_t host)
+{
+    Host &target = this->hosts[host];
+    this->report.note("recover " + target.name);
+    if (target.down) {
+        this->startHost(target);
+    } else {
+        target.process->sendSignal(SIGCONT);
+        if (target.stopBegan < absl::InfiniteFuture()) {
+            // The grace does not run while the process is paused by the soak.
+            target.stopBegan = this->loop.now();
+        }
+    }
+}
+
+void SoakFleet::stopHost(std::size_t host)
+{
+    Host &target = this->hosts[host];
+    if (target.down || target.stopBegan < absl::InfiniteFuture()) {
+        return;
+    }
+    this->report.note("stop " + target.name);
+    target.stopBegan = this->loop.now();
+    target.process->sendSignal(SIGTERM);
+}
+
+void SoakFleet::reloadHost(std::size_t host)
+{
+    this->report.note("reload " + this->hosts[host].name);
+    if (!this->hosts[host].down) {
+        this->hosts[host].process->sendSignal(SIGHUP);
+    }
+}
+
+void SoakFleet::checkHosts()
+{
+    for (Host &host : this->hosts) {
+        if (host.down) {
+            continue;
+        }
+        const auto code = host.process->exitCode();
+        const bool told = host.stopBegan < absl::InfiniteFuture();
+        if (code && (!told || *code != 0)) {
+            this->report.broken("a host ends only when it is told to", absl::StrCat(host.name, " ended with ", *code));
+        } else if (!code && told && this->loop.now() > host.stopBegan + SoakBounds::stopGrace + SoakBounds::inTouch) {
+            this->report.broken("a host that is stopped ends within its grace", host.name);
+            host.process->kill();
+        }
+        if (code) {
+            host.down = true;
+            this->timers.push_back(this->loop.after(afterStop, [this, raw = &host] {
+                if (raw->down) {
+                    this->startHost(*raw);
+                }
+            }));
+        }
+    }
+}
+
+void SoakFleet::setStoreLink(std::size_t host, const RouteFaults &faults, RouteFreeze freeze)
+{
+    this->proxy.setFaults(this->hosts[host].route, faults);
+    this->proxy.freeze(this->hosts[host].route, freeze);
+}
+
+std::size_t SoakFleet::upstreamCount() const
+{
+    return this->upstreams.size();
+}
+
+std::vector<std::string> SoakFleet::runFiles() const
+{
+    std::vector<std::string> files;
+    for (const auto &upstream : this->upstreams) {
+        files.push_back(absl::StrCat(this->setup.folder, "/", upstream->name, ".runs"));
+    }
+    return files;
+}
+
+void SoakFleet::killUpstream(std::size_t upstream)
+{
+    Upstream &target = *this->upstreams[upstream];
+    this->report.note("kill " + target.id);
+    target.process->kill();
+    target.down = true;
+    this->eraseLater(target.id, registrationLapse);
+}
+
+void SoakFleet::pauseUpstream(std::size_t upstream)
+{
+    this->report.note("pause " + this->upstreams[upstream]->id);
+    this->upstreams[upstream]->process->sendSignal(SIGSTOP);
+}
+
+void SoakFleet::recoverUpstream(std::size_t upstream)
+{
+    Upstream &target = *this->upstreams[upstream];
+    if (target.down) {
+        this->startUpstream(target);
+    } else {
+        target.process->sendSignal(SIGCONT);
+    }
+    this->report.note("recover " + target.id);
+}
+
+void SoakFleet::drainUpstream(std::size_t upstream, std::function<void(const std::string &id)> acknowledged)
+{
+    Upstream &target = *this->upstreams[upstream];
+    if (target.down || target.draining) {
+        return;
+    }
+    target.draining = true;
+    this->report.note("drain " + target.id);
+    this->registerUpstream(target, "draining", [this, raw = &target, id = target.id, done = std::move(acknowledged)] {
+        done(id);
+        this->timers.push_back(this->loop.after(leaveDelay, [this, raw, id] {
+            if (raw->id == id && !raw->down) {
+                raw->process->kill();
+                this->eraseLater(id, absl::ZeroDuration());
+                this->startUpstream(*raw);
+            }
+        }));
+    });
+}
+
+void SoakFleet::setUpstreamMode(std::size_t upstream, const std::string &mode)
+{
+    const Upstream &target = *this->upstreams[upstream];
+    this->report.note(absl::StrCat(target.id, " mode ", mode));
+    this->modeCalls[upstream] =
+        this->client.send(target.controlPort.address(),
+                          {.method = "POST", .target = "/mode?value=" + mode, .fields = {}, .body = {}},
+                          {.belongs = {}, .head = [](const HttpHead &) {}, .body = {}, .completed = [] {}, .failed = [](HttpCallError) {}});
+}
+
+void SoakFleet::setUpstreamLink(std::size_t upstream, const RouteFaults &faults, RouteFreeze freeze)
+{
+    this->proxy.setFaults(this->upstreams[upstream]->route, faults);
+    this->proxy.freeze(this->upstreams[upstream]->route, freeze);
+}
+
+void SoakFleet::pauseStore()
+{
+    this->report.note("pause store");
+    this->store->sendSignal(SIGSTOP);
+}
+
+void SoakFleet::resumeStore()
+{
+    this->report.note("resume store");
+    this->store->sendSignal(SIGCONT);
+}
+
+void SoakFleet::setStoreMode(const std::string &mode)
+{
+    this->report.note("store mode " + mode);
+    this->controlStore("/mode?value=" + mode, nullptr, [] {});
+}
+
+void SoakFleet::compactStore()
+{
+    this->report.note("compact store");
+    this->controlStore("/compact", nullptr, [] {});
+}
+
+std::string SoakFleet::versionPath(int version)
+{
+    return absl::StrCat("/v", version, "/");
+}
+
+int SoakFleet::configVersion() const
+{
+    return this->version;
+}
+
+void SoakFleet::writeConfig(std::function<void(int version)> acknowledged)
+{
+    const int next = ++this->version;
+    nlohmann::json resumable = route("resumable", "/resumable/", "streaming", "model");
+    resumable["resumable"] = true;
+    nlohmann::json batch = route("batch", "/batch/", "batch", "model");
+    batch["dueMs"] = absl::ToInt64Milliseconds(SoakBounds::jobsFinish);
+    batch["retentionS"] = 600;
+    batch["maxCount"] = waitingTokenLimit;
+    nlohmann::json routes{resumable,
+                          batch,
+                          route("stream", "/stream/", "streaming", "model"),
+                          route("plain", "/plain/", "safe", "plain"),
+                          route("once", "/once/", "unsafe", "plain")};
+    for (int added = std::max(1, next - keptRoutes + 1); added <= next; ++added) {
+        routes.push_back(route(absl::StrCat("v", added), versionPath(added), "safe", "plain"));
+    }
+    this->report.note(absl::StrCat("configuration ", next));
+    this->controlStore("/put?kind=config&name=main",
+                       {{"version", next},
+                        {"routes", routes},
+                        {"services", {{{"name", "model"}}, {{"name", "plain"}}}},
+                        {"limits", {{"maxHeaderBytes", 16384}, {"maxBodyBytes", 4194304}, {"headerTimeoutMs", 3000}, {"idleTimeoutMs", 15000}}}},
+                       [done = std::move(acknowledged), next] { done(next); });
+}
+
+} // namespace Bergamotramp
--- a/test/standin/StreamUpstream.cpp
+++ b/test/standin/StreamUpstream.cpp
@@ -19,12 +19,13 @@
 
 } // namespace
 
-StreamUpstream::StreamUpstream(EventLoop &loop, std::string id, int events, absl::Duration eventInterval, const std::string &address)
+StreamUpstream::StreamUpstream(EventLoop &loop, std::string id, int events, absl::Duration eventInterval, UpstreamOptions upstreamOptions)
     : loop(loop)
     , upstreamId(std::move(id))
     , events(events)
     , eventInterval(eventInterval)
-    , server(loop, address, maxConnections, [this](const std::shared_ptr<HttpExchange> &exchange) { this->handle(exchange); })
+    , options(std::move(upstreamOptions))
+    , server(loop, this->options.address, maxConnections, [this](const std::shared_ptr<HttpExchange> &exchange) { this->handle(exchange); })
 {
 }
 
@@ -70,11 +71,15 @@
         exchange->respond({.head = {.status = 421, .fields = {{"X-Instance-Id", this->upstreamId}}}, .body = {}});
         return;
     }
-    if (this->mode == UpstreamMode::Full) {
+    const bool full = this->options.slots > 0 && this->active.size() >= this->options.slots;
+    if (full || this->mode == UpstreamMode::Full) {
         exchange->respond({.head = {.status = 503, .fields = {{"X-Not-Executed", "1"}}}, .body = {}});
         return;
     }
     ++this->runCounts[text(request, "X-Request-Id")];
+    if (this->options.ran) {
+        this->options.ran(text(request, "X-Request-Id"));
+    }
     if (this->mode == UpstreamMode::Failing || this->mode == UpstreamMode::Impossible) {
         exchange->respond({.head = {.status = this->mode == UpstreamMode::Failing ? 500 : 422, .fields = this->answerFields(request)}, .body = "failed"});
         return;
@@ -104,11 +109,17 @@
     });
 }
 
+std::string StreamUpstream::tag(const HttpRequest &request) const
+{
+    return this->options.tagged ? absl::StrCat(" ", text(request, "X-Request-Id")) : std::string();
+}
+
 void StreamUpstream::sendNext(const std::shared_ptr<Run> &run)
 {
     if (this->events == 0) {
         this->active.erase(run);
-        run->exchange->respond({.head = {.status = 200, .fields = this->answerFields(run->exchange->request())}, .body = "plain answer"});
+        run->exchange->respond({.head = {.status = 200, .fields = this->answerFields(run->exchange->request())},
+                                .body = absl::StrCat("plain answer", this->tag(run->exchange->request()))});
         return;
     }
     if (!run->exchange->started()) {
@@ -122,7 +133,7 @@
         run->exchange->abort();
         return;
     }
-    run->exchange->sendBody(absl::StrCat("id: ", run->next, "\ndata: ", eventData(run->next), "\n\n"));
+    run->exchange->sendBody(absl::StrCat("id: ", run->next, "\ndata: ", eventData(run->next), this->tag(run->exchange->request()), "\n\n"));
     if (++run->next > this->events) {
         this->active.erase(run);
         run->exchange->finishBody();
--- a/test/standin/StreamUpstream.h
+++ b/test/standin/StreamUpstream.h
@@ -30,12 +30,23 @@
     AnswersLost,
 };
 
+/** How a stand-in serves. */
+struct UpstreamOptions {
+    std::string address = "127.0.0.1:0";
+    /** Requests that run at once; more are refused as not run. 0 for no limit. */
+    std::size_t slots = 0;
+    /** Puts the request's id into each piece of its answer, so that a mixed-up answer shows. */
+    bool tagged = false;
+    /** Called before anything is sent for a request that runs. May be empty. */
+    std::function<void(const std::string &requestId)> ran;
+};
+
 /** Stand-in for a model engine or a plain service, on an event loop of the caller. */
 class StreamUpstream
 {
 public:
     /** @p events are sent in answer to a request, @p eventInterval apart; 0 events is a plain service. */
-    StreamUpstream(EventLoop &loop, std::string id, int events, absl::Duration eventInterval, const std::string &address = "127.0.0.1:0");
+    StreamUpstream(EventLoop &loop, std::string id, int events, absl::Duration eventInterval, UpstreamOptions options = {});
 
     [[nodiscard]] std::string address() const;
     [[nodiscard]] const std::string &id() const;
@@ -56,12 +67,14 @@
 
     void handle(const std::shared_ptr<HttpExchange> &exchange);
     void sendNext(const std::shared_ptr<Run> &run);
+    [[nodiscard]] std::string tag(const HttpRequest &request) const;
     [[nodiscard]] HttpFields answerFields(const HttpRequest &request) const;
 
     EventLoop &loop;
     std::string upstreamId;
     int events;
     absl::Duration eventInterval;
+    UpstreamOptions options;
     UpstreamMode mode = UpstreamMode::Serving;
     std::map<std::string, int> runCounts;
     std::set<std::shared_ptr<Run>> active;
--- /dev/null
+++ b/test/standin/StreamUpstreamMain.cpp
@@ -0,0 +1,93 @@
+#include <map>
+#include <stdexcept>
+
+#include <fcntl.h>
+#include <unistd.h>
+
+#include <CLI/CLI.hpp>
+#include <absl/strings/str_cat.h>
+#include <absl/time/clock.h>
+
+#include "CallRefusal.h"
+#include "LoopProgram.h"
+#include "StreamUpstream.h"
+
+namespace {
+
+using namespace Bergamotramp;
+
+constexpr std::size_t maxControlConnections = 20;
+
+/** Appends a line for each run, so that a killed stand-in leaves a record of what it ran. */
+class RunFile
+{
+public:
+    explicit RunFile(const std::string &file) : descriptor(::open(file.c_str(), O_WRONLY | O_CREAT | O_APPEND | O_CLOEXEC, 0600))
+    {
+        if (this->descriptor < 0) {
+            throw std::runtime_error(file + ": cannot be written");
+        }
+    }
+
+    void add(const std::string &upstreamId, const std::string &requestId) const
+    {
+        const std::string line = absl::StrCat(absl::ToUnixMicros(absl::Now()), " ", upstreamId, " ", requestId, "\n");
+        if (::write(this->descriptor, line.data(), line.size()) != static_cast<ssize_t>(line.size())) {
+            throw std::runtime_error("the record of runs cannot be written");
+        }
+    }
+
+private:
+    int descriptor;
+};
+
+/** Control interface: POST /mode?value=. */
+int control(StreamUpstream &upstream, const HttpRequest &request)
+{
+    static const std::map<std::string, UpstreamMode> modes{{"serving", UpstreamMode::Serving},
+                                                           {"full", UpstreamMode::Full},
+                                                           {"silent", UpstreamMode::Silent},
+                                                           {"cuts-streams", UpstreamMode::CutsStreams},
+                                                           {"answers-lost", UpstreamMode::AnswersLost}};
+    if (request.path() != "/mode" || !modes.contains(request.query("value"))) {
+        return 404;
+    }
+    upstream.setMode(modes.at(request.query("value")));
+    return 200;
+}
+
+} // namespace
+
+int main(int argc, char **argv)
+{
+    CLI::App app("Stand-in for a model engine or a plain service that speaks the platform's protocol.");
+    std::string id;
+    std::string runs;
+    std::string controlAddress = "127.0.0.1:0";
+    int events = 0;
+    int intervalUs = 5000;
+    UpstreamOptions options;
+    options.tagged = true;
+    app.add_option("--id", id, "Name of this run of the upstream")->required();
+    app.add_option("--runs", runs, "File that gets a line for each request that runs")->required();
+    app.add_option("--address", options.address, "Address for requests");
+    app.add_option("--control", controlAddress, "Address of the control interface");
+    app.add_option("--events", events, "Events of an answer; 0 for a plain service");
+    app.add_option("--interval-us", intervalUs, "Time between events, microseconds");
+    app.add_option("--slots", options.slots, "Requests that run at once, 0 for no limit");
+    CLI11_PARSE(app, argc, argv);
+    try {
+        EventLoop loop;
+        const RunFile file(runs);
+        options.ran = [&file, &id](const std::string &requestId) { file.add(id, requestId); };
+        StreamUpstream upstream(loop, id, events, absl::Microseconds(intervalUs), options);
+        const HttpServer controls(loop, controlAddress, maxControlConnections, [&upstream](const std::shared_ptr<HttpExchange> &exchange) {
+            exchange->respond(jsonResponse(control(upstream, exchange->request()), "{}"));
+        });
+        announceAndRun(loop, upstream.address() + " " + controls.address());
+    } catch (const std::exception &error) {
+        std::cerr << "standin-stream: " << error.what() << '\n';
+        return 1;
+    }
+    return 0;
+}
