Fence the results of a job when a host takes it over

Ruled out: reads of the store, which are linearizable. A runner that has read a job from the store now stores an empty object first, so that the former runner's next object is refused, and answers from memory only afterwards. An object of another run of a host at a runner's place makes it fence again. The new test asks for the empty object; before, the first object of the new runner held results.

--- a/src/JobArchive.cpp
+++ b/src/JobArchive.cpp
@@ -43,6 +43,11 @@
     return parts;
 }
 
+bool writtenBy(const ObjectRecord &object, const std::string &writer)
+{
+    return object.content.is_object() && object.content.contains("writer") && object.content["writer"] == writer;
+}
+
 void deliverResults(const ObjectRecord &object, const std::function<void(StoreResult, std::vector<JobResult>)> &done)
 {
     std::vector<JobResult> results;
@@ -135,20 +140,24 @@
     });
 }
 
-void JobArchive::appendResults(const std::string &jobId,
-                               std::uint64_t number,
-                               const std::string &writer,
-                               const std::vector<JobResult> &results,
-                               std::function<void(StoreResult, std::vector<JobResult>)> done)
+void JobArchive::createResults(
+    const std::string &jobId, std::uint64_t number, const std::string &writer, const std::vector<JobResult> &results, ResultsHandler done)
 {
     this->store.create(
-        resultsKind, partName(jobId, number), resultsToJson(writer, results), [this, jobId, number, results, done = std::move(done)](const ObjectReply &reply) {
-            if (reply.result != StoreResult::Conflict) {
-                done(reply.result, reply.result == StoreResult::Done ? results : std::vector<JobResult>());
+        resultsKind,
+        partName(jobId, number),
+        resultsToJson(writer, results),
+        [this, jobId, number, writer, results, done = std::move(done)](const ObjectReply &reply) {
+            if (reply.result == StoreResult::Done) {
+                done(StoreResult::Done, true, results);
+            } else if (reply.result != StoreResult::Conflict) {
+                done(reply.result, false, {});
             } else if (reply.object && !reply.object->content.is_null()) {
-                deliverResults(*reply.object, done);
+                // After an answer that was lost, the object may be this writer's own.
+                const bool own = writtenBy(*reply.object, writer);
+                deliverResults(*reply.object, [done, own](StoreResult result, const std::vector<JobResult> &stored) { done(result, own, stored); });
             } else {
-                this->readResults(jobId, number, done);
+                this->readResults(jobId, number, [done](StoreResult result, const std::vector<JobResult> &stored) { done(result, false, stored); });
             }
         });
 }
--- a/src/JobArchive.h
+++ b/src/JobArchive.h
@@ -31,12 +31,10 @@
     void readHeader(const std::string &jobId, ObjectStore::ObjectHandler done);
     void readItems(const JobRecord &header, std::function<void(StoreResult, std::vector<BatchItem>)> done);
     void readResults(const std::string &jobId, std::uint64_t number, std::function<void(StoreResult, std::vector<JobResult>)> done);
-    /** Done with the given results, or with those that another host wrote at this number. */
-    void appendResults(const std::string &jobId,
-                       std::uint64_t number,
-                       const std::string &writer,
-                       const std::vector<JobResult> &results,
-                       std::function<void(StoreResult, std::vector<JobResult>)> done);
+    /** @p own tells whether the object at this number is the writer's, @p results what it holds. */
+    using ResultsHandler = std::function<void(StoreResult, bool own, const std::vector<JobResult> &results)>;
+    /** Creates the object of this number; Done also when another writer has created it before. */
+    void createResults(const std::string &jobId, std::uint64_t number, const std::string &writer, const std::vector<JobResult> &results, ResultsHandler done);
     void writeProgress(const std::string &jobId, std::uint64_t revision, const JobProgress &progress, ObjectStore::ObjectHandler done);
     /** Removes all objects of a job; those that are missing are skipped. */
     void remove(const JobRecord &header, std::uint64_t resultObjects);
--- a/src/JobService.cpp
+++ b/src/JobService.cpp
@@ -56,8 +56,12 @@
         return nullptr;
     }
     entry.revision = object.revision;
+    const bool ranHere = this->runsHere(entry);
     const bool wasOpen = entry.progress.open();
     entry.progress = JobProgress::fromJson(object.status);
+    if (ranHere && !this->runsHere(entry)) {
+        entry.fenced = false;
+    }
     if (wasOpen && entry.progress.cancelled) {
         this->context.log.write("job_cancelled", {{"job", object.name}, {"revision", object.revision}});
         this->stopRuns(object.name);
@@ -172,6 +176,7 @@
             if (!entry.job) {
                 entry.job = std::make_unique<Job>(header, submission.items);
                 entry.itemsLoaded = true;
+                entry.fenced = true;
             }
             this->context.log.write(
                 "job_accepted",
@@ -279,6 +284,7 @@
         }
         found->second.job = std::make_unique<Job>(found->second.header, std::move(items));
         found->second.itemsLoaded = true;
+        found->second.fenced = false;
         this->loadResults(jobId);
     });
 }
@@ -329,7 +335,7 @@
             return;
         }
         entry->lastUse = this->context.attempts.loop.now();
-        const bool known = entry->job && entry->itemsLoaded && !entry->loading && this->runsHere(*entry);
+        const bool known = entry->job && entry->itemsLoaded && entry->fenced && !entry->loading && this->runsHere(*entry);
         const bool hasMore = entry->job && entry->job->storedResults() > position;
         if (known || hasMore || (entry->job && entry->job->complete())) {
             this->readLoaded(*entry, position, wait, done);
@@ -486,6 +492,12 @@
     if (entry.loading) {
         return;
     }
+    if (!entry.fenced) {
+        if (!entry.appending && now >= entry.retryAt) {
+            this->fence(entry);
+        }
+        return;
+    }
     if (entry.job->hasUnstored() && !entry.appending && now >= std::max(entry.retryAt, entry.appendFrom)) {
         this->appendWhenDue(entry, now);
     }
@@ -516,17 +528,43 @@
     }
 }
 
+void JobService::fence(Entry &entry)
+{
+    entry.appending = true;
+    const std::string jobId = entry.header.id;
+    const std::uint64_t number = entry.job->nextObject();
+    this->archive.createResults(
+        jobId, number, this->context.writer, {}, [this, jobId, number](StoreResult result, bool own, const std::vector<JobResult> &results) {
+            const auto found = this->entries.find(jobId);
+            if (found == this->entries.end()) {
+                return;
+            }
+            Entry &target = found->second;
+            target.appending = false;
+            this->context.log.write("job_fenced", {{"job", jobId}, {"object", number}, {"ok", result == StoreResult::Done}, {"own", own}});
+            if (result != StoreResult::Done) {
+                this->storeFailed(target, result);
+                return;
+            }
+            if (target.job && target.job->nextObject() == number) {
+                target.job->stored(results);
+                target.fenced = own && this->runsHere(target);
+            }
+            this->answerReaders(target);
+        });
+}
+
 void JobService::append(Entry &entry)
 {
     entry.appending = true;
     const std::string jobId = entry.header.id;
     const std::uint64_t number = entry.job->nextObject();
-    this->archive.appendResults(
+    this->archive.createResults(
         jobId,
         number,
         this->context.writer,
         entry.job->unstored(JobArchive::maxObjectBytes / 2),
-        [this, jobId, number](StoreResult result, const std::vector<JobResult> &results) {
+        [this, jobId, number](StoreResult result, bool own, const std::vector<JobResult> &results) {
             const auto found = this->entries.find(jobId);
             if (found == this->entries.end()) {
                 return;
@@ -542,6 +580,8 @@
             }
             if (target.job->nextObject() == number) {
                 target.job->stored(results);
+                // An object of another run of a host: that one may have taken the job over.
+                target.fenced = target.fenced && own;
             }
             this->answerReaders(target);
             this->tickEntry(target, this->context.attempts.loop.now());
--- a/src/JobService.h
+++ b/src/JobService.h
@@ -102,6 +102,11 @@
         std::uint64_t revision = 0;
         std::unique_ptr<Job> job;
         bool itemsLoaded = false;
+        /**
+         * Whether no other run of a host can add results any more without this one's learning of it. A runner that has
+         * read the job from the store stores an empty object first: a late write of the former runner then fails.
+         */
+        bool fenced = false;
         bool loading = false;
         bool appending = false;
         bool writingProgress = false;
@@ -135,6 +140,7 @@
     [[nodiscard]] bool nearLimit(const Entry &entry) const;
     void appendWhenDue(Entry &entry, absl::Time now);
     void append(Entry &entry);
+    void fence(Entry &entry);
     void writeProgress(Entry &entry);
     void startItems(absl::Time now);
     [[nodiscard]] std::int64_t startsThisRound(const std::vector<Entry *> &candidates, const RoutingConfig &config, absl::Time now);
--- a/test/site/JobServiceTest.cpp
+++ b/test/site/JobServiceTest.cpp
@@ -121,6 +121,22 @@
     }
 }
 
+// Guards against results that vanish again: the former runner stores some late, after another host has taken the job over,
+// and that host answers from a list without them.
+TEST_F(JobServiceTest, formerRunnerCanNotAddResultsAfterATakeover)
+{
+    this->start(2, absl::Milliseconds(100));
+    EXPECT_EQ(this->submit(*this->hosts[0], "job-1", 30), 202);
+    ASSERT_TRUE(runUntil(this->loop, [this] { return !this->store.names("job-results").empty(); }));
+    this->kill(*this->hosts[0]);
+    const std::size_t before = this->store.names("job-results").size();
+    ASSERT_TRUE(runUntil(this->loop, [this, before] { return this->store.names("job-results").size() > before; }));
+    const nlohmann::json first = this->store.read("job-results", this->store.names("job-results")[before])["spec"];
+    EXPECT_TRUE(first["writer"].get<std::string>().starts_with("host-1"));
+    EXPECT_TRUE(first["results"].empty()) << "the place of the former runner's next results is taken at once";
+    expectAllCompleted(this->readWholeJob(*this->hosts[1], "job-1", 30), 30);
+}
+
 // Guards against items that go on running after their job has ended, at whichever host it was ended, also when the store
 // was silent and has forgotten the watches that waited.
 TEST_F(JobServiceTest, endedJobStopsEverywhereAfterASilentStore)
