--- a/src/PeerBoard.cpp
+++ b/src/PeerBoard.cpp
@@ -38,6 +38,13 @@
     std::erase_if(this->peers, [now](const auto &entry) { return now > entry.second.lastHeard + forgetAfter; });
 }
 
+void PeerBoard::excuse(absl::Duration standstill)
+{
+    for (auto &[name, peer] : this->peers) {
+        peer.lastHeard += standstill;
+    }
+}
+
 const Peer *PeerBoard::find(std::string_view name) const
 {
     const auto found = this->peers.find(name);
--- a/src/PeerBoard.h
+++ b/src/PeerBoard.h
@@ -25,8 +25,12 @@
     bool ready = false;
     bool leaving = false;
     std::uint64_t configRevision = 0;
+    /** The newest change of an upstream that the host knows. */
+    std::uint64_t upstreamRevision = 0;
     /** The store has left a call of the host unanswered a moment ago. */
     bool storeSilent = false;
+    /** Bandwidth of the host's link, Mbit/s; 0 when it is not known. */
+    std::uint32_t linkMbps = 0;
     absl::Time lastHeard = absl::InfinitePast();
 
     bool operator==(const Peer &) const = default;
@@ -38,12 +42,16 @@
 public:
     /** Announcements come at least twice a second, so several have been missed after this. */
     static constexpr absl::Duration silenceLimit = absl::Milliseconds(1600);
+    /** In a fleet of up to this many other hosts, each tells all others everything. */
+    static constexpr std::size_t smallFleet = 12;
     /** A host that has been silent for this long is forgotten. */
     static constexpr absl::Duration forgetAfter = absl::Seconds(60);
 
     /** Takes an announcement; false when it is older than what is known. */
     bool update(const Peer &peer);
     void forgetSilent(absl::Time now);
+    /** Does not hold a time against the others in which this host itself stood still. */
+    void excuse(absl::Duration standstill);
 
     [[nodiscard]] const Peer *find(std::string_view name) const;
     [[nodiscard]] bool live(std::string_view name, absl::Time now) const;
--- a/test/core/PeerBoardTest.cpp
+++ b/test/core/PeerBoardTest.cpp
@@ -54,6 +54,23 @@
     EXPECT_TRUE(entryAddresses({}, "south", "c").empty());
 }
 
+// Guards against a host that wakes up, takes all others for dead and takes over their jobs.
+TEST(PeerBoardTest, ownStandstillIsNotHeldAgainstOthers)
+{
+    const absl::Time asleep = absl::UnixEpoch() + absl::Hours(1);
+    const absl::Duration standstill = absl::Seconds(4);
+    PeerBoard board;
+    Peer peer;
+    peer.name = "host-1";
+    peer.incarnation = 1;
+    peer.lastHeard = asleep;
+    board.update(peer);
+    EXPECT_FALSE(board.live("host-1", asleep + standstill));
+    board.excuse(standstill);
+    EXPECT_TRUE(board.live("host-1", asleep + standstill));
+    EXPECT_FALSE(board.live("host-1", asleep + standstill + PeerBoard::silenceLimit + absl::Milliseconds(1)));
+}
+
 } // namespace
 
 } // namespace Bergamotramp
