Follow the store through a few relays of each data centre in large fleets

In fleets of more than 13 hosts two hosts of each data centre, those with the widest links, watch the store, and the others follow them by long polls over the control address. A relay that is silent, cut off or behind is left: its failure is not a failure of the store, and a host that hears of a newer change than it has seen for 1.2 s lists again elsewhere. Small fleets watch the store as before.

Weighed: longer pauses between watches (slower than the bounds of DRAIN and configuration allow), one holder per data centre (blind when it is cut off alone).

--- a/src/EntryHost.cpp
+++ b/src/EntryHost.cpp
@@ -13,6 +13,8 @@
 namespace {
 
 constexpr absl::Duration tickPeriod = absl::Milliseconds(40);
+// A tick that is later than this means that the process did not run.
+constexpr absl::Duration longestTickDelay = absl::Milliseconds(400);
 // The store is asked for the configuration first after an outage; the other kinds follow at once when it answers.
 constexpr absl::Duration firstRetry = absl::Milliseconds(350);
 constexpr absl::Duration laterRetry = absl::Seconds(3);
@@ -49,6 +51,8 @@
 constexpr absl::Duration longestStoreRetry = absl::Seconds(3);
 // Before a host that started without the store tries again to learn of the other hosts.
 constexpr absl::Duration meetRetry = absl::Seconds(2);
+// A change reaches all hosts within a few hundred milliseconds; a host that is behind others for longer asks elsewhere.
+constexpr absl::Duration behindPatience = absl::Milliseconds(1200);
 constexpr std::size_t controlConnections = 500;
 constexpr const char *snapshotPath = "/peer/snapshot";
 constexpr const char *hostKind = "hosts";
@@ -96,6 +100,14 @@
     , choice(this->upstreams, this->load, this->health, placeOf(this->settings), [this] { return this->draw(); })
     , upstreamClient(loop, {.connectTimeout = upstreamConnectTimeout})
     , peerClient(loop, {.connectTimeout = peerConnectTimeout})
+    , relays(this->peers, this->settings.name, this->settings.dataCentre, static_cast<std::uint32_t>(this->settings.linkMbps))
+    , followed(
+          loop,
+          *this->platform.store,
+          this->relays,
+          {this->platform.configKind, this->platform.upstreamKind, JobArchive::headerKind},
+          log,
+          [this](const Peer &peer, const HttpRequest &request, absl::Duration timeout, auto done) { this->callPeer(peer, request, timeout, std::move(done)); })
 {
     this->startServers();
     const std::uint64_t incarnation = startNumber();
@@ -105,7 +117,8 @@
                     .entryAddress = this->settings.entryAddress,
                     .controlAddress = this->settings.controlAddress,
                     .peerAddress = this->settings.peerAddress,
-                    .incarnation = incarnation};
+                    .incarnation = incarnation,
+                    .linkMbps = static_cast<std::uint32_t>(this->settings.linkMbps)};
     this->exchange =
         std::make_unique<PeerExchange>(loop,
                                        self,
@@ -117,6 +130,7 @@
                                                                    return OwnState{.ready = this->ready(),
                                                                                    .leaving = this->stopping,
                                                                                    .configRevision = this->config ? this->config->revision : 0,
+                                                                                   .upstreamRevision = this->upstreamRevision,
                                                                                    .storeSilent = this->loop.now() < this->storeSilentAt + storeSilenceNotice};
                                                                },
                                                            .heard = [this](const Peer &peer) { this->heard(peer); }});
@@ -139,7 +153,15 @@
     this->tickTimer = this->loop.after(tickPeriod, [this] { this->tick(); });
 }
 
-EntryHost::~EntryHost() = default;
+EntryHost::~EntryHost()
+{
+    // Their handlers hold the calls.
+    const std::set<std::shared_ptr<PeerCall>> current = std::exchange(this->peerCalls, {});
+    for (const auto &call : current) {
+        call->timer.cancel();
+        call->call.cancel();
+    }
+}
 
 void EntryHost::startServers()
 {
@@ -193,19 +215,19 @@
         }
     };
     const KindWatcher::Pace first{.watchWait = configWatchWait, .coalesce = absl::ZeroDuration(), .retry = firstRetry};
-    this->configWatcher = std::make_unique<KindWatcher>(this->loop, *this->platform.store, this->platform.configKind, first, hooks);
+    this->configWatcher = std::make_unique<KindWatcher>(this->loop, this->followed, this->platform.configKind, first, hooks);
 
     hooks = this->watchHooks(this->platform.upstreamKind);
     hooks.listed = [this](const std::vector<ObjectRecord> &objects) { this->takeUpstreams(objects); };
     hooks.changed = [this](const ObjectChange &change) { this->changeUpstream(change); };
     const KindWatcher::Pace later{.watchWait = watchWait, .coalesce = upstreamCoalesce, .retry = laterRetry};
-    this->upstreamWatcher = std::make_unique<KindWatcher>(this->loop, *this->platform.store, this->platform.upstreamKind, later, hooks);
+    this->upstreamWatcher = std::make_unique<KindWatcher>(this->loop, this->followed, this->platform.upstreamKind, later, hooks);
 
     hooks = this->watchHooks(JobArchive::headerKind);
     hooks.listed = [this](const std::vector<ObjectRecord> &objects) { this->jobs->setHeaders(objects); };
     hooks.changed = [this](const ObjectChange &change) { this->jobs->changeHeader(change); };
     const KindWatcher::Pace coalesced{.watchWait = watchWait, .coalesce = jobCoalesce, .retry = laterRetry};
-    this->jobWatcher = std::make_unique<KindWatcher>(this->loop, *this->platform.store, JobArchive::headerKind, coalesced, hooks);
+    this->jobWatcher = std::make_unique<KindWatcher>(this->loop, this->followed, JobArchive::headerKind, coalesced, hooks);
 
     this->configWatcher->start();
     this->upstreamWatcher->start();
@@ -297,6 +319,7 @@
         return;
     }
     this->config = std::make_shared<const RoutingConfig>(std::move(*decoded));
+    this->configBehindSince = absl::InfiniteFuture();
     this->configObject = objectJson(object);
     this->entryServer->setBounds(this->config->callerBounds);
     this->log.write("config_in_force",
@@ -308,6 +331,7 @@
     std::vector<UpstreamInfo> decoded;
     this->upstreamObjects.clear();
     for (const ObjectRecord &object : objects) {
+        this->upstreamRevision = std::max(this->upstreamRevision, object.revision);
         if (const auto upstream = this->platform.decodeUpstream(object)) {
             decoded.push_back(*upstream);
             this->upstreamObjects[object.name] = objectJson(object);
@@ -323,6 +347,7 @@
 void EntryHost::changeUpstream(const ObjectChange &change)
 {
     const std::string &id = change.object.name;
+    this->upstreamRevision = std::max(this->upstreamRevision, change.object.revision);
     const UpstreamInfo *known = this->upstreams.find(id);
     const std::string address = known == nullptr ? std::string() : known->address;
     const auto upstream = change.removed ? std::nullopt : this->platform.decodeUpstream(change.object);
@@ -352,6 +377,10 @@
     if (peer.configRevision > own) {
         this->askPeerForConfig(peer);
     }
+    if (peer.upstreamRevision > this->followed.revision(this->platform.upstreamKind)) {
+        this->newestUpstreamRevision = std::max(this->newestUpstreamRevision, peer.upstreamRevision);
+        this->upstreamsBehindSince = std::min(this->upstreamsBehindSince, this->loop.now());
+    }
     if (peer.storeSilent && this->storeAvailable && this->loop.now() > this->storeNoticeAt + storeNoticeInterval) {
         this->storeNoticeAt = this->loop.now();
         this->log.write("store_silent_elsewhere", {{"peer", peer.name}});
@@ -364,8 +393,12 @@
 void EntryHost::adaptPace()
 {
     this->choice.setFarLoadAge(this->exchange->farLoadAge());
-    const double scale = std::max(1.0, static_cast<double>(this->peers.size()) / static_cast<double>(hostsOfShortPace));
-    this->configWatcher->setPace({.watchWait = std::min(watchWait, configWatchWait * scale), .coalesce = absl::ZeroDuration(), .retry = firstRetry});
+    const auto watchers = static_cast<double>(this->relays.directWatchers(this->loop.now()));
+    // A relay is asked at once: its own watch has taken several changes together.
+    const bool follows = this->relays.relay(this->loop.now()).has_value();
+    const double scale = follows ? 0.0 : std::max(1.0, watchers / static_cast<double>(hostsOfShortPace));
+    this->configWatcher->setPace(
+        {.watchWait = std::min(watchWait, configWatchWait * std::max(1.0, scale)), .coalesce = absl::ZeroDuration(), .retry = firstRetry});
     this->upstreamWatcher->setPace({.watchWait = watchWait, .coalesce = std::min(longestUpstreamCoalesce, upstreamCoalesce * scale), .retry = laterRetry});
     this->jobWatcher->setPace({.watchWait = watchWait, .coalesce = std::min(longestJobCoalesce, jobCoalesce * scale), .retry = laterRetry});
 }
@@ -392,9 +425,27 @@
                                         .failed = [finish](HttpCallError) { finish(std::nullopt); }});
 }
 
+void EntryHost::catchUpWithPeers(absl::Time now)
+{
+    const std::uint64_t revision = this->followed.revision(this->platform.upstreamKind);
+    if (revision >= this->newestUpstreamRevision) {
+        this->upstreamsBehindSince = absl::InfiniteFuture();
+    } else if (now > this->upstreamsBehindSince + behindPatience) {
+        this->upstreamsBehindSince = now;
+        this->log.write("upstreams_behind", {{"revision", revision}, {"newest", this->newestUpstreamRevision}});
+        this->followed.distrustRelays();
+        this->upstreamWatcher->restart();
+        this->upstreamWatcher->retryNow();
+    }
+}
+
 void EntryHost::askPeerForConfig(const Peer &peer)
 {
-    if (this->askingPeer) {
+    const absl::Time now = this->loop.now();
+    this->configBehindSince = std::min(this->configBehindSince, now);
+    // In a large fleet the relays bring a new configuration; if all asked each other too, it would fill the links.
+    const absl::Duration patience = this->peers.size() <= PeerBoard::smallFleet ? absl::ZeroDuration() : behindPatience;
+    if (this->askingPeer || now < this->configBehindSince + patience) {
         return;
     }
     this->askingPeer = true;
@@ -482,6 +533,10 @@
 
 void EntryHost::onControlRequest(const std::shared_ptr<HttpExchange> &request)
 {
+    if (RelayedStore::isRelayRequest(request->request())) {
+        this->followed.serve(request);
+        return;
+    }
     if (request->request().path() == snapshotPath) {
         request->respond(jsonResponse(200, this->snapshot().dump()));
         return;
@@ -686,8 +741,16 @@
 {
     this->tickTimer = this->loop.after(tickPeriod, [this] { this->tick(); });
     const absl::Time now = this->loop.now();
+    if (const absl::Duration standstill = now - this->lastTick - tickPeriod; standstill > longestTickDelay) {
+        // Frozen or starved of processor time; announcements that came meanwhile are read after this.
+        this->log.write("stood_still", {{"forMs", standstill}});
+        this->peers.excuse(standstill);
+    }
+    this->lastTick = now;
     this->upstreams.expire(now);
     this->adaptPace();
+    this->followed.tick();
+    this->catchUpWithPeers(now);
     const std::set<std::shared_ptr<OnlineCall>> current = this->calls;
     for (const auto &call : current) {
         call->checkProgress(now);
@@ -712,6 +775,7 @@
     this->stopBegan = this->loop.now();
     this->log.write("stopping", {{"calls", static_cast<std::uint64_t>(this->calls.size())}, {"items", static_cast<std::uint64_t>(this->jobs->runningItems())}});
     this->jobs->stop();
+    this->followed.dismissFollowers();
     this->exchange->announceNow();
     this->entryServer->closeAfterResponses();
     this->checkStopped();
--- a/src/EntryHost.h
+++ b/src/EntryHost.h
@@ -21,6 +21,7 @@
 #include "PeerBoard.h"
 #include "PeerExchange.h"
 #include "PlatformLink.h"
+#include "RelayedStore.h"
 #include "UpstreamChoice.h"
 #include "UpstreamHealth.h"
 #include "UpstreamTable.h"
@@ -64,7 +65,10 @@
     void changeUpstream(const ObjectChange &change);
     void heard(const Peer &peer);
     void adaptPace();
+    /** Asks another host for a newer configuration that this one has been missing for a while. */
     void askPeerForConfig(const Peer &peer);
+    /** Lists the upstreams again when other hosts have known of a newer change for too long. */
+    void catchUpWithPeers(absl::Time now);
     void callPeer(const Peer &peer, const HttpRequest &request, absl::Duration timeout, std::function<void(const std::optional<HttpResponse> &)> done);
     void takeSnapshot(const std::string &body);
 
@@ -106,6 +110,12 @@
     nlohmann::json configObject;
     std::map<std::string, nlohmann::json> upstreamObjects;
     bool upstreamsKnown = false;
+    /** The newest change of an upstream that this host, and that any host knows. */
+    std::uint64_t upstreamRevision = 0;
+    std::uint64_t newestUpstreamRevision = 0;
+    /** Since when another host has known of something newer. */
+    absl::Time configBehindSince = absl::InfiniteFuture();
+    absl::Time upstreamsBehindSince = absl::InfiniteFuture();
     bool storeAvailable = true;
     absl::Time storeSilentAt = absl::InfinitePast();
     absl::Time storeNoticeAt = absl::InfinitePast();
@@ -113,6 +123,8 @@
     HttpClient upstreamClient;
     HttpClient peerClient;
     std::unique_ptr<PeerExchange> exchange;
+    WatchRelays relays;
+    RelayedStore followed;
     std::unique_ptr<JobService> jobs;
     std::unique_ptr<KindWatcher> configWatcher;
     std::unique_ptr<KindWatcher> upstreamWatcher;
@@ -134,6 +146,7 @@
     bool askingPeer = false;
     bool stopping = false;
     absl::Time stopBegan = absl::InfinitePast();
+    absl::Time lastTick = absl::InfiniteFuture();
     LoopTimer meetTimer;
     LoopTimer tickTimer;
     LoopTimer stopTimer;
--- a/src/EntrySettings.cpp
+++ b/src/EntrySettings.cpp
@@ -12,6 +12,7 @@
 
 constexpr IntegerRange connectionRange{1, 100'000};
 constexpr IntegerRange timeRange{100, 600'000}; // ms
+constexpr double maxLinkMbps = 1e6;
 
 std::string checkedAddress(std::string address, const std::string &path)
 {
@@ -67,6 +68,7 @@
         readEntryAddresses(reader, settings);
     }
     settings.maxConnections = reader.optionalInteger("maxConnections", settings.maxConnections, connectionRange);
+    settings.linkMbps = static_cast<std::int64_t>(reader.optionalNumber("linkMbps", 0.0, 0.0, maxLinkMbps));
     settings.addressTimeToLive =
         absl::Milliseconds(reader.optionalInteger("addressTimeToLiveMs", absl::ToInt64Milliseconds(settings.addressTimeToLive), timeRange));
     settings.stopGrace = absl::Seconds(reader.optionalNumber("stopGraceS", absl::ToDoubleSeconds(settings.stopGrace), 0.1, 600.0));
--- a/src/EntrySettings.h
+++ b/src/EntrySettings.h
@@ -45,6 +45,8 @@
     /** IP addresses of hosts that may be there already; their other addresses have the same ports as this host's. */
     std::vector<std::string> seeds;
     std::int64_t maxConnections = 2000;
+    /** Bandwidth of this host's link, Mbit/s; 0 when it is not known. */
+    std::int64_t linkMbps = 0;
     /** How long callers keep the addresses that they were given. */
     absl::Duration addressTimeToLive = absl::Seconds(2);
     /** Time from the signal to stop until the process is killed. */
--- /dev/null
+++ b/src/ObjectMirror.cpp
@@ -0,0 +1,78 @@
+#include "ObjectMirror.h"
+
+namespace Bergamotramp {
+
+void ObjectMirror::take(const ListReply &list)
+{
+    if (list.result != StoreResult::Done || list.revision < this->newest) {
+        return;
+    }
+    this->objects.clear();
+    for (const ObjectRecord &object : list.objects) {
+        this->objects[object.name] = object;
+    }
+    this->changes.clear();
+    this->historyFrom = list.revision;
+    this->newest = list.revision;
+}
+
+void ObjectMirror::take(const WatchReply &reply)
+{
+    if (reply.result != StoreResult::Done || !this->known() || reply.revision <= this->newest) {
+        return;
+    }
+    for (const ObjectChange &change : reply.changes) {
+        if (change.removed) {
+            this->objects.erase(change.object.name);
+        } else {
+            this->objects[change.object.name] = change.object;
+        }
+        this->changes.push_back({.revision = reply.revision, .change = change});
+    }
+    this->newest = reply.revision;
+    while (this->changes.size() > maxChanges) {
+        this->historyFrom = this->changes.front().revision;
+        this->changes.pop_front();
+    }
+}
+
+bool ObjectMirror::known() const
+{
+    return this->newest > 0;
+}
+
+std::uint64_t ObjectMirror::revision() const
+{
+    return this->newest;
+}
+
+ListReply ObjectMirror::list(std::uint64_t revision) const
+{
+    ListReply reply;
+    if (!this->known() || this->newest < revision) {
+        return reply;
+    }
+    reply.result = StoreResult::Done;
+    reply.revision = this->newest;
+    for (const auto &[name, object] : this->objects) {
+        reply.objects.push_back(object);
+    }
+    return reply;
+}
+
+WatchReply ObjectMirror::since(std::uint64_t revision) const
+{
+    WatchReply reply{.result = StoreResult::Done, .changes = {}, .revision = std::max(revision, this->newest)};
+    if (revision < this->historyFrom || !this->known()) {
+        reply.result = StoreResult::HistoryGone;
+        return reply;
+    }
+    for (const Change &entry : this->changes) {
+        if (entry.revision > revision) {
+            reply.changes.push_back(entry.change);
+        }
+    }
+    return reply;
+}
+
+} // namespace Bergamotramp
--- a/src/PeerExchange.cpp
+++ b/src/PeerExchange.cpp
@@ -14,7 +14,6 @@
 // Loads that changed are announced this often to the near hosts: those of the same data centre, or all of a small fleet.
 constexpr absl::Duration nearPeriod = absl::Milliseconds(25);
 constexpr absl::Duration nearPeriodPerPeer = absl::Milliseconds(2);
-constexpr std::size_t smallFleet = 12;
 // The other hosts hear of them less often the more hosts there are, so that what a host receives stays bounded.
 constexpr absl::Duration farPeriodPerPeer = absl::Milliseconds(4);
 // All state is announced this often, to replace what was lost and for the other hosts to see that this one lives.
@@ -55,7 +54,7 @@
 
 absl::Duration PeerExchange::farLoadAge() const
 {
-    return this->board.size() <= smallFleet ? absl::ZeroDuration() : farPeriodPerPeer * static_cast<std::int64_t>(this->board.size());
+    return this->board.size() <= PeerBoard::smallFleet ? absl::ZeroDuration() : farPeriodPerPeer * static_cast<std::int64_t>(this->board.size());
 }
 
 void PeerExchange::introduce(const std::string &peerAddress)
@@ -77,7 +76,7 @@
         this->announce(true, identityDue, everyone);
         return;
     }
-    if (this->board.size() > smallFleet && now >= this->lastFar + this->farLoadAge()) {
+    if (this->board.size() > PeerBoard::smallFleet && now >= this->lastFar + this->farLoadAge()) {
         this->announce(true, false, everyone);
     } else if (this->load.changed()) {
         this->announce(false, false, [this](const Peer &peer) { return this->near(peer); });
@@ -86,7 +85,7 @@
 
 bool PeerExchange::near(const Peer &peer) const
 {
-    return this->board.size() <= smallFleet || peer.dataCentre == this->self.dataCentre;
+    return this->board.size() <= PeerBoard::smallFleet || peer.dataCentre == this->self.dataCentre;
 }
 
 void PeerExchange::announceNow()
@@ -141,6 +140,7 @@
     message.set_leaving(state.leaving);
     message.set_config_revision(state.configRevision);
     message.set_store_silent(state.storeSilent);
+    message.set_upstream_revision(state.upstreamRevision);
     message.set_complete(announcement.complete);
     message.set_batch_waiting(static_cast<std::uint32_t>(announcement.batchWaiting));
     for (const UpstreamUse &use : announcement.uses) {
@@ -163,6 +163,7 @@
         identity->set_data_centre(this->self.dataCentre);
         identity->set_entry_address(this->self.entryAddress);
         identity->set_control_address(this->self.controlAddress);
+        identity->set_link_mbps(this->self.linkMbps);
         for (const Peer &peer : this->board.liveHosts(this->loop.now())) {
             identity->add_known_peers(peer.peerAddress);
         }
@@ -205,7 +206,8 @@
                  .region = identity.region(),
                  .dataCentre = identity.data_centre(),
                  .entryAddress = identity.entry_address(),
-                 .controlAddress = identity.control_address()};
+                 .controlAddress = identity.control_address(),
+                 .linkMbps = identity.link_mbps()};
         for (const std::string &address : identity.known_peers()) {
             this->introduce(address);
         }
@@ -224,6 +226,7 @@
     heard.leaving = message.leaving();
     heard.configRevision = message.config_revision();
     heard.storeSilent = message.store_silent();
+    heard.upstreamRevision = message.upstream_revision();
     heard.lastHeard = now;
     if (!this->board.update(heard)) {
         return;
--- a/src/PeerExchange.h
+++ b/src/PeerExchange.h
@@ -22,6 +22,7 @@
     bool ready = false;
     bool leaving = false;
     std::uint64_t configRevision = 0;
+    std::uint64_t upstreamRevision = 0;
     bool storeSilent = false;
 
     bool operator==(const OwnState &) const = default;
--- /dev/null
+++ b/src/RelayedStore.cpp
@@ -0,0 +1,353 @@
+#include "RelayedStore.h"
+
+#include <absl/strings/numbers.h>
+#include <absl/strings/str_cat.h>
+
+#include "CallRefusal.h"
+
+namespace Bergamotramp {
+
+namespace {
+
+constexpr const char *listPath = "/peer/objects";
+constexpr const char *watchPath = "/peer/changes";
+// For the answer of a relay beyond the time that it may wait by request; a large list takes a while over a slow link.
+constexpr absl::Duration relayAnswerTimeout = absl::Seconds(2);
+// A relay that turns silent is noticed by its announcements; this bounds what one lost answer costs.
+constexpr absl::Duration longestRelayWait = absl::Seconds(5);
+constexpr int ok = 200;
+constexpr int historyGone = 410;
+
+nlohmann::json toJson(const ObjectRecord &object)
+{
+    return {{"name", object.name}, {"revision", object.revision}, {"content", object.content}, {"status", object.status}};
+}
+
+ObjectRecord recordFromJson(const nlohmann::json &json)
+{
+    return {.name = json.at("name"), .revision = json.at("revision"), .content = json.at("content"), .status = json.at("status")};
+}
+
+std::string listText(const ListReply &reply)
+{
+    nlohmann::json objects = nlohmann::json::array();
+    for (const ObjectRecord &object : reply.objects) {
+        objects.push_back(toJson(object));
+    }
+    return nlohmann::json{{"revision", reply.revision}, {"objects", std::move(objects)}}.dump(-1, ' ', false, nlohmann::json::error_handler_t::replace);
+}
+
+std::string watchText(const WatchReply &reply)
+{
+    nlohmann::json changes = nlohmann::json::array();
+    for (const ObjectChange &change : reply.changes) {
+        changes.push_back({{"removed", change.removed}, {"object", toJson(change.object)}});
+    }
+    return nlohmann::json{{"revision", reply.revision}, {"changes", std::move(changes)}}.dump(-1, ' ', false, nlohmann::json::error_handler_t::replace);
+}
+
+/** Throws nlohmann::json::exception. */
+ListReply parseList(const std::string &text)
+{
+    const nlohmann::json json = nlohmann::json::parse(text);
+    ListReply reply{.result = StoreResult::Done, .objects = {}, .revision = json.at("revision")};
+    for (const nlohmann::json &object : json.at("objects")) {
+        reply.objects.push_back(recordFromJson(object));
+    }
+    return reply;
+}
+
+/** Throws nlohmann::json::exception. */
+WatchReply parseChanges(const std::string &text)
+{
+    const nlohmann::json json = nlohmann::json::parse(text);
+    WatchReply reply{.result = StoreResult::Done, .changes = {}, .revision = json.at("revision")};
+    for (const nlohmann::json &change : json.at("changes")) {
+        reply.changes.push_back({.removed = change.at("removed"), .object = recordFromJson(change.at("object"))});
+    }
+    return reply;
+}
+
+std::uint64_t numberOf(const std::string &text)
+{
+    std::uint64_t number = 0;
+    return absl::SimpleAtoi(text, &number) ? number : 0;
+}
+
+} // namespace
+
+RelayedStore::RelayedStore(EventLoop &loop, ObjectStore &store, WatchRelays &relays, std::set<std::string> followed, JsonLog &log, PeerCaller callPeer)
+    : loop(loop), store(store), relays(relays), log(log), callPeer(std::move(callPeer))
+{
+    for (const std::string &kind : followed) {
+        this->kinds.try_emplace(kind);
+    }
+}
+
+void RelayedStore::create(const std::string &kind, const std::string &name, const nlohmann::json &content, ObjectHandler done)
+{
+    this->store.create(kind, name, content, std::move(done));
+}
+
+void RelayedStore::get(const std::string &kind, const std::string &name, ObjectHandler done)
+{
+    this->store.get(kind, name, std::move(done));
+}
+
+void RelayedStore::putStatus(const std::string &kind, const std::string &name, std::uint64_t revision, const nlohmann::json &status, ObjectHandler done)
+{
+    this->store.putStatus(kind, name, revision, status, std::move(done));
+}
+
+void RelayedStore::remove(const std::string &kind, const std::string &name, ObjectHandler done)
+{
+    this->store.remove(kind, name, std::move(done));
+}
+
+void RelayedStore::list(const std::string &kind, std::function<void(const ListReply &)> done)
+{
+    const auto found = this->kinds.find(kind);
+    if (found == this->kinds.end()) {
+        this->store.list(kind, std::move(done));
+        return;
+    }
+    // A relay's list must not be older than what this host has seen.
+    const auto call = std::make_shared<Call>();
+    call->kind = kind;
+    call->listing = true;
+    call->revision = found->second.mirror.revision();
+    call->listed = std::move(done);
+    this->start(call);
+}
+
+void RelayedStore::watch(const std::string &kind, std::uint64_t revision, absl::Duration wait, std::function<void(const WatchReply &)> done)
+{
+    if (!this->kinds.contains(kind)) {
+        this->store.watch(kind, revision, wait, std::move(done));
+        return;
+    }
+    const auto call = std::make_shared<Call>();
+    call->kind = kind;
+    call->revision = revision;
+    call->until = this->loop.now() + wait;
+    call->watched = std::move(done);
+    this->start(call);
+}
+
+void RelayedStore::start(const std::shared_ptr<Call> &call)
+{
+    if (const auto relay = this->relays.relay(this->loop.now())) {
+        this->askRelay(call, *relay);
+    } else {
+        this->askStore(call);
+    }
+}
+
+void RelayedStore::askStore(const std::shared_ptr<Call> &call)
+{
+    Kind &kind = this->kinds.at(call->kind);
+    if (call->listing) {
+        this->store.list(call->kind, [this, call, &kind](const ListReply &reply) {
+            this->setDirect(kind, reply.result == StoreResult::Done);
+            this->finish(call, reply);
+        });
+        return;
+    }
+    kind.direct = true;
+    const absl::Duration wait = std::max(absl::ZeroDuration(), call->until - this->loop.now());
+    this->store.watch(call->kind, call->revision, wait, [this, call, &kind](const WatchReply &reply) {
+        this->setDirect(kind, reply.result == StoreResult::Done || reply.result == StoreResult::HistoryGone);
+        this->finish(call, reply);
+    });
+}
+
+void RelayedStore::setDirect(Kind &kind, bool direct)
+{
+    kind.direct = direct;
+    if (!direct) {
+        this->dismissFollowers(kind);
+    }
+}
+
+void RelayedStore::askRelay(const std::shared_ptr<Call> &call, const Peer &relay)
+{
+    this->setDirect(this->kinds.at(call->kind), false);
+    call->relay = relay.name;
+    const std::uint64_t round = ++call->round;
+    this->relayed.insert(call);
+    const absl::Duration wait = std::clamp(call->until - this->loop.now(), absl::ZeroDuration(), longestRelayWait);
+    const std::string target =
+        call->listing ? absl::StrCat(listPath, "?kind=", percentEncode(call->kind), "&least=", call->revision)
+                      : absl::StrCat(watchPath, "?kind=", percentEncode(call->kind), "&since=", call->revision, "&waitMs=", absl::ToInt64Milliseconds(wait));
+    const HttpRequest request{.method = "GET", .target = target, .fields = {}, .body = {}};
+    this->callPeer(relay, request, wait + relayAnswerTimeout, [this, call, round](const std::optional<HttpResponse> &response) {
+        if (call->round != round) {
+            return;
+        }
+        try {
+            if (response && response->head.status == ok && call->listing) {
+                const ListReply reply = parseList(response->body);
+                this->relayed.erase(call);
+                this->finish(call, reply);
+                return;
+            }
+            if (response && !call->listing && (response->head.status == ok || response->head.status == historyGone)) {
+                const WatchReply reply =
+                    response->head.status == ok ? parseChanges(response->body) : WatchReply{.result = StoreResult::HistoryGone, .changes = {}};
+                this->relayed.erase(call);
+                this->finish(call, reply);
+                return;
+            }
+        } catch (const nlohmann::json::exception &error) {
+            this->log.write("relay_unreadable", {{"relay", call->relay}, {"error", error.what()}});
+        }
+        this->leaveRelay(call);
+    });
+}
+
+void RelayedStore::leaveRelay(const std::shared_ptr<Call> &call)
+{
+    this->log.write("relay_left", {{"relay", call->relay}, {"kind", call->kind}, {"revision", call->revision}});
+    this->relays.distrust(call->relay, this->loop.now());
+    ++call->round;
+    this->relayed.erase(call);
+    this->start(call);
+}
+
+void RelayedStore::finish(const std::shared_ptr<Call> &call, const ListReply &reply)
+{
+    Kind &kind = this->kinds.at(call->kind);
+    kind.mirror.take(reply);
+    this->answerFollowers(kind);
+    call->listed(reply);
+}
+
+void RelayedStore::finish(const std::shared_ptr<Call> &call, const WatchReply &reply)
+{
+    Kind &kind = this->kinds.at(call->kind);
+    kind.mirror.take(reply);
+    this->answerFollowers(kind);
+    call->watched(reply);
+}
+
+std::uint64_t RelayedStore::revision(const std::string &kind) const
+{
+    const auto found = this->kinds.find(kind);
+    return found == this->kinds.end() ? 0 : found->second.mirror.revision();
+}
+
+bool RelayedStore::isRelayRequest(const HttpRequest &request)
+{
+    return request.path() == listPath || request.path() == watchPath;
+}
+
+void RelayedStore::serve(const std::shared_ptr<HttpExchange> &exchange)
+{
+    const HttpRequest &request = exchange->request();
+    const auto found = this->kinds.find(request.query("kind"));
+    // Only a host that watches the store itself is followed, so that two hosts never follow one another.
+    if (found == this->kinds.end() || !found->second.direct) {
+        exchange->respond(notRunResponse("no_relay", "this host does not watch the store", absl::ZeroDuration()));
+        return;
+    }
+    if (request.path() == watchPath) {
+        this->follow(found->second, exchange);
+        return;
+    }
+    const ListReply reply = found->second.mirror.list(numberOf(request.query("least")));
+    if (reply.result == StoreResult::Done) {
+        exchange->respond(jsonResponse(ok, listText(reply)));
+    } else {
+        exchange->respond(notRunResponse("behind", "this host is behind", absl::ZeroDuration()));
+    }
+}
+
+void RelayedStore::follow(Kind &kind, const std::shared_ptr<HttpExchange> &exchange)
+{
+    const std::uint64_t since = numberOf(exchange->request().query("since"));
+    const WatchReply reply = kind.mirror.since(since);
+    if (reply.result == StoreResult::HistoryGone) {
+        exchange->respond(jsonResponse(historyGone, "{}"));
+        return;
+    }
+    if (!reply.changes.empty()) {
+        exchange->respond(jsonResponse(ok, this->changesText(kind, since)));
+        return;
+    }
+    const auto follower = std::make_shared<Follower>(Follower{.exchange = exchange, .since = since, .timer = {}});
+    kind.followers.push_back(follower);
+    const auto weak = std::weak_ptr<Follower>(follower);
+    exchange->onCallerLeft([&kind, weak] {
+        if (const auto left = weak.lock()) {
+            kind.followers.remove(left);
+        }
+    });
+    follower->timer = this->loop.after(absl::Milliseconds(numberOf(exchange->request().query("waitMs"))), [&kind, weak] {
+        if (const auto due = weak.lock()) {
+            kind.followers.remove(due);
+            due->exchange->respond(jsonResponse(ok, watchText(kind.mirror.since(due->since))));
+        }
+    });
+}
+
+void RelayedStore::answerFollowers(Kind &kind)
+{
+    std::list<std::shared_ptr<Follower>> waiting;
+    waiting.swap(kind.followers);
+    for (const auto &follower : waiting) {
+        const WatchReply reply = kind.mirror.since(follower->since);
+        if (reply.result == StoreResult::HistoryGone) {
+            follower->exchange->respond(jsonResponse(historyGone, "{}"));
+        } else if (!reply.changes.empty()) {
+            follower->exchange->respond(jsonResponse(ok, this->changesText(kind, follower->since)));
+        } else {
+            kind.followers.push_back(follower);
+        }
+    }
+}
+
+const std::string &RelayedStore::changesText(Kind &kind, std::uint64_t since)
+{
+    if (kind.answeredSince != since || kind.answeredAt != kind.mirror.revision() || kind.answer.empty()) {
+        kind.answer = watchText(kind.mirror.since(since));
+        kind.answeredSince = since;
+        kind.answeredAt = kind.mirror.revision();
+    }
+    return kind.answer;
+}
+
+void RelayedStore::tick()
+{
+    const auto waiting = this->relayed;
+    for (const auto &call : waiting) {
+        if (!this->relays.usable(call->relay, this->loop.now())) {
+            this->leaveRelay(call);
+        }
+    }
+}
+
+void RelayedStore::distrustRelays()
+{
+    const auto waiting = this->relayed;
+    for (const auto &call : waiting) {
+        this->leaveRelay(call);
+    }
+}
+
+void RelayedStore::dismissFollowers()
+{
+    for (auto &[name, kind] : this->kinds) {
+        this->setDirect(kind, false);
+    }
+}
+
+void RelayedStore::dismissFollowers(Kind &kind)
+{
+    std::list<std::shared_ptr<Follower>> waiting;
+    waiting.swap(kind.followers);
+    for (const auto &follower : waiting) {
+        follower->exchange->respond(notRunResponse("no_relay", "this host does not watch the store", absl::ZeroDuration()));
+    }
+}
+
+} // namespace Bergamotramp
