Keep networking headers out of the headers of the event loop

EventLoop.h, TcpStream.h, HttpServer.h and PeerExchange.h brought Boost.Asio into nearly every source of the entry host; the sockets now stand behind pointers.

--- a/apps/bergamotramp-entryd.cpp
+++ b/apps/bergamotramp-entryd.cpp
@@ -5,6 +5,7 @@
 
 #include <CLI/CLI.hpp>
 
+#include "Asio.h"
 #include "DiskHost.h"
 #include "EntryHost.h"
 #include "EntrySettings.h"
--- a/src/EntrySettings.cpp
+++ b/src/EntrySettings.cpp
@@ -17,7 +17,7 @@
 std::string checkedAddress(std::string address, const std::string &path)
 {
     try {
-        parseEndpoint(address);
+        checkEndpoint(address);
     } catch (const std::invalid_argument &error) {
         throw JsonError(path, error.what());
     }
--- a/src/EventLoop.cpp
+++ b/src/EventLoop.cpp
@@ -2,8 +2,15 @@
 
 #include <absl/time/clock.h>
 
+#include "Asio.h"
+
 namespace Bergamotramp {
 
+struct EventLoop::Io {
+    asio::io_context context{1};
+    asio::steady_timer alarm{this->context};
+};
+
 LoopTimer::LoopTimer(EventLoop *loop, std::pair<absl::Time, std::uint64_t> key) : loop(loop), key(key)
 {
 }
@@ -39,7 +46,7 @@
     return this->loop != nullptr && this->loop->contains(this->key);
 }
 
-EventLoop::EventLoop() : alarm(io), startTime(absl::Now()), startSteady(std::chrono::steady_clock::now())
+EventLoop::EventLoop() : io(std::make_unique<Io>()), startTime(absl::Now()), startSteady(std::chrono::steady_clock::now())
 {
 }
 
@@ -65,23 +72,23 @@
 
 void EventLoop::post(std::function<void()> callback)
 {
-    asio::post(this->io, std::move(callback));
+    asio::post(this->io->context, std::move(callback));
 }
 
 void EventLoop::run()
 {
-    const auto work = asio::make_work_guard(this->io);
-    this->io.run();
+    const auto work = asio::make_work_guard(this->io->context);
+    this->io->context.run();
 }
 
 void EventLoop::stop()
 {
-    this->io.stop();
+    this->io->context.stop();
 }
 
-asio::io_context &EventLoop::context()
+boost::asio::io_context &EventLoop::context()
 {
-    return this->io;
+    return this->io->context;
 }
 
 void EventLoop::cancel(const Key &key)
@@ -101,8 +108,8 @@
         return;
     }
     this->armedFor = this->timers.begin()->first.first;
-    this->alarm.expires_at(this->startSteady + absl::ToChronoNanoseconds(this->armedFor - this->startTime));
-    this->alarm.async_wait([this](const boost::system::error_code &error) {
+    this->io->alarm.expires_at(this->startSteady + absl::ToChronoNanoseconds(this->armedFor - this->startTime));
+    this->io->alarm.async_wait([this](const boost::system::error_code &error) {
         if (!error) {
             this->runDue();
         }
--- a/src/EventLoop.h
+++ b/src/EventLoop.h
@@ -1,13 +1,17 @@
 #pragma once
 
+#include <chrono>
 #include <cstdint>
 #include <functional>
 #include <map>
+#include <memory>
 #include <utility>
 
 #include <absl/time/time.h>
 
-#include "Asio.h"
+namespace boost::asio {
+class io_context;
+} // namespace boost::asio
 
 namespace Bergamotramp {
 
@@ -50,10 +54,12 @@
     void post(std::function<void()> callback);
     void run();
     void stop();
-    asio::io_context &context();
+    /** For sockets; Asio.h defines the type. */
+    boost::asio::io_context &context();
 
 private:
     friend class LoopTimer;
+    struct Io;
     using Key = std::pair<absl::Time, std::uint64_t>;
 
     void cancel(const Key &key);
@@ -63,8 +69,7 @@
 
     /** Destroyed after the I/O context, whose handlers cancel timers when they are destroyed. */
     std::map<Key, std::function<void()>> timers;
-    asio::io_context io{1};
-    asio::steady_timer alarm;
+    std::unique_ptr<Io> io;
     absl::Time startTime;
     std::chrono::steady_clock::time_point startSteady;
     absl::Time armedFor = absl::InfiniteFuture();
--- a/src/HttpServer.cpp
+++ b/src/HttpServer.cpp
@@ -5,6 +5,7 @@
 #include <absl/strings/str_cat.h>
 
 #include "HttpServerConnection.h"
+#include "TcpSocket.h"
 #include "TcpStream.h"
 #include "WeakCallback.h"
 
@@ -22,6 +23,13 @@
 
 } // namespace
 
+struct HttpServer::Acceptor {
+    explicit Acceptor(EventLoop &loop) : acceptor(loop.context())
+    {
+    }
+    asio::ip::tcp::acceptor acceptor;
+};
+
 HttpExchange::HttpExchange(std::shared_ptr<HttpServerConnection> connection, HttpRequest request, absl::Time received)
     : connection(std::move(connection)), callerRequest(std::move(request)), receivedAt(received)
 {
@@ -261,15 +269,15 @@
 }
 
 HttpServer::HttpServer(EventLoop &loop, const std::string &address, std::size_t maxConnections, Handler handler)
-    : loop(loop), acceptor(loop.context()), maxConnections(maxConnections), handler(std::move(handler))
+    : loop(loop), acceptor(std::make_unique<Acceptor>(loop)), maxConnections(maxConnections), handler(std::move(handler))
 {
     const asio::ip::tcp::endpoint endpoint = parseEndpoint(address);
     boost::system::error_code error;
-    this->acceptor.open(endpoint.protocol(), error);
-    this->acceptor.set_option(asio::ip::tcp::acceptor::reuse_address(true), error);
-    this->acceptor.bind(endpoint, error);
+    this->acceptor->acceptor.open(endpoint.protocol(), error);
+    this->acceptor->acceptor.set_option(asio::ip::tcp::acceptor::reuse_address(true), error);
+    this->acceptor->acceptor.bind(endpoint, error);
     if (!error) {
-        this->acceptor.listen(listenBacklog, error);
+        this->acceptor->acceptor.listen(listenBacklog, error);
     }
     if (error) {
         throw std::runtime_error("cannot listen on " + address + ": " + error.message());
@@ -287,7 +295,7 @@
 
 std::string HttpServer::address() const
 {
-    const asio::ip::tcp::endpoint endpoint = this->acceptor.local_endpoint();
+    const asio::ip::tcp::endpoint endpoint = this->acceptor->acceptor.local_endpoint();
     return endpoint.address().to_string() + ":" + std::to_string(endpoint.port());
 }
 
@@ -298,7 +306,7 @@
 
 void HttpServer::accept()
 {
-    this->acceptor.async_accept([this](const boost::system::error_code &error, asio::ip::tcp::socket socket) {
+    this->acceptor->acceptor.async_accept([this](const boost::system::error_code &error, asio::ip::tcp::socket socket) {
         if (error == asio::error::operation_aborted) {
             return;
         }
@@ -306,7 +314,7 @@
             this->acceptPause = this->loop.after(acceptRetryDelay, [this] { this->accept(); });
             return;
         }
-        const auto stream = std::make_shared<TcpStream>(this->loop, std::move(socket));
+        const auto stream = std::make_shared<TcpStream>(this->loop, TcpSocket{std::move(socket)});
         if (this->open.size() >= this->maxConnections) {
             stream->reset();
         } else {
@@ -326,7 +334,7 @@
 void HttpServer::stopAccepting()
 {
     boost::system::error_code ignored;
-    this->acceptor.close(ignored);
+    this->acceptor->acceptor.close(ignored);
 }
 
 void HttpServer::closeIdle()
--- a/src/HttpServer.h
+++ b/src/HttpServer.h
@@ -90,11 +90,12 @@
 
 private:
     friend class HttpServerConnection;
+    struct Acceptor;
 
     void accept();
 
     EventLoop &loop;
-    asio::ip::tcp::acceptor acceptor;
+    std::unique_ptr<Acceptor> acceptor;
     std::size_t maxConnections;
     Handler handler;
     HttpServerBounds bounds;
--- a/src/PeerExchange.cpp
+++ b/src/PeerExchange.cpp
@@ -4,7 +4,7 @@
 #include <stdexcept>
 
 #include "RendezvousHash.h"
-#include "TcpStream.h"
+#include "TcpSocket.h"
 #include "peer.pb.h"
 
 namespace Bergamotramp {
@@ -30,23 +30,32 @@
 
 } // namespace
 
+struct PeerExchange::Socket {
+    explicit Socket(EventLoop &loop) : socket(loop.context())
+    {
+    }
+    asio::ip::udp::socket socket;
+};
+
 PeerExchange::PeerExchange(EventLoop &loop, Peer self, PeerBoard &board, FleetLoad &load, CrashSuspects &suspects, Hooks hooks)
-    : loop(loop), self(std::move(self)), board(board), load(load), suspects(suspects), hooks(std::move(hooks)), socket(loop.context())
+    : loop(loop), self(std::move(self)), board(board), load(load), suspects(suspects), hooks(std::move(hooks)), socket(std::make_unique<Socket>(loop))
 {
     boost::system::error_code error;
     const asio::ip::udp::endpoint endpoint = udpEndpoint(this->self.peerAddress);
-    this->socket.open(endpoint.protocol(), error);
-    this->socket.bind(endpoint, error);
+    this->socket->socket.open(endpoint.protocol(), error);
+    this->socket->socket.bind(endpoint, error);
     if (error) {
         throw std::runtime_error("cannot bind " + this->self.peerAddress + " for datagrams: " + error.message());
     }
-    const asio::ip::udp::endpoint bound = this->socket.local_endpoint();
+    const asio::ip::udp::endpoint bound = this->socket->socket.local_endpoint();
     this->self.peerAddress = bound.address().to_string() + ":" + std::to_string(bound.port());
-    this->socket.non_blocking(true, error);
+    this->socket->socket.non_blocking(true, error);
     this->receive();
     this->timer = this->loop.after(nearPeriod, [this] { this->tick(); });
 }
 
+PeerExchange::~PeerExchange() = default;
+
 const std::string &PeerExchange::address() const
 {
     return this->self.peerAddress;
@@ -117,14 +126,14 @@
     for (const Peer &peer : this->board.all()) {
         // A silent host gets identities only, in case it comes back at the same address.
         if (withIdentity || (this->board.live(peer.name, now) && receiver(peer))) {
-            this->socket.send_to(asio::buffer(bytes), udpEndpoint(peer.peerAddress), 0, ignored);
+            this->socket->socket.send_to(asio::buffer(bytes), udpEndpoint(peer.peerAddress), 0, ignored);
         }
         this->introductions.erase(peer.peerAddress);
     }
     if (withIdentity) {
         this->lastIdentity = now;
         for (const std::string &address : this->introductions) {
-            this->socket.send_to(asio::buffer(bytes), udpEndpoint(address), 0, ignored);
+            this->socket->socket.send_to(asio::buffer(bytes), udpEndpoint(address), 0, ignored);
         }
     }
 }
@@ -173,7 +182,7 @@
 
 void PeerExchange::receive()
 {
-    this->socket.async_wait(asio::ip::udp::socket::wait_read, [this](const boost::system::error_code &error) {
+    this->socket->socket.async_wait(asio::ip::udp::socket::wait_read, [this](const boost::system::error_code &error) {
         if (error) {
             return;
         }
@@ -181,7 +190,7 @@
         asio::ip::udp::endpoint sender;
         boost::system::error_code readError;
         while (true) {
-            const std::size_t size = this->socket.receive_from(asio::buffer(buffer), sender, 0, readError);
+            const std::size_t size = this->socket->socket.receive_from(asio::buffer(buffer), sender, 0, readError);
             if (readError) {
                 break;
             }
--- a/src/PeerExchange.h
+++ b/src/PeerExchange.h
@@ -4,6 +4,7 @@
 #include <cstdint>
 #include <functional>
 #include <map>
+#include <memory>
 #include <set>
 #include <string>
 #include <vector>
@@ -43,6 +44,10 @@
     /** Binds @p self.peerAddress; throws std::runtime_error. */
     PeerExchange(EventLoop &loop, Peer self, PeerBoard &board, FleetLoad &load, CrashSuspects &suspects, Hooks hooks);
 
+    ~PeerExchange();
+    PeerExchange(const PeerExchange &) = delete;
+    PeerExchange &operator=(const PeerExchange &) = delete;
+
     /** The bound address, with the port that was chosen. */
     [[nodiscard]] const std::string &address() const;
     /** Age that the known loads of other data centres may have, beyond those of the near hosts. */
@@ -55,6 +60,8 @@
     void announceCrashes(const std::vector<std::pair<std::uint64_t, std::uint32_t>> &counts);
 
 private:
+    struct Socket;
+
     void tick();
     /** Sends to the hosts that @p receiver accepts. */
     void announce(bool complete, bool withIdentity, const std::function<bool(const Peer &)> &receiver);
@@ -69,7 +76,7 @@
     FleetLoad &load;
     CrashSuspects &suspects;
     Hooks hooks;
-    asio::ip::udp::socket socket;
+    std::unique_ptr<Socket> socket;
     std::set<std::string> introductions;
     /** Names by the short number that datagrams without an identity carry. */
     std::map<std::uint32_t, std::string> names;
--- a/src/TcpStream.cpp
+++ b/src/TcpStream.cpp
@@ -8,6 +8,8 @@
 
 #include <absl/strings/numbers.h>
 
+#include "TcpSocket.h"
+
 namespace Bergamotramp {
 
 namespace {
@@ -47,16 +49,23 @@
     return {ip, static_cast<unsigned short>(port)};
 }
 
-TcpStream::TcpStream(EventLoop &loop, asio::ip::tcp::socket socket) : loop(loop), socket(std::move(socket))
+void checkEndpoint(const std::string &address)
+{
+    static_cast<void>(parseEndpoint(address));
+}
+
+TcpStream::TcpStream(EventLoop &loop, TcpSocket socket) : loop(loop), socket(std::make_unique<TcpSocket>(std::move(socket)))
 {
     this->configure();
 }
 
+TcpStream::~TcpStream() = default;
+
 void TcpStream::configure()
 {
     boost::system::error_code ignored;
-    this->socket.non_blocking(true, ignored);
-    const int descriptor = this->socket.native_handle();
+    this->socket->socket.non_blocking(true, ignored);
+    const int descriptor = this->socket->socket.native_handle();
     setOption(descriptor, IPPROTO_TCP, TCP_NODELAY, 1);
     setOption(descriptor, SOL_SOCKET, SO_KEEPALIVE, 1);
     setOption(descriptor, IPPROTO_TCP, TCP_KEEPIDLE, keepAliveIdleSeconds);
@@ -83,7 +92,7 @@
     });
     attempt->socket.async_connect(parseEndpoint(address), [&loop, attempt, done = std::move(done)](const boost::system::error_code &error) {
         attempt->timer.cancel();
-        done(error || !attempt->socket.is_open() ? nullptr : std::make_shared<TcpStream>(loop, std::move(attempt->socket)));
+        done(error || !attempt->socket.is_open() ? nullptr : std::make_shared<TcpStream>(loop, TcpSocket{std::move(attempt->socket)}));
     });
 }
 
@@ -106,11 +115,11 @@
 
 void TcpStream::waitReadable()
 {
-    if (this->waitingReadable || !this->reading || !this->socket.is_open()) {
+    if (this->waitingReadable || !this->reading || !this->socket->socket.is_open()) {
         return;
     }
     this->waitingReadable = true;
-    this->socket.async_wait(asio::ip::tcp::socket::wait_read, [self = this->shared_from_this()](const boost::system::error_code &error) {
+    this->socket->socket.async_wait(asio::ip::tcp::socket::wait_read, [self = this->shared_from_this()](const boost::system::error_code &error) {
         self->waitingReadable = false;
         if (!error && self->reading) {
             self->onReadable();
@@ -121,7 +130,7 @@
 void TcpStream::onReadable()
 {
     boost::system::error_code error;
-    const std::size_t size = this->socket.read_some(asio::buffer(readBuffer), error);
+    const std::size_t size = this->socket->socket.read_some(asio::buffer(readBuffer), error);
     if (error == asio::error::would_block || error == asio::error::try_again) {
         this->waitReadable();
         return;
@@ -140,7 +149,7 @@
 
 void TcpStream::write(std::string_view bytes)
 {
-    if (!this->socket.is_open() || this->closing) {
+    if (!this->socket->socket.is_open() || this->closing) {
         return;
     }
     const bool idle = this->unsent.empty();
@@ -154,7 +163,7 @@
 {
     boost::system::error_code error;
     while (!this->unsent.empty()) {
-        const std::size_t sent = this->socket.write_some(asio::buffer(this->unsent), error);
+        const std::size_t sent = this->socket->socket.write_some(asio::buffer(this->unsent), error);
         if (error) {
             break;
         }
@@ -178,9 +187,9 @@
         return;
     }
     this->waitingWritable = true;
-    this->socket.async_wait(asio::ip::tcp::socket::wait_write, [self = this->shared_from_this()](const boost::system::error_code &waitError) {
+    this->socket->socket.async_wait(asio::ip::tcp::socket::wait_write, [self = this->shared_from_this()](const boost::system::error_code &waitError) {
         self->waitingWritable = false;
-        if (!waitError && self->socket.is_open()) {
+        if (!waitError && self->socket->socket.is_open()) {
             self->flush();
         }
     });
@@ -190,7 +199,7 @@
 {
     this->handlers = {};
     this->reading = false;
-    if (!this->socket.is_open() || this->closing) {
+    if (!this->socket->socket.is_open() || this->closing) {
         return;
     }
     this->closing = true;
@@ -206,11 +215,11 @@
     this->handlers = {};
     this->reading = false;
     this->unsent.clear();
-    if (!this->socket.is_open()) {
+    if (!this->socket->socket.is_open()) {
         return;
     }
     const linger immediately{.l_onoff = 1, .l_linger = 0};
-    setsockopt(this->socket.native_handle(), SOL_SOCKET, SO_LINGER, &immediately, sizeof immediately);
+    setsockopt(this->socket->socket.native_handle(), SOL_SOCKET, SO_LINGER, &immediately, sizeof immediately);
     this->shut();
 }
 
@@ -218,7 +227,7 @@
 {
     this->closeTimer.cancel();
     boost::system::error_code ignored;
-    this->socket.close(ignored);
+    this->socket->socket.close(ignored);
 }
 
 void TcpStream::end(StreamEnd how)
@@ -237,7 +246,7 @@
 
 bool TcpStream::open() const
 {
-    return this->socket.is_open() && !this->closing;
+    return this->socket->socket.is_open() && !this->closing;
 }
 
 std::size_t TcpStream::unsentBytes() const
--- a/src/TcpStream.h
+++ b/src/TcpStream.h
@@ -20,8 +20,10 @@
     Broken,
 };
 
-/** Parses "IP:port"; throws std::invalid_argument. */
-asio::ip::tcp::endpoint parseEndpoint(const std::string &address);
+struct TcpSocket;
+
+/** Throws std::invalid_argument unless @p address has the form "IP:port". */
+void checkEndpoint(const std::string &address);
 
 /** One TCP connection of an event loop. Handlers are released when the connection has ended. */
 class TcpStream : public std::enable_shared_from_this<TcpStream>
@@ -32,7 +34,11 @@
         std::function<void(StreamEnd)> ended;
     };
 
-    TcpStream(EventLoop &loop, asio::ip::tcp::socket socket);
+    /** Takes over an open socket. */
+    TcpStream(EventLoop &loop, TcpSocket socket);
+    ~TcpStream();
+    TcpStream(const TcpStream &) = delete;
+    TcpStream &operator=(const TcpStream &) = delete;
 
     /** Opens a connection; @p done gets null when it can't be established within @p timeout. */
     static void connect(EventLoop &loop, const std::string &address, absl::Duration timeout, std::function<void(std::shared_ptr<TcpStream>)> done);
@@ -59,7 +65,7 @@
     void shut();
 
     EventLoop &loop;
-    asio::ip::tcp::socket socket;
+    std::unique_ptr<TcpSocket> socket;
     Handlers handlers;
     std::string unsent;
     bool reading = false;
--- a/test/entry/HttpTest.cpp
+++ b/test/entry/HttpTest.cpp
@@ -4,6 +4,7 @@
 #include "HttpClient.h"
 #include "HttpServer.h"
 #include "LoopRunner.h"
+#include "TcpSocket.h"
 #include "TcpStream.h"
 
 namespace Bergamotramp {
@@ -163,7 +164,7 @@
                 return;
             }
             ++this->accepted;
-            const auto stream = std::make_shared<TcpStream>(this->loop, std::move(socket));
+            const auto stream = std::make_shared<TcpStream>(this->loop, TcpSocket{std::move(socket)});
             stream->start({.data =
                                [this, raw = stream.get()](std::string_view) {
                                    ++this->requests;
--- a/test/standin/LoopProgram.h
+++ b/test/standin/LoopProgram.h
@@ -5,6 +5,7 @@
 #include <iostream>
 #include <string>
 
+#include "Asio.h"
 #include "EventLoop.h"
 #include "HttpServer.h"
 
