Let a starting host learn of the fleet before it asks the store

A host now answers a newcomer's identity at once, introduces itself without waiting for the next second, and starts its watches when it has met others, after 300 ms at the latest. Ruled out: the pace of the watches; the far region's link is full.

--- a/src/EntryHost.cpp
+++ b/src/EntryHost.cpp
@@ -49,6 +49,9 @@
 // A submission is answered before its caller gives up.
 constexpr absl::Duration answerMargin = absl::Milliseconds(300);
 constexpr absl::Duration longestStoreRetry = absl::Seconds(3);
+// For the answers of the first hosts that a starting one turns to, between regions too; and when none answers.
+constexpr absl::Duration meetTime = absl::Milliseconds(60);
+constexpr absl::Duration longestMeetTime = absl::Milliseconds(300);
 // Before a host that started without the store tries again to learn of the other hosts.
 constexpr absl::Duration meetRetry = absl::Seconds(2);
 // A change reaches all hosts within a few hundred milliseconds; a host that is behind others for longer asks elsewhere.
@@ -148,8 +151,9 @@
                    .runningHost = [this](const std::string &jobId, const std::string &owner) { return this->runningHost(jobId, owner); },
                    .storeUnanswered = [this] { this->storeLost("job call", StoreResult::Unanswered); }});
     this->settings.peerAddress = this->exchange->address();
-    this->startWatchers();
+    this->makeWatchers();
     this->meetPeers();
+    this->startWatchers(this->loop.now());
     this->tickTimer = this->loop.after(tickPeriod, [this] { this->tick(); });
 }
 
@@ -201,7 +205,7 @@
             .regained = [this] { this->storeRegained(); }};
 }
 
-void EntryHost::startWatchers()
+void EntryHost::makeWatchers()
 {
     KindWatcher::Hooks hooks = this->watchHooks(this->platform.configKind);
     hooks.listed = [this](const std::vector<ObjectRecord> &objects) {
@@ -228,7 +232,17 @@
     hooks.changed = [this](const ObjectChange &change) { this->jobs->changeHeader(change); };
     const KindWatcher::Pace coalesced{.watchWait = watchWait, .coalesce = jobCoalesce, .retry = laterRetry};
     this->jobWatcher = std::make_unique<KindWatcher>(this->loop, this->followed, JobArchive::headerKind, coalesced, hooks);
+}
 
+void EntryHost::startWatchers(absl::Time begun)
+{
+    // Who knows the other hosts asks a relay; when all hosts of a large fleet start, their lists would fill the links.
+    const absl::Duration waited = this->loop.now() - begun;
+    const bool met = this->peers.size() > 0 && waited > meetTime;
+    if (!this->settings.seeds.empty() && !met && waited < longestMeetTime) {
+        this->startTimer = this->loop.after(meetTime / 2, [this, begun] { this->startWatchers(begun); });
+        return;
+    }
     this->configWatcher->start();
     this->upstreamWatcher->start();
     this->jobWatcher->start();
--- a/src/EntryHost.h
+++ b/src/EntryHost.h
@@ -49,7 +49,9 @@
 
 private:
     void startServers();
-    void startWatchers();
+    void makeWatchers();
+    /** Starts the watchers once this host knows others, or has waited for that since @p begun. */
+    void startWatchers(absl::Time begun);
     void meetPeers();
     void storeOwnAddress();
     void listHosts();
@@ -147,6 +149,7 @@
     bool stopping = false;
     absl::Time stopBegan = absl::InfinitePast();
     absl::Time lastTick = absl::InfiniteFuture();
+    LoopTimer startTimer;
     LoopTimer meetTimer;
     LoopTimer tickTimer;
     LoopTimer stopTimer;
--- a/src/KindWatcher.cpp
+++ b/src/KindWatcher.cpp
@@ -9,6 +9,7 @@
 
 void KindWatcher::start()
 {
+    this->started = true;
     this->list();
 }
 
@@ -84,7 +85,7 @@
 
 void KindWatcher::restart()
 {
-    if (this->waitingToRetry) {
+    if (this->waitingToRetry || !this->started) {
         return;
     }
     ++this->round;
--- a/src/KindWatcher.h
+++ b/src/KindWatcher.h
@@ -61,6 +61,7 @@
     std::uint64_t revision = 0;
     /** Answers to calls before the last restart are ignored. */
     std::uint64_t round = 0;
+    bool started = false;
     bool waitingToRetry = false;
     bool available = true;
     LoopTimer timer;
--- a/src/PeerBoard.cpp
+++ b/src/PeerBoard.cpp
@@ -33,9 +33,17 @@
     return true;
 }
 
-void PeerBoard::forgetSilent(absl::Time now)
+std::vector<std::string> PeerBoard::forgetSilent(absl::Time now)
 {
-    std::erase_if(this->peers, [now](const auto &entry) { return now > entry.second.lastHeard + forgetAfter; });
+    std::vector<std::string> forgotten;
+    std::erase_if(this->peers, [now, &forgotten](const auto &entry) {
+        const bool silent = now > entry.second.lastHeard + forgetAfter;
+        if (silent) {
+            forgotten.push_back(entry.second.peerAddress);
+        }
+        return silent;
+    });
+    return forgotten;
 }
 
 void PeerBoard::excuse(absl::Duration standstill)
--- a/src/PeerBoard.h
+++ b/src/PeerBoard.h
@@ -49,7 +49,8 @@
 
     /** Takes an announcement; false when it is older than what is known. */
     bool update(const Peer &peer);
-    void forgetSilent(absl::Time now);
+    /** Drops hosts that have been silent for long; returns their datagram addresses. */
+    std::vector<std::string> forgetSilent(absl::Time now);
     /** Does not hold a time against the others in which this host itself stood still. */
     void excuse(absl::Duration standstill);
 
--- a/src/PeerExchange.cpp
+++ b/src/PeerExchange.cpp
@@ -68,8 +68,9 @@
 
 void PeerExchange::introduce(const std::string &peerAddress)
 {
-    if (peerAddress != this->self.peerAddress) {
+    if (peerAddress != this->self.peerAddress && this->met.insert(peerAddress).second) {
         this->introductions.insert(peerAddress);
+        this->unanswered.insert(peerAddress);
     }
 }
 
@@ -78,7 +79,10 @@
     const absl::Time now = this->loop.now();
     const auto nearHosts = std::ranges::count_if(this->board.all(), [this](const Peer &peer) { return this->near(peer); });
     this->timer = this->loop.after(std::max(nearPeriod, nearPeriodPerPeer * static_cast<std::int64_t>(nearHosts)), [this] { this->tick(); });
-    this->board.forgetSilent(now);
+    for (const std::string &address : this->board.forgetSilent(now)) {
+        this->met.erase(address);
+    }
+    this->sendIntroductions();
     const auto everyone = [](const Peer &) { return true; };
     const bool identityDue = now >= this->lastIdentity + identityPeriod;
     if (identityDue || now >= this->lastComplete + completePeriod) {
@@ -128,13 +132,26 @@
         if (withIdentity || (this->board.live(peer.name, now) && receiver(peer))) {
             this->socket->socket.send_to(asio::buffer(bytes), udpEndpoint(peer.peerAddress), 0, ignored);
         }
-        this->introductions.erase(peer.peerAddress);
     }
     if (withIdentity) {
         this->lastIdentity = now;
-        for (const std::string &address : this->introductions) {
-            this->socket->socket.send_to(asio::buffer(bytes), udpEndpoint(address), 0, ignored);
-        }
+        // Hosts that have not answered yet may be starting.
+        this->introductions = this->unanswered;
+        this->sendIntroductions();
+    }
+}
+
+void PeerExchange::sendIdentity(const std::string &peerAddress)
+{
+    boost::system::error_code ignored;
+    const std::string bytes = this->encode({.complete = false, .uses = {}, .batchWaiting = this->load.ownBatchWaiting()}, true);
+    this->socket->socket.send_to(asio::buffer(bytes), udpEndpoint(peerAddress), 0, ignored);
+}
+
+void PeerExchange::sendIntroductions()
+{
+    for (const std::string &address : std::exchange(this->introductions, {})) {
+        this->sendIdentity(address);
     }
 }
 
@@ -237,9 +254,17 @@
     heard.storeSilent = message.store_silent();
     heard.upstreamRevision = message.upstream_revision();
     heard.lastHeard = now;
+    const Peer *before = this->board.find(heard.name);
+    const bool started = before == nullptr || before->incarnation != heard.incarnation;
     if (!this->board.update(heard)) {
         return;
     }
+    this->met.insert(sender);
+    this->unanswered.erase(sender);
+    if (started) {
+        // A host that starts learns of the fleet from the first answer.
+        this->sendIdentity(sender);
+    }
     LoadAnnouncement announcement{.complete = message.complete(), .uses = {}, .batchWaiting = message.batch_waiting(), .near = this->near(heard)};
     for (const peer::UpstreamUse &use : message.uses()) {
         announcement.uses.push_back({.upstream = use.upstream(), .counts = {.online = use.online(), .batch = use.batch()}});
--- a/src/PeerExchange.h
+++ b/src/PeerExchange.h
@@ -66,6 +66,10 @@
     /** Sends to the hosts that @p receiver accepts. */
     void announce(bool complete, bool withIdentity, const std::function<bool(const Peer &)> &receiver);
     [[nodiscard]] std::string encode(const LoadAnnouncement &announcement, bool withIdentity);
+    /** Tells one host who this one is, and which others there are. */
+    void sendIdentity(const std::string &peerAddress);
+    /** Announces this host to those that it has learned of since the last time. */
+    void sendIntroductions();
     [[nodiscard]] bool near(const Peer &peer) const;
     void receive();
     void take(const std::string &bytes, const std::string &sender);
@@ -77,7 +81,10 @@
     CrashSuspects &suspects;
     Hooks hooks;
     std::unique_ptr<Socket> socket;
+    /** Addresses of other hosts: all that are known, those to be sent to next, and those that have not answered. */
+    std::set<std::string> met;
     std::set<std::string> introductions;
+    std::set<std::string> unanswered;
     /** Names by the short number that datagrams without an identity carry. */
     std::map<std::uint32_t, std::string> names;
     std::vector<std::pair<std::uint64_t, std::uint32_t>> crashes;
