Tell the runner of a job that the job has ended

The host that stores the end now tells the runner, which reads the header again; the watch stays as the way for what a notice misses. The new test failed first (8 items ran on with a forgotten watch).

--- a/src/EntryHost.cpp
+++ b/src/EntryHost.cpp
@@ -58,6 +58,7 @@
 constexpr absl::Duration behindPatience = absl::Milliseconds(1200);
 constexpr std::size_t controlConnections = 500;
 constexpr const char *snapshotPath = "/peer/snapshot";
+constexpr const char *jobChangedPath = "/peer/job-changed";
 constexpr const char *hostKind = "hosts";
 
 std::uint64_t startNumber()
@@ -551,6 +552,11 @@
         this->followed.serve(request);
         return;
     }
+    if (request->request().path() == jobChangedPath) {
+        this->jobs->refresh(request->request().query("job"));
+        request->respond(jsonResponse(200, "{}"));
+        return;
+    }
     if (request->request().path() == snapshotPath) {
         request->respond(jsonResponse(200, this->snapshot().dump()));
         return;
@@ -737,15 +743,27 @@
 void EntryHost::endJob(const std::shared_ptr<HttpExchange> &request, const CallerCall &call)
 {
     const absl::Time giveUpAt = request->received() + std::min(longestStoreRetry, call.timeBudget - answerMargin);
-    this->jobs->cancel(call.id, giveUpAt, [this, request](JobLookup result) {
+    this->jobs->cancel(call.id, giveUpAt, [this, request, id = call.id](JobLookup result) {
         if (result == JobLookup::Found) {
             request->respond(jsonResponse(200, "{}"));
+            this->tellRunner(id);
         } else {
             this->refuseJobLookup(request, result);
         }
     });
 }
 
+void EntryHost::tellRunner(const std::string &jobId)
+{
+    this->jobs->locate(jobId, [this, jobId](JobLookup result, const std::string &host) {
+        const Peer *runner = result == JobLookup::Found ? this->peers.find(host) : nullptr;
+        if (runner != nullptr && this->peers.live(host, this->loop.now())) {
+            const HttpRequest notice{.method = "POST", .target = absl::StrCat(jobChangedPath, "?job=", percentEncode(jobId)), .fields = {}, .body = {}};
+            this->callPeer(*runner, notice, peerAnswerTimeout, [](const std::optional<HttpResponse> &) {});
+        }
+    });
+}
+
 bool EntryHost::ready() const
 {
     return this->config != nullptr && this->upstreamsKnown && !this->stopping;
--- a/src/EntryHost.h
+++ b/src/EntryHost.h
@@ -86,6 +86,8 @@
     void forwardJobCall(const std::shared_ptr<HttpExchange> &exchange, const CallerCall &call, const Peer &owner);
     void refuseJobLookup(const std::shared_ptr<HttpExchange> &exchange, JobLookup lookup);
     void endJob(const std::shared_ptr<HttpExchange> &exchange, const CallerCall &call);
+    /** Tells the host that runs a job that it has ended, so that its items stop before its watch brings the change. */
+    void tellRunner(const std::string &jobId);
 
     void tick();
     void checkStopped();
--- a/src/JobService.cpp
+++ b/src/JobService.cpp
@@ -434,6 +434,18 @@
     });
 }
 
+void JobService::refresh(const std::string &jobId)
+{
+    this->archive.readHeader(jobId, [this, jobId](const ObjectReply &reply) {
+        if (reply.result == StoreResult::Done) {
+            this->adopt(*reply.object);
+        } else {
+            // The watch of the headers brings the change later.
+            this->context.log.write("job_not_refreshed", {{"job", jobId}});
+        }
+    });
+}
+
 void JobService::writeCancel(const std::string &jobId, std::uint64_t revision, JobProgress progress, absl::Time giveUpAt, std::function<void(JobLookup)> done)
 {
     progress.cancelled = true;
--- a/src/JobService.h
+++ b/src/JobService.h
@@ -72,6 +72,8 @@
     void read(const std::string &jobId, std::size_t position, absl::Duration wait, std::function<void(JobLookup, const JobPage &)> done);
     void itemBody(const std::string &jobId, const std::string &itemId, std::function<void(JobLookup, const std::string &body)> done);
     void cancel(const std::string &jobId, absl::Time giveUpAt, std::function<void(JobLookup)> done);
+    /** Reads a job's header again, because another host has changed it. */
+    void refresh(const std::string &jobId);
 
     /** Takes the complete list of job headers. */
     void setHeaders(const std::vector<ObjectRecord> &objects);
--- a/test/site/JobServiceTest.cpp
+++ b/test/site/JobServiceTest.cpp
@@ -154,6 +154,23 @@
     EXPECT_EQ(this->upstreams[0]->running() + this->upstreams[1]->running(), 0U);
 }
 
+// Guards against items that run on for seconds after the acknowledged end of their job, because the store has forgotten the
+// watch of the host that runs them and that host has not noticed yet.
+TEST_F(JobServiceTest, runnerIsToldThatItsJobHasEnded)
+{
+    this->start(2, absl::Milliseconds(900));
+    EXPECT_EQ(this->submit(*this->hosts[0], "job-1", 8), 202);
+    ASSERT_TRUE(runUntil(this->loop, [this] { return this->upstreams[0]->running() > 0; }));
+    // All watches wait by now.
+    runFor(this->loop, absl::Seconds(1));
+    this->store.setMode(ObjectApiMode::Silent);
+    this->store.setMode(ObjectApiMode::Serving);
+    EXPECT_EQ(this->wait(this->send(*this->hosts[1], "DELETE", "/bergamotramp/lots/job-1", {})).head.status, 200);
+    // The bound of the users' pages is three seconds; without the notice the watch ends after five.
+    runFor(this->loop, absl::Seconds(2));
+    EXPECT_EQ(this->upstreams[0]->running() + this->upstreams[1]->running(), 0U);
+}
+
 // Guards against an item that is never given up, or given up before its failures allow it.
 TEST_F(JobServiceTest, itemsThatCanNotBeDoneAreGivenUp)
 {
