Let followers of a starting relay wait for its list

When all hosts of a large fleet start together the relays have no list yet; they refused their followers, which then all asked the store. A relay that has never had a list keeps the question until it has one. A host that misses the configuration asks hosts of its data centre first, then those of its region and last the others.

--- a/src/EntryHost.cpp
+++ b/src/EntryHost.cpp
@@ -454,13 +454,23 @@
     }
 }
 
+absl::Duration EntryHost::configPatience(const Peer &peer) const
+{
+    if (this->peers.size() <= PeerBoard::smallFleet) {
+        return absl::ZeroDuration();
+    }
+    // In a large fleet the relays bring a new configuration; if all asked each other too, it would fill the links.
+    if (peer.dataCentre == this->settings.dataCentre) {
+        return behindPatience;
+    }
+    return behindPatience * (peer.region == this->settings.region ? 2 : 4);
+}
+
 void EntryHost::askPeerForConfig(const Peer &peer)
 {
     const absl::Time now = this->loop.now();
     this->configBehindSince = std::min(this->configBehindSince, now);
-    // In a large fleet the relays bring a new configuration; if all asked each other too, it would fill the links.
-    const absl::Duration patience = this->peers.size() <= PeerBoard::smallFleet ? absl::ZeroDuration() : behindPatience;
-    if (this->askingPeer || now < this->configBehindSince + patience) {
+    if (this->askingPeer || now < this->configBehindSince + this->configPatience(peer)) {
         return;
     }
     this->askingPeer = true;
--- a/src/EntryHost.h
+++ b/src/EntryHost.h
@@ -69,6 +69,8 @@
     void adaptPace();
     /** Asks another host for a newer configuration that this one has been missing for a while. */
     void askPeerForConfig(const Peer &peer);
+    /** How long this host misses a newer configuration before it asks @p peer for it. */
+    [[nodiscard]] absl::Duration configPatience(const Peer &peer) const;
     /** Lists the upstreams again when other hosts have known of a newer change for too long. */
     void catchUpWithPeers(absl::Time now);
     void callPeer(const Peer &peer, const HttpRequest &request, absl::Duration timeout, std::function<void(const std::optional<HttpResponse> &)> done);
--- a/src/RelayedStore.cpp
+++ b/src/RelayedStore.cpp
@@ -11,8 +11,10 @@
 
 constexpr const char *listPath = "/peer/objects";
 constexpr const char *watchPath = "/peer/changes";
-// For the answer of a relay beyond the time that it may wait by request; a large list takes a while over a slow link.
+// For the answer of a relay beyond the time that it may wait by request.
 constexpr absl::Duration relayAnswerTimeout = absl::Seconds(2);
+// A relay that has just started may have to wait for a large list over a full link. One that dies is noticed sooner.
+constexpr absl::Duration relayListTimeout = absl::Seconds(10);
 // A relay that turns silent is noticed by its announcements; this bounds what one lost answer costs.
 constexpr absl::Duration longestRelayWait = absl::Seconds(5);
 constexpr int ok = 200;
@@ -180,7 +182,8 @@
         call->listing ? absl::StrCat(listPath, "?kind=", percentEncode(call->kind), "&least=", call->revision)
                       : absl::StrCat(watchPath, "?kind=", percentEncode(call->kind), "&since=", call->revision, "&waitMs=", absl::ToInt64Milliseconds(wait));
     const HttpRequest request{.method = "GET", .target = target, .fields = {}, .body = {}};
-    this->callPeer(relay, request, wait + relayAnswerTimeout, [this, call, round](const std::optional<HttpResponse> &response) {
+    const absl::Duration timeout = call->listing ? relayListTimeout : wait + relayAnswerTimeout;
+    this->callPeer(relay, request, timeout, [this, call, round](const std::optional<HttpResponse> &response) {
         if (call->round != round) {
             return;
         }
@@ -218,6 +221,11 @@
 {
     Kind &kind = this->kinds.at(call->kind);
     kind.mirror.take(reply);
+    if (kind.mirror.known()) {
+        for (const auto &exchange : std::exchange(kind.waitingLists, {})) {
+            this->serveList(kind, exchange);
+        }
+    }
     this->answerFollowers(kind);
     call->listed(reply);
 }
@@ -245,16 +253,27 @@
 {
     const HttpRequest &request = exchange->request();
     const auto found = this->kinds.find(request.query("kind"));
+    const bool listing = request.path() == listPath;
+    if (listing && found != this->kinds.end() && !found->second.mirror.known() && !this->relays.relay(this->loop.now())) {
+        // A relay that starts together with its followers; if it refused them, all would ask the store.
+        found->second.waitingLists.push_back(exchange);
+        return;
+    }
     // Only a host that watches the store itself is followed, so that two hosts never follow one another.
     if (found == this->kinds.end() || !found->second.direct) {
         exchange->respond(notRunResponse("no_relay", "this host does not watch the store", absl::ZeroDuration()));
         return;
     }
-    if (request.path() == watchPath) {
+    if (listing) {
+        this->serveList(found->second, exchange);
+    } else {
         this->follow(found->second, exchange);
-        return;
     }
-    const ListReply reply = found->second.mirror.list(numberOf(request.query("least")));
+}
+
+void RelayedStore::serveList(const Kind &kind, const std::shared_ptr<HttpExchange> &exchange) const
+{
+    const ListReply reply = kind.mirror.list(numberOf(exchange->request().query("least")));
     if (reply.result == StoreResult::Done) {
         exchange->respond(jsonResponse(ok, listText(reply)));
     } else {
@@ -343,6 +362,9 @@
 
 void RelayedStore::dismissFollowers(Kind &kind)
 {
+    for (const auto &exchange : std::exchange(kind.waitingLists, {})) {
+        exchange->respond(notRunResponse("no_relay", "this host does not watch the store", absl::ZeroDuration()));
+    }
     std::list<std::shared_ptr<Follower>> waiting;
     waiting.swap(kind.followers);
     for (const auto &follower : waiting) {
--- a/src/RelayedStore.h
+++ b/src/RelayedStore.h
@@ -6,6 +6,7 @@
 #include <memory>
 #include <set>
 #include <string>
+#include <vector>
 
 #include "EventLoop.h"
 #include "HttpServer.h"
@@ -75,6 +76,8 @@
         /** Whether the mirror is kept up to date by the store itself. */
         bool direct = false;
         std::list<std::shared_ptr<Follower>> followers;
+        /** Followers that asked for the list before this host had it. */
+        std::vector<std::shared_ptr<HttpExchange>> waitingLists;
         /** The last answer to followers, which several of them get. */
         std::uint64_t answeredSince = 0;
         std::uint64_t answeredAt = 0;
@@ -87,6 +90,7 @@
     void leaveRelay(const std::shared_ptr<Call> &call);
     void finish(const std::shared_ptr<Call> &call, const ListReply &reply);
     void finish(const std::shared_ptr<Call> &call, const WatchReply &reply);
+    void serveList(const Kind &kind, const std::shared_ptr<HttpExchange> &exchange) const;
     void follow(Kind &kind, const std::shared_ptr<HttpExchange> &exchange);
     void answerFollowers(Kind &kind);
     void setDirect(Kind &kind, bool direct);
