Send less between regions for announcements

Announcements were a large part of the bytes: 37 hosts told 37 others all loads three times a second, and each second the names of all hosts.

--- a/src/PeerExchange.cpp
+++ b/src/PeerExchange.cpp
@@ -21,6 +21,10 @@
 constexpr absl::Duration identityPeriod = absl::Seconds(1);
 constexpr absl::Duration crashAnnouncementTime = absl::Seconds(3);
 constexpr std::size_t maxDatagramBytes = 60'000;
+// A newcomer is told all other hosts. The identity that all get each second names a few in turn, for those whose answer was
+// lost: in a fleet of 80 hosts all names would be most of its bytes.
+constexpr std::size_t fewKnownPeers = 8;
+constexpr std::size_t allKnownPeers = 1000;
 
 asio::ip::udp::endpoint udpEndpoint(const std::string &address)
 {
@@ -86,11 +90,13 @@
     const auto everyone = [](const Peer &) { return true; };
     const bool identityDue = now >= this->lastIdentity + identityPeriod;
     if (identityDue || now >= this->lastComplete + completePeriod) {
+        this->lastComplete = now;
         this->announce(true, identityDue, everyone);
         return;
     }
     if (this->board.size() > PeerBoard::smallFleet && now >= this->lastFar + this->farLoadAge()) {
-        this->announce(true, false, everyone);
+        // Other regions have the complete announcements; the link to them is narrow.
+        this->announce(true, false, [this](const Peer &peer) { return peer.region == this->self.region; });
     } else if (this->load.changed()) {
         this->announce(false, false, [this](const Peer &peer) { return this->near(peer); });
     }
@@ -119,10 +125,9 @@
 {
     const absl::Time now = this->loop.now();
     if (complete) {
-        this->lastComplete = now;
         this->lastFar = now;
     }
-    const std::string bytes = this->encode(this->load.takeAnnouncement(complete), withIdentity);
+    const std::string bytes = this->encode(this->load.takeAnnouncement(complete), withIdentity ? fewKnownPeers : 0);
     if (bytes.size() > maxDatagramBytes) {
         return;
     }
@@ -144,7 +149,7 @@
 void PeerExchange::sendIdentity(const std::string &peerAddress)
 {
     boost::system::error_code ignored;
-    const std::string bytes = this->encode({.complete = false, .uses = {}, .batchWaiting = this->load.ownBatchWaiting()}, true);
+    const std::string bytes = this->encode({.complete = false, .uses = {}, .batchWaiting = this->load.ownBatchWaiting()}, allKnownPeers);
     this->socket->socket.send_to(asio::buffer(bytes), udpEndpoint(peerAddress), 0, ignored);
 }
 
@@ -155,7 +160,7 @@
     }
 }
 
-std::string PeerExchange::encode(const LoadAnnouncement &announcement, bool withIdentity)
+std::string PeerExchange::encode(const LoadAnnouncement &announcement, std::size_t knownPeers)
 {
     const OwnState state = this->hooks.ownState();
     peer::HostState message;
@@ -182,7 +187,7 @@
             entry->set_crashes(count);
         }
     }
-    if (withIdentity) {
+    if (knownPeers > 0) {
         peer::Identity *identity = message.mutable_identity();
         identity->set_name(this->self.name);
         identity->set_region(this->self.region);
@@ -190,9 +195,11 @@
         identity->set_entry_address(this->self.entryAddress);
         identity->set_control_address(this->self.controlAddress);
         identity->set_link_mbps(this->self.linkMbps);
-        for (const Peer &peer : this->board.liveHosts(this->loop.now())) {
-            identity->add_known_peers(peer.peerAddress);
+        const std::vector<Peer> live = this->board.liveHosts(this->loop.now());
+        for (std::size_t number = 0; number < std::min(knownPeers, live.size()); ++number) {
+            identity->add_known_peers(live[(this->nextKnownPeer + number) % live.size()].peerAddress);
         }
+        this->nextKnownPeer += std::min(knownPeers, live.size());
     }
     return message.SerializeAsString();
 }
--- a/src/PeerExchange.h
+++ b/src/PeerExchange.h
@@ -65,7 +65,8 @@
     void tick();
     /** Sends to the hosts that @p receiver accepts. */
     void announce(bool complete, bool withIdentity, const std::function<bool(const Peer &)> &receiver);
-    [[nodiscard]] std::string encode(const LoadAnnouncement &announcement, bool withIdentity);
+    /** With the identity of this host and up to @p knownPeers others, unless that is 0. */
+    [[nodiscard]] std::string encode(const LoadAnnouncement &announcement, std::size_t knownPeers);
     /** Tells one host who this one is, and which others there are. */
     void sendIdentity(const std::string &peerAddress);
     /** Announces this host to those that it has learned of since the last time. */
@@ -89,6 +90,7 @@
     std::map<std::uint32_t, std::string> names;
     std::vector<std::pair<std::uint64_t, std::uint32_t>> crashes;
     absl::Time crashesUntil = absl::InfinitePast();
+    std::size_t nextKnownPeer = 0;
     absl::Time lastComplete = absl::InfinitePast();
     absl::Time lastFar = absl::InfinitePast();
     absl::Time lastIdentity = absl::InfinitePast();
