--- a/scripts/test.sh
+++ b/scripts/test.sh
@@ -28,3 +28,8 @@
     scripts/lint.sh build/asan
 fi
 ctest --test-dir build/asan --output-on-failure -j 4
+# Faults that are found and not mended yet; their cases are not among the tests above.
+if [ -f KNOWN-RED.txt ]; then
+    echo "known red:"
+    cat KNOWN-RED.txt
+fi
