Say once what the entry host's parts said twice

Found on the last read of the change: - HttpClientConnection guarded bytes and ends of a connection by the same two checks; responseDue() holds them. - RelayedStore answered a new and a waiting follower by the same three cases, and copied and encoded the changes twice for each, though most followers get the same text; answerIfChanged() makes the text once. Handlers of a relay's answer ran inside the try block of its parser, so that their JSON errors would have passed for an unreadable relay and given the watcher a second answer; they now run after it. - Object records were turned into JSON in EntryHost and in RelayedStore; ObjectRecord does it. After a fence the job is looked at at once, as after results, and not only at the next tick (40 ms). - A follower counted the hosts that watch the store at each tick and didn't use the number.

--- a/src/EntryHost.cpp
+++ b/src/EntryHost.cpp
@@ -81,16 +81,6 @@
     return {.dataCentre = settings.dataCentre, .region = settings.region, .regions = settings.regions};
 }
 
-nlohmann::json objectJson(const ObjectRecord &object)
-{
-    return {{"name", object.name}, {"revision", object.revision}, {"content", object.content}};
-}
-
-ObjectRecord objectFromJson(const nlohmann::json &json)
-{
-    return {.name = json.at("name"), .revision = json.at("revision"), .content = json.at("content"), .status = nullptr};
-}
-
 } // namespace
 
 EntryHost::EntryHost(EventLoop &loop, EntrySettings hostSettings, PlatformLink link, JsonLog &log, EntryMetrics &metrics, std::function<void()> stopped)
@@ -335,7 +325,7 @@
     }
     this->config = std::make_shared<const RoutingConfig>(std::move(*decoded));
     this->configBehindSince = absl::InfiniteFuture();
-    this->configObject = objectJson(object);
+    this->configObject = object.toJson();
     this->entryServer->setBounds(this->config->callerBounds);
     this->log.write("config_in_force",
                     {{"revision", object.revision}, {"version", this->config->version}, {"routes", static_cast<std::uint64_t>(this->config->routes.size())}});
@@ -349,7 +339,7 @@
         this->upstreamRevision = std::max(this->upstreamRevision, object.revision);
         if (const auto upstream = this->platform.decodeUpstream(object)) {
             decoded.push_back(*upstream);
-            this->upstreamObjects[object.name] = objectJson(object);
+            this->upstreamObjects[object.name] = object.toJson();
         } else {
             this->log.write("upstream_unreadable", {{"upstream", object.name}, {"revision", object.revision}});
         }
@@ -383,7 +373,7 @@
         this->upstreamClient.forget(address);
     }
     this->upstreams.put(*upstream);
-    this->upstreamObjects[id] = objectJson(change.object);
+    this->upstreamObjects[id] = change.object.toJson();
 }
 
 void EntryHost::heard(const Peer &peer)
@@ -408,10 +398,12 @@
 void EntryHost::adaptPace()
 {
     this->choice.setFarLoadAge(this->exchange->farLoadAge());
-    const auto watchers = static_cast<double>(this->relays.directWatchers(this->loop.now()));
+    const absl::Time now = this->loop.now();
     // A relay is asked at once: its own watch has taken several changes together.
-    const bool follows = this->relays.relay(this->loop.now()).has_value();
-    const double scale = follows ? 0.0 : std::max(1.0, watchers / static_cast<double>(hostsOfShortPace));
+    double scale = 0.0;
+    if (!this->relays.relay(now)) {
+        scale = std::max(1.0, static_cast<double>(this->relays.directWatchers(now)) / static_cast<double>(hostsOfShortPace));
+    }
     this->configWatcher->setPace(
         {.watchWait = std::min(watchWait, configWatchWait * std::max(1.0, scale)), .coalesce = absl::ZeroDuration(), .retry = firstRetry});
     this->upstreamWatcher->setPace({.watchWait = watchWait, .coalesce = std::min(longestUpstreamCoalesce, upstreamCoalesce * scale), .retry = laterRetry});
@@ -497,12 +489,12 @@
     try {
         const nlohmann::json json = nlohmann::json::parse(body);
         if (json.at("config").is_object()) {
-            this->takeConfig(objectFromJson(json.at("config")));
+            this->takeConfig(ObjectRecord::fromJson(json.at("config")));
         }
         if (!this->upstreamsKnown) {
             std::vector<ObjectRecord> objects;
             for (const nlohmann::json &object : json.at("upstreams")) {
-                objects.push_back(objectFromJson(object));
+                objects.push_back(ObjectRecord::fromJson(object));
             }
             this->takeUpstreams(objects);
         }
--- a/src/HttpClient.cpp
+++ b/src/HttpClient.cpp
@@ -126,16 +126,21 @@
     });
 }
 
-void HttpClientConnection::onData(std::string_view bytes)
+bool HttpClientConnection::responseDue()
 {
-    const auto self = this->shared_from_this();
     if (!this->busy) {
-        // No response is due; what arrives belongs to no call.
+        // What arrives belongs to no call.
         this->discard();
-        return;
-    }
-    if (!this->requestSent) {
+    } else if (!this->requestSent) {
         this->replaceStream();
+    }
+    return this->busy && this->requestSent;
+}
+
+void HttpClientConnection::onData(std::string_view bytes)
+{
+    const auto self = this->shared_from_this();
+    if (!this->responseDue()) {
         return;
     }
     this->unparsed.append(bytes);
@@ -208,12 +213,7 @@
 void HttpClientConnection::onEnded(StreamEnd how)
 {
     const auto self = this->shared_from_this();
-    if (!this->busy) {
-        this->discard();
-        return;
-    }
-    if (!this->requestSent) {
-        this->replaceStream();
+    if (!this->responseDue()) {
         return;
     }
     if (how == StreamEnd::EndOfStream && this->headDelivered && !this->skipping && this->unparsed.empty() && this->parser->endOfStream().complete) {
--- a/src/HttpClientConnection.h
+++ b/src/HttpClientConnection.h
@@ -29,6 +29,8 @@
     void sendRequest();
     /** Goes on with a new connection when the kept one fails before the request is written. */
     void replaceStream();
+    /** Whether a response is due; without one the connection is given up, or replaced for the request that waits. */
+    bool responseDue();
     void onData(std::string_view bytes);
     void onEnded(StreamEnd how);
     bool readHead();
--- a/src/JobService.cpp
+++ b/src/JobService.cpp
@@ -542,31 +542,17 @@
 
 void JobService::fence(Entry &entry)
 {
-    entry.appending = true;
-    const std::string jobId = entry.header.id;
-    const std::uint64_t number = entry.job->nextObject();
-    this->archive.createResults(
-        jobId, number, this->context.writer, {}, [this, jobId, number](StoreResult result, bool own, const std::vector<JobResult> &results) {
-            const auto found = this->entries.find(jobId);
-            if (found == this->entries.end()) {
-                return;
-            }
-            Entry &target = found->second;
-            target.appending = false;
-            this->context.log.write("job_fenced", {{"job", jobId}, {"object", number}, {"ok", result == StoreResult::Done}, {"own", own}});
-            if (result != StoreResult::Done) {
-                this->storeFailed(target, result);
-                return;
-            }
-            if (target.job && target.job->nextObject() == number) {
-                target.job->stored(results);
-                target.fenced = own && this->runsHere(target);
-            }
-            this->answerReaders(target);
-        });
+    this->createNext(entry, {}, "job_fenced", [this](const Entry &target, bool own) { return own && this->runsHere(target); });
 }
 
 void JobService::append(Entry &entry)
+{
+    // An object of another run of a host: that one may have taken the job over.
+    this->createNext(
+        entry, entry.job->unstored(JobArchive::maxObjectBytes / 2), "results_stored", [](const Entry &target, bool own) { return target.fenced && own; });
+}
+
+void JobService::createNext(Entry &entry, const std::vector<JobResult> &wanted, const char *event, std::function<bool(const Entry &, bool own)> fencedAfter)
 {
     entry.appending = true;
     const std::string jobId = entry.header.id;
@@ -575,25 +561,27 @@
         jobId,
         number,
         this->context.writer,
-        entry.job->unstored(JobArchive::maxObjectBytes / 2),
-        [this, jobId, number](StoreResult result, bool own, const std::vector<JobResult> &results) {
+        wanted,
+        [this, jobId, number, event, fencedAfter = std::move(fencedAfter)](StoreResult result, bool own, const std::vector<JobResult> &results) {
             const auto found = this->entries.find(jobId);
             if (found == this->entries.end()) {
                 return;
             }
             Entry &target = found->second;
             target.appending = false;
-            this->context.log.write(
-                "results_stored",
-                {{"job", jobId}, {"object", number}, {"ok", result == StoreResult::Done}, {"results", static_cast<std::uint64_t>(results.size())}});
+            this->context.log.write(event,
+                                    {{"job", jobId},
+                                     {"object", number},
+                                     {"ok", result == StoreResult::Done},
+                                     {"own", own},
+                                     {"results", static_cast<std::uint64_t>(results.size())}});
             if (result != StoreResult::Done) {
                 this->storeFailed(target, result);
                 return;
             }
-            if (target.job->nextObject() == number) {
+            if (target.job && target.job->nextObject() == number) {
                 target.job->stored(results);
-                // An object of another run of a host: that one may have taken the job over.
-                target.fenced = target.fenced && own;
+                target.fenced = fencedAfter(target, own);
             }
             this->answerReaders(target);
             this->tickEntry(target, this->context.attempts.loop.now());
--- a/src/JobService.h
+++ b/src/JobService.h
@@ -143,6 +143,8 @@
     void appendWhenDue(Entry &entry, absl::Time now);
     void append(Entry &entry);
     void fence(Entry &entry);
+    /** Creates the next object of a job's results; @p fencedAfter tells whether the job is fenced once it is there. */
+    void createNext(Entry &entry, const std::vector<JobResult> &wanted, const char *event, std::function<bool(const Entry &, bool own)> fencedAfter);
     void writeProgress(Entry &entry);
     void startItems(absl::Time now);
     [[nodiscard]] std::int64_t startsThisRound(const std::vector<Entry *> &candidates, const RoutingConfig &config, absl::Time now);
--- a/src/ObjectStore.h
+++ b/src/ObjectStore.h
@@ -34,6 +34,9 @@
     nlohmann::json content;
     nlohmann::json status;
 
+    /** As hosts send it to each other. fromJson() throws nlohmann::json::exception. */
+    [[nodiscard]] nlohmann::json toJson() const;
+    static ObjectRecord fromJson(const nlohmann::json &json);
     bool operator==(const ObjectRecord &) const = default;
 };
 
--- a/src/RelayedStore.cpp
+++ b/src/RelayedStore.cpp
@@ -20,21 +20,11 @@
 constexpr int ok = 200;
 constexpr int historyGone = 410;
 
-nlohmann::json toJson(const ObjectRecord &object)
-{
-    return {{"name", object.name}, {"revision", object.revision}, {"content", object.content}, {"status", object.status}};
-}
-
-ObjectRecord recordFromJson(const nlohmann::json &json)
-{
-    return {.name = json.at("name"), .revision = json.at("revision"), .content = json.at("content"), .status = json.at("status")};
-}
-
 std::string listText(const ListReply &reply)
 {
     nlohmann::json objects = nlohmann::json::array();
     for (const ObjectRecord &object : reply.objects) {
-        objects.push_back(toJson(object));
+        objects.push_back(object.toJson());
     }
     return nlohmann::json{{"revision", reply.revision}, {"objects", std::move(objects)}}.dump(-1, ' ', false, nlohmann::json::error_handler_t::replace);
 }
@@ -43,7 +33,7 @@
 {
     nlohmann::json changes = nlohmann::json::array();
     for (const ObjectChange &change : reply.changes) {
-        changes.push_back({{"removed", change.removed}, {"object", toJson(change.object)}});
+        changes.push_back({{"removed", change.removed}, {"object", change.object.toJson()}});
     }
     return nlohmann::json{{"revision", reply.revision}, {"changes", std::move(changes)}}.dump(-1, ' ', false, nlohmann::json::error_handler_t::replace);
 }
@@ -54,7 +44,7 @@
     const nlohmann::json json = nlohmann::json::parse(text);
     ListReply reply{.result = StoreResult::Done, .objects = {}, .revision = json.at("revision")};
     for (const nlohmann::json &object : json.at("objects")) {
-        reply.objects.push_back(recordFromJson(object));
+        reply.objects.push_back(ObjectRecord::fromJson(object));
     }
     return reply;
 }
@@ -65,7 +55,7 @@
     const nlohmann::json json = nlohmann::json::parse(text);
     WatchReply reply{.result = StoreResult::Done, .changes = {}, .revision = json.at("revision")};
     for (const nlohmann::json &change : json.at("changes")) {
-        reply.changes.push_back({.removed = change.at("removed"), .object = recordFromJson(change.at("object"))});
+        reply.changes.push_back({.removed = change.at("removed"), .object = ObjectRecord::fromJson(change.at("object"))});
     }
     return reply;
 }
@@ -184,28 +174,38 @@
     const HttpRequest request{.method = "GET", .target = target, .fields = {}, .body = {}};
     const absl::Duration timeout = call->listing ? relayListTimeout : wait + relayAnswerTimeout;
     this->callPeer(relay, request, timeout, [this, call, round](const std::optional<HttpResponse> &response) {
-        if (call->round != round) {
-            return;
+        if (call->round == round) {
+            this->takeRelayAnswer(call, response);
         }
-        try {
-            if (response && response->head.status == ok && call->listing) {
-                const ListReply reply = parseList(response->body);
-                this->relayed.erase(call);
-                this->finish(call, reply);
-                return;
-            }
-            if (response && !call->listing && (response->head.status == ok || response->head.status == historyGone)) {
-                const WatchReply reply =
-                    response->head.status == ok ? parseChanges(response->body) : WatchReply{.result = StoreResult::HistoryGone, .changes = {}};
-                this->relayed.erase(call);
-                this->finish(call, reply);
-                return;
-            }
-        } catch (const nlohmann::json::exception &error) {
-            this->log.write("relay_unreadable", {{"relay", call->relay}, {"error", error.what()}});
+    });
+}
+
+void RelayedStore::takeRelayAnswer(const std::shared_ptr<Call> &call, const std::optional<HttpResponse> &response)
+{
+    std::optional<ListReply> list;
+    std::optional<WatchReply> changes;
+    try {
+        const int status = response ? response->head.status : 0;
+        if (call->listing && status == ok) {
+            list = parseList(response->body);
+        } else if (!call->listing && status == ok) {
+            changes = parseChanges(response->body);
+        } else if (!call->listing && status == historyGone) {
+            changes = WatchReply{.result = StoreResult::HistoryGone, .changes = {}};
         }
+    } catch (const nlohmann::json::exception &error) {
+        this->log.write("relay_unreadable", {{"relay", call->relay}, {"error", error.what()}});
+    }
+    if (!list && !changes) {
         this->leaveRelay(call);
-    });
+        return;
+    }
+    this->relayed.erase(call);
+    if (list) {
+        this->finish(call, *list);
+    } else {
+        this->finish(call, *changes);
+    }
 }
 
 void RelayedStore::leaveRelay(const std::shared_ptr<Call> &call)
@@ -221,6 +221,8 @@
 {
     Kind &kind = this->kinds.at(call->kind);
     kind.mirror.take(reply);
+    // A list ends the history from which the answer was made.
+    kind.answer.clear();
     if (kind.mirror.known()) {
         for (const auto &exchange : std::exchange(kind.waitingLists, {})) {
             this->serveList(kind, exchange);
@@ -284,13 +286,7 @@
 void RelayedStore::follow(Kind &kind, const std::shared_ptr<HttpExchange> &exchange)
 {
     const std::uint64_t since = numberOf(exchange->request().query("since"));
-    const WatchReply reply = kind.mirror.since(since);
-    if (reply.result == StoreResult::HistoryGone) {
-        exchange->respond(jsonResponse(historyGone, "{}"));
-        return;
-    }
-    if (!reply.changes.empty()) {
-        exchange->respond(jsonResponse(ok, this->changesText(kind, since)));
+    if (answerIfChanged(kind, *exchange, since)) {
         return;
     }
     const auto follower = std::make_shared<Follower>(Follower{.exchange = exchange, .since = since, .timer = {}});
@@ -314,25 +310,30 @@
     std::list<std::shared_ptr<Follower>> waiting;
     waiting.swap(kind.followers);
     for (const auto &follower : waiting) {
-        const WatchReply reply = kind.mirror.since(follower->since);
-        if (reply.result == StoreResult::HistoryGone) {
-            follower->exchange->respond(jsonResponse(historyGone, "{}"));
-        } else if (!reply.changes.empty()) {
-            follower->exchange->respond(jsonResponse(ok, this->changesText(kind, follower->since)));
-        } else {
+        if (!answerIfChanged(kind, *follower->exchange, follower->since)) {
             kind.followers.push_back(follower);
         }
     }
 }
 
-const std::string &RelayedStore::changesText(Kind &kind, std::uint64_t since)
+bool RelayedStore::answerIfChanged(Kind &kind, HttpExchange &exchange, std::uint64_t since)
 {
+    // Most followers wait from the same revision; a large configuration is copied and encoded once for all of them.
     if (kind.answeredSince != since || kind.answeredAt != kind.mirror.revision() || kind.answer.empty()) {
-        kind.answer = watchText(kind.mirror.since(since));
+        const WatchReply reply = kind.mirror.since(since);
+        if (reply.result == StoreResult::HistoryGone) {
+            exchange.respond(jsonResponse(historyGone, "{}"));
+            return true;
+        }
+        if (reply.changes.empty()) {
+            return false;
+        }
+        kind.answer = watchText(reply);
         kind.answeredSince = since;
         kind.answeredAt = kind.mirror.revision();
     }
-    return kind.answer;
+    exchange.respond(jsonResponse(ok, kind.answer));
+    return true;
 }
 
 void RelayedStore::tick()
--- a/src/RelayedStore.h
+++ b/src/RelayedStore.h
@@ -87,6 +87,7 @@
     void start(const std::shared_ptr<Call> &call);
     void askStore(const std::shared_ptr<Call> &call);
     void askRelay(const std::shared_ptr<Call> &call, const Peer &relay);
+    void takeRelayAnswer(const std::shared_ptr<Call> &call, const std::optional<HttpResponse> &response);
     void leaveRelay(const std::shared_ptr<Call> &call);
     void finish(const std::shared_ptr<Call> &call, const ListReply &reply);
     void finish(const std::shared_ptr<Call> &call, const WatchReply &reply);
@@ -95,7 +96,8 @@
     void answerFollowers(Kind &kind);
     void setDirect(Kind &kind, bool direct);
     void dismissFollowers(Kind &kind);
-    const std::string &changesText(Kind &kind, std::uint64_t since);
+    /** Answers a follower with the changes after @p since; false when there are none yet. */
+    static bool answerIfChanged(Kind &kind, HttpExchange &exchange, std::uint64_t since);
 
     EventLoop &loop;
     ObjectStore &store;
