Do not quarantine requests that have completed

Cause: the entry host counted each lost connection of a request as a crash of its upstream.

Change: a fingerprint that has completed within ten minutes is harmless. Its crashes are not counted, counts of other hosts are not taken over, and a completion ends a quarantine; the host announces a count of 0. Copies that were running on one upstream when it crashed count once. Completions are kept in two generations of a bounded size.

Ruled out: counting per connection within a fixed period of the same crash. It took sequential runs on one upstream for one crash (RequestTest.repeatedlyCrashingRequestIsRefused), so the start of the run decides now.

--- a/src/CrashQuarantine.cpp
+++ b/src/CrashQuarantine.cpp
@@ -1,6 +1,7 @@
 #include "CrashQuarantine.h"
 
 #include <algorithm>
+#include <utility>
 
 namespace Bergamotramp {
 
@@ -22,6 +23,45 @@
     return counts;
 }
 
+std::optional<std::uint32_t> CrashQuarantine::recordCrash(std::uint64_t fingerprint, std::string_view upstream, absl::Time started, absl::Time now)
+{
+    if (fingerprint == 0 || this->isHarmless(fingerprint, now)) {
+        return std::nullopt;
+    }
+    const Record *known = this->find(fingerprint, now);
+    if (known != nullptr && known->upstream == upstream && started <= known->lastCrash) {
+        return std::nullopt;
+    }
+    const std::uint32_t crashes = known == nullptr ? 1 : known->crashes + 1;
+    this->store(fingerprint, crashes, now);
+    this->records[fingerprint].upstream = upstream;
+    return crashes;
+}
+
+bool CrashQuarantine::recordCompletion(std::uint64_t fingerprint, absl::Time now)
+{
+    if (fingerprint == 0) {
+        return false;
+    }
+    if (now >= this->completedSince + completionLifetime || this->completed.size() >= maxFingerprints / 2) {
+        this->completedBefore = std::exchange(this->completed, {});
+        if (now >= this->completedSince + 2 * completionLifetime) {
+            this->completedBefore.clear();
+        }
+        this->completedSince = now;
+    }
+    this->completed.insert(fingerprint);
+    return this->records.erase(fingerprint) > 0;
+}
+
+bool CrashQuarantine::isHarmless(std::uint64_t fingerprint, absl::Time now) const
+{
+    if (now >= this->completedSince + 2 * completionLifetime) {
+        return false;
+    }
+    return this->completed.contains(fingerprint) || this->completedBefore.contains(fingerprint);
+}
+
 bool CrashQuarantine::merge(std::uint64_t fingerprint, std::uint32_t crashes, absl::Time now)
 {
     if (fingerprint == 0) {
@@ -30,6 +70,9 @@
     if (crashes == 0) {
         return this->clear(fingerprint);
     }
+    if (this->isHarmless(fingerprint, now)) {
+        return false;
+    }
     const Record *known = this->find(fingerprint, now);
     if (known != nullptr && known->crashes >= crashes) {
         return false;
@@ -73,6 +116,11 @@
     return this->records.size();
 }
 
+std::size_t CrashQuarantine::completedCount() const
+{
+    return this->completed.size() + this->completedBefore.size();
+}
+
 std::vector<std::pair<std::uint64_t, std::uint32_t>> CrashQuarantine::list() const
 {
     std::vector<std::pair<std::uint64_t, std::uint32_t>> all;
--- a/src/CrashQuarantine.h
+++ b/src/CrashQuarantine.h
@@ -3,10 +3,14 @@
 #include <cstddef>
 #include <cstdint>
 #include <map>
+#include <optional>
+#include <string>
+#include <string_view>
 #include <utility>
 #include <vector>
 
 #include <absl/container/flat_hash_map.h>
+#include <absl/container/flat_hash_set.h>
 #include <absl/time/time.h>
 
 namespace Bergamotramp {
@@ -14,7 +18,8 @@
 /**
  * Fingerprints of requests that were in flight when an upstream of one service crashed. After the first crash a
  * fingerprint is a suspect and its requests run alone on an upstream. After crashesToQuarantine crashes it is
- * quarantined and its requests are denied. Fingerprint 0 stands for an unknown request and is ignored.
+ * quarantined and its requests are denied. A fingerprint that has completed within completionLifetime is harmless: its crashes
+ * are not counted. Fingerprint 0 stands for an unknown request and is ignored.
  */
 class CrashQuarantine
 {
@@ -30,9 +35,18 @@
     /** The same after any later crash. */
     static constexpr absl::Duration repeatedSuspectRetryDelay = absl::Seconds(5);
     static constexpr absl::Duration quarantineLifetime = absl::Hours(24);
+    /** A completed fingerprint is harmless for this long at least, and for twice as long at most. */
+    static constexpr absl::Duration completionLifetime = absl::Minutes(10);
 
     /** Counts one crash against each of @p fingerprints and returns them with their new counts. */
     std::vector<std::pair<std::uint64_t, std::uint32_t>> recordCrash(std::vector<std::uint64_t> fingerprints, absl::Time now);
+    /**
+     * Counts a crash of @p upstream against the request, which ran there since @p started, and returns the new count. Returns nothing
+     * when the crash does not count: the request is harmless, or another copy of it has been counted for the same crash.
+     */
+    std::optional<std::uint32_t> recordCrash(std::uint64_t fingerprint, std::string_view upstream, absl::Time started, absl::Time now);
+    /** Records that the request has completed, and clears it also from quarantine. Returns whether it had a crash count. */
+    bool recordCompletion(std::uint64_t fingerprint, absl::Time now);
     /** Merges the count that another host announced; 0 clears a suspect. Returns whether anything changed. */
     bool merge(std::uint64_t fingerprint, std::uint32_t crashes, absl::Time now);
     /**
@@ -46,6 +60,8 @@
     [[nodiscard]] bool mayRetry(std::uint64_t fingerprint, absl::Time now) const;
     [[nodiscard]] bool isQuarantined(std::uint64_t fingerprint, absl::Time now) const;
     [[nodiscard]] std::size_t size() const;
+    /** Number of fingerprints that are kept as harmless. */
+    [[nodiscard]] std::size_t completedCount() const;
     /** Fingerprints and crash counts, for the status and for a host that joins. */
     [[nodiscard]] std::vector<std::pair<std::uint64_t, std::uint32_t>> list() const;
 
@@ -53,13 +69,20 @@
     struct Record {
         std::uint32_t crashes = 0;
         absl::Time lastCrash;
+        /** The upstream of the last crash; empty when it is unknown. */
+        std::string upstream{};
     };
 
+    [[nodiscard]] bool isHarmless(std::uint64_t fingerprint, absl::Time now) const;
     [[nodiscard]] const Record *find(std::uint64_t fingerprint, absl::Time now) const;
     void store(std::uint64_t fingerprint, std::uint32_t crashes, absl::Time now);
     void evictOldest();
 
     absl::flat_hash_map<std::uint64_t, Record> records;
+    // Completed fingerprints in two generations: the older one is dropped as a whole, which needs no time stamp for each of them.
+    absl::flat_hash_set<std::uint64_t> completed;
+    absl::flat_hash_set<std::uint64_t> completedBefore;
+    absl::Time completedSince = absl::InfinitePast();
 };
 
 } // namespace Bergamotramp
--- a/src/OnlineCall.cpp
+++ b/src/OnlineCall.cpp
@@ -83,6 +83,7 @@
     ++this->attempts;
     this->triedUpstreams.insert(upstream.id);
     const absl::Time now = this->context.attempts.loop.now();
+    this->attemptStarted = now;
     const bool stream = this->route.kind == RouteKind::Stream;
     UpstreamAttempt::Hooks hooks{.streamStarted = makeWeakCallback(this->weak_from_this(), &OnlineCall::onStreamStarted),
                                  .event = makeWeakCallback(this->weak_from_this(), &OnlineCall::onEvent),
@@ -140,7 +141,7 @@
     const UpstreamInfo upstream = this->attempt->upstream();
     UpstreamAttempt::stopAndDestroyLater(this->context.attempts.loop, std::move(this->attempt));
     this->context.metrics.recordAttempt(this->service, std::string(nameOf(result.outcome)));
-    this->updateCrashRecord(result);
+    this->updateCrashRecord(result, upstream.id);
     const bool streamed = this->route.kind == RouteKind::Stream && result.head.status / 100 == 2;
     if (result.outcome == AttemptOutcome::Completed) {
         if (streamed && result.body.empty()) {
@@ -165,12 +166,17 @@
     }
 }
 
-void OnlineCall::updateCrashRecord(const AttemptResult &result)
+void OnlineCall::updateCrashRecord(const AttemptResult &result, const std::string &upstream)
 {
+    const absl::Time now = this->context.attempts.loop.now();
     if (result.outcome == AttemptOutcome::MayHaveRun && result.connectionLost) {
-        this->context.announceCrashes(this->context.suspects.recordCrash({this->fingerprint}, this->context.attempts.loop.now()));
-    } else if (result.outcome == AttemptOutcome::Completed) {
-        this->context.suspects.clear(this->fingerprint);
+        if (const auto crashes = this->context.suspects.recordCrash(this->fingerprint, upstream, this->attemptStarted, now)) {
+            this->context.log.write("request_suspected",
+                                    {{"request", this->call.id}, {"upstream", upstream}, {"crashes", static_cast<std::uint64_t>(*crashes)}});
+            this->context.announceCrashes({{this->fingerprint, *crashes}});
+        }
+    } else if (result.outcome == AttemptOutcome::Completed && this->context.suspects.recordCompletion(this->fingerprint, now)) {
+        this->context.announceCrashes({{this->fingerprint, 0}});
     }
 }
 
--- a/src/OnlineCall.h
+++ b/src/OnlineCall.h
@@ -25,7 +25,7 @@
     CrashQuarantine &suspects;
     JsonLog &log;
     EntryMetrics &metrics;
-    /** Announces request fingerprints with their increased crash counts to the other hosts. */
+    /** Announces changed crash counts of request fingerprints to the other hosts; 0 when the request has completed. */
     std::function<void(const std::vector<std::pair<std::uint64_t, std::uint32_t>> &)> announceCrashes;
 };
 
@@ -47,7 +47,7 @@
     void onStreamStarted(const HttpHead &head);
     void onEvent(const StreamEvent &event);
     void onAttemptEnded(const AttemptResult &result);
-    void updateCrashRecord(const AttemptResult &result);
+    void updateCrashRecord(const AttemptResult &result, const std::string &upstream);
     void finishStream();
     void deliverResponse(const AttemptResult &result);
     /** Ends the call without an upstream's response: aborts a started response, else answers with an error of this host. */
@@ -72,6 +72,7 @@
     std::uint64_t fingerprint;
     std::set<std::string> triedUpstreams;
     std::unique_ptr<UpstreamAttempt> attempt;
+    absl::Time attemptStarted = absl::InfinitePast();
     std::optional<std::uint64_t> lastEventId;
     /** Response head of the stream, kept until its first event. */
     HttpHead streamHead;
