Pass the failure counts of batch items on with their job

Cause: the number of failed runs of an item lived only in the memory of the host that runs its job.

Change: an object of a job's result chain also holds the failure counts that are not stored yet. The next runner reads them with the results. Objects without them, of earlier versions, stay readable.

Ruled out: writing each failure at once.

Result: JobTest.failureCountPassesToTheNextRunner; it can't be expressed without the change.

--- a/src/Job.cpp
+++ b/src/Job.cpp
@@ -138,29 +138,39 @@
     }
 }
 
-std::vector<JobResult> Job::unstoredResults(std::size_t maxBytes) const
+ResultObject Job::unstoredState(std::size_t maxBytes) const
 {
-    std::vector<JobResult> results;
+    ResultObject object;
     std::size_t bytes = 0;
     for (const JobResult &result : this->unstoredList) {
         bytes += result.output.size();
-        if (!results.empty() && bytes > maxBytes) {
+        if (!object.results.empty() && bytes > maxBytes) {
             break;
         }
-        results.push_back(result);
+        object.results.push_back(result);
     }
-    return results;
+    for (std::size_t index = 0; index < this->states.size(); ++index) {
+        if (hasUnstoredFailures(this->states[index])) {
+            object.failures.push_back({.itemId = this->items[index].id, .failures = this->states[index].failures});
+        }
+    }
+    return object;
 }
 
-bool Job::hasUnstoredResults() const
+bool Job::hasUnstoredFailures(const ItemState &state)
 {
-    return !this->unstoredList.empty();
+    return !state.hasResult && state.failures > state.storedFailures;
 }
 
-void Job::addStoredResults(const std::vector<JobResult> &results)
+bool Job::hasUnstoredState() const
+{
+    return !this->unstoredList.empty() || std::ranges::any_of(this->states, &Job::hasUnstoredFailures);
+}
+
+void Job::addStoredObject(const ResultObject &object)
 {
     ++this->resultObjects;
-    for (const JobResult &result : results) {
+    for (const JobResult &result : object.results) {
         this->storedList.push_back(result);
         std::erase_if(this->unstoredList, [&result](const JobResult &pendingResult) { return pendingResult.itemId == result.itemId; });
         const auto found = this->indexById.find(result.itemId);
@@ -169,6 +179,14 @@
             this->finishedTokens += this->items[found->second].tokens;
         }
     }
+    for (const ItemFailures &item : object.failures) {
+        const auto found = this->indexById.find(item.itemId);
+        if (found != this->indexById.end()) {
+            ItemState &state = this->states[found->second];
+            state.storedFailures = std::max(state.storedFailures, item.failures);
+            state.failures = std::max(state.failures, item.failures);
+        }
+    }
 }
 
 std::uint64_t Job::nextResultObject() const
--- a/src/Job.h
+++ b/src/Job.h
@@ -55,11 +55,15 @@
     /** Adds a failed result for every item without a result. */
     void failRemainingItems();
 
-    /** The oldest results that are not stored yet, up to @p maxBytes of output but at least one. */
-    [[nodiscard]] std::vector<JobResult> unstoredResults(std::size_t maxBytes) const;
-    [[nodiscard]] bool hasUnstoredResults() const;
-    /** Appends the results of the next object in the chain, whichever host wrote it. */
-    void addStoredResults(const std::vector<JobResult> &results);
+    /**
+     * Content of the next object in the chain: the oldest results that are not stored yet, up to @p maxBytes of output but at least
+     * one, and the failure counts that are not stored yet.
+     */
+    [[nodiscard]] ResultObject unstoredState(std::size_t maxBytes) const;
+    /** Whether there are results or failure counts that are not stored yet. */
+    [[nodiscard]] bool hasUnstoredState() const;
+    /** Applies the next object in the chain, whichever host wrote it. */
+    void addStoredObject(const ResultObject &object);
     /** Number of the next object in the chain of result objects. */
     [[nodiscard]] std::uint64_t nextResultObject() const;
 
@@ -80,6 +84,7 @@
         /** Whether the item has a result, stored or not. */
         bool hasResult = false;
         int failures = 0;
+        int storedFailures = 0;
         int interruptions = 0;
         std::optional<std::uint64_t> lastEvent;
         bool hasOutput = false;
@@ -88,6 +93,7 @@
     };
 
     void addResult(std::size_t index, bool completed);
+    [[nodiscard]] static bool hasUnstoredFailures(const ItemState &state);
 
     JobRecord jobHeader;
     std::vector<BatchItem> items;
--- a/src/JobArchive.cpp
+++ b/src/JobArchive.cpp
@@ -48,16 +48,16 @@
     return object.content.is_object() && object.content.contains("writer") && object.content["writer"] == writer;
 }
 
-void deliverResults(const ObjectRecord &object, const std::function<void(StoreResult, std::vector<JobResult>)> &done)
+void deliverResults(const ObjectRecord &object, const std::function<void(StoreResult, ResultObject)> &done)
 {
-    std::vector<JobResult> results;
+    ResultObject content;
     try {
-        results = resultsFromJson(object.content);
+        content = resultObjectFromJson(object.content);
     } catch (const JobFormatError &) {
         done(StoreResult::Malformed, {});
         return;
     }
-    done(StoreResult::Done, std::move(results));
+    done(StoreResult::Done, std::move(content));
 }
 
 } // namespace
@@ -129,7 +129,7 @@
     });
 }
 
-void JobArchive::readResults(const std::string &jobId, std::uint64_t number, std::function<void(StoreResult, std::vector<JobResult>)> done)
+void JobArchive::readResults(const std::string &jobId, std::uint64_t number, std::function<void(StoreResult, ResultObject)> done)
 {
     this->store.get(resultsKind, partName(jobId, number), [done = std::move(done)](const ObjectReply &reply) {
         if (reply.result == StoreResult::Done) {
@@ -140,26 +140,24 @@
     });
 }
 
-void JobArchive::createResults(
-    const std::string &jobId, std::uint64_t number, const std::string &writer, const std::vector<JobResult> &results, ResultsHandler done)
-{
-    this->store.create(
-        resultsKind,
-        partName(jobId, number),
-        resultsToJson(writer, results),
-        [this, jobId, number, writer, results, done = std::move(done)](const ObjectReply &reply) {
-            if (reply.result == StoreResult::Done) {
-                done(StoreResult::Done, true, results);
-            } else if (reply.result != StoreResult::Conflict) {
-                done(reply.result, false, {});
-            } else if (reply.object && !reply.object->content.is_null()) {
-                // The object may be this writer's own, if the answer to an earlier create call was lost.
-                const bool own = writtenBy(*reply.object, writer);
-                deliverResults(*reply.object, [done, own](StoreResult result, const std::vector<JobResult> &stored) { done(result, own, stored); });
-            } else {
-                this->readResults(jobId, number, [done](StoreResult result, const std::vector<JobResult> &stored) { done(result, false, stored); });
-            }
-        });
+void JobArchive::createResults(const std::string &jobId, std::uint64_t number, const std::string &writer, const ResultObject &content, ResultsHandler done)
+{
+    this->store.create(resultsKind,
+                       partName(jobId, number),
+                       resultObjectToJson(writer, content),
+                       [this, jobId, number, writer, content, done = std::move(done)](const ObjectReply &reply) {
+                           if (reply.result == StoreResult::Done) {
+                               done(StoreResult::Done, true, content);
+                           } else if (reply.result != StoreResult::Conflict) {
+                               done(reply.result, false, {});
+                           } else if (reply.object && !reply.object->content.is_null()) {
+                               // The object may be this writer's own, if the answer to an earlier create call was lost.
+                               const bool own = writtenBy(*reply.object, writer);
+                               deliverResults(*reply.object, [done, own](StoreResult result, const ResultObject &stored) { done(result, own, stored); });
+                           } else {
+                               this->readResults(jobId, number, [done](StoreResult result, const ResultObject &stored) { done(result, false, stored); });
+                           }
+                       });
 }
 
 void JobArchive::writeProgress(const std::string &jobId, std::uint64_t revision, const JobProgress &progress, ObjectStore::ObjectHandler done)
--- a/src/JobArchive.h
+++ b/src/JobArchive.h
@@ -30,11 +30,11 @@
     void writeHeader(const JobRecord &header, ObjectStore::ObjectHandler done);
     void readHeader(const std::string &jobId, ObjectStore::ObjectHandler done);
     void readItems(const JobRecord &header, std::function<void(StoreResult, std::vector<BatchItem>)> done);
-    void readResults(const std::string &jobId, std::uint64_t number, std::function<void(StoreResult, std::vector<JobResult>)> done);
-    /** Receives the results in the object of the given number; @p own tells whether the calling writer has created it. */
-    using ResultsHandler = std::function<void(StoreResult, bool own, const std::vector<JobResult> &results)>;
+    void readResults(const std::string &jobId, std::uint64_t number, std::function<void(StoreResult, ResultObject)> done);
+    /** Receives the content of the object of the given number; @p own tells whether the calling writer has created it. */
+    using ResultsHandler = std::function<void(StoreResult, bool own, const ResultObject &content)>;
     /** Creates the result object of this number. The result is also Done when another writer has created it before. */
-    void createResults(const std::string &jobId, std::uint64_t number, const std::string &writer, const std::vector<JobResult> &results, ResultsHandler done);
+    void createResults(const std::string &jobId, std::uint64_t number, const std::string &writer, const ResultObject &content, ResultsHandler done);
     void writeProgress(const std::string &jobId, std::uint64_t revision, const JobProgress &progress, ObjectStore::ObjectHandler done);
     /** Removes all objects of a job. @p resultObjects is the number of its result objects. Missing objects and failed calls are ignored. */
     void remove(const JobRecord &header, std::uint64_t resultObjects);
--- a/src/JobService.cpp
+++ b/src/JobService.cpp
@@ -294,7 +294,7 @@
 void JobService::loadResults(const std::string &jobId)
 {
     const std::uint64_t number = this->entries.at(jobId).job->nextResultObject();
-    this->archive.readResults(jobId, number, [this, jobId, number](StoreResult result, const std::vector<JobResult> &results) {
+    this->archive.readResults(jobId, number, [this, jobId, number](StoreResult result, const ResultObject &content) {
         const auto found = this->entries.find(jobId);
         if (found == this->entries.end()) {
             return;
@@ -304,7 +304,7 @@
             return;
         }
         if (found->second.job->nextResultObject() == number) {
-            found->second.job->addStoredResults(results);
+            found->second.job->addStoredObject(content);
         }
         this->loadResults(jobId);
     });
@@ -512,7 +512,7 @@
         }
         return;
     }
-    if (entry.job->hasUnstoredResults() && !entry.appending && now >= std::max(entry.retryAt, entry.appendNotBefore)) {
+    if (entry.job->hasUnstoredState() && !entry.appending && now >= std::max(entry.retryAt, entry.appendNotBefore)) {
         this->appendResultsWhenDue(entry, now);
     }
     const bool finished = entry.job->allResultsStored();
@@ -551,13 +551,13 @@
 void JobService::appendResults(JobEntry &entry)
 {
     // If another writer has created the object of this number, it may have taken the job over: the job is no longer fenced.
-    this->createNextResultObject(entry, entry.job->unstoredResults(JobArchive::maxObjectBytes / 2), "results_stored", [](const JobEntry &target, bool own) {
+    this->createNextResultObject(entry, entry.job->unstoredState(JobArchive::maxObjectBytes / 2), "results_stored", [](const JobEntry &target, bool own) {
         return target.fenced && own;
     });
 }
 
 void JobService::createNextResultObject(JobEntry &entry,
-                                        const std::vector<JobResult> &newResults,
+                                        const ResultObject &content,
                                         const char *logEvent,
                                         std::function<bool(const JobEntry &, bool own)> fencedAfter)
 {
@@ -568,8 +568,8 @@
         jobId,
         number,
         this->context.writerId,
-        newResults,
-        [this, jobId, number, logEvent, fencedAfter = std::move(fencedAfter)](StoreResult result, bool own, const std::vector<JobResult> &results) {
+        content,
+        [this, jobId, number, logEvent, fencedAfter = std::move(fencedAfter)](StoreResult result, bool own, const ResultObject &stored) {
             const auto found = this->entries.find(jobId);
             if (found == this->entries.end()) {
                 return;
@@ -581,13 +581,14 @@
                                      {"object", number},
                                      {"ok", result == StoreResult::Done},
                                      {"own", own},
-                                     {"results", static_cast<std::uint64_t>(results.size())}});
+                                     {"results", static_cast<std::uint64_t>(stored.results.size())},
+                                     {"failures", static_cast<std::uint64_t>(stored.failures.size())}});
             if (result != StoreResult::Done) {
                 this->handleStoreFailure(target, result);
                 return;
             }
             if (target.job && target.job->nextResultObject() == number) {
-                target.job->addStoredResults(results);
+                target.job->addStoredObject(stored);
                 target.fenced = fencedAfter(target, own);
             }
             this->answerPendingReads(target);
--- a/src/JobService.h
+++ b/src/JobService.h
@@ -159,7 +159,7 @@
     void fence(JobEntry &entry);
     /** Creates the next result object of a job. @p fencedAfter tells whether the job is fenced once this object exists. */
     void createNextResultObject(JobEntry &entry,
-                                const std::vector<JobResult> &newResults,
+                                const ResultObject &content,
                                 const char *logEvent,
                                 std::function<bool(const JobEntry &, bool own)> fencedAfter);
     void writeProgress(JobEntry &entry);
--- a/src/JobTypes.cpp
+++ b/src/JobTypes.cpp
@@ -108,27 +108,34 @@
     });
 }
 
-nlohmann::json resultsToJson(const std::string &writer, const std::vector<JobResult> &results)
+nlohmann::json resultObjectToJson(const std::string &writer, const ResultObject &object)
 {
-    nlohmann::json list = nlohmann::json::array();
-    for (const JobResult &result : results) {
-        list.push_back({{"item", result.itemId}, {"completed", result.completed}, {"output", absl::Base64Escape(result.output)}});
+    nlohmann::json results = nlohmann::json::array();
+    for (const JobResult &result : object.results) {
+        results.push_back({{"item", result.itemId}, {"completed", result.completed}, {"output", absl::Base64Escape(result.output)}});
+    }
+    nlohmann::json json{{"writer", writer}, {"results", results}};
+    for (const ItemFailures &item : object.failures) {
+        json["failures"].push_back({{"item", item.itemId}, {"count", item.failures}});
     }
-    return {{"writer", writer}, {"results", list}};
+    return json;
 }
 
-std::vector<JobResult> resultsFromJson(const nlohmann::json &json)
+ResultObject resultObjectFromJson(const nlohmann::json &json)
 {
-    return convertJsonErrors<std::vector<JobResult>>([&] {
-        std::vector<JobResult> results;
+    return convertJsonErrors<ResultObject>([&] {
+        ResultObject object;
         for (const nlohmann::json &entry : json.at("results")) {
             JobResult result{.itemId = entry.at("item"), .completed = entry.at("completed"), .output = {}};
             if (!absl::Base64Unescape(entry.at("output").get<std::string>(), &result.output)) {
                 throw JobFormatError("the output of item " + result.itemId + " is not base64");
             }
-            results.push_back(std::move(result));
+            object.results.push_back(std::move(result));
+        }
+        for (const nlohmann::json &entry : json.value("failures", nlohmann::json::array())) {
+            object.failures.push_back({.itemId = entry.at("item"), .failures = entry.at("count")});
         }
-        return results;
+        return object;
     });
 }
 
--- a/src/JobTypes.h
+++ b/src/JobTypes.h
@@ -88,6 +88,23 @@
     bool operator==(const JobResult &) const = default;
 };
 
+/** Number of runs of an item that failed at an upstream. */
+struct ItemFailures {
+    std::string itemId;
+    int failures = 0;
+
+    bool operator==(const ItemFailures &) const = default;
+};
+
+/** Content of one object in a job's chain of result objects. */
+struct ResultObject {
+    std::vector<JobResult> results;
+    /** Items without a result whose number of failed runs has grown. A host that takes the job over continues the count. */
+    std::vector<ItemFailures> failures{};
+
+    bool operator==(const ResultObject &) const = default;
+};
+
 /** Stored results of a job, starting at the requested position. */
 struct JobPage {
     std::size_t totalItems = 0;
@@ -100,9 +117,9 @@
 nlohmann::json itemsToJson(const std::vector<BatchItem> &items);
 /** Throws JobFormatError. */
 std::vector<BatchItem> itemsFromJson(const nlohmann::json &json);
-/** One object in a job's chain of result objects; @p writer is the host that creates it. */
-nlohmann::json resultsToJson(const std::string &writer, const std::vector<JobResult> &results);
+/** @p writer is the host that creates the object. */
+nlohmann::json resultObjectToJson(const std::string &writer, const ResultObject &object);
 /** Throws JobFormatError. */
-std::vector<JobResult> resultsFromJson(const nlohmann::json &json);
+ResultObject resultObjectFromJson(const nlohmann::json &json);
 
 } // namespace Bergamotramp
--- a/test/core/JobTest.cpp
+++ b/test/core/JobTest.cpp
@@ -54,8 +54,8 @@
     job.markStarted(0);
     EXPECT_TRUE(job.appendEvent(0, 2, "two"));
     job.finishRun(0, RunOutcome::Completed, maxFailures, start);
-    ASSERT_EQ(job.unstoredResults(unlimitedBytes).size(), 1U);
-    EXPECT_EQ(job.unstoredResults(unlimitedBytes).front().output, "one\ntwo");
+    ASSERT_EQ(job.unstoredState(unlimitedBytes).results.size(), 1U);
+    EXPECT_EQ(job.unstoredState(unlimitedBytes).results.front().output, "one\ntwo");
 }
 
 // Guards against an item that fails before it has used up its runs, or that is run for ever.
@@ -63,17 +63,48 @@
 {
     Job job(header(2), items(2));
     for (int failure = 1; failure <= maxFailures; ++failure) {
-        EXPECT_FALSE(job.hasUnstoredResults());
+        EXPECT_TRUE(job.unstoredState(unlimitedBytes).results.empty());
         job.markStarted(0);
         job.finishRun(0, RunOutcome::Failed, maxFailures, start);
     }
     job.markStarted(1);
     job.finishRun(1, RunOutcome::FailedPermanently, maxFailures, start);
-    ASSERT_EQ(job.unstoredResults(unlimitedBytes).size(), 2U);
-    EXPECT_FALSE(job.unstoredResults(unlimitedBytes)[0].completed);
+    ASSERT_EQ(job.unstoredState(unlimitedBytes).results.size(), 2U);
+    EXPECT_FALSE(job.unstoredState(unlimitedBytes).results[0].completed);
     EXPECT_FALSE(job.nextItem(start + absl::Hours(1)));
 }
 
+// Guards against an item that fails at each run and is run more often than permitted because its job changes hands: the next runner
+// has to continue the count of the former one.
+TEST(JobTest, failureCountPassesToTheNextRunner)
+{
+    Job first(header(2), items(2));
+    for (int failure = 1; failure < maxFailures; ++failure) {
+        first.markStarted(0);
+        first.finishRun(0, RunOutcome::Failed, maxFailures, start);
+    }
+    ASSERT_TRUE(first.hasUnstoredState());
+    const nlohmann::json stored = resultObjectToJson("one", first.unstoredState(unlimitedBytes));
+    first.addStoredObject(resultObjectFromJson(stored));
+    EXPECT_FALSE(first.hasUnstoredState());
+
+    Job next(header(2), items(2));
+    next.addStoredObject(resultObjectFromJson(stored));
+    EXPECT_FALSE(next.hasUnstoredState());
+    next.markStarted(0);
+    next.finishRun(0, RunOutcome::Failed, maxFailures, start);
+    ASSERT_EQ(next.unstoredState(unlimitedBytes).results.size(), 1U);
+    EXPECT_FALSE(next.unstoredState(unlimitedBytes).results[0].completed);
+}
+
+// Guards against a host that can't continue the jobs of an earlier version, whose result objects hold no failure counts.
+TEST(JobTest, resultObjectWithoutFailureCountsIsReadable)
+{
+    const ResultObject object = resultObjectFromJson({{"writer", "one"}, {"results", nlohmann::json::array()}});
+    EXPECT_EQ(object, ResultObject());
+    EXPECT_THROW(resultObjectFromJson({{"results", nlohmann::json::array()}, {"failures", 7}}), JobFormatError);
+}
+
 // Guards against an item that crashes its upstream and is sent to the next one without a growing delay.
 TEST(JobTest, interruptionsWithoutProgressDelayTheNextRun)
 {
@@ -98,7 +129,7 @@
     Job job(header(2), items(2));
     completeItem(job, 1);
     EXPECT_EQ(job.page(0, unlimitedBytes).results.size(), 0U);
-    job.addStoredResults(job.unstoredResults(unlimitedBytes));
+    job.addStoredObject(job.unstoredState(unlimitedBytes));
     EXPECT_EQ(job.page(0, unlimitedBytes).results.size(), 1U);
     EXPECT_EQ(job.page(0, unlimitedBytes).totalItems, 2U);
     EXPECT_EQ(job.page(7, unlimitedBytes).nextPosition, 7U);
@@ -108,16 +139,16 @@
 
 /** Stands in for the store: a chain of result objects in which each number is created only once. */
 struct ResultChain {
-    std::vector<std::vector<JobResult>> objects;
+    std::vector<ResultObject> objects;
 
     /** Creates the object of this number; returns the existing object if there is one. */
-    std::vector<JobResult> create(std::uint64_t number, const std::vector<JobResult> &results)
+    ResultObject create(std::uint64_t number, const ResultObject &content)
     {
         if (number < this->objects.size()) {
             return this->objects[number];
         }
-        this->objects.push_back(results);
-        return results;
+        this->objects.push_back(content);
+        return content;
     }
 };
 
@@ -138,8 +169,8 @@
                 if (const auto next = job.nextItem(start); next && *next <= index) {
                     completeItem(job, *next);
                 }
-            } else if (job.hasUnstoredResults()) {
-                job.addStoredResults(chain.create(job.nextResultObject(), job.unstoredResults(unlimitedBytes)));
+            } else if (job.hasUnstoredState()) {
+                job.addStoredObject(chain.create(job.nextResultObject(), job.unstoredState(unlimitedBytes)));
             }
             const JobPage page = job.page(0, unlimitedBytes);
             for (std::size_t position = 0; position < page.results.size(); ++position) {
