--- a/src/EntryHost.cpp
+++ b/src/EntryHost.cpp
@@ -50,15 +50,16 @@
 // A submission is answered at least this long before its caller's time budget ends.
 constexpr absl::Duration responseMargin = absl::Milliseconds(300);
 constexpr absl::Duration maxStoreRetryTime = absl::Seconds(3);
-// How long a starting host waits for answers of the first hosts that it contacts, also in other regions, and how long it
-// waits at most when none answers.
-constexpr absl::Duration peerDiscoveryWait = absl::Milliseconds(60);
-constexpr absl::Duration maxPeerDiscoveryWait = absl::Milliseconds(300);
+// A starting host has found the others when it has learned of no further one for this long, also from other regions.
+constexpr absl::Duration peerDiscoveryWait = absl::Milliseconds(90);
+// How long it waits at most, when it has found some hosts and when it has found none.
+constexpr absl::Duration maxPeerDiscoveryWait = absl::Milliseconds(1500);
+constexpr absl::Duration maxFirstPeerWait = absl::Milliseconds(600);
+// The list of all stored hosts is read at a random time within this interval times the number of known hosts, so that hosts that
+// start together do not read it at once.
+constexpr absl::Duration storedHostsDelayPerPeer = absl::Milliseconds(20);
 // Delay before a host that could not reach the store tries again to find the other hosts there.
 constexpr absl::Duration peerDiscoveryRetryDelay = absl::Seconds(2);
-// A change reaches all hosts within a few hundred milliseconds. A host that lags for longer than this fetches the change from
-// another source.
-constexpr absl::Duration maxRevisionLag = absl::Milliseconds(1200);
 constexpr std::size_t controlConnections = 500;
 constexpr const char *snapshotPath = "/peer/snapshot";
 constexpr const char *jobChangedPath = "/peer/job-changed";
@@ -129,7 +130,8 @@
                                                           .leaving = this->stopping,
                                                           .configRevision = this->config ? this->config->revision : 0,
                                                           .upstreamRevision = this->upstreamRevision,
-                                                          .storeSilent = this->loop.now() < this->storeUnansweredAt + storeSilenceAnnounceDuration};
+                                                          .storeSilent = this->loop.now() < this->storeUnansweredAt + storeSilenceAnnounceDuration,
+                                                          .watchesStore = this->relayedStore.watchesStore()};
                                 },
                             .announcementReceived = [this](const Peer &peer) { this->onPeerAnnouncement(peer); }});
     const AttemptContext context{.loop = loop, .client = this->upstreamClient, .load = this->load, .health = this->health, .protocol = this->platform.serving};
@@ -232,11 +234,12 @@
 void EntryHost::startWatchers(absl::Time waitingSince)
 {
     // A host that knows the other hosts can list from a relay. If all hosts of a large fleet started and listed from the store, the
-    // lists would saturate the links.
-    const absl::Duration waited = this->loop.now() - waitingSince;
-    const bool peersFound = this->peers.size() > 0 && waited > peerDiscoveryWait;
-    if (!this->settings.seeds.empty() && !peersFound && waited < maxPeerDiscoveryWait) {
-        this->startTimer = this->loop.after(peerDiscoveryWait / 2, [this, waitingSince] { this->startWatchers(waitingSince); });
+    // lists would saturate the links. Hosts that start together choose the same relays only once they all know each other.
+    const absl::Time now = this->loop.now();
+    const bool peersFound = this->peers.size() > 0 && now > this->peerExchange->lastPeerFoundAt() + peerDiscoveryWait;
+    const absl::Duration maxWait = this->peers.size() > 0 ? maxPeerDiscoveryWait : maxFirstPeerWait;
+    if (!this->settings.seeds.empty() && !peersFound && now < waitingSince + maxWait) {
+        this->startTimer = this->loop.after(peerDiscoveryWait / 3, [this, waitingSince] { this->startWatchers(waitingSince); });
         return;
     }
     this->configWatcher->start();
@@ -247,7 +250,7 @@
 void EntryHost::contactPeers()
 {
     for (const std::string &seed : this->settings.seeds) {
-        this->peerExchange->introduceTo(absl::StrCat(ipOf(seed), ":", portOf(this->settings.peerAddress)));
+        this->peerExchange->askForPeers(absl::StrCat(ipOf(seed), ":", portOf(this->settings.peerAddress)));
     }
     this->publishOwnAddress();
 }
@@ -259,7 +262,8 @@
     const nlohmann::json content{{"name", this->settings.name}, {"peerAddress", this->settings.peerAddress}};
     this->platform.store->create(hostKind, name, content, [this](const ObjectReply &reply) {
         if (reply.result == StoreResult::Done || reply.result == StoreResult::Conflict) {
-            this->contactStoredHosts();
+            const absl::Duration delay = this->randomFraction() * storedHostsDelayPerPeer * static_cast<std::int64_t>(this->peers.size());
+            this->discoveryTimer = this->loop.after(delay, [this] { this->contactStoredHosts(); });
         } else {
             this->discoveryTimer = this->loop.after(peerDiscoveryRetryDelay, [this] { this->publishOwnAddress(); });
         }
@@ -388,8 +392,7 @@
         this->requestConfigFromPeer(peer);
     }
     if (peer.upstreamRevision > this->relayedStore.revision(this->platform.upstreamKind)) {
-        this->newestUpstreamRevision = std::max(this->newestUpstreamRevision, peer.upstreamRevision);
-        this->upstreamsBehindSince = std::min(this->upstreamsBehindSince, this->loop.now());
+        this->upstreamLag.recordAnnounced(peer.upstreamRevision);
     }
     if (peer.storeSilent && this->storeAvailable && this->loop.now() > this->peerStoreNoticeAt + storeNoticeInterval) {
         this->peerStoreNoticeAt = this->loop.now();
@@ -406,7 +409,7 @@
     const absl::Time now = this->loop.now();
     // A host that follows a relay needs no delay between watches, because the relay's own watch already collects changes.
     double scale = 0.0;
-    if (!this->relaySelector.selectRelay(now)) {
+    if (this->relayedStore.watchesStore()) {
         scale = std::max(1.0, static_cast<double>(this->relaySelector.directWatcherCount(now)) / static_cast<double>(maxWatchersWithoutScaling));
     }
     this->configWatcher->setTiming(
@@ -441,11 +444,8 @@
 void EntryHost::relistUpstreamsIfBehind(absl::Time now)
 {
     const std::uint64_t revision = this->relayedStore.revision(this->platform.upstreamKind);
-    if (revision >= this->newestUpstreamRevision) {
-        this->upstreamsBehindSince = absl::InfiniteFuture();
-    } else if (now > this->upstreamsBehindSince + maxRevisionLag) {
-        this->upstreamsBehindSince = now;
-        this->log.write("upstreams_behind", {{"revision", revision}, {"newest", this->newestUpstreamRevision}});
+    if (this->upstreamLag.fetchDue(revision, now)) {
+        this->log.write("upstreams_behind", {{"revision", revision}, {"newest", this->upstreamLag.newest()}});
         this->relayedStore.excludeRelays();
         this->upstreamWatcher->restart();
         this->upstreamWatcher->retryNow();
@@ -460,9 +460,9 @@
     // In a large fleet the relays distribute a new configuration. If all hosts requested it from each other too, that would
     // saturate the links.
     if (peer.dataCentre == this->settings.dataCentre) {
-        return maxRevisionLag;
+        return RevisionLag::maxLag;
     }
-    return maxRevisionLag * (peer.region == this->settings.region ? 2 : 4);
+    return RevisionLag::maxLag * (peer.region == this->settings.region ? 2 : 4);
 }
 
 void EntryHost::requestConfigFromPeer(const Peer &peer)
@@ -547,8 +547,8 @@
     if (this->ready()) {
         entries.push_back({.address = this->settings.entryAddress, .region = this->settings.region, .dataCentre = this->settings.dataCentre});
     }
-    for (const Peer &peer : this->peers.liveHosts(this->loop.now())) {
-        if (peer.ready) {
+    for (const auto &[name, peer] : this->peers.all()) {
+        if (peer.ready && PeerTable::isLive(peer, this->loop.now())) {
             entries.push_back({.address = peer.entryAddress, .region = peer.region, .dataCentre = peer.dataCentre});
         }
     }
@@ -673,13 +673,30 @@
     if (owner == this->settings.name || this->peers.isLive(owner, this->loop.now())) {
         return owner;
     }
-    std::vector<std::string> hosts{this->settings.name};
-    for (const Peer &peer : this->peers.liveHosts(this->loop.now())) {
-        hosts.push_back(peer.name);
+    // The hosts of the runner's data centre notice its failure first, because it announces itself more often to them.
+    const Peer *former = this->peers.find(owner);
+    std::vector<std::string> hosts = former == nullptr ? std::vector<std::string>() : this->liveHostNames(former->dataCentre);
+    if (hosts.empty()) {
+        hosts = this->liveHostNames("");
     }
     return rendezvousPick(jobId, hosts);
 }
 
+std::vector<std::string> EntryHost::liveHostNames(std::string_view dataCentre) const
+{
+    const absl::Time now = this->loop.now();
+    std::vector<std::string> names;
+    if (dataCentre.empty() || dataCentre == this->settings.dataCentre) {
+        names.push_back(this->settings.name);
+    }
+    for (const auto &[name, peer] : this->peers.all()) {
+        if ((dataCentre.empty() || peer.dataCentre == dataCentre) && PeerTable::isLive(peer, now)) {
+            names.push_back(name);
+        }
+    }
+    return names;
+}
+
 void EntryHost::onJobCall(const std::shared_ptr<HttpExchange> &request, const CallerCall &call, bool forwarded)
 {
     if (forwarded || call.kind == CallKind::CancelJob) {
@@ -790,6 +807,7 @@
     }
     this->lastTickAt = now;
     this->upstreams.expire(now);
+    this->load.expire(now);
     this->adjustWatchTimings();
     this->relayedStore.tick();
     this->relistUpstreamsIfBehind(now);
--- a/src/EntryHost.h
+++ b/src/EntryHost.h
@@ -22,6 +22,7 @@
 #include "PeerTable.h"
 #include "PlatformAdapter.h"
 #include "RelayedStore.h"
+#include "RevisionLag.h"
 #include "UpstreamHealth.h"
 #include "UpstreamSelector.h"
 #include "UpstreamTable.h"
@@ -101,6 +102,8 @@
     [[nodiscard]] std::vector<EntryEndpoint> readyEndpoints() const;
     /** The host that is to run a job: @p owner while it is live, else a live host chosen by rendezvous hashing. */
     [[nodiscard]] std::string runningHost(const std::string &jobId, const std::string &owner) const;
+    /** This host and the live hosts of a data centre, or of the fleet when @p dataCentre is empty. */
+    [[nodiscard]] std::vector<std::string> liveHostNames(std::string_view dataCentre) const;
     [[nodiscard]] nlohmann::json snapshot() const;
     double randomFraction();
 
@@ -124,11 +127,9 @@
     bool upstreamsKnown = false;
     /** Store revision of the newest upstream change that this host knows. */
     std::uint64_t upstreamRevision = 0;
-    /** The newest such revision that another host has announced. */
-    std::uint64_t newestUpstreamRevision = 0;
+    RevisionLag upstreamLag;
     /** Since when another host has known a newer revision; infinite future when none does. */
     absl::Time configBehindSince = absl::InfiniteFuture();
-    absl::Time upstreamsBehindSince = absl::InfiniteFuture();
     bool storeAvailable = true;
     /** When the store last left a call of this host unanswered. */
     absl::Time storeUnansweredAt = absl::InfinitePast();
--- a/src/PeerExchange.cpp
+++ b/src/PeerExchange.cpp
@@ -5,28 +5,29 @@
 
 #include "RendezvousHash.h"
 #include "TcpSocket.h"
-#include "peer.pb.h"
 
 namespace Bergamotramp {
 
 namespace {
 
-// The interval at which changed loads are announced to the near hosts is nearPeriodPerPeer times the number of near hosts, but
-// at least minNearPeriod. Near hosts are those of the same data centre; in a small fleet all hosts are near.
-constexpr absl::Duration minNearPeriod = absl::Milliseconds(25);
-constexpr absl::Duration nearPeriodPerPeer = absl::Milliseconds(2);
-// The other hosts of the region get announcements at this interval times the number of hosts, which bounds the rate at which a host
-// receives them.
-constexpr absl::Duration farPeriodPerPeer = absl::Milliseconds(4);
-// The complete state is announced to all hosts this often, to make up for lost datagrams and to show that this host is alive.
-constexpr absl::Duration completePeriod = absl::Milliseconds(500);
-constexpr absl::Duration identityPeriod = absl::Seconds(1);
 constexpr absl::Duration crashAnnouncementDuration = absl::Seconds(3);
+// A crash count from this on is announced to all hosts at once: with the next crash the request has to be quarantined everywhere.
+constexpr std::uint32_t urgentCrashes = CrashQuarantine::crashesToQuarantine - 1;
 constexpr std::size_t maxDatagramBytes = 60'000;
-// A new host is sent the addresses of all other hosts. The identity that is sent to all hosts each second names a few of them in
-// turn, for new hosts whose answer was lost: in a fleet of 80 hosts, all addresses would be most of its bytes.
-constexpr std::size_t peersPerIdentity = 8;
+// An identity names a few other hosts in turn, for hosts that have missed them. Only a host that asks for it is sent all addresses:
+// if a fleet of 250 hosts starts at once and each sends all addresses to each, that is 300 MB.
+constexpr std::size_t peersPerIdentity = 2;
 constexpr std::size_t peersPerIntroduction = 1000;
+// Intervals and number of introductions to an address that does not answer. Hosts that start together may bind their sockets
+// some hundred milliseconds apart, so the first ones are repeated soon.
+constexpr absl::Duration firstIntroductionInterval = absl::Milliseconds(150);
+constexpr absl::Duration introductionInterval = absl::Seconds(1);
+constexpr int quickIntroductions = 4;
+constexpr int maxIntroductions = 30;
+// A host is not live after this many complete announcements have been missed, and a short delay.
+constexpr int missedAnnouncements = 3;
+constexpr absl::Duration announcementDelay = absl::Milliseconds(100);
+constexpr absl::Duration defaultAnnouncementPeriod = absl::Milliseconds(500);
 
 asio::ip::udp::endpoint udpEndpoint(const std::string &address)
 {
@@ -63,7 +64,7 @@
     this->self.peerAddress = bound.address().to_string() + ":" + std::to_string(bound.port());
     this->socket->socket.non_blocking(true, error);
     this->receiveDatagrams();
-    this->timer = this->loop.after(minNearPeriod, [this] { this->tick(); });
+    this->timer = this->loop.after(this->schedule.tickPeriod(), [this] { this->tick(); });
 }
 
 PeerExchange::~PeerExchange() = default;
@@ -75,49 +76,69 @@
 
 absl::Duration PeerExchange::farLoadAge() const
 {
-    return this->peers.size() <= PeerTable::maxFullMeshPeers ? absl::ZeroDuration() : farPeriodPerPeer * static_cast<std::int64_t>(this->peers.size());
+    return this->schedule.isSmallFleet() ? absl::ZeroDuration() : this->schedule.period(PeerDistance::SameRegion);
+}
+
+absl::Time PeerExchange::lastPeerFoundAt() const
+{
+    return this->peerFoundAt;
 }
 
 void PeerExchange::introduceTo(const std::string &peerAddress)
 {
     if (peerAddress != this->self.peerAddress && this->knownAddresses.insert(peerAddress).second) {
-        this->pendingIntroductions.insert(peerAddress);
-        this->unansweredAddresses.insert(peerAddress);
+        this->introductions.emplace(peerAddress, Introduction());
+    }
+}
+
+void PeerExchange::askForPeers(const std::string &peerAddress)
+{
+    this->introduceTo(peerAddress);
+    if (const auto introduction = this->introductions.find(peerAddress); introduction != this->introductions.end()) {
+        introduction->second.asksForPeers = true;
     }
 }
 
 void PeerExchange::tick()
 {
     const absl::Time now = this->loop.now();
-    const auto nearHostCount = std::ranges::count_if(this->peers.all(), [this](const Peer &peer) { return this->isNear(peer); });
-    this->timer = this->loop.after(std::max(minNearPeriod, nearPeriodPerPeer * static_cast<std::int64_t>(nearHostCount)), [this] { this->tick(); });
     for (const std::string &address : this->peers.evictSilent(now)) {
         this->knownAddresses.erase(address);
     }
-    this->sendIntroductions();
-    const auto everyone = [](const Peer &) { return true; };
-    const bool identityDue = now >= this->lastIdentityAnnouncement + identityPeriod;
-    if (identityDue || now >= this->lastCompleteAnnouncement + completePeriod) {
-        this->lastCompleteAnnouncement = now;
-        this->announce(true, identityDue, everyone);
-        return;
+    this->updateSchedule();
+    this->timer = this->loop.after(this->schedule.tickPeriod(), [this] { this->tick(); });
+    this->sendIntroductions(now);
+    for (const AnnouncementSchedule::Round &round : this->schedule.takeDue(this->load.hasChanges(), this->announcesUrgentCrash(now), now)) {
+        this->announce(round);
     }
-    if (this->peers.size() > PeerTable::maxFullMeshPeers && now >= this->lastRegionAnnouncement + this->farLoadAge()) {
-        // Other regions get only the periodic complete announcements, because the links between regions have little bandwidth.
-        this->announce(true, false, [this](const Peer &peer) { return peer.region == this->self.region; });
-    } else if (this->load.hasChanges()) {
-        this->announce(false, false, [this](const Peer &peer) { return this->isNear(peer); });
+}
+
+void PeerExchange::updateSchedule()
+{
+    const auto isNear = [this](const auto &entry) { return entry.second.dataCentre == this->self.dataCentre; };
+    const std::size_t all = this->peers.size();
+    const bool small = all <= AnnouncementSchedule::maxFullMeshPeers;
+    this->schedule.setFleet(small ? all : static_cast<std::size_t>(std::ranges::count_if(this->peers.all(), isNear)), all);
+}
+
+PeerDistance PeerExchange::distanceOf(const Peer &peer) const
+{
+    if (this->schedule.isSmallFleet() || peer.dataCentre == this->self.dataCentre) {
+        return PeerDistance::Near;
     }
+    return peer.region == this->self.region ? PeerDistance::SameRegion : PeerDistance::OtherRegion;
 }
 
-bool PeerExchange::isNear(const Peer &peer) const
+bool PeerExchange::announcesUrgentCrash(absl::Time now) const
 {
-    return this->peers.size() <= PeerTable::maxFullMeshPeers || peer.dataCentre == this->self.dataCentre;
+    return now <= this->announceCrashesUntil && std::ranges::any_of(this->crashCounts, [](const auto &entry) { return entry.second >= urgentCrashes; });
 }
 
 void PeerExchange::announceNow()
 {
-    this->announce(true, true, [](const Peer &) { return true; });
+    for (const PeerDistance distance : {PeerDistance::Near, PeerDistance::SameRegion, PeerDistance::OtherRegion}) {
+        this->announce({.distance = distance, .complete = true, .nextWithin = this->schedule.period(distance)});
+    }
 }
 
 void PeerExchange::announceCrashes(const std::vector<std::pair<std::uint64_t, std::uint32_t>> &counts)
@@ -129,46 +150,65 @@
     this->announceCrashesUntil = this->loop.now() + crashAnnouncementDuration;
 }
 
-void PeerExchange::announce(bool complete, bool withIdentity, const std::function<bool(const Peer &)> &isReceiver)
+void PeerExchange::announce(const AnnouncementSchedule::Round &round)
 {
     const absl::Time now = this->loop.now();
-    if (complete) {
-        this->lastRegionAnnouncement = now;
-    }
-    const std::string bytes = this->encode(this->load.nextAnnouncement(complete), withIdentity ? peersPerIdentity : 0);
-    if (bytes.size() > maxDatagramBytes) {
-        return;
-    }
-    boost::system::error_code ignored;
-    for (const Peer &peer : this->peers.all()) {
-        // A host that is not live gets only announcements with an identity, in case it returns at the same address.
-        if (withIdentity || (this->peers.isLive(peer.name, now) && isReceiver(peer))) {
-            this->socket->socket.send_to(asio::buffer(bytes), udpEndpoint(peer.peerAddress), 0, ignored);
+    peer::HostState plain = this->currentState();
+    addLoad(plain, round.distance == PeerDistance::Near ? this->load.nextAnnouncement(round.complete) : this->load.completeAnnouncement());
+    plain.set_next_within_ms(static_cast<std::uint32_t>(absl::ToInt64Milliseconds(round.nextWithin)));
+    peer::HostState withIdentity = plain;
+    this->addIdentity(withIdentity, peersPerIdentity);
+    std::size_t position = 0;
+    for (const auto &[name, peer] : this->peers.all()) {
+        if (this->distanceOf(peer) != round.distance) {
+            continue;
+        }
+        // A host that is not live still gets identities, in case it returns at the same address.
+        if (this->schedule.sendsIdentity(round, position++)) {
+            this->send(withIdentity, peer.peerAddress);
+        } else if (PeerTable::isLive(peer, now)) {
+            this->send(plain, peer.peerAddress);
         }
     }
-    if (withIdentity) {
-        this->lastIdentityAnnouncement = now;
-        // Hosts that have not answered yet may be starting, so they are sent the identity again.
-        this->pendingIntroductions = this->unansweredAddresses;
-        this->sendIntroductions();
+}
+
+void PeerExchange::send(const peer::HostState &message, const std::string &peerAddress)
+{
+    const std::string bytes = message.SerializeAsString();
+    if (bytes.size() <= maxDatagramBytes) {
+        boost::system::error_code ignored;
+        this->socket->socket.send_to(asio::buffer(bytes), udpEndpoint(peerAddress), 0, ignored);
     }
 }
 
-void PeerExchange::sendIdentity(const std::string &peerAddress)
+void PeerExchange::sendIdentity(const std::string &peerAddress, peer::Request request, std::size_t maxNamedPeers)
 {
-    boost::system::error_code ignored;
-    const std::string bytes = this->encode({.complete = false, .uses = {}, .batchWaiting = this->load.ownBatchWaiting()}, peersPerIntroduction);
-    this->socket->socket.send_to(asio::buffer(bytes), udpEndpoint(peerAddress), 0, ignored);
+    peer::HostState message = this->currentState();
+    addLoad(message, {.complete = false, .uses = {}, .batchWaiting = this->load.ownBatchWaiting()});
+    this->addIdentity(message, maxNamedPeers);
+    message.set_request(request);
+    this->send(message, peerAddress);
 }
 
-void PeerExchange::sendIntroductions()
+void PeerExchange::sendIntroductions(absl::Time now)
 {
-    for (const std::string &address : std::exchange(this->pendingIntroductions, {})) {
-        this->sendIdentity(address);
+    for (auto entry = this->introductions.begin(); entry != this->introductions.end();) {
+        Introduction &introduction = entry->second;
+        if (introduction.sent >= maxIntroductions) {
+            // No host is there. One that starts there later introduces itself.
+            this->knownAddresses.erase(entry->first);
+            entry = this->introductions.erase(entry);
+            continue;
+        }
+        if (now >= introduction.next) {
+            introduction.next = now + (++introduction.sent <= quickIntroductions ? firstIntroductionInterval : introductionInterval);
+            this->sendIdentity(entry->first, introduction.asksForPeers ? peer::ALL_PEERS : peer::IDENTITY, 0);
+        }
+        ++entry;
     }
 }
 
-std::string PeerExchange::encode(const LoadAnnouncement &announcement, std::size_t maxNamedPeers)
+peer::HostState PeerExchange::currentState()
 {
     const AnnouncedState state = this->hooks.announcedState();
     peer::HostState message;
@@ -180,6 +220,19 @@
     message.set_config_revision(state.configRevision);
     message.set_store_silent(state.storeSilent);
     message.set_upstream_revision(state.upstreamRevision);
+    message.set_watches_store(state.watchesStore);
+    if (this->loop.now() <= this->announceCrashesUntil) {
+        for (const auto &[fingerprint, count] : this->crashCounts) {
+            peer::CrashCount *entry = message.add_crashes();
+            entry->set_fingerprint(fingerprint);
+            entry->set_crashes(count);
+        }
+    }
+    return message;
+}
+
+void PeerExchange::addLoad(peer::HostState &message, const LoadAnnouncement &announcement)
+{
     message.set_complete(announcement.complete);
     message.set_batch_waiting(static_cast<std::uint32_t>(announcement.batchWaiting));
     for (const UpstreamUse &use : announcement.uses) {
@@ -188,28 +241,31 @@
         entry->set_online(static_cast<std::uint32_t>(use.counts.online));
         entry->set_batch(static_cast<std::uint32_t>(use.counts.batch));
     }
-    if (this->loop.now() <= this->announceCrashesUntil) {
-        for (const auto &[fingerprint, count] : this->crashCounts) {
-            peer::CrashCount *entry = message.add_crashes();
-            entry->set_fingerprint(fingerprint);
-            entry->set_crashes(count);
-        }
+}
+
+void PeerExchange::addIdentity(peer::HostState &message, std::size_t maxNamedPeers)
+{
+    peer::Identity *identity = message.mutable_identity();
+    identity->set_name(this->self.name);
+    identity->set_region(this->self.region);
+    identity->set_data_centre(this->self.dataCentre);
+    identity->set_entry_address(this->self.entryAddress);
+    identity->set_control_address(this->self.controlAddress);
+    identity->set_link_mbps(this->self.linkMbps);
+    if (maxNamedPeers == 0) {
+        return;
     }
-    if (maxNamedPeers > 0) {
-        peer::Identity *identity = message.mutable_identity();
-        identity->set_name(this->self.name);
-        identity->set_region(this->self.region);
-        identity->set_data_centre(this->self.dataCentre);
-        identity->set_entry_address(this->self.entryAddress);
-        identity->set_control_address(this->self.controlAddress);
-        identity->set_link_mbps(this->self.linkMbps);
-        const std::vector<Peer> live = this->peers.liveHosts(this->loop.now());
-        for (std::size_t offset = 0; offset < std::min(maxNamedPeers, live.size()); ++offset) {
-            identity->add_known_peers(live[(this->nextPeerToName + offset) % live.size()].peerAddress);
+    std::vector<std::string> addresses;
+    for (const auto &[name, peer] : this->peers.all()) {
+        if (PeerTable::isLive(peer, this->loop.now())) {
+            addresses.push_back(peer.peerAddress);
         }
-        this->nextPeerToName += std::min(maxNamedPeers, live.size());
     }
-    return message.SerializeAsString();
+    const std::size_t named = std::min(maxNamedPeers, addresses.size());
+    for (std::size_t offset = 0; offset < named; ++offset) {
+        identity->add_known_peers(addresses[(this->nextPeerToName + offset) % addresses.size()]);
+    }
+    this->nextPeerToName += named;
 }
 
 void PeerExchange::receiveDatagrams()
@@ -238,58 +294,94 @@
     if (!message.ParseFromString(bytes) || message.host() == upstreamKey(this->self.name)) {
         return;
     }
-    const absl::Time now = this->loop.now();
-    Peer announcer;
+    const std::optional<Peer> sender = this->decodeSender(message, senderAddress);
+    if (!sender) {
+        this->introduceTo(senderAddress);
+        return;
+    }
     if (message.has_identity()) {
-        const peer::Identity &identity = message.identity();
-        this->namesByKey[message.host()] = identity.name();
-        announcer = {.name = identity.name(),
-                     .region = identity.region(),
-                     .dataCentre = identity.data_centre(),
-                     .entryAddress = identity.entry_address(),
-                     .controlAddress = identity.control_address(),
-                     .linkMbps = identity.link_mbps()};
-        for (const std::string &address : identity.known_peers()) {
+        for (const std::string &address : message.identity().known_peers()) {
             this->introduceTo(address);
         }
+    }
+    if (this->peers.find(sender->name) == nullptr) {
+        this->peerFoundAt = this->loop.now();
+    }
+    if (!this->peers.update(*sender)) {
+        return;
+    }
+    this->knownAddresses.insert(senderAddress);
+    this->introductions.erase(senderAddress);
+    this->answerRequest(message, senderAddress);
+    this->applyLoad(*sender, message);
+    this->applyCrashCounts(message);
+    this->hooks.announcementReceived(*sender);
+}
+
+std::optional<Peer> PeerExchange::decodeSender(const peer::HostState &message, const std::string &senderAddress)
+{
+    Peer sender;
+    if (message.has_identity()) {
+        const peer::Identity &identity = message.identity();
+        this->namesByKey[message.host()] = identity.name();
+        sender = {.name = identity.name(),
+                  .region = identity.region(),
+                  .dataCentre = identity.data_centre(),
+                  .entryAddress = identity.entry_address(),
+                  .controlAddress = identity.control_address(),
+                  .linkMbps = identity.link_mbps()};
     } else {
         const auto name = this->namesByKey.find(message.host());
         const Peer *known = name == this->namesByKey.end() ? nullptr : this->peers.find(name->second);
         if (known == nullptr) {
-            return;
+            return std::nullopt;
         }
-        announcer = *known;
+        sender = *known;
     }
-    announcer.peerAddress = senderAddress;
-    announcer.incarnation = message.incarnation();
-    announcer.sequence = message.sequence();
-    announcer.ready = message.ready();
-    announcer.leaving = message.leaving();
-    announcer.configRevision = message.config_revision();
-    announcer.storeSilent = message.store_silent();
-    announcer.upstreamRevision = message.upstream_revision();
-    announcer.lastHeard = now;
-    const Peer *previous = this->peers.find(announcer.name);
-    const bool started = previous == nullptr || previous->incarnation != announcer.incarnation;
-    if (!this->peers.update(announcer)) {
-        return;
-    }
-    this->knownAddresses.insert(senderAddress);
-    this->unansweredAddresses.erase(senderAddress);
-    if (started) {
-        // A host that has just started learns the addresses of the fleet from the first answer.
-        this->sendIdentity(senderAddress);
+    sender.peerAddress = senderAddress;
+    sender.incarnation = message.incarnation();
+    sender.sequence = message.sequence();
+    sender.ready = message.ready();
+    sender.leaving = message.leaving();
+    sender.configRevision = message.config_revision();
+    sender.storeSilent = message.store_silent();
+    sender.upstreamRevision = message.upstream_revision();
+    sender.watchesStore = message.watches_store();
+    sender.lastHeard = this->loop.now();
+    const absl::Duration period = message.next_within_ms() == 0 ? defaultAnnouncementPeriod : absl::Milliseconds(message.next_within_ms());
+    sender.livenessTimeout = std::max(defaultLivenessTimeout, missedAnnouncements * period + announcementDelay);
+    return sender;
+}
+
+void PeerExchange::answerRequest(const peer::HostState &message, const std::string &senderAddress)
+{
+    if (message.request() == peer::ALL_PEERS) {
+        this->sendIdentity(senderAddress, peer::NOTHING, peersPerIntroduction);
+    } else if (message.request() == peer::IDENTITY) {
+        this->sendIdentity(senderAddress, peer::NOTHING, 0);
     }
-    LoadAnnouncement announcement{
-        .complete = message.complete(), .uses = {}, .batchWaiting = message.batch_waiting(), .sharesUpstreams = this->isNear(announcer)};
+}
+
+void PeerExchange::applyLoad(const Peer &sender, const peer::HostState &message)
+{
+    const bool near = this->distanceOf(sender) == PeerDistance::Near;
+    LoadAnnouncement announcement{.complete = message.complete(), .uses = {}, .batchWaiting = message.batch_waiting(), .sharesUpstreams = near};
+    announcement.lifetime = std::max(defaultAnnouncementLifetime, sender.livenessTimeout - announcementDelay);
     for (const peer::UpstreamUse &use : message.uses()) {
         announcement.uses.push_back({.upstream = use.upstream(), .counts = {.online = use.online(), .batch = use.batch()}});
     }
-    this->load.applyAnnouncement(announcer.name, announcement, now);
+    this->load.applyAnnouncement(sender.name, announcement, this->loop.now());
+}
+
+void PeerExchange::applyCrashCounts(const peer::HostState &message)
+{
     for (const peer::CrashCount &crash : message.crashes()) {
-        this->crashQuarantine.merge(crash.fingerprint(), crash.crashes(), now);
+        if (crash.crashes() == 0) {
+            this->crashQuarantine.recordCompletion(crash.fingerprint(), this->loop.now());
+        } else {
+            this->crashQuarantine.merge(crash.fingerprint(), crash.crashes(), this->loop.now());
+        }
     }
-    this->hooks.announcementReceived(announcer);
 }
 
 } // namespace Bergamotramp
--- a/src/PeerExchange.h
+++ b/src/PeerExchange.h
@@ -5,16 +5,19 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <optional>
 #include <set>
 #include <string>
 #include <vector>
 
 #include <absl/time/time.h>
 
+#include "AnnouncementSchedule.h"
 #include "CrashQuarantine.h"
 #include "EventLoop.h"
 #include "FleetLoad.h"
 #include "PeerTable.h"
+#include "peer.pb.h"
 
 namespace Bergamotramp {
 
@@ -25,6 +28,7 @@
     std::uint64_t configRevision = 0;
     std::uint64_t upstreamRevision = 0;
     bool storeSilent = false;
+    bool watchesStore = false;
 
     bool operator==(const AnnouncedState &) const = default;
 };
@@ -55,6 +59,10 @@
     [[nodiscard]] absl::Duration farLoadAge() const;
     /** Sends the identity of this host to @p peerAddress with the next tick, unless the address is known already. */
     void introduceTo(const std::string &peerAddress);
+    /** The same, and asks for the addresses of all hosts that it knows. */
+    void askForPeers(const std::string &peerAddress);
+    /** When this host last learned of another host; infinite past when it knows none. */
+    [[nodiscard]] absl::Time lastPeerFoundAt() const;
     /** Announces the current state to all hosts immediately, for example before a stop. */
     void announceNow();
     /** Adds the crash counts of these request fingerprints to the announcements of the next seconds. */
@@ -64,18 +72,34 @@
     struct Socket;
 
     void tick();
-    /** Sends all loads if @p complete, else changed ones, to the live hosts that @p isReceiver accepts, or to all known hosts if @p withIdentity. */
-    void announce(bool complete, bool withIdentity, const std::function<bool(const Peer &)> &isReceiver);
-    /** Encodes a datagram, with the identity of this host and the addresses of up to @p maxNamedPeers live hosts unless that is 0. */
-    [[nodiscard]] std::string encode(const LoadAnnouncement &announcement, std::size_t maxNamedPeers);
-    /** Sends the identity of this host and the addresses of all live hosts to one host. */
-    void sendIdentity(const std::string &peerAddress);
-    /** Sends the identity of this host to the addresses that have been learned since the last call. */
-    void sendIntroductions();
-    /** Whether the host is in the same data centre; in a small fleet all hosts are near. */
-    [[nodiscard]] bool isNear(const Peer &peer) const;
+    /** An address whose host has not answered an introduction. */
+    struct Introduction {
+        bool asksForPeers = false;
+        int sent = 0;
+        absl::Time next = absl::InfinitePast();
+    };
+
+    void updateSchedule();
+    void announce(const AnnouncementSchedule::Round &round);
+    /** The message without loads and identity. */
+    [[nodiscard]] peer::HostState currentState();
+    static void addLoad(peer::HostState &message, const LoadAnnouncement &announcement);
+    /** Adds the identity of this host and the addresses of up to @p maxNamedPeers live hosts. */
+    void addIdentity(peer::HostState &message, std::size_t maxNamedPeers);
+    void send(const peer::HostState &message, const std::string &peerAddress);
+    void sendIdentity(const std::string &peerAddress, peer::Request request, std::size_t maxNamedPeers);
+    /** Sends the identity of this host to the addresses whose hosts have not answered yet. */
+    void sendIntroductions(absl::Time now);
+    void answerRequest(const peer::HostState &message, const std::string &senderAddress);
+    [[nodiscard]] PeerDistance distanceOf(const Peer &peer) const;
+    /** Whether a crash count is announced that another crash would raise to a quarantine. */
+    [[nodiscard]] bool announcesUrgentCrash(absl::Time now) const;
     void receiveDatagrams();
     void handleDatagram(const std::string &bytes, const std::string &senderAddress);
+    /** The sender with its announced state; nothing when its name is not known. */
+    [[nodiscard]] std::optional<Peer> decodeSender(const peer::HostState &message, const std::string &senderAddress);
+    void applyLoad(const Peer &sender, const peer::HostState &message);
+    void applyCrashCounts(const peer::HostState &message);
 
     EventLoop &loop;
     Peer self;
@@ -84,18 +108,16 @@
     CrashQuarantine &crashQuarantine;
     Hooks hooks;
     std::unique_ptr<Socket> socket;
-    /** Datagram addresses of other hosts: all that are known, those to send the identity to next, and those that have not answered. */
+    AnnouncementSchedule schedule;
+    /** Datagram addresses of all other hosts that are known, and those of them that have not answered. */
     std::set<std::string> knownAddresses;
-    std::set<std::string> pendingIntroductions;
-    std::set<std::string> unansweredAddresses;
+    std::map<std::string, Introduction> introductions;
+    absl::Time peerFoundAt = absl::InfinitePast();
     /** Host names by the hash that identifies the sender of a datagram without an identity. */
     std::map<std::uint32_t, std::string> namesByKey;
     std::vector<std::pair<std::uint64_t, std::uint32_t>> crashCounts;
     absl::Time announceCrashesUntil = absl::InfinitePast();
     std::size_t nextPeerToName = 0;
-    absl::Time lastCompleteAnnouncement = absl::InfinitePast();
-    absl::Time lastRegionAnnouncement = absl::InfinitePast();
-    absl::Time lastIdentityAnnouncement = absl::InfinitePast();
     LoopTimer timer;
 };
 
--- a/src/PeerTable.cpp
+++ b/src/PeerTable.cpp
@@ -62,27 +62,28 @@
 bool PeerTable::isLive(std::string_view name, absl::Time now) const
 {
     const Peer *peer = this->find(name);
-    return peer != nullptr && !peer->leaving && now <= peer->lastHeard + livenessTimeout;
+    return peer != nullptr && isLive(*peer, now);
+}
+
+bool PeerTable::isLive(const Peer &peer, absl::Time now)
+{
+    return !peer.leaving && now <= peer.lastHeard + peer.livenessTimeout;
 }
 
 std::vector<Peer> PeerTable::liveHosts(absl::Time now) const
 {
     std::vector<Peer> result;
     for (const auto &[name, peer] : this->peers) {
-        if (this->isLive(name, now)) {
+        if (isLive(peer, now)) {
             result.push_back(peer);
         }
     }
     return result;
 }
 
-std::vector<Peer> PeerTable::all() const
+const std::map<std::string, Peer, std::less<>> &PeerTable::all() const
 {
-    std::vector<Peer> result;
-    for (const auto &[name, peer] : this->peers) {
-        result.push_back(peer);
-    }
-    return result;
+    return this->peers;
 }
 
 std::size_t PeerTable::size() const
--- a/src/PeerTable.h
+++ b/src/PeerTable.h
@@ -8,8 +8,13 @@
 
 #include <absl/time/time.h>
 
+#include "AnnouncementSchedule.h"
+
 namespace Bergamotramp {
 
+/** For hosts that announce themselves twice a second. */
+constexpr absl::Duration defaultLivenessTimeout = absl::Milliseconds(1600);
+
 /** Latest announcement of another entry host. */
 struct Peer {
     std::string name;
@@ -32,6 +37,10 @@
     bool storeSilent = false;
     /** Bandwidth of the host's network link in Mbit/s; 0 when it is unknown. */
     std::uint32_t linkMbps = 0;
+    /** The host watches the store itself, so that other hosts can follow it. */
+    bool watchesStore = false;
+    /** The host is not live after this time without an announcement, of which it covers several. */
+    absl::Duration livenessTimeout = defaultLivenessTimeout;
     absl::Time lastHeard = absl::InfinitePast();
 
     bool operator==(const Peer &) const = default;
@@ -41,10 +50,8 @@
 class PeerTable
 {
 public:
-    /** A host without an announcement for this long is not live. Announcements come at least twice a second, so several were lost. */
-    static constexpr absl::Duration livenessTimeout = absl::Milliseconds(1600);
     /** In a fleet of up to this number of other hosts, each host sends its complete announcements to all others. */
-    static constexpr std::size_t maxFullMeshPeers = 12;
+    static constexpr std::size_t maxFullMeshPeers = AnnouncementSchedule::maxFullMeshPeers;
     /** A host without an announcement for this long is removed from the table. */
     static constexpr absl::Duration silentPeerRetention = absl::Seconds(60);
 
@@ -57,8 +64,10 @@
 
     [[nodiscard]] const Peer *find(std::string_view name) const;
     [[nodiscard]] bool isLive(std::string_view name, absl::Time now) const;
+    [[nodiscard]] static bool isLive(const Peer &peer, absl::Time now);
     [[nodiscard]] std::vector<Peer> liveHosts(absl::Time now) const;
-    [[nodiscard]] std::vector<Peer> all() const;
+    /** All known hosts by name, live or not. */
+    [[nodiscard]] const std::map<std::string, Peer, std::less<>> &all() const;
     [[nodiscard]] std::size_t size() const;
 
 private:
--- a/src/RelayedStore.cpp
+++ b/src/RelayedStore.cpp
@@ -1,5 +1,8 @@
 #include "RelayedStore.h"
 
+#include <algorithm>
+#include <utility>
+
 #include <absl/strings/numbers.h>
 #include <absl/strings/str_cat.h>
 
@@ -18,8 +21,15 @@
 constexpr absl::Duration relayListTimeout = absl::Seconds(10);
 // A relay that stops responding is detected by its missing announcements. This limits the delay that a single lost answer causes.
 constexpr absl::Duration maxRelayWait = absl::Seconds(5);
+// A host that is no relay answers a list request once it has the list itself. When a fleet starts, hosts that do not know each
+// other yet choose different relays, and would otherwise all list from the store.
+constexpr absl::Duration maxListRequestHold = absl::Seconds(1);
+// A relay that can not use the store may be able to use it again soon.
+constexpr absl::Duration failedStoreExclusion = absl::Seconds(1);
 constexpr int httpOk = 200;
 constexpr int httpGone = 410;
+/** The answer of a relay that can not use the store. */
+constexpr int httpFailedDependency = 424;
 
 std::string encodeList(const ListReply &reply)
 {
@@ -130,42 +140,90 @@
 
 void RelayedStore::dispatch(const std::shared_ptr<Call> &call)
 {
-    if (const auto relay = this->relaySelector.selectRelay(this->loop.now())) {
-        this->callRelay(call, *relay);
-    } else {
+    const WatchSource source = this->relaySelector.select(this->loop.now());
+    switch (source.kind) {
+    case WatchSource::Kind::Relay:
+        this->callRelay(call, *source.relay);
+        break;
+    case WatchSource::Kind::Store:
         this->callStore(call);
+        break;
+    case WatchSource::Kind::Wait:
+        if (call->storeReportedFailed) {
+            this->failCall(call);
+        } else {
+            this->waitingCalls[call->kind] = call;
+        }
+        break;
+    }
+}
+
+void RelayedStore::failCall(const std::shared_ptr<Call> &call)
+{
+    if (call->isList) {
+        this->finish(call, ListReply{.result = StoreResult::Unavailable, .objects = {}, .revision = 0});
+    } else {
+        this->finish(call, WatchReply{.result = StoreResult::Unavailable, .changes = {}, .revision = 0});
     }
 }
 
 void RelayedStore::callStore(const std::shared_ptr<Call> &call)
 {
     FollowedKind &kind = this->kinds.at(call->kind);
+    const auto handleResult = [&kind](bool succeeded) {
+        if (succeeded) {
+            kind.watchesStore = true;
+            kind.storeFailed = false;
+        } else {
+            stopWatchingStore(kind, true);
+        }
+    };
     if (call->isList) {
-        this->store.list(call->kind, [this, call, &kind](const ListReply &reply) {
-            this->setWatchesStore(kind, reply.result == StoreResult::Done);
+        this->store.list(call->kind, [this, call, handleResult](const ListReply &reply) {
+            handleResult(reply.result == StoreResult::Done);
             this->finish(call, reply);
         });
         return;
     }
     kind.watchesStore = true;
     const absl::Duration wait = std::max(absl::ZeroDuration(), call->deadline - this->loop.now());
-    this->store.watch(call->kind, call->revision, wait, [this, call, &kind](const WatchReply &reply) {
-        this->setWatchesStore(kind, reply.result == StoreResult::Done || reply.result == StoreResult::HistoryExpired);
+    this->store.watch(call->kind, call->revision, wait, [this, call, handleResult](const WatchReply &reply) {
+        handleResult(reply.result == StoreResult::Done || reply.result == StoreResult::HistoryExpired);
         this->finish(call, reply);
     });
 }
 
-void RelayedStore::setWatchesStore(FollowedKind &kind, bool watchesStore)
+void RelayedStore::stopWatchingStore(FollowedKind &kind, bool storeFailed)
 {
-    kind.watchesStore = watchesStore;
-    if (!watchesStore) {
-        this->stopServingFollowers(kind);
+    kind.watchesStore = false;
+    kind.storeFailed = storeFailed;
+    if (storeFailed || kind.mirror.isInitialized()) {
+        for (const auto &exchange : std::exchange(kind.pendingListRequests, {})) {
+            refuse(kind, *exchange);
+        }
+    }
+    for (const auto &follower : std::exchange(kind.followers, {})) {
+        refuse(kind, *follower->exchange);
+    }
+}
+
+void RelayedStore::refuse(const FollowedKind &kind, HttpExchange &exchange)
+{
+    HttpResponse response = notRunResponse("no_relay", "this host does not watch the store", absl::ZeroDuration());
+    if (kind.storeFailed) {
+        response.head.status = httpFailedDependency;
     }
+    exchange.respond(response);
+}
+
+bool RelayedStore::watchesStore() const
+{
+    return std::ranges::all_of(this->kinds, [](const auto &entry) { return entry.second.watchesStore && entry.second.mirror.isInitialized(); });
 }
 
 void RelayedStore::callRelay(const std::shared_ptr<Call> &call, const Peer &relay)
 {
-    this->setWatchesStore(this->kinds.at(call->kind), false);
+    stopWatchingStore(this->kinds.at(call->kind), false);
     call->relay = relay.name;
     const std::uint64_t attempt = ++call->attempt;
     this->relayCalls.insert(call);
@@ -186,6 +244,7 @@
 {
     std::optional<ListReply> list;
     std::optional<WatchReply> changes;
+    bool storeFailed = false;
     try {
         const int status = response ? response->head.status : 0;
         if (call->isList && status == httpOk) {
@@ -195,11 +254,13 @@
         } else if (!call->isList && status == httpGone) {
             changes = WatchReply{.result = StoreResult::HistoryExpired, .changes = {}};
         }
+        storeFailed = status == httpFailedDependency;
     } catch (const nlohmann::json::exception &error) {
         this->log.write("relay_unreadable", {{"relay", call->relay}, {"error", error.what()}});
     }
     if (!list && !changes) {
-        this->replaceRelay(call);
+        call->storeReportedFailed = call->storeReportedFailed || storeFailed;
+        this->replaceRelay(call, storeFailed ? failedStoreExclusion : WatchRelaySelector::exclusionTime);
         return;
     }
     this->relayCalls.erase(call);
@@ -210,10 +271,11 @@
     }
 }
 
-void RelayedStore::replaceRelay(const std::shared_ptr<Call> &call)
+void RelayedStore::replaceRelay(const std::shared_ptr<Call> &call, absl::Duration exclusion)
 {
-    this->log.write("relay_left", {{"relay", call->relay}, {"kind", call->kind}, {"revision", call->revision}});
-    this->relaySelector.exclude(call->relay, this->loop.now());
+    this->log.write("relay_left",
+                    {{"relay", call->relay}, {"kind", call->kind}, {"revision", call->revision}, {"storeReportedFailed", call->storeReportedFailed}});
+    this->relaySelector.exclude(call->relay, this->loop.now() + exclusion);
     ++call->attempt;
     this->relayCalls.erase(call);
     this->dispatch(call);
@@ -258,20 +320,21 @@
     const HttpRequest &request = exchange->request();
     const auto found = this->kinds.find(request.query("kind"));
     const bool listing = request.path() == listPath;
-    if (listing && found != this->kinds.end() && !found->second.mirror.isInitialized() && !this->relaySelector.selectRelay(this->loop.now())) {
-        // This relay has started together with its followers. If it refused their requests, all of them would list from the store.
-        found->second.pendingListRequests.push_back(exchange);
-        return;
-    }
-    // Only a host that watches the store itself serves followers, so two hosts never follow each other.
-    if (found == this->kinds.end() || !found->second.watchesStore) {
-        exchange->respond(notRunResponse("no_relay", "this host does not watch the store", absl::ZeroDuration()));
+    if (found == this->kinds.end()) {
+        exchange->respond(notRunResponse("no_relay", "this host does not follow objects of this kind", absl::ZeroDuration()));
         return;
     }
-    if (listing) {
-        this->serveList(found->second, exchange);
+    FollowedKind &kind = found->second;
+    if (listing && kind.mirror.isInitialized()) {
+        this->serveList(kind, exchange);
+    } else if (listing && !kind.storeFailed) {
+        // This host has started together with its followers. If it refused their requests, all of them would list from the store.
+        kind.pendingListRequests.push_back(exchange);
+    } else if (!listing && kind.watchesStore) {
+        this->serveWatch(kind, exchange);
     } else {
-        this->serveWatch(found->second, exchange);
+        // Only a host that watches the store itself reports changes to followers, so two hosts never follow each other.
+        refuse(kind, *exchange);
     }
 }
 
@@ -340,38 +403,59 @@
 
 void RelayedStore::tick()
 {
+    const absl::Time now = this->loop.now();
+    for (const auto &[kind, call] : std::exchange(this->waitingCalls, {})) {
+        this->dispatch(call);
+    }
     const auto waiting = this->relayCalls;
     for (const auto &call : waiting) {
-        if (!this->relaySelector.isUsable(call->relay, this->loop.now())) {
-            this->replaceRelay(call);
+        if (!this->relaySelector.isUsable(call->relay, now)) {
+            this->replaceRelay(call, WatchRelaySelector::exclusionTime);
+        } else if (call->isList) {
+            this->moveToSelectedRelay(call);
         }
     }
+    this->refuseExpiredListRequests(now);
 }
 
-void RelayedStore::excludeRelays()
+void RelayedStore::moveToSelectedRelay(const std::shared_ptr<Call> &call)
 {
-    const auto waiting = this->relayCalls;
-    for (const auto &call : waiting) {
-        this->replaceRelay(call);
+    const WatchSource source = this->relaySelector.select(this->loop.now());
+    if (source.kind == WatchSource::Kind::Relay && source.relay->name != call->relay) {
+        ++call->attempt;
+        this->relayCalls.erase(call);
+        this->callRelay(call, *source.relay);
     }
 }
 
-void RelayedStore::stopServingFollowers()
+void RelayedStore::refuseExpiredListRequests(absl::Time now)
 {
     for (auto &[name, kind] : this->kinds) {
-        this->setWatchesStore(kind, false);
+        if (kind.pendingListRequests.empty() || this->relaySelector.isRelay(now)) {
+            continue;
+        }
+        const auto isExpired = [now](const auto &exchange) { return now > exchange->received() + maxListRequestHold; };
+        const auto kept = std::stable_partition(kind.pendingListRequests.begin(), kind.pendingListRequests.end(), isExpired);
+        const std::vector<std::shared_ptr<HttpExchange>> expired(kind.pendingListRequests.begin(), kept);
+        kind.pendingListRequests.erase(kind.pendingListRequests.begin(), kept);
+        for (const auto &exchange : expired) {
+            refuse(kind, *exchange);
+        }
     }
 }
 
-void RelayedStore::stopServingFollowers(FollowedKind &kind)
+void RelayedStore::excludeRelays()
 {
-    for (const auto &exchange : std::exchange(kind.pendingListRequests, {})) {
-        exchange->respond(notRunResponse("no_relay", "this host does not watch the store", absl::ZeroDuration()));
+    const auto waiting = this->relayCalls;
+    for (const auto &call : waiting) {
+        this->replaceRelay(call, WatchRelaySelector::exclusionTime);
     }
-    std::list<std::shared_ptr<Follower>> waiting;
-    waiting.swap(kind.followers);
-    for (const auto &follower : waiting) {
-        follower->exchange->respond(notRunResponse("no_relay", "this host does not watch the store", absl::ZeroDuration()));
+}
+
+void RelayedStore::stopServingFollowers()
+{
+    for (auto &[name, kind] : this->kinds) {
+        stopWatchingStore(kind, false);
     }
 }
 
--- a/src/RelayedStore.h
+++ b/src/RelayedStore.h
@@ -49,8 +49,10 @@
     void tick();
     /** Replaces the relays that are in use, because they lag behind other hosts. */
     void excludeRelays();
-    /** Refuses the waiting and later requests of followers, until this host watches the store again. */
+    /** Refuses the waiting and later requests of followers, because this host stops. */
     void stopServingFollowers();
+    /** Whether this host watches all followed kinds in the store itself, so that others can follow it. */
+    [[nodiscard]] bool watchesStore() const;
 
 private:
     /** One list or watch call, from the request until its result is reported. */
@@ -60,6 +62,8 @@
         /** Number of the attempt; distinguishes the answers of a replaced relay from those of the current one. */
         std::uint64_t attempt = 0;
         bool isList = false;
+        /** Whether a relay has refused the call because it can not use the store. */
+        bool storeReportedFailed = false;
         std::uint64_t revision = 0;
         /** When a watch ends if there is no change. */
         absl::Time deadline = absl::InfinitePast();
@@ -80,24 +84,33 @@
         std::list<std::shared_ptr<Follower>> followers;
         /** List requests of followers that arrived before this host had the list. */
         std::vector<std::shared_ptr<HttpExchange>> pendingListRequests;
+        /** Whether the last call to the store has failed. */
+        bool storeFailed = false;
         /** The last encoded answer to a watch and the revisions that it covers; it is reused for followers at the same revision. */
         std::uint64_t cachedAnswerFrom = 0;
         std::uint64_t cachedAnswerTo = 0;
         std::string cachedAnswer;
     };
 
+    /** Sends the call to the store or to a relay, or keeps it until one of them is to be used. */
     void dispatch(const std::shared_ptr<Call> &call);
+    /** Ends a call with the failure of the store that its relay has reported. */
+    void failCall(const std::shared_ptr<Call> &call);
     void callStore(const std::shared_ptr<Call> &call);
     void callRelay(const std::shared_ptr<Call> &call, const Peer &relay);
     void handleRelayResponse(const std::shared_ptr<Call> &call, const std::optional<HttpResponse> &response);
-    void replaceRelay(const std::shared_ptr<Call> &call);
+    void replaceRelay(const std::shared_ptr<Call> &call, absl::Duration exclusion);
     void finish(const std::shared_ptr<Call> &call, const ListReply &reply);
     void finish(const std::shared_ptr<Call> &call, const WatchReply &reply);
     void serveList(const FollowedKind &kind, const std::shared_ptr<HttpExchange> &exchange) const;
     void serveWatch(FollowedKind &kind, const std::shared_ptr<HttpExchange> &exchange);
     void answerFollowers(FollowedKind &kind);
-    void setWatchesStore(FollowedKind &kind, bool watchesStore);
-    void stopServingFollowers(FollowedKind &kind);
+    static void stopWatchingStore(FollowedKind &kind, bool storeFailed);
+    /** Sends a list call to the relay that is selected now, if that is another one than at its start. */
+    void moveToSelectedRelay(const std::shared_ptr<Call> &call);
+    static void refuse(const FollowedKind &kind, HttpExchange &exchange);
+    /** Refuses list requests that this host holds although it is no relay and has got no list itself. */
+    void refuseExpiredListRequests(absl::Time now);
     /** Responds with the changes after @p since, or that they are no longer known; returns false when there are none yet. */
     static bool respondIfChanged(FollowedKind &kind, HttpExchange &exchange, std::uint64_t since);
 
@@ -109,6 +122,8 @@
     std::map<std::string, FollowedKind> kinds;
     /** Calls that wait for the answer of a relay. */
     std::set<std::shared_ptr<Call>> relayCalls;
+    /** The latest call of each kind that waits until a relay or the store is to be used. */
+    std::map<std::string, std::shared_ptr<Call>> waitingCalls;
 };
 
 } // namespace Bergamotramp
--- a/src/WatchRelaySelector.cpp
+++ b/src/WatchRelaySelector.cpp
@@ -13,34 +13,70 @@
 {
 }
 
-std::optional<Peer> WatchRelaySelector::selectRelay(absl::Time now) const
+WatchSource WatchRelaySelector::select(absl::Time now)
 {
     if (this->peerTable.size() <= PeerTable::maxFullMeshPeers) {
-        return std::nullopt;
+        return {.kind = WatchSource::Kind::Store};
     }
-    std::vector<std::string> candidates{this->self};
+    const std::vector<std::string> hosts = this->candidates(now);
+    const auto rank = std::ranges::find(hosts, this->self) - hosts.begin();
+    if (rank < static_cast<std::ptrdiff_t>(relaysPerDataCentre)) {
+        this->withoutRelaySince = absl::InfiniteFuture();
+        return {.kind = WatchSource::Kind::Store};
+    }
+    if (const Peer *relay = this->usableRelay(hosts, now)) {
+        this->withoutRelaySince = absl::InfiniteFuture();
+        return {.kind = WatchSource::Kind::Relay, .relay = *relay};
+    }
+    this->withoutRelaySince = std::min(this->withoutRelaySince, now);
+    const auto hostsBefore = rank - static_cast<std::ptrdiff_t>(relaysPerDataCentre);
+    const bool isNext = now >= this->withoutRelaySince + storeFallbackInterval * hostsBefore;
+    return {.kind = isNext ? WatchSource::Kind::Store : WatchSource::Kind::Wait};
+}
+
+bool WatchRelaySelector::isRelay(absl::Time now) const
+{
+    if (this->peerTable.size() <= PeerTable::maxFullMeshPeers) {
+        return true;
+    }
+    const std::vector<std::string> hosts = this->candidates(now);
+    return std::ranges::find(hosts, this->self) - hosts.begin() < static_cast<std::ptrdiff_t>(relaysPerDataCentre);
+}
+
+std::vector<std::string> WatchRelaySelector::candidates(absl::Time now) const
+{
+    std::vector<std::string> names{this->self};
     std::map<std::string, std::uint32_t> bandwidth{{this->self, this->linkMbps}};
-    for (const Peer &peer : this->peerTable.liveHosts(now)) {
-        if (peer.dataCentre == this->dataCentre) {
-            candidates.push_back(peer.name);
-            bandwidth[peer.name] = peer.linkMbps;
+    for (const auto &[name, peer] : this->peerTable.all()) {
+        if (peer.dataCentre == this->dataCentre && PeerTable::isLive(peer, now)) {
+            names.push_back(name);
+            bandwidth[name] = peer.linkMbps;
         }
     }
     // A relay sends a possibly large configuration to all its followers, so the hosts with the most bandwidth are preferred.
-    std::vector<std::string> relays = rendezvousOrder(this->dataCentre, std::move(candidates));
-    std::ranges::stable_sort(relays, std::greater(), [&bandwidth](const std::string &name) { return bandwidth[name]; });
-    relays.resize(std::min(relays.size(), relaysPerDataCentre));
-    if (std::ranges::find(relays, this->self) != relays.end()) {
-        return std::nullopt;
-    }
+    std::vector<std::string> ordered = rendezvousOrder(this->dataCentre, std::move(names));
+    std::ranges::stable_sort(ordered, std::greater(), [&bandwidth](const std::string &name) { return bandwidth[name]; });
+    return ordered;
+}
+
+const Peer *WatchRelaySelector::usableRelay(const std::vector<std::string> &hosts, absl::Time now) const
+{
     // Sorts by a hash of relay name and own name, so that each of the two relays is the first choice of about half of the followers.
+    std::vector<std::string> relays(hosts.begin(), hosts.begin() + relaysPerDataCentre);
     std::ranges::sort(relays, {}, [this](const std::string &name) { return stableHash(stableHash(name), this->self); });
     for (const std::string &name : relays) {
         if (this->isUsable(name, now)) {
-            return *this->peerTable.find(name);
+            return this->peerTable.find(name);
+        }
+    }
+    // Other hosts that had to go to the store, because the relays failed.
+    for (const std::string &name : hosts) {
+        const Peer *peer = this->peerTable.find(name);
+        if (peer != nullptr && peer->watchesStore && this->isUsable(name, now)) {
+            return peer;
         }
     }
-    return std::nullopt;
+    return nullptr;
 }
 
 bool WatchRelaySelector::isUsable(std::string_view relay, absl::Time now) const
@@ -49,9 +85,9 @@
     return this->peerTable.isLive(relay, now) && (excluded == this->excludedUntil.end() || now >= excluded->second);
 }
 
-void WatchRelaySelector::exclude(const std::string &relay, absl::Time now)
+void WatchRelaySelector::exclude(const std::string &relay, absl::Time until)
 {
-    this->excludedUntil[relay] = now + exclusionTime;
+    this->excludedUntil[relay] = until;
 }
 
 std::size_t WatchRelaySelector::directWatcherCount(absl::Time now) const
@@ -61,8 +97,10 @@
         return hosts;
     }
     std::map<std::string, std::size_t> hostsByDataCentre{{this->dataCentre, 1}};
-    for (const Peer &peer : this->peerTable.liveHosts(now)) {
-        ++hostsByDataCentre[peer.dataCentre];
+    for (const auto &[name, peer] : this->peerTable.all()) {
+        if (PeerTable::isLive(peer, now)) {
+            ++hostsByDataCentre[peer.dataCentre];
+        }
     }
     std::size_t watchers = 0;
     for (const auto &[name, count] : hostsByDataCentre) {
--- a/test/core/PeerTableTest.cpp
+++ b/test/core/PeerTableTest.cpp
@@ -37,8 +37,8 @@
     table.update(leaving);
     table.update(peer("silent", 1, 1));
     EXPECT_FALSE(table.isLive("leaving", start));
-    EXPECT_TRUE(table.isLive("silent", start + PeerTable::livenessTimeout));
-    EXPECT_FALSE(table.isLive("silent", start + PeerTable::livenessTimeout + absl::Milliseconds(1)));
+    EXPECT_TRUE(table.isLive("silent", start + defaultLivenessTimeout));
+    EXPECT_FALSE(table.isLive("silent", start + defaultLivenessTimeout + absl::Milliseconds(1)));
     EXPECT_FALSE(table.isLive("unknown", start));
     table.evictSilent(start + PeerTable::silentPeerRetention + absl::Milliseconds(1));
     EXPECT_EQ(table.find("silent"), nullptr);
@@ -68,7 +68,7 @@
     EXPECT_FALSE(table.isLive("host-1", pauseStart + pause));
     table.postponeTimeouts(pause);
     EXPECT_TRUE(table.isLive("host-1", pauseStart + pause));
-    EXPECT_FALSE(table.isLive("host-1", pauseStart + pause + PeerTable::livenessTimeout + absl::Milliseconds(1)));
+    EXPECT_FALSE(table.isLive("host-1", pauseStart + pause + defaultLivenessTimeout + absl::Milliseconds(1)));
 }
 
 } // namespace
--- a/test/core/UpstreamSelectorTest.cpp
+++ b/test/core/UpstreamSelectorTest.cpp
@@ -45,6 +45,48 @@
     EXPECT_EQ(view.selector.chooseForOnline("modelo", {"near", "beside", "far"}, start), nullptr);
 }
 
+// Guards against sums that drift from the counts of the single hosts, when announcements replace each other, change some counts or
+// expire in any order.
+TEST(FleetLoadTest, totalsAreTheSumOfUnexpiredAnnouncements)
+{
+    std::mt19937 random(7);
+    const auto draw = [&random](int count) { return std::uniform_int_distribution(0, count - 1)(random); };
+    constexpr int hostCount = 5;
+    constexpr int upstreamCount = 4;
+    FleetLoad load;
+    std::array<std::array<RequestCounts, upstreamCount>, hostCount> expected{};
+    std::array<absl::Time, hostCount> expiry;
+    expiry.fill(absl::InfinitePast());
+    absl::Time now = start;
+    for (int step = 0; step < 5000; ++step) {
+        now += absl::Milliseconds(draw(200));
+        const auto host = static_cast<std::size_t>(draw(hostCount));
+        LoadAnnouncement announcement{.complete = draw(2) == 0 || now > expiry[host], .uses = {}};
+        if (announcement.complete) {
+            expected[host].fill({});
+        }
+        for (int use = draw(3); use > 0; --use) {
+            const auto upstream = static_cast<std::size_t>(draw(upstreamCount));
+            const RequestCounts counts{.online = draw(4), .batch = draw(4)};
+            announcement.uses.push_back({.upstream = upstreamKey("u" + std::to_string(upstream)), .counts = counts});
+            expected[host][upstream] = counts;
+        }
+        announcement.lifetime = absl::Milliseconds(300 + draw(1500));
+        load.applyAnnouncement("host-" + std::to_string(host), announcement, now);
+        expiry[host] = now + announcement.lifetime;
+        const absl::Time later = now + absl::Milliseconds(draw(1000));
+        for (std::size_t upstream = 0; upstream < upstreamCount; ++upstream) {
+            RequestCounts sum;
+            for (std::size_t other = 0; other < hostCount; ++other) {
+                if (later <= expiry[other]) {
+                    sum += expected[other][upstream];
+                }
+            }
+            ASSERT_EQ(load.total("u" + std::to_string(upstream), later), sum) << "step " << step;
+        }
+    }
+}
+
 // Guards against treating an upstream as idle that other hosts have filled.
 TEST(UpstreamSelectorTest, loadOfOtherHostsCounts)
 {
@@ -54,7 +96,7 @@
     announceFromOtherHost(view, {{.upstream = upstreamKey("near"), .counts = {.online = 7, .batch = 0}}});
     EXPECT_EQ(view.selector.chooseForOnline("modelo", {}, start)->id, "beside");
     // An announcement that is not renewed expires, because its host may have stopped.
-    const absl::Time later = start + FleetLoad::announcementLifetime + absl::Milliseconds(1);
+    const absl::Time later = start + defaultAnnouncementLifetime + absl::Milliseconds(1);
     EXPECT_EQ(view.selector.chooseForOnline("modelo", {}, later)->id, "near");
 }
 
--- a/test/core/WatchRelaySelectorTest.cpp
+++ b/test/core/WatchRelaySelectorTest.cpp
@@ -56,7 +56,7 @@
         std::map<std::string, std::string> result;
         for (const FleetHost &fleetHost : this->hosts) {
             const PeerTable peerTable = this->peersOf(fleetHost, start);
-            const auto relay = WatchRelaySelector(peerTable, fleetHost.name, fleetHost.dataCentre, fleetHost.linkMbps).selectRelay(start);
+            const auto relay = WatchRelaySelector(peerTable, fleetHost.name, fleetHost.dataCentre, fleetHost.linkMbps).select(start).relay;
             result[fleetHost.name] = relay ? relay->name : "";
         }
         return result;
@@ -119,12 +119,66 @@
     this->silent.clear();
     const PeerTable peerTable = this->peersOf(follower, start);
     WatchRelaySelector selector(peerTable, follower.name, follower.dataCentre, follower.linkMbps);
-    selector.exclude(first, start);
-    const auto other = selector.selectRelay(start);
+    const absl::Time excludedUntil = start + WatchRelaySelector::exclusionTime;
+    selector.exclude(first, excludedUntil);
+    const auto other = selector.select(start).relay;
     ASSERT_TRUE(other.has_value());
     EXPECT_NE(other->name, first);
-    selector.exclude(other->name, start);
-    EXPECT_FALSE(selector.selectRelay(start).has_value()) << "without a relay the host watches the store";
+    selector.exclude(other->name, excludedUntil);
+    absl::Time now = start;
+    while (now < excludedUntil && selector.select(now).kind == WatchSource::Kind::Wait) {
+        now += absl::Milliseconds(10);
+    }
+    EXPECT_EQ(selector.select(now).kind, WatchSource::Kind::Store) << "without a relay the host watches the store";
+}
+
+// Guards against all hosts of a data centre going to the store at once when both relays fail: over a narrow link to another region
+// none of them gets an answer in time, and each tries again.
+TEST_F(WatchRelaySelectorTest, followersOfFailedRelaysGoToTheStoreOneAfterAnother)
+{
+    this->build(3, 40);
+    const absl::Duration interval = WatchRelaySelector::storeFallbackInterval;
+    std::map<int, int> fallbacksByInterval;
+    for (const auto &[host, relay] : this->relaysOfAll()) {
+        const FleetHost self = *std::ranges::find(this->hosts, host, &FleetHost::name);
+        if (relay.empty() || self.dataCentre != "centre-0") {
+            continue;
+        }
+        const PeerTable peerTable = this->peersOf(self, start + absl::Minutes(1));
+        WatchRelaySelector selector(peerTable, self.name, self.dataCentre, self.linkMbps);
+        while (const auto next = selector.select(start).relay) {
+            selector.exclude(next->name, absl::InfiniteFuture());
+        }
+        int intervals = 0;
+        while (selector.select(start + interval * intervals).kind != WatchSource::Kind::Store) {
+            ++intervals;
+            ASSERT_LT(intervals, 100);
+        }
+        ++fallbacksByInterval[intervals];
+    }
+    EXPECT_EQ(fallbacksByInterval.size(), 38U);
+    EXPECT_EQ(fallbacksByInterval.begin()->first, 0) << "one host must go to the store at once";
+}
+
+// Guards against hosts that each watch the store although another host of their data centre does already.
+TEST_F(WatchRelaySelectorTest, hostThatReachedTheStoreIsFollowed)
+{
+    this->build(3, 10);
+    const FleetHost follower =
+        *std::ranges::find_if(this->hosts, [relays = this->relaysOfAll()](const FleetHost &fleetHost) { return !relays.at(fleetHost.name).empty(); });
+    PeerTable peerTable = this->peersOf(follower, start);
+    WatchRelaySelector selector(peerTable, follower.name, follower.dataCentre, follower.linkMbps);
+    while (const auto next = selector.select(start).relay) {
+        selector.exclude(next->name, absl::InfiniteFuture());
+    }
+    const auto isCandidate = [&](const auto &entry) { return entry.second.dataCentre == follower.dataCentre && selector.isUsable(entry.first, start); };
+    Peer watcher = std::ranges::find_if(peerTable.all(), isCandidate)->second;
+    watcher.watchesStore = true;
+    ++watcher.sequence;
+    peerTable.update(watcher);
+    const WatchSource source = selector.select(start);
+    ASSERT_EQ(source.kind, WatchSource::Kind::Relay);
+    EXPECT_EQ(source.relay->name, watcher.name);
 }
 
 } // namespace
--- a/test/entry/RelayedStoreTest.cpp
+++ b/test/entry/RelayedStoreTest.cpp
@@ -102,7 +102,8 @@
     EXPECT_EQ(list["objects"][0]["name"], "one");
 }
 
-// Guards against followers that keep waiting for a relay that can't reach the store.
+// Guards against followers that keep waiting for a relay that can't reach the store, and against followers that take the failure of
+// the store for that of the relay, so that they drop the upstreams whose registrations lapse meanwhile.
 TEST_F(RelayedStoreTest, followersAreRefusedWhenTheStoreDoesNotAnswer)
 {
     this->requestList();
@@ -110,7 +111,7 @@
     this->relayedStore.list("things", [](const ListReply &) {});
     this->store.pendingLists.at(0)({.result = StoreResult::Unanswered, .objects = {}, .revision = 0});
     ASSERT_TRUE(runUntil(this->loop, [this] { return this->answered; }));
-    EXPECT_EQ(this->status, 503);
+    EXPECT_EQ(this->status, 424) << "the relay tells its followers that the store has failed";
 }
 
 } // namespace
