Give batch slots to jobs that can still be in time

Cause: under lasting overload the oldest jobs are the late ones. In order of submission they got every slot, each job became late in turn, and a quarter of what the upstreams completed was in time.

Change: BatchOrder puts jobs whose items can still be delivered by the due time first, by due time, and the late ones behind them. It uses the measured run time of items. Hosts compete for shared slots with the items that can be in time. Results of a job that is due soon are stored without collecting more of them.

Ruled out: refusing jobs beyond the measured rate. The limit on waiting tokens is the configuration's to set, and late results are still worth something to their owners.

BatchOrderTest plays four times the capacity; plain order of submission keeps under a third of it.

--- a/src/JobService.cpp
+++ b/src/JobService.cpp
@@ -1,7 +1,6 @@
 #include "JobService.h"
 
 #include <algorithm>
-#include <set>
 
 namespace Bergamotramp {
 
@@ -537,7 +536,10 @@
 void JobService::appendResultsWhenDue(JobEntry &entry, absl::Time now)
 {
     entry.unstoredSince = std::min(entry.unstoredSince, now);
-    if (entry.job->allItemsHaveResult() || now >= entry.unstoredSince + appendDelay) {
+    const auto config = this->context.config();
+    // A result that waited until after the due time would be late although its item has completed in time.
+    const bool dueSoon = config && now < dueTime(entry, *config) && now + appendDelay > dueTime(entry, *config);
+    if (entry.job->allItemsHaveResult() || dueSoon || now >= entry.unstoredSince + appendDelay) {
         entry.unstoredSince = absl::InfiniteFuture();
         this->appendResults(entry);
     }
@@ -625,39 +627,45 @@
         return;
     }
     std::vector<JobEntry *> candidates;
+    std::vector<WaitingJob> waiting;
     for (auto &[id, entry] : this->entries) {
         if (entry.progress.isOpen() && entry.itemsLoaded && !entry.loading && this->runsHere(entry)) {
             candidates.push_back(&entry);
+            waiting.push_back({.submitted = entry.header.submitted, .due = dueTime(entry, *config), .waitingItems = entry.job->waitingItems()});
         }
     }
-    std::ranges::sort(candidates, {}, [](const JobEntry *entry) { return entry->header.submitted; });
-    std::int64_t remaining = this->itemsToStart(candidates, *config, now);
-    for (JobEntry *entry : candidates) {
-        while (remaining > 0 && this->startItem(*entry, *config, now)) {
+    const absl::Duration runTime = this->itemRunTime.expected();
+    this->context.attempts.load.setOwnBatchWaiting(BatchOrder::competingItems(waiting, runTime, now));
+    // Decides no more often than the load announcements arrive that show the effect of the last decision on the fleet.
+    if (now < this->nextStartRound) {
+        return;
+    }
+    this->nextStartRound = now + loadPropagationTime;
+    std::int64_t remaining = this->context.choice.batchToStart(servicesOf(candidates, *config), now);
+    for (const std::size_t index : BatchOrder::order(waiting, runTime, now)) {
+        while (remaining > 0 && this->startItem(*candidates[index], *config, now)) {
             --remaining;
         }
     }
 }
 
-std::int64_t JobService::itemsToStart(const std::vector<JobEntry *> &candidates, const RoutingConfig &config, absl::Time now)
+absl::Time JobService::dueTime(const JobEntry &entry, const RoutingConfig &config)
+{
+    const Route *route = config.match(entry.header.virtualHost, entry.header.pathPrefix);
+    return route == nullptr ? entry.header.submitted : entry.header.submitted + route->jobDue;
+}
+
+std::set<std::string> JobService::servicesOf(const std::vector<JobEntry *> &candidates, const RoutingConfig &config)
 {
-    std::int64_t waiting = 0;
     std::set<std::string> services;
     for (const JobEntry *entry : candidates) {
-        waiting += static_cast<std::int64_t>(entry->job->waitingItems());
         if (const Route *route = config.match(entry->header.virtualHost, entry->header.pathPrefix)) {
             for (const RouteTarget &target : route->targets) {
                 services.insert(target.service);
             }
         }
     }
-    this->context.attempts.load.setOwnBatchWaiting(waiting);
-    // Decides no more often than the load announcements arrive that show the effect of the last decision on the fleet.
-    if (now < this->nextStartRound) {
-        return 0;
-    }
-    this->nextStartRound = now + loadPropagationTime;
-    return this->context.choice.batchToStart(services, now);
+    return services;
 }
 
 bool JobService::startItem(JobEntry &entry, const RoutingConfig &config, absl::Time now)
@@ -684,6 +692,7 @@
     run->service = service;
     run->started = now;
     run->maxFailures = route->maxAttempts;
+    run->resumed = entry.job->lastEvent(*index).has_value();
     const auto weak = std::weak_ptr<ItemRun>(run);
     run->attempt = std::make_unique<UpstreamAttempt>(this->context.attempts,
                                                      *upstream,
@@ -746,6 +755,9 @@
     if (found == this->entries.end() || !found->second.job) {
         return;
     }
+    if (outcome == RunOutcome::Completed && !run->resumed) {
+        this->itemRunTime.record(now - run->started);
+    }
     static constexpr const char *names[] = {"completed", "impossible", "failed", "interrupted"};
     const char *name = names[static_cast<int>(outcome)];
     this->context.metrics.recordItemRun(run->service, name);
--- a/src/JobService.h
+++ b/src/JobService.h
@@ -5,9 +5,11 @@
 #include <map>
 #include <memory>
 #include <optional>
+#include <set>
 #include <string>
 #include <vector>
 
+#include "BatchOrder.h"
 #include "EntryMetrics.h"
 #include "Job.h"
 #include "JobArchive.h"
@@ -97,6 +99,8 @@
         std::string service;
         absl::Time started;
         int maxFailures = 1;
+        /** Whether the run continues the output of an earlier one, so that its length tells little. */
+        bool resumed = false;
         std::unique_ptr<UpstreamAttempt> attempt;
     };
     /** A read that waits for results beyond its position. */
@@ -164,7 +168,8 @@
                                 std::function<bool(const JobEntry &, bool own)> fencedAfter);
     void writeProgress(JobEntry &entry);
     void startItems(absl::Time now);
-    [[nodiscard]] std::int64_t itemsToStart(const std::vector<JobEntry *> &candidates, const RoutingConfig &config, absl::Time now);
+    [[nodiscard]] static absl::Time dueTime(const JobEntry &entry, const RoutingConfig &config);
+    [[nodiscard]] static std::set<std::string> servicesOf(const std::vector<JobEntry *> &candidates, const RoutingConfig &config);
     bool startItem(JobEntry &entry, const RoutingConfig &config, absl::Time now);
     void onItemEvent(const std::shared_ptr<ItemRun> &run, const StreamEvent &event);
     void onItemEnded(const std::shared_ptr<ItemRun> &run, const AttemptResult &result);
@@ -181,6 +186,7 @@
     std::list<std::shared_ptr<ItemRun>> runs;
     absl::Time startedAt;
     absl::Time nextStartRound = absl::InfinitePast();
+    RunTimeEstimate itemRunTime;
     std::map<std::string, absl::Time> lastPreemptedAt;
     bool stopping = false;
 };
