Bound answers that never end and streams that trickle

Any byte counted as progress of a stream, so a request stayed with an upstream that sends a byte now and then until its deadline, and a batch item, which has none, for ever.

Change: an event of more than 1 MiB and a collected response of more than 8 MiB end the attempt as a bad response, which closes the connection and lets a repeatable request move. Only a head, an event with content or a part of a response that is no stream is progress.

Ruled out: a lower limit on the whole body of a stream; a long sound stream would be cut.

--- a/src/EventStreamParser.cpp
+++ b/src/EventStreamParser.cpp
@@ -8,13 +8,18 @@
 {
 }
 
-void EventStreamParser::feed(std::string_view bytes)
+bool EventStreamParser::feed(std::string_view bytes)
 {
     while (!bytes.empty()) {
         const std::size_t end = bytes.find('\n');
+        const std::size_t lineBytes = end == std::string_view::npos ? bytes.size() : end + 1;
+        this->oversized = this->oversized || this->currentEvent.frame.size() + lineBytes > maxEventBytes;
+        if (this->oversized) {
+            return false;
+        }
         if (end == std::string_view::npos) {
             this->currentEvent.frame.append(bytes);
-            return;
+            return true;
         }
         this->currentEvent.frame.append(bytes.substr(0, end + 1));
         bytes.remove_prefix(end + 1);
@@ -26,6 +31,7 @@
         }
         this->parseLine(line);
     }
+    return true;
 }
 
 void EventStreamParser::parseLine(std::string_view line)
--- a/src/EventStreamParser.h
+++ b/src/EventStreamParser.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <cstddef>
 #include <cstdint>
 #include <functional>
 #include <optional>
@@ -23,9 +24,13 @@
 class EventStreamParser
 {
 public:
+    /** Size limit of one event, in bytes as sent. */
+    static constexpr std::size_t maxEventBytes = 1024 * 1024;
+
     explicit EventStreamParser(std::function<void(StreamEvent)> onEvent);
 
-    void feed(std::string_view bytes);
+    /** Returns false when the current event exceeds maxEventBytes; the body is then no event stream, and nothing more is reported. */
+    bool feed(std::string_view bytes);
     /** Whether all bytes so far belong to complete events. */
     [[nodiscard]] bool atBoundary() const;
 
@@ -35,6 +40,7 @@
     std::function<void(StreamEvent)> onEvent;
     StreamEvent currentEvent;
     bool hasData = false;
+    bool oversized = false;
     std::size_t lineStart = 0;
 };
 
--- a/src/UpstreamAttempt.cpp
+++ b/src/UpstreamAttempt.cpp
@@ -20,10 +20,7 @@
 
 UpstreamAttempt::UpstreamAttempt(const AttemptContext &context, UpstreamInfo upstream, bool batch, bool stream, Hooks hooks)
     : context(context), target(std::move(upstream)), batch(batch), stream(stream), hooks(std::move(hooks)), events([this](const StreamEvent &event) {
-        if (this->hooks.event) {
-            const auto report = this->hooks.event;
-            report(event);
-        }
+        this->onEvent(event);
     })
 {
     this->context.load.addRequest(this->target.id, this->batch);
@@ -88,13 +85,33 @@
 
 void UpstreamAttempt::onBody(std::string_view bytes)
 {
-    this->lastActivityAt = this->context.loop.now();
-    this->context.health.recordActivity(this->target.id, this->lastActivityAt);
-    if (!this->streaming) {
-        this->body.append(bytes);
-        return;
+    const absl::Time now = this->context.loop.now();
+    this->context.health.recordActivity(this->target.id, now);
+    bool accepted = true;
+    if (this->streaming) {
+        accepted = this->events.feed(bytes);
+    } else {
+        this->lastActivityAt = now;
+        accepted = this->body.size() + bytes.size() <= maxCollectedBytes;
+        if (accepted) {
+            this->body.append(bytes);
+        }
+    }
+    if (!accepted) {
+        this->call.cancel();
+        this->onFailed(HttpCallError::BadResponse);
+    }
+}
+
+void UpstreamAttempt::onEvent(const StreamEvent &event)
+{
+    if (event.id || !event.data.empty()) {
+        this->lastActivityAt = this->context.loop.now();
+    }
+    if (this->hooks.event) {
+        const auto report = this->hooks.event;
+        report(event);
     }
-    this->events.feed(bytes);
 }
 
 void UpstreamAttempt::onCompleted()
--- a/src/UpstreamAttempt.h
+++ b/src/UpstreamAttempt.h
@@ -42,6 +42,9 @@
 class UpstreamAttempt
 {
 public:
+    /** Size limit of a response that is collected before it is passed on, in bytes. */
+    static constexpr std::size_t maxCollectedBytes = 8 * 1024 * 1024;
+
     struct Hooks {
         /** The head of a successful stream has arrived. */
         std::function<void(const HttpHead &)> streamStarted;
@@ -63,7 +66,10 @@
     /** Stops @p attempt and destroys it from the event loop, so that one of its own hooks may call this. */
     static void stopAndDestroyLater(EventLoop &loop, std::unique_ptr<UpstreamAttempt> attempt);
     [[nodiscard]] const UpstreamInfo &upstream() const;
-    /** When the upstream last sent bytes for this request; before that, when the attempt was created. */
+    /**
+     * When the response last made progress: a head, an event with content, or a part of a response that is no stream. Before that, when
+     * the attempt was created. Bytes that complete no event are no progress.
+     */
     [[nodiscard]] absl::Time lastActivity() const;
 
 private:
@@ -71,6 +77,7 @@
     void onBody(std::string_view bytes);
     void onCompleted();
     void onFailed(HttpCallError error);
+    void onEvent(const StreamEvent &event);
     void finish(AttemptResult result);
 
     AttemptContext context;
--- a/test/core/EventStreamParserTest.cpp
+++ b/test/core/EventStreamParserTest.cpp
@@ -49,6 +49,23 @@
     EXPECT_FALSE(stream.atBoundary());
 }
 
+// Guards against memory that grows with a body that is no event stream and never ends, in one line or in many.
+TEST(EventStreamParserTest, eventSizeIsBounded)
+{
+    for (const std::string &piece : {std::string(1000, 'x'), std::string("data: x\n")}) {
+        std::size_t events = 0;
+        EventStreamParser parser([&events](const StreamEvent &) { ++events; });
+        ASSERT_TRUE(parser.feed("data: first\n\n"));
+        std::size_t accepted = 0;
+        while (accepted <= 2 * EventStreamParser::maxEventBytes && parser.feed(piece)) {
+            accepted += piece.size();
+        }
+        EXPECT_LE(accepted, EventStreamParser::maxEventBytes);
+        EXPECT_FALSE(parser.feed("\n\n")) << "the rest of an oversized event is not reported as an event";
+        EXPECT_EQ(events, 1U);
+    }
+}
+
 } // namespace
 
 } // namespace Bergamotramp
--- a/test/entry/HttpTest.cpp
+++ b/test/entry/HttpTest.cpp
@@ -240,6 +240,22 @@
     EXPECT_EQ(truncated.error, HttpCallError::ConnectionLost);
 }
 
+// Guards against memory that grows with a response head that never ends, in one field or in many.
+TEST_F(HttpClientTest, endlessHeadIsABadResponse)
+{
+    for (const std::string &piece : {std::string("x"), std::string("X-Field: value\r\n")}) {
+        std::string bytes = "HTTP/1.1 200 OK\r\nX-First: ";
+        while (bytes.size() < 4 * std::size_t{HttpClientOptions().bounds.headerBytes}) {
+            bytes += piece;
+        }
+        FixedResponseServer server(this->loop, bytes);
+        CallRecord record;
+        this->call(server.address(), record, record.events());
+        EXPECT_EQ(record.error, HttpCallError::BadResponse);
+        EXPECT_TRUE(runUntil(this->loop, [&server] { return server.lastEnd.has_value(); })) << "the connection must be closed";
+    }
+}
+
 // Guards against a failure reported as not sent although the request may have run, and the reverse.
 TEST_F(HttpClientTest, failuresTellWhetherTheRequestWasSent)
 {
--- a/test/site/JobServiceTest.cpp
+++ b/test/site/JobServiceTest.cpp
@@ -197,6 +197,15 @@
     expectAllCompleted(this->readWholeJob(*this->hosts[0], "job-1", 12), 12);
 }
 
+// Guards against an item that never ends because its upstream sends a byte now and then but no event: items have no deadline.
+TEST_F(JobServiceTest, itemsLeaveAnUpstreamThatTricklesBytes)
+{
+    this->start(1, absl::Milliseconds(50));
+    this->upstreams[0]->setMode(UpstreamMode::TrickledEvent);
+    EXPECT_EQ(this->submit(*this->hosts[0], "job-1", 6), 202);
+    expectAllCompleted(this->readWholeJob(*this->hosts[0], "job-1", 6), 6);
+}
+
 // Guards against exceeding the limit on waiting tokens by submitting to several hosts, and against refusing jobs after the
 // waiting ones have finished.
 TEST_F(JobServiceTest, limitOnWaitingTokensCountsJobsOfAllHosts)
--- a/test/site/RequestTest.cpp
+++ b/test/site/RequestTest.cpp
@@ -187,6 +187,47 @@
     EXPECT_EQ(this->runs("id-last"), 0);
 }
 
+// Guards against a host that collects bytes without end from an upstream that sends no answer, until it runs out of memory, and
+// against a request that waits for this upstream until its deadline although another one could serve it.
+TEST_F(RequestTest, endlessBodyIsCutOffAndTheRequestMoved)
+{
+    this->start(2);
+    this->upstreams[0]->setMode(UpstreamMode::EndlessBody);
+    for (int number = 0; number < 6; ++number) {
+        const Answer &answer = this->request(*this->hosts[0], "/resumable/x", "id-" + std::to_string(number));
+        EXPECT_TRUE(answer.completed);
+        EXPECT_EQ(answer.body, wholeStream(eventCount));
+    }
+    EXPECT_TRUE(runUntil(this->loop, [this] { return this->upstreams[0]->running() == 0; }));
+    const auto endless = static_cast<std::size_t>(this->upstreams[0]->runs().size());
+    ASSERT_GT(endless, 0U);
+    // The sockets' buffers hold some more than the host accepts.
+    EXPECT_LT(this->upstreams[0]->endlessBytes(), endless * 4 * EventStreamParser::maxEventBytes);
+}
+
+// The same for an answer that is no stream and therefore collected whole.
+TEST_F(RequestTest, endlessPlainAnswerIsCutOff)
+{
+    this->start(1);
+    this->upstreams[1]->setMode(UpstreamMode::EndlessBody);
+    const Answer &answer = this->request(*this->hosts[0], "/plain/x", "id-1");
+    EXPECT_EQ(answer.head.status, 502);
+    EXPECT_TRUE(runUntil(this->loop, [this] { return this->upstreams[1]->running() == 0; }));
+    EXPECT_LT(this->upstreams[1]->endlessBytes(), 4 * UpstreamAttempt::maxCollectedBytes);
+}
+
+// Guards against a request that stays with an upstream which sends a byte now and then but no event.
+TEST_F(RequestTest, trickledEventIsNoProgress)
+{
+    this->start(2);
+    this->upstreams[0]->setMode(UpstreamMode::TrickledEvent);
+    for (int number = 0; number < 4; ++number) {
+        const Answer &answer = this->request(*this->hosts[0], "/resumable/x", "id-" + std::to_string(number));
+        EXPECT_TRUE(answer.completed);
+        EXPECT_EQ(answer.body, wholeStream(eventCount));
+    }
+}
+
 // Guards against a host that reports ready, or answers 404, before it has a configuration.
 TEST_F(RequestTest, hostWithoutConfigurationIsNotReady)
 {
--- a/test/standin/StandinUpstream.cpp
+++ b/test/standin/StandinUpstream.cpp
@@ -11,6 +11,8 @@
 
 constexpr std::size_t maxConnections = 1000;
 constexpr int eventsBeforeCut = 2;
+constexpr std::size_t endlessChunkBytes = 64 * 1024;
+constexpr absl::Duration endlessChunkInterval = absl::Milliseconds(1);
 
 std::string headerField(const HttpRequest &request, std::string_view name)
 {
@@ -102,6 +104,16 @@
     if (this->mode == UpstreamMode::Silent) {
         return;
     }
+    if (this->mode == UpstreamMode::EndlessBody) {
+        this->startStream(run);
+        this->sendForEver(run, std::string(endlessChunkBytes, 'x'), endlessChunkInterval);
+        return;
+    }
+    if (this->mode == UpstreamMode::TrickledEvent) {
+        this->startStream(run);
+        this->sendForEver(run, ":", this->eventInterval);
+        return;
+    }
     run->timer = this->loop.after(this->eventInterval, [this, weak = std::weak_ptr<Run>(run)] {
         if (const auto due = weak.lock()) {
             this->sendNextEvent(due);
@@ -109,6 +121,31 @@
     });
 }
 
+void StandinUpstream::startStream(const std::shared_ptr<Run> &run)
+{
+    if (!run->exchange->started()) {
+        HttpFields fields = this->responseFields(run->exchange->request());
+        fields.add("Content-Type", "text/event-stream");
+        run->exchange->startBody({.status = 200, .fields = fields});
+    }
+}
+
+void StandinUpstream::sendForEver(const std::shared_ptr<Run> &run, const std::string &bytes, absl::Duration interval)
+{
+    run->exchange->sendBody(bytes);
+    this->endlessBytesSent += bytes.size();
+    run->timer = this->loop.after(interval, [this, weak = std::weak_ptr<Run>(run), bytes, interval] {
+        if (const auto due = weak.lock()) {
+            this->sendForEver(due, bytes, interval);
+        }
+    });
+}
+
+std::size_t StandinUpstream::endlessBytes() const
+{
+    return this->endlessBytesSent;
+}
+
 std::string StandinUpstream::requestTag(const HttpRequest &request) const
 {
     return this->options.tagsResponses ? absl::StrCat(" ", headerField(request, "X-Request-Id")) : std::string();
@@ -122,11 +159,7 @@
                                 .body = absl::StrCat("plain answer", this->requestTag(run->exchange->request()))});
         return;
     }
-    if (!run->exchange->started()) {
-        HttpFields fields = this->responseFields(run->exchange->request());
-        fields.add("Content-Type", "text/event-stream");
-        run->exchange->startBody({.status = 200, .fields = fields});
-    }
+    this->startStream(run);
     if (this->mode == UpstreamMode::CutsStreams && run->nextEvent > eventsBeforeCut) {
         run->exchange->sendBody(absl::StrCat("id: ", run->nextEvent, "\ndata: tok"));
         this->activeRuns.erase(run);
--- a/test/standin/StandinUpstream.h
+++ b/test/standin/StandinUpstream.h
@@ -28,6 +28,10 @@
     CutsStreams,
     /** Runs the request, then closes the connection without a response. */
     AnswersLost,
+    /** Sends a body that holds no event, without end, until the caller disconnects. */
+    EndlessBody,
+    /** Sends one byte of an event after the other, eventInterval apart, and never completes it. */
+    TrickledEvent,
 };
 
 /** Options of the stand-in. */
@@ -55,6 +59,8 @@
     [[nodiscard]] const std::map<std::string, int> &runs() const;
     /** Number of requests that run now. */
     [[nodiscard]] std::size_t running() const;
+    /** Bytes of all endless bodies. */
+    [[nodiscard]] std::size_t endlessBytes() const;
     /** The text of one event. */
     static std::string eventData(int number);
 
@@ -67,6 +73,9 @@
 
     void handle(const std::shared_ptr<HttpExchange> &exchange);
     void sendNextEvent(const std::shared_ptr<Run> &run);
+    /** Sends @p bytes now and after each further @p interval, until the caller disconnects. */
+    void sendForEver(const std::shared_ptr<Run> &run, const std::string &bytes, absl::Duration interval);
+    void startStream(const std::shared_ptr<Run> &run);
     [[nodiscard]] std::string requestTag(const HttpRequest &request) const;
     [[nodiscard]] HttpFields responseFields(const HttpRequest &request) const;
 
@@ -78,6 +87,7 @@
     UpstreamMode mode = UpstreamMode::Serving;
     std::map<std::string, int> runCounts;
     std::set<std::shared_ptr<Run>> activeRuns;
+    std::size_t endlessBytesSent = 0;
     HttpServer server;
 };
 
