Spread the requests of a large data centre over its upstreams

Cause: on the site with 250 entry hosts the hosts of a data centre all chose the upstream with the lowest load that they knew, and took the same free slots for items: in six seconds two data centres started 155 items that completed and 697 that were preempted or refused. Every datagram woke its receiver, and every tick counted over the whole fleet.

Change: in a fleet of more than twelve hosts a host draws two upstreams of its data centre in proportion to their spare slots and takes the one with more. Starts and preemptions follow no faster than the announcements of loads. Announcements are encoded once for all receivers, addresses parsed once, datagrams of a large fleet read in groups, jobs checked for a takeover each 400 ms, and loads summed once a choice.

--- a/src/AnnouncementSchedule.cpp
+++ b/src/AnnouncementSchedule.cpp
@@ -6,14 +6,16 @@
 
 namespace {
 
-// Changed loads are announced to the near hosts at this interval times their number, but at least minNearPeriod.
+// Changed loads are announced to the near hosts at this interval times their number, but at least minNearPeriod. In a large data
+// centre sending and receiving these datagrams is most of what a host does, so their rate is lower there.
 constexpr absl::Duration minNearPeriod = absl::Milliseconds(25);
 constexpr absl::Duration nearPeriodPerPeer = absl::Milliseconds(2);
+constexpr absl::Duration largeNearPeriodPerPeer = absl::Milliseconds(3);
 // The complete state is announced this often at least to near hosts, to make up for lost datagrams and to show that this host is alive.
 constexpr absl::Duration completePeriod = absl::Milliseconds(500);
 // Intervals for the other data centres, times the number of hosts of the fleet. Links between regions have little bandwidth.
-constexpr absl::Duration regionPeriodPerPeer = absl::Milliseconds(4);
-constexpr absl::Duration otherRegionPeriodPerPeer = absl::Milliseconds(10);
+constexpr absl::Duration regionPeriodPerPeer = absl::Milliseconds(8);
+constexpr absl::Duration otherRegionPeriodPerPeer = absl::Milliseconds(20);
 // A host gets the identity with every second complete announcement in a small fleet, and less often in a large one.
 constexpr std::size_t minIdentityInterval = 2;
 constexpr std::size_t peersPerIdentityInterval = 25;
@@ -33,7 +35,8 @@
 
 absl::Duration AnnouncementSchedule::tickPeriod() const
 {
-    return std::max(minNearPeriod, nearPeriodPerPeer * static_cast<std::int64_t>(this->nearHosts));
+    const absl::Duration perPeer = this->nearHosts > maxFullMeshPeers ? largeNearPeriodPerPeer : nearPeriodPerPeer;
+    return std::max(minNearPeriod, perPeer * static_cast<std::int64_t>(this->nearHosts));
 }
 
 absl::Duration AnnouncementSchedule::period(PeerDistance distance) const
--- a/src/EntryHost.cpp
+++ b/src/EntryHost.cpp
@@ -13,6 +13,8 @@
 namespace {
 
 constexpr absl::Duration tickPeriod = absl::Milliseconds(40);
+// The number of hosts that watch the store is counted over the whole fleet, so it is not counted with each tick.
+constexpr absl::Duration watchTimingPeriod = absl::Milliseconds(500);
 // A tick that is later than this means that the process was suspended or got no CPU time.
 constexpr absl::Duration maxTickDelay = absl::Milliseconds(400);
 // After a failed call the configuration is requested first. When the store answers, the other kinds are listed at once.
@@ -51,7 +53,7 @@
 constexpr absl::Duration responseMargin = absl::Milliseconds(300);
 constexpr absl::Duration maxStoreRetryTime = absl::Seconds(3);
 // A starting host has found the others when it has learned of no further one for this long, also from other regions.
-constexpr absl::Duration peerDiscoveryWait = absl::Milliseconds(90);
+constexpr absl::Duration peerDiscoveryWait = absl::Milliseconds(150);
 // How long it waits at most, when it has found some hosts and when it has found none.
 constexpr absl::Duration maxPeerDiscoveryWait = absl::Milliseconds(1500);
 constexpr absl::Duration maxFirstPeerWait = absl::Milliseconds(600);
@@ -146,7 +148,8 @@
                    .writerId = absl::StrCat(this->settings.name, ".", incarnation),
                    .config = [this] { return this->config; },
                    .selectRunningHost = [this](const std::string &jobId, const std::string &owner) { return this->runningHost(jobId, owner); },
-                   .reportUnansweredCall = [this] { this->onStoreFailed("job call", StoreResult::Unanswered); }});
+                   .reportUnansweredCall = [this] { this->onStoreFailed("job call", StoreResult::Unanswered); },
+                   .loadAge = [this] { return this->peerExchange->nearLoadAge(); }});
     this->settings.peerAddress = this->peerExchange->address();
     this->createWatchers();
     this->contactPeers();
@@ -808,7 +811,10 @@
     this->lastTickAt = now;
     this->upstreams.expire(now);
     this->load.expire(now);
-    this->adjustWatchTimings();
+    if (now >= this->watchTimingsAdjustedAt + watchTimingPeriod) {
+        this->watchTimingsAdjustedAt = now;
+        this->adjustWatchTimings();
+    }
     this->relayedStore.tick();
     this->relistUpstreamsIfBehind(now);
     const std::set<std::shared_ptr<OnlineCall>> current = this->onlineCalls;
--- a/src/EntryHost.h
+++ b/src/EntryHost.h
@@ -163,6 +163,7 @@
     bool stopping = false;
     absl::Time stopStartedAt = absl::InfinitePast();
     absl::Time lastTickAt = absl::InfiniteFuture();
+    absl::Time watchTimingsAdjustedAt = absl::InfinitePast();
     LoopTimer startTimer;
     LoopTimer discoveryTimer;
     LoopTimer tickTimer;
--- a/src/JobService.cpp
+++ b/src/JobService.cpp
@@ -9,6 +9,8 @@
 constexpr std::size_t maxPageBytes = 600 * 1024;
 // A host that has just started knows no other hosts yet, so it takes over no jobs within this time.
 constexpr absl::Duration takeoverDelay = absl::Seconds(3);
+// Every host checks all open jobs of the fleet, so it does not do so with each tick.
+constexpr absl::Duration takeoverCheckPeriod = absl::Milliseconds(400);
 // After a takeover, the former runner's watch of the store reports the changed header within this time. Until then it may
 // still answer from memory, so the new runner stores no results before.
 constexpr absl::Duration takeoverPropagationTime = absl::Milliseconds(2200);
@@ -22,9 +24,9 @@
 // Results that become ready within this time are stored in one call.
 constexpr absl::Duration appendDelay = absl::Seconds(1);
 constexpr absl::Duration resultPollDelay = absl::Milliseconds(400);
-// Time until this host knows which batch requests other hosts have started or preempted at the same upstreams. It covers the
-// wait for their next load announcement, its transfer between regions and the wait for the next decision here.
-constexpr absl::Duration loadPropagationTime = absl::Milliseconds(120);
+// Least time until this host knows which batch requests other hosts have started or preempted at the same upstreams. It covers
+// the transfer of their next announcement between regions and the wait for the next decision here.
+constexpr absl::Duration minLoadPropagationTime = absl::Milliseconds(120);
 // Share of the time until a job is due after which its items may also run in other data centres.
 constexpr double urgentShareOfDueTime = 0.5;
 // A healthy upstream sends an event every few tens of milliseconds.
@@ -62,6 +64,7 @@
     entry.progress = JobProgress::fromJson(object.status);
     if (ranHere && !this->runsHere(entry)) {
         entry.fenced = false;
+        this->stopRuns(object.name);
     }
     if (wasOpen && entry.progress.cancelled) {
         this->context.log.write("job_cancelled", {{"job", object.name}, {"revision", object.revision}});
@@ -482,7 +485,22 @@
     for (auto &[id, entry] : this->entries) {
         this->tickEntry(entry, now);
     }
+    this->takeOverJobs(now);
     this->startItems(now);
+}
+
+void JobService::takeOverJobs(absl::Time now)
+{
+    if (now < this->nextTakeoverCheck) {
+        return;
+    }
+    this->nextTakeoverCheck = now + takeoverCheckPeriod;
+    for (auto &[id, entry] : this->entries) {
+        if (entry.progress.isOpen() && !this->runsHere(entry)) {
+            this->stopRuns(id);
+            this->takeOverIfAssigned(entry, now);
+        }
+    }
     this->evictOldJobs(now);
 }
 
@@ -492,8 +510,6 @@
         return;
     }
     if (!this->runsHere(entry)) {
-        this->stopRuns(entry.header.id);
-        this->takeOverIfAssigned(entry, now);
         return;
     }
     if (!entry.itemsLoaded) {
@@ -640,7 +656,7 @@
     if (now < this->nextStartRound) {
         return;
     }
-    this->nextStartRound = now + loadPropagationTime;
+    this->nextStartRound = now + this->loadPropagationTime();
     std::int64_t remaining = this->context.choice.batchToStart(servicesOf(candidates, *config), now);
     for (const std::size_t index : BatchOrder::order(waiting, runTime, now)) {
         while (remaining > 0 && this->startItem(*candidates[index], *config, now)) {
@@ -649,6 +665,11 @@
     }
 }
 
+absl::Duration JobService::loadPropagationTime() const
+{
+    return std::max(minLoadPropagationTime, this->context.loadAge());
+}
+
 absl::Time JobService::dueTime(const JobEntry &entry, const RoutingConfig &config)
 {
     const Route *route = config.match(entry.header.virtualHost, entry.header.pathPrefix);
@@ -783,7 +804,7 @@
     for (const auto &run : this->runs) {
         const UpstreamInfo &upstream = run->attempt->upstream();
         if (!toPreempt.contains(upstream.id)) {
-            const bool loadIsCurrent = now >= this->lastPreemptedAt[upstream.id] + loadPropagationTime;
+            const bool loadIsCurrent = now >= this->lastPreemptedAt[upstream.id] + this->loadPropagationTime();
             toPreempt[upstream.id] = loadIsCurrent ? this->context.choice.batchToPreempt(upstream, now) : 0;
         }
     }
--- a/src/JobService.h
+++ b/src/JobService.h
@@ -57,6 +57,8 @@
     std::function<std::string(const std::string &jobId, const std::string &runner)> selectRunningHost;
     /** Reports that a call to the store got no answer, so the store may be down. */
     std::function<void()> reportUnansweredCall;
+    /** Time until this host knows of the requests that near hosts have just started or ended. */
+    std::function<absl::Duration()> loadAge;
 };
 
 /** Accepts jobs, runs the jobs assigned to this host and answers calls about all jobs. Returns results only once they are stored. */
@@ -156,6 +158,8 @@
     void takeOverIfAssigned(JobEntry &entry, absl::Time now);
     void handleStoreFailure(JobEntry &entry, StoreResult result);
     void tickEntry(JobEntry &entry, absl::Time now);
+    /** Takes over the open jobs whose runner is no longer live. */
+    void takeOverJobs(absl::Time now);
     /** Whether the tokens waiting on the route come near its limit, so that other hosts need the progress of open jobs. */
     [[nodiscard]] bool nearTokenLimit(const JobEntry &entry) const;
     void appendResultsWhenDue(JobEntry &entry, absl::Time now);
@@ -168,6 +172,7 @@
                                 std::function<bool(const JobEntry &, bool own)> fencedAfter);
     void writeProgress(JobEntry &entry);
     void startItems(absl::Time now);
+    [[nodiscard]] absl::Duration loadPropagationTime() const;
     [[nodiscard]] static absl::Time dueTime(const JobEntry &entry, const RoutingConfig &config);
     [[nodiscard]] static std::set<std::string> servicesOf(const std::vector<JobEntry *> &candidates, const RoutingConfig &config);
     bool startItem(JobEntry &entry, const RoutingConfig &config, absl::Time now);
@@ -186,6 +191,7 @@
     std::list<std::shared_ptr<ItemRun>> runs;
     absl::Time startedAt;
     absl::Time nextStartRound = absl::InfinitePast();
+    absl::Time nextTakeoverCheck = absl::InfinitePast();
     RunTimeEstimate itemRunTime;
     std::map<std::string, absl::Time> lastPreemptedAt;
     bool stopping = false;
--- a/src/PeerExchange.cpp
+++ b/src/PeerExchange.cpp
@@ -3,6 +3,8 @@
 #include <algorithm>
 #include <stdexcept>
 
+#include <absl/container/flat_hash_map.h>
+
 #include "RendezvousHash.h"
 #include "TcpSocket.h"
 
@@ -14,6 +16,8 @@
 // A crash count from this on is announced to all hosts at once: with the next crash the request has to be quarantined everywhere.
 constexpr std::uint32_t urgentCrashes = CrashQuarantine::crashesToQuarantine - 1;
 constexpr std::size_t maxDatagramBytes = 60'000;
+constexpr std::size_t maxCachedEndpoints = 4000;
+constexpr std::int64_t receivesPerTick = 4;
 // An identity names a few other hosts in turn, for hosts that have missed them. Only a host that asks for it is sent all addresses:
 // if a fleet of 250 hosts starts at once and each sends all addresses to each, that is 300 MB.
 constexpr std::size_t peersPerIdentity = 2;
@@ -41,7 +45,22 @@
     explicit Socket(EventLoop &loop) : socket(loop.context())
     {
     }
+
+    /** The endpoint of an address. Addresses are parsed once, because each is sent to several times a second. */
+    const asio::ip::udp::endpoint &endpointOf(const std::string &address)
+    {
+        if (this->endpoints.size() > maxCachedEndpoints) {
+            this->endpoints.clear();
+        }
+        const auto [entry, added] = this->endpoints.try_emplace(address);
+        if (added) {
+            entry->second = udpEndpoint(address);
+        }
+        return entry->second;
+    }
+
     asio::ip::udp::socket socket;
+    absl::flat_hash_map<std::string, asio::ip::udp::endpoint> endpoints;
 };
 
 PeerExchange::PeerExchange(EventLoop &loop, Peer self, PeerTable &peers, FleetLoad &load, CrashQuarantine &crashQuarantine, Hooks hooks)
@@ -79,6 +98,11 @@
     return this->schedule.isSmallFleet() ? absl::ZeroDuration() : this->schedule.period(PeerDistance::SameRegion);
 }
 
+absl::Duration PeerExchange::nearLoadAge() const
+{
+    return this->schedule.tickPeriod();
+}
+
 absl::Time PeerExchange::lastPeerFoundAt() const
 {
     return this->peerFoundAt;
@@ -153,11 +177,14 @@
 void PeerExchange::announce(const AnnouncementSchedule::Round &round)
 {
     const absl::Time now = this->loop.now();
-    peer::HostState plain = this->currentState();
-    addLoad(plain, round.distance == PeerDistance::Near ? this->load.nextAnnouncement(round.complete) : this->load.completeAnnouncement());
-    plain.set_next_within_ms(static_cast<std::uint32_t>(absl::ToInt64Milliseconds(round.nextWithin)));
-    peer::HostState withIdentity = plain;
-    this->addIdentity(withIdentity, peersPerIdentity);
+    peer::HostState message = this->currentState();
+    addLoad(message, round.distance == PeerDistance::Near ? this->load.nextAnnouncement(round.complete) : this->load.completeAnnouncement());
+    message.set_next_within_ms(static_cast<std::uint32_t>(absl::ToInt64Milliseconds(round.nextWithin)));
+    const std::string plainBytes = message.SerializeAsString();
+    if (round.complete) {
+        this->addIdentity(message, peersPerIdentity);
+    }
+    const std::string identityBytes = message.SerializeAsString();
     std::size_t position = 0;
     for (const auto &[name, peer] : this->peers.all()) {
         if (this->distanceOf(peer) != round.distance) {
@@ -165,19 +192,18 @@
         }
         // A host that is not live still gets identities, in case it returns at the same address.
         if (this->schedule.sendsIdentity(round, position++)) {
-            this->send(withIdentity, peer.peerAddress);
+            this->send(identityBytes, peer.peerAddress);
         } else if (PeerTable::isLive(peer, now)) {
-            this->send(plain, peer.peerAddress);
+            this->send(plainBytes, peer.peerAddress);
         }
     }
 }
 
-void PeerExchange::send(const peer::HostState &message, const std::string &peerAddress)
+void PeerExchange::send(const std::string &bytes, const std::string &peerAddress)
 {
-    const std::string bytes = message.SerializeAsString();
     if (bytes.size() <= maxDatagramBytes) {
         boost::system::error_code ignored;
-        this->socket->socket.send_to(asio::buffer(bytes), udpEndpoint(peerAddress), 0, ignored);
+        this->socket->socket.send_to(asio::buffer(bytes), this->socket->endpointOf(peerAddress), 0, ignored);
     }
 }
 
@@ -187,7 +213,7 @@
     addLoad(message, {.complete = false, .uses = {}, .batchWaiting = this->load.ownBatchWaiting()});
     this->addIdentity(message, maxNamedPeers);
     message.set_request(request);
-    this->send(message, peerAddress);
+    this->send(message.SerializeAsString(), peerAddress);
 }
 
 void PeerExchange::sendIntroductions(absl::Time now)
@@ -255,17 +281,17 @@
     if (maxNamedPeers == 0) {
         return;
     }
-    std::vector<std::string> addresses;
+    const std::size_t all = this->peers.size();
+    const std::size_t first = all <= maxNamedPeers ? 0 : this->nextPeerToName % all;
+    std::size_t position = 0;
     for (const auto &[name, peer] : this->peers.all()) {
-        if (PeerTable::isLive(peer, this->loop.now())) {
-            addresses.push_back(peer.peerAddress);
+        const bool named = position >= first && position < first + maxNamedPeers;
+        if (named && PeerTable::isLive(peer, this->loop.now())) {
+            identity->add_known_peers(peer.peerAddress);
         }
+        ++position;
     }
-    const std::size_t named = std::min(maxNamedPeers, addresses.size());
-    for (std::size_t offset = 0; offset < named; ++offset) {
-        identity->add_known_peers(addresses[(this->nextPeerToName + offset) % addresses.size()]);
-    }
-    this->nextPeerToName += named;
+    this->nextPeerToName = first + maxNamedPeers;
 }
 
 void PeerExchange::receiveDatagrams()
@@ -284,7 +310,12 @@
             }
             this->handleDatagram(std::string(buffer.data(), size), sender.address().to_string() + ":" + std::to_string(sender.port()));
         }
-        this->receiveDatagrams();
+        if (this->schedule.isSmallFleet()) {
+            this->receiveDatagrams();
+        } else {
+            // Hundreds of datagrams arrive each second. Waking up for each of them costs more than handling it.
+            this->receiveTimer = this->loop.after(this->schedule.tickPeriod() / receivesPerTick, [this] { this->receiveDatagrams(); });
+        }
     });
 }
 
--- a/src/PeerExchange.h
+++ b/src/PeerExchange.h
@@ -55,6 +55,8 @@
 
     /** The bound address, with the actual port. */
     [[nodiscard]] const std::string &address() const;
+    /** Age that the known loads of near hosts may have. */
+    [[nodiscard]] absl::Duration nearLoadAge() const;
     /** Age that the known loads of other data centres may have in addition to the age of the near hosts' loads; 0 in a small fleet. */
     [[nodiscard]] absl::Duration farLoadAge() const;
     /** Sends the identity of this host to @p peerAddress with the next tick, unless the address is known already. */
@@ -86,7 +88,7 @@
     static void addLoad(peer::HostState &message, const LoadAnnouncement &announcement);
     /** Adds the identity of this host and the addresses of up to @p maxNamedPeers live hosts. */
     void addIdentity(peer::HostState &message, std::size_t maxNamedPeers);
-    void send(const peer::HostState &message, const std::string &peerAddress);
+    void send(const std::string &bytes, const std::string &peerAddress);
     void sendIdentity(const std::string &peerAddress, peer::Request request, std::size_t maxNamedPeers);
     /** Sends the identity of this host to the addresses whose hosts have not answered yet. */
     void sendIntroductions(absl::Time now);
@@ -118,6 +120,7 @@
     std::vector<std::pair<std::uint64_t, std::uint32_t>> crashCounts;
     absl::Time announceCrashesUntil = absl::InfinitePast();
     std::size_t nextPeerToName = 0;
+    LoopTimer receiveTimer;
     LoopTimer timer;
 };
 
--- a/src/UpstreamSelector.cpp
+++ b/src/UpstreamSelector.cpp
@@ -26,6 +26,9 @@
 constexpr std::int64_t maxQueuedPerUpstream = 16;
 // Slots of each upstream that batch requests leave free for online requests that arrive before batch requests can be preempted.
 constexpr std::int64_t reservedOnlineSlots = 1;
+// Share of a slot that a batch request takes from the spare slots for online requests, for which it can be preempted.
+constexpr double occupiedByBatch = 0.9;
+constexpr double farBatchWeight = 0.05;
 
 } // namespace
 
@@ -50,9 +53,8 @@
     return (sameRegion ? otherDataCentreCost : otherRegionCost) + costPerSecondOfAge * absl::ToDoubleSeconds(this->farLoadAge);
 }
 
-double UpstreamSelector::onlineCost(const UpstreamInfo &upstream, absl::Time now) const
+double UpstreamSelector::onlineCost(const UpstreamInfo &upstream, const RequestCounts &counts, absl::Time now) const
 {
-    const RequestCounts counts = this->load.total(upstream.id, now);
     const auto slots = static_cast<double>(std::max<std::int64_t>(1, upstream.slots));
     double cost = static_cast<double>(counts.total()) / slots;
     if (counts.online >= upstream.slots) {
@@ -69,17 +71,16 @@
     return cost + this->distanceCost(upstream) + this->randomFraction() * maxRandomCost;
 }
 
-const UpstreamInfo *UpstreamSelector::cheapest(const std::vector<const UpstreamInfo *> &candidates,
-                                               const std::function<bool(const UpstreamInfo &)> &isEligible,
-                                               absl::Time now) const
+const UpstreamInfo *UpstreamSelector::cheapest(const std::vector<const UpstreamInfo *> &candidates, const EligibilityFunction &isEligible, absl::Time now) const
 {
     const UpstreamInfo *best = nullptr;
     double bestCost = std::numeric_limits<double>::infinity();
     for (const UpstreamInfo *upstream : candidates) {
-        if (!isEligible(*upstream)) {
+        const RequestCounts counts = this->load.total(upstream->id, now);
+        if (!isEligible(*upstream, counts)) {
             continue;
         }
-        const double cost = this->onlineCost(*upstream, now);
+        const double cost = this->onlineCost(*upstream, counts, now);
         if (cost < bestCost) {
             best = upstream;
             bestCost = cost;
@@ -90,18 +91,70 @@
 
 const UpstreamInfo *UpstreamSelector::chooseForOnline(std::string_view service, const std::set<std::string> &excluded, absl::Time now) const
 {
-    const auto isEligible = [&](const UpstreamInfo &upstream) {
-        return !excluded.contains(upstream.id) && this->load.total(upstream.id, now).online < upstream.slots + maxQueuedPerUpstream;
+    if (this->farLoadAge > absl::ZeroDuration()) {
+        const auto spareSlots = [&](const UpstreamInfo &upstream) {
+            const bool usable = upstream.dataCentre == this->location.dataCentre && !excluded.contains(upstream.id);
+            return usable ? this->spareOnlineSlots(upstream, now) : 0.0;
+        };
+        if (const UpstreamInfo *drawn = this->drawBySpareSlots(this->table.available(service), spareSlots)) {
+            return drawn;
+        }
+    }
+    const auto isEligible = [&excluded](const UpstreamInfo &upstream, const RequestCounts &counts) {
+        return counts.online < upstream.slots + maxQueuedPerUpstream && !excluded.contains(upstream.id);
     };
     return this->cheapest(this->table.available(service), isEligible, now);
 }
 
-std::int64_t UpstreamSelector::freeBatchSlots(const UpstreamInfo &upstream, absl::Time now) const
+// Dozens of hosts see the same loads until the next announcements. If each took the upstream with the lowest load, all requests of
+// that time would go to the same one, so they are spread over the upstreams in proportion to their spare slots.
+const UpstreamInfo *UpstreamSelector::drawBySpareSlots(const std::vector<const UpstreamInfo *> &candidates, const SpareSlotsFunction &spareSlots) const
+{
+    struct Option {
+        const UpstreamInfo *upstream = nullptr;
+        double spare = 0;
+    };
+    std::vector<Option> options;
+    double sum = 0;
+    for (const UpstreamInfo *upstream : candidates) {
+        if (const double spare = spareSlots(*upstream); spare > 0) {
+            options.push_back({.upstream = upstream, .spare = spare});
+            sum += spare;
+        }
+    }
+    if (options.empty()) {
+        return nullptr;
+    }
+    const auto draw = [&options, sum, this]() -> const Option & {
+        double position = this->randomFraction() * sum;
+        for (const Option &option : options) {
+            position -= option.spare;
+            if (position < 0) {
+                return option;
+            }
+        }
+        return options.back();
+    };
+    const Option &first = draw();
+    const Option &second = draw();
+    return (second.spare > first.spare ? second : first).upstream;
+}
+
+double UpstreamSelector::spareOnlineSlots(const UpstreamInfo &upstream, absl::Time now) const
+{
+    if (this->health.inBackoff(upstream.id, now) || this->health.recentlyFull(upstream.id, now)) {
+        return 0;
+    }
+    const RequestCounts counts = this->load.total(upstream.id, now);
+    return static_cast<double>(upstream.slots - counts.online) - occupiedByBatch * static_cast<double>(counts.batch);
+}
+
+std::int64_t UpstreamSelector::freeBatchSlots(const UpstreamInfo &upstream, const RequestCounts &counts, absl::Time now) const
 {
     if (this->health.inBackoff(upstream.id, now) || this->health.recentlyFull(upstream.id, now)) {
         return 0;
     }
-    return std::max<std::int64_t>(1, upstream.slots - reservedOnlineSlots) - this->load.total(upstream.id, now).total();
+    return std::max<std::int64_t>(1, upstream.slots - reservedOnlineSlots) - counts.total();
 }
 
 std::int64_t UpstreamSelector::roundRandomly(double share) const
@@ -116,7 +169,7 @@
     std::int64_t freeSlots = 0;
     for (const std::string &service : services) {
         for (const UpstreamInfo *upstream : this->batchUpstreams(service, BatchScope::Near)) {
-            freeSlots += std::max<std::int64_t>(0, this->freeBatchSlots(*upstream, now));
+            freeSlots += std::max<std::int64_t>(0, this->freeBatchSlots(*upstream, this->load.total(upstream->id, now), now));
         }
     }
     const std::int64_t waiting = std::max<std::int64_t>(1, this->load.sharedBatchWaiting(now));
@@ -138,8 +191,16 @@
 
 const UpstreamInfo *UpstreamSelector::chooseForBatch(std::string_view service, BatchScope scope, absl::Time now) const
 {
+    const std::vector<const UpstreamInfo *> candidates = this->batchUpstreams(service, scope);
+    if (this->farLoadAge > absl::ZeroDuration()) {
+        return this->drawBySpareSlots(candidates, [this, now](const UpstreamInfo &upstream) {
+            const auto free = static_cast<double>(this->freeBatchSlots(upstream, this->load.total(upstream.id, now), now));
+            // An upstream of another data centre is a last resort: its load is known late, and the traffic is charged.
+            return upstream.dataCentre == this->location.dataCentre ? free : free * farBatchWeight;
+        });
+    }
     return this->cheapest(
-        this->batchUpstreams(service, scope), [&](const UpstreamInfo &upstream) { return this->freeBatchSlots(upstream, now) > 0; }, now);
+        candidates, [this, now](const UpstreamInfo &upstream, const RequestCounts &counts) { return this->freeBatchSlots(upstream, counts, now) > 0; }, now);
 }
 
 std::int64_t UpstreamSelector::batchToPreempt(const UpstreamInfo &upstream, absl::Time now) const
--- a/src/UpstreamSelector.h
+++ b/src/UpstreamSelector.h
@@ -57,15 +57,24 @@
     [[nodiscard]] std::int64_t batchToPreempt(const UpstreamInfo &upstream, absl::Time now) const;
 
 private:
+    using EligibilityFunction = std::function<bool(const UpstreamInfo &, const RequestCounts &)>;
+    using SpareSlotsFunction = std::function<double(const UpstreamInfo &)>;
+
     /** The candidate with the lowest cost among those that @p isEligible accepts, or null. */
     [[nodiscard]] const UpstreamInfo *cheapest(const std::vector<const UpstreamInfo *> &candidates,
-                                               const std::function<bool(const UpstreamInfo &)> &isEligible,
+                                               const EligibilityFunction &isEligible,
                                                absl::Time now) const;
+    /**
+     * For large fleets: of two candidates that are drawn in proportion to their spare slots, the one with more of them; null when none
+     * has a spare slot.
+     */
+    [[nodiscard]] const UpstreamInfo *drawBySpareSlots(const std::vector<const UpstreamInfo *> &candidates, const SpareSlotsFunction &spareSlots) const;
+    [[nodiscard]] double spareOnlineSlots(const UpstreamInfo &upstream, absl::Time now) const;
     [[nodiscard]] std::vector<const UpstreamInfo *> batchUpstreams(std::string_view service, BatchScope scope) const;
     [[nodiscard]] std::int64_t roundRandomly(double share) const;
-    [[nodiscard]] std::int64_t freeBatchSlots(const UpstreamInfo &upstream, absl::Time now) const;
+    [[nodiscard]] std::int64_t freeBatchSlots(const UpstreamInfo &upstream, const RequestCounts &counts, absl::Time now) const;
     [[nodiscard]] double distanceCost(const UpstreamInfo &upstream) const;
-    [[nodiscard]] double onlineCost(const UpstreamInfo &upstream, absl::Time now) const;
+    [[nodiscard]] double onlineCost(const UpstreamInfo &upstream, const RequestCounts &counts, absl::Time now) const;
 
     const UpstreamTable &table;
     const FleetLoad &load;
--- a/test/core/UpstreamSelectorTest.cpp
+++ b/test/core/UpstreamSelectorTest.cpp
@@ -339,6 +339,106 @@
     EXPECT_LE(pool.preempted, 2 * (before - pool.batch()) + 10);
 }
 
+/** The hosts of one large data centre, which announce their loads to each other at an interval, and its upstreams. */
+class LargeDataCentre
+{
+public:
+    static constexpr int hosts = 42;
+    static constexpr int upstreams = 27;
+    static constexpr int slots = 7;
+    static constexpr absl::Duration announcementPeriod = absl::Milliseconds(126);
+    static constexpr absl::Duration requestTime = absl::Milliseconds(400);
+
+    /** With @p farLoadAge 0 the hosts choose as in a small fleet, each the upstream with the lowest load that it knows. */
+    explicit LargeDataCentre(absl::Duration farLoadAge)
+    {
+        for (int host = 0; host < hosts; ++host) {
+            auto view = std::make_unique<HostView>();
+            view->randomFraction = [this] { return std::uniform_real_distribution<double>(0, 1)(this->random); };
+            view->selector.setFarLoadAge(farLoadAge);
+            for (int number = 0; number < upstreams; ++number) {
+                UpstreamInfo info = upstream("u" + std::to_string(number), "a");
+                info.slots = slots;
+                view->table.put(info);
+            }
+            this->views.push_back(std::move(view));
+        }
+    }
+
+    /** Sends requests for a while; returns the share of them that found all slots of their upstream taken. */
+    double shareOnFullUpstreams(double requestsPerSecond)
+    {
+        constexpr absl::Duration step = absl::Milliseconds(1);
+        int sent = 0;
+        int full = 0;
+        for (absl::Time now = start; now < start + absl::Seconds(10); now += step) {
+            this->endRequests(now);
+            this->announce(now);
+            if (std::uniform_real_distribution<double>(0, 1)(this->random) < requestsPerSecond * absl::ToDoubleSeconds(step)) {
+                ++sent;
+                full += this->startRequest(now) > slots ? 1 : 0;
+            }
+        }
+        return static_cast<double>(full) / sent;
+    }
+
+private:
+    struct Request {
+        absl::Time end;
+        std::size_t host = 0;
+        std::string upstream;
+    };
+
+    int startRequest(absl::Time now)
+    {
+        const auto host = static_cast<std::size_t>(std::uniform_int_distribution<int>(0, hosts - 1)(this->random));
+        const std::string id = this->views[host]->selector.chooseForOnline("modelo", {}, now)->id;
+        this->views[host]->load.addRequest(id, false);
+        this->requests.push_back({.end = now + requestTime, .host = host, .upstream = id});
+        return ++this->running[id];
+    }
+
+    void endRequests(absl::Time now)
+    {
+        while (!this->requests.empty() && this->requests.front().end <= now) {
+            --this->running[this->requests.front().upstream];
+            this->views[this->requests.front().host]->load.removeRequest(this->requests.front().upstream, false);
+            this->requests.pop_front();
+        }
+    }
+
+    void announce(absl::Time now)
+    {
+        // Each host announces at another time within the period.
+        const auto phase = absl::ToInt64Milliseconds((now - start) % announcementPeriod);
+        for (std::size_t host = 0; host < hosts; ++host) {
+            if (static_cast<std::int64_t>(host) * absl::ToInt64Milliseconds(announcementPeriod) / hosts != phase) {
+                continue;
+            }
+            const LoadAnnouncement announcement = this->views[host]->load.nextAnnouncement(true);
+            for (std::size_t other = 0; other < hosts; ++other) {
+                if (other != host) {
+                    this->views[other]->load.applyAnnouncement("host-" + std::to_string(host), announcement, now);
+                }
+            }
+        }
+    }
+
+    std::mt19937 random{7};
+    std::vector<std::unique_ptr<HostView>> views;
+    std::map<std::string, int> running;
+    std::deque<Request> requests;
+};
+
+// Guards against many hosts that choose the same upstream from loads announced some time ago: with two thirds of the slots in use,
+// requests queued at some upstreams while others were idle.
+TEST(UpstreamSelectorTest, hostsOfALargeDataCentreSpreadTheirRequests)
+{
+    const double twoThirds = 0.66 * LargeDataCentre::upstreams * LargeDataCentre::slots / absl::ToDoubleSeconds(LargeDataCentre::requestTime);
+    const double lowestKnownLoad = LargeDataCentre(absl::ZeroDuration()).shareOnFullUpstreams(twoThirds);
+    EXPECT_LT(LargeDataCentre(absl::Seconds(1)).shareOnFullUpstreams(twoThirds), lowestKnownLoad / 2);
+}
+
 } // namespace
 
 } // namespace Bergamotramp
