Restore two checks of the size to design for as known red

Cause: the test of the draw by spare slots first asked for under 2% of requests without a free slot, the stated goal. The test of the announcements counted the bytes for the own data centre and did not check them.

A follower without relays has to reach the store within the intervals of the hosts before it, which was open to five seconds. A comment no longer gives a figure that was worked out as if it had been measured.

Ruled out: more frequent announcements, which lower the one and raise the other.

--- a/test/core/AnnouncementScheduleTest.cpp
+++ b/test/core/AnnouncementScheduleTest.cpp
@@ -12,6 +12,7 @@
 // A datagram with the loads at a few upstreams, and one that also has the sender's identity.
 constexpr double datagramBytes = 110;
 constexpr double identityBytes = 200;
+constexpr double maxControlBytesPerSecond = 27'000;
 
 struct Fleet {
     std::size_t near = 0;
@@ -47,17 +48,24 @@
     return traffic;
 }
 
-// Guards against announcements between data centres that grow with the square of the fleet: with complete announcements and identities
-// to all hosts each second, 250 hosts sent 25 MB/s and filled the links between their regions. A host may use 27 KB/s for control.
+// Guards against announcements between data centres that grow with the square of the fleet, as complete announcements and identities to
+// all hosts each second do. A host may use 27 KB/s for control.
 TEST(AnnouncementScheduleTest, bytesToOtherDataCentresDoNotGrowWithTheFleet)
 {
     const Traffic hundreds = measure({.near = 41, .region = 124, .all = 249});
     const Traffic target = measure({.near = 36, .region = 133, .all = 399});
-    EXPECT_LT(hundreds.farBytesPerSecond, 27'000);
-    EXPECT_LT(target.farBytesPerSecond, 27'000);
+    EXPECT_LT(hundreds.farBytesPerSecond, maxControlBytesPerSecond);
+    EXPECT_LT(target.farBytesPerSecond, maxControlBytesPerSecond);
     EXPECT_LT(target.farBytesPerSecond, 1.1 * hundreds.farBytesPerSecond);
 }
 
+// Guards against control traffic beyond what a host of the size to design for may use: 400 hosts in eleven data centres of three regions.
+TEST(AnnouncementScheduleTest, allAnnouncementsStayWithinTheControlBudget)
+{
+    const Traffic target = measure({.near = 36, .region = 133, .all = 399});
+    EXPECT_LT(target.nearBytesPerSecond + target.farBytesPerSecond, maxControlBytesPerSecond);
+}
+
 // Guards against hosts that lose each other: each host at any distance gets complete announcements within the announced time, and the
 // identity from time to time.
 TEST(AnnouncementScheduleTest, everyHostGetsCompleteAnnouncementsAndIdentities)
@@ -86,7 +94,7 @@
     }
 }
 
-// Guards against a small fleet whose hosts learn of each other's load late, and against changes that are announced to nobody.
+// Guards against late announcements of loads in a small fleet, and against changed loads that are never announced.
 TEST(AnnouncementScheduleTest, smallFleetGetsEachChangeAtOnce)
 {
     AnnouncementSchedule schedule;
--- a/test/core/UpstreamSelectorTest.cpp
+++ b/test/core/UpstreamSelectorTest.cpp
@@ -430,13 +430,23 @@
     std::deque<Request> requests;
 };
 
+double twoThirdsOfTheSlots()
+{
+    return 0.66 * LargeDataCentre::upstreams * LargeDataCentre::slots / absl::ToDoubleSeconds(LargeDataCentre::requestTime);
+}
+
+// Guards against requests that wait behind others while slots are free: at most 2% may find no free slot.
+TEST(UpstreamSelectorTest, fewRequestsFindNoFreeSlotInALargeDataCentre)
+{
+    EXPECT_LT(LargeDataCentre(absl::Seconds(1)).shareOnFullUpstreams(twoThirdsOfTheSlots()), 0.02);
+}
+
 // Guards against many hosts that choose the same upstream from loads announced some time ago: with two thirds of the slots in use,
 // requests queued at some upstreams while others were idle.
 TEST(UpstreamSelectorTest, hostsOfALargeDataCentreSpreadTheirRequests)
 {
-    const double twoThirds = 0.66 * LargeDataCentre::upstreams * LargeDataCentre::slots / absl::ToDoubleSeconds(LargeDataCentre::requestTime);
-    const double lowestKnownLoad = LargeDataCentre(absl::ZeroDuration()).shareOnFullUpstreams(twoThirds);
-    EXPECT_LT(LargeDataCentre(absl::Seconds(1)).shareOnFullUpstreams(twoThirds), lowestKnownLoad / 2);
+    const double lowestKnownLoad = LargeDataCentre(absl::ZeroDuration()).shareOnFullUpstreams(twoThirdsOfTheSlots());
+    EXPECT_LT(LargeDataCentre(absl::Seconds(1)).shareOnFullUpstreams(twoThirdsOfTheSlots()), lowestKnownLoad / 2);
 }
 
 } // namespace
--- a/test/core/WatchRelaySelectorTest.cpp
+++ b/test/core/WatchRelaySelectorTest.cpp
@@ -126,7 +126,9 @@
     EXPECT_NE(other->name, first);
     selector.exclude(other->name, excludedUntil);
     absl::Time now = start;
-    while (now < excludedUntil && selector.select(now).kind == WatchSource::Kind::Wait) {
+    // Eight of the ten hosts of a data centre are no relays; the last of them waits longest.
+    const absl::Time lastFallback = start + WatchRelaySelector::storeFallbackInterval * 7;
+    while (now < lastFallback && selector.select(now).kind == WatchSource::Kind::Wait) {
         now += absl::Milliseconds(10);
     }
     EXPECT_EQ(selector.select(now).kind, WatchSource::Kind::Store) << "without a relay the host watches the store";
