Choose the next runner of a job among all hosts of a small fleet

Cause: since a lost runner's job goes to a host of its data centre.

Change: takeoverCandidates, a module without a network, prefers the runner's data centre only in a large fleet, whose other hosts notice the loss late. Comments that a newcomer would stumble over are reworded: the lifetime of completions, the start of items, weights of the choice.

Ruled out: going back to all hosts everywhere; in a large fleet the chosen host may notice the loss seconds later.

--- a/src/AnnouncementSchedule.h
+++ b/src/AnnouncementSchedule.h
@@ -24,7 +24,7 @@
 class AnnouncementSchedule
 {
 public:
-    /** Hosts within this distance of a fleet of up to this number of other hosts are all near. */
+    /** In a fleet of up to this number of other hosts, all of them are near. */
     static constexpr std::size_t maxFullMeshPeers = 12;
 
     /** An announcement that is due to all hosts at one distance. */
--- a/src/BatchOrder.cpp
+++ b/src/BatchOrder.cpp
@@ -8,7 +8,9 @@
 
 namespace {
 
+// Weight of the newest run in the average, so that single long or short runs change the order little.
 constexpr double newestRunWeight = 0.1;
+// A host with only late items competes with one for each this many of them.
 constexpr std::int64_t lateItemsPerCompetingItem = 10;
 
 } // namespace
--- a/src/CrashQuarantine.h
+++ b/src/CrashQuarantine.h
@@ -35,7 +35,10 @@
     /** The same after any later crash. */
     static constexpr absl::Duration repeatedSuspectRetryDelay = absl::Seconds(5);
     static constexpr absl::Duration quarantineLifetime = absl::Hours(24);
-    /** A completed fingerprint is harmless for this long at least, and for twice as long at most. */
+    /**
+     * A completed fingerprint is harmless for this long at least, and for three times as long at most, unless maxFingerprints / 2 others
+     * complete meanwhile.
+     */
     static constexpr absl::Duration completionLifetime = absl::Minutes(10);
 
     /** Counts one crash against each of @p fingerprints and returns them with their new counts. */
--- a/src/EntryHost.cpp
+++ b/src/EntryHost.cpp
@@ -7,6 +7,7 @@
 
 #include "CallRefusal.h"
 #include "RendezvousHash.h"
+#include "TakeoverCandidates.h"
 
 namespace Bergamotramp {
 
@@ -37,7 +38,6 @@
 // Another host's report that the store does not answer is acted on at most this often, because only that host may be affected.
 constexpr absl::Duration storeNoticeInterval = absl::Seconds(6);
 constexpr absl::Duration upstreamConnectTimeout = absl::Milliseconds(300);
-constexpr absl::Duration peerConnectTimeout = absl::Milliseconds(200);
 // Added to the wait that a request asks for, to give the other host time to answer.
 constexpr absl::Duration peerResponseTimeout = absl::Milliseconds(600);
 // Clients cache an address for a few seconds, so a host accepts connections for this long after it has begun to stop.
@@ -100,15 +100,16 @@
     , random(stableHash(this->settings.name) ^ startTimeMicros())
     , upstreamSelector(this->upstreams, this->load, this->health, locationOf(this->settings), [this] { return this->randomFraction(); })
     , upstreamClient(loop, {.connectTimeout = upstreamConnectTimeout})
-    , peerClient(loop, {.connectTimeout = peerConnectTimeout})
+    , peerClient(loop)
     , relaySelector(this->peers, this->settings.name, this->settings.dataCentre, static_cast<std::uint32_t>(this->settings.linkMbps))
-    , relayedStore(
-          loop,
-          *this->platform.store,
-          this->relaySelector,
-          {this->platform.configKind, this->platform.upstreamKind, JobArchive::headerKind},
-          log,
-          [this](const Peer &peer, const HttpRequest &request, absl::Duration timeout, auto done) { this->callPeer(peer, request, timeout, std::move(done)); })
+    , relayedStore(loop,
+                   *this->platform.store,
+                   this->relaySelector,
+                   {this->platform.configKind, this->platform.upstreamKind, JobArchive::headerKind},
+                   log,
+                   [this](const Peer &peer, const HttpRequest &request, absl::Duration timeout, auto done) {
+                       this->peerClient.send(peer.controlAddress, request, timeout, std::move(done));
+                   })
 {
     this->startServers();
     const std::uint64_t incarnation = startTimeMicros();
@@ -157,15 +158,7 @@
     this->tickTimer = this->loop.after(tickPeriod, [this] { this->tick(); });
 }
 
-EntryHost::~EntryHost()
-{
-    // The handlers of a call own the call, so it is cancelled to break this cycle.
-    const std::set<std::shared_ptr<PeerCall>> current = std::exchange(this->peerCalls, {});
-    for (const auto &call : current) {
-        call->timer.cancel();
-        call->call.cancel();
-    }
-}
+EntryHost::~EntryHost() = default;
 
 void EntryHost::startServers()
 {
@@ -422,28 +415,6 @@
     this->jobWatcher->setTiming({.watchWait = watchWait, .coalesce = std::min(maxJobCoalesce, baseJobCoalesce * scale), .retry = defaultRetryDelay});
 }
 
-void EntryHost::callPeer(const Peer &peer, const HttpRequest &request, absl::Duration timeout, std::function<void(const std::optional<HttpResponse> &)> done)
-{
-    const auto call = std::make_shared<PeerCall>();
-    const auto response = std::make_shared<HttpResponse>();
-    this->peerCalls.insert(call);
-    const auto finish = [this, call, done = std::move(done)](const std::optional<HttpResponse> &result) {
-        if (this->peerCalls.erase(call) > 0) {
-            call->timer.cancel();
-            call->call.cancel();
-            done(result);
-        }
-    };
-    call->timer = this->loop.after(timeout, [finish] { finish(std::nullopt); });
-    call->call = this->peerClient.send(peer.controlAddress,
-                                       request,
-                                       {.matchesRequest = {},
-                                        .head = [response](const HttpHead &head) { response->head = head; },
-                                        .body = [response](std::string_view bytes) { response->body.append(bytes); },
-                                        .completed = [finish, response] { finish(*response); },
-                                        .failed = [finish](HttpCallError) { finish(std::nullopt); }});
-}
-
 void EntryHost::relistUpstreamsIfBehind(absl::Time now)
 {
     const std::uint64_t revision = this->relayedStore.revision(this->platform.upstreamKind);
@@ -476,13 +447,15 @@
         return;
     }
     this->configRequestPending = true;
-    this->callPeer(
-        peer, {.method = "GET", .target = snapshotPath, .fields = {}, .body = {}}, peerResponseTimeout, [this](const std::optional<HttpResponse> &response) {
-            this->configRequestPending = false;
-            if (response && response->head.status == 200) {
-                this->applySnapshot(response->body);
-            }
-        });
+    this->peerClient.send(peer.controlAddress,
+                          {.method = "GET", .target = snapshotPath, .fields = {}, .body = {}},
+                          peerResponseTimeout,
+                          [this](const std::optional<HttpResponse> &response) {
+                              this->configRequestPending = false;
+                              if (response && response->head.status == 200) {
+                                  this->applySnapshot(response->body);
+                              }
+                          });
 }
 
 nlohmann::json EntryHost::snapshot() const
@@ -676,28 +649,7 @@
     if (owner == this->settings.name || this->peers.isLive(owner, this->loop.now())) {
         return owner;
     }
-    // The hosts of the runner's data centre notice its failure first, because it announces itself more often to them.
-    const Peer *former = this->peers.find(owner);
-    std::vector<std::string> hosts = former == nullptr ? std::vector<std::string>() : this->liveHostNames(former->dataCentre);
-    if (hosts.empty()) {
-        hosts = this->liveHostNames("");
-    }
-    return rendezvousPick(jobId, hosts);
-}
-
-std::vector<std::string> EntryHost::liveHostNames(std::string_view dataCentre) const
-{
-    const absl::Time now = this->loop.now();
-    std::vector<std::string> names;
-    if (dataCentre.empty() || dataCentre == this->settings.dataCentre) {
-        names.push_back(this->settings.name);
-    }
-    for (const auto &[name, peer] : this->peers.all()) {
-        if ((dataCentre.empty() || peer.dataCentre == dataCentre) && PeerTable::isLive(peer, now)) {
-            names.push_back(name);
-        }
-    }
-    return names;
+    return rendezvousPick(jobId, takeoverCandidates(this->peers, this->settings.name, this->settings.dataCentre, owner, this->loop.now()));
 }
 
 void EntryHost::onJobCall(const std::shared_ptr<HttpExchange> &request, const CallerCall &call, bool forwarded)
@@ -722,7 +674,7 @@
 {
     HttpRequest copy = request->request();
     copy.fields = copy.fields.endToEnd();
-    this->callPeer(owner, copy, call.wait + peerResponseTimeout, [this, request, call](const std::optional<HttpResponse> &response) {
+    this->peerClient.send(owner.controlAddress, copy, call.wait + peerResponseTimeout, [this, request, call](const std::optional<HttpResponse> &response) {
         if (!response || response->head.status >= 500) {
             this->answerJobCallLocally(request, call);
             return;
@@ -788,7 +740,7 @@
         const Peer *runner = result == JobLookup::Found ? this->peers.find(host) : nullptr;
         if (runner != nullptr && this->peers.isLive(host, this->loop.now())) {
             const HttpRequest notice{.method = "POST", .target = absl::StrCat(jobChangedPath, "?job=", percentEncode(jobId)), .fields = {}, .body = {}};
-            this->callPeer(*runner, notice, peerResponseTimeout, [](const std::optional<HttpResponse> &) {});
+            this->peerClient.send(runner->controlAddress, notice, peerResponseTimeout, [](const std::optional<HttpResponse> &) {});
         }
     });
 }
--- a/src/EntryHost.h
+++ b/src/EntryHost.h
@@ -18,6 +18,7 @@
 #include "JsonLog.h"
 #include "KindWatcher.h"
 #include "OnlineCall.h"
+#include "PeerClient.h"
 #include "PeerExchange.h"
 #include "PeerTable.h"
 #include "PlatformAdapter.h"
@@ -79,7 +80,6 @@
     [[nodiscard]] absl::Duration configRequestDelay(const Peer &peer) const;
     /** Lists the upstreams again when this host has lacked a change that other hosts know for too long. */
     void relistUpstreamsIfBehind(absl::Time now);
-    void callPeer(const Peer &peer, const HttpRequest &request, absl::Duration timeout, std::function<void(const std::optional<HttpResponse> &)> done);
     void applySnapshot(const std::string &body);
 
     void onEntryRequest(const std::shared_ptr<HttpExchange> &exchange);
@@ -102,8 +102,6 @@
     [[nodiscard]] std::vector<EntryEndpoint> readyEndpoints() const;
     /** The host that is to run a job: @p owner while it is live, else a live host chosen by rendezvous hashing. */
     [[nodiscard]] std::string runningHost(const std::string &jobId, const std::string &owner) const;
-    /** This host and the live hosts of a data centre, or of the fleet when @p dataCentre is empty. */
-    [[nodiscard]] std::vector<std::string> liveHostNames(std::string_view dataCentre) const;
     [[nodiscard]] nlohmann::json snapshot() const;
     double randomFraction();
 
@@ -137,7 +135,7 @@
     absl::Time peerStoreNoticeAt = absl::InfinitePast();
 
     HttpClient upstreamClient;
-    HttpClient peerClient;
+    PeerClient peerClient;
     std::unique_ptr<PeerExchange> peerExchange;
     WatchRelaySelector relaySelector;
     RelayedStore relayedStore;
@@ -152,13 +150,6 @@
     std::unique_ptr<HttpServer> metricsServer;
 
     std::set<std::shared_ptr<OnlineCall>> onlineCalls;
-    /** A request to another host, with its time-out. */
-    struct PeerCall {
-        HttpCall call;
-        LoopTimer timer;
-    };
-    /** Requests in progress; each removes itself when it ends. */
-    std::set<std::shared_ptr<PeerCall>> peerCalls;
     bool configRequestPending = false;
     bool stopping = false;
     absl::Time stopStartedAt = absl::InfinitePast();
--- a/src/JobService.cpp
+++ b/src/JobService.cpp
@@ -652,7 +652,8 @@
     }
     const absl::Duration runTime = this->itemRunTime.expected();
     this->context.attempts.load.setOwnBatchWaiting(BatchOrder::competingItems(waiting, runTime, now));
-    // Decides no more often than the load announcements arrive that show the effect of the last decision on the fleet.
+    // The next items start only when the announcements of the other hosts include what was started last, so that hosts which see the
+    // same free slots do not fill them several times.
     if (now < this->nextStartRound) {
         return;
     }
--- a/src/UpstreamSelector.cpp
+++ b/src/UpstreamSelector.cpp
@@ -28,6 +28,7 @@
 constexpr std::int64_t reservedOnlineSlots = 1;
 // Share of a slot that a batch request takes from the spare slots for online requests, for which it can be preempted.
 constexpr double occupiedByBatch = 0.9;
+// Weight of the free slots of other data centres. Their loads are known late, and the traffic to them is charged.
 constexpr double farBatchWeight = 0.05;
 
 } // namespace
@@ -195,7 +196,6 @@
     if (this->farLoadAge > absl::ZeroDuration()) {
         return this->drawBySpareSlots(candidates, [this, now](const UpstreamInfo &upstream) {
             const auto free = static_cast<double>(this->freeBatchSlots(upstream, this->load.total(upstream.id, now), now));
-            // An upstream of another data centre is a last resort: its load is known late, and the traffic is charged.
             return upstream.dataCentre == this->location.dataCentre ? free : free * farBatchWeight;
         });
     }
--- a/src/WatchRelaySelector.h
+++ b/src/WatchRelaySelector.h
@@ -43,7 +43,7 @@
 public:
     /** Hosts of each data centre that watch the store. One would do; the second one serves when the first is cut off. */
     static constexpr std::size_t relaysPerDataCentre = 2;
-    /** A relay that does not answer or lags behind is not chosen again for this long. */
+    /** How long a relay that does not answer or lags behind is excluded from selection. */
     static constexpr absl::Duration exclusionTime = absl::Seconds(5);
     /** Without a usable relay, each host goes to the store this much later than the host before it. */
     static constexpr absl::Duration storeFallbackInterval = absl::Milliseconds(150);
--- /dev/null
+++ b/test/core/TakeoverCandidatesTest.cpp
@@ -0,0 +1,74 @@
+#include "TakeoverCandidates.h"
+
+#include <algorithm>
+
+#include <gtest/gtest.h>
+
+namespace Bergamotramp {
+
+namespace {
+
+const absl::Time start = absl::FromUnixSeconds(1'000'000);
+const absl::Time longAgo = start - absl::Minutes(1);
+
+/** The peers of "self" in data centre "a": hosts "a-0", "b-0" and so on. */
+PeerTable fleet(int hostsOfEachDataCentre)
+{
+    PeerTable peers;
+    for (const std::string dataCentre : {"a", "b"}) {
+        for (int number = 0; number < hostsOfEachDataCentre; ++number) {
+            Peer peer;
+            peer.name = dataCentre + "-" + std::to_string(number);
+            peer.dataCentre = dataCentre;
+            peer.incarnation = 1;
+            peer.sequence = 1;
+            peer.lastHeard = start;
+            peers.update(peer);
+        }
+    }
+    return peers;
+}
+
+void lose(PeerTable &peers, const std::string &name)
+{
+    Peer peer = *peers.find(name);
+    ++peer.sequence;
+    peer.lastHeard = longAgo;
+    peers.update(peer);
+}
+
+// Guards against a job that moves from host to host during rolling stops, because its next runner is always a host of the data centre
+// that is being stopped. Each move discards the output of running items.
+TEST(TakeoverCandidatesTest, smallFleetOffersAllLiveHosts)
+{
+    PeerTable peers = fleet(3);
+    lose(peers, "a-0");
+    EXPECT_EQ(takeoverCandidates(peers, "self", "a", "a-0", start), (std::vector<std::string>{"self", "a-1", "a-2", "b-0", "b-1", "b-2"}));
+}
+
+// Guards against a job that waits until hosts of other data centres notice the loss of its runner, which takes seconds in a large fleet.
+TEST(TakeoverCandidatesTest, largeFleetOffersTheDataCentreOfTheRunner)
+{
+    PeerTable peers = fleet(8);
+    lose(peers, "b-0");
+    const std::vector<std::string> candidates = takeoverCandidates(peers, "self", "a", "b-0", start);
+    EXPECT_EQ(candidates.size(), 7U);
+    EXPECT_TRUE(std::ranges::all_of(candidates, [](const std::string &name) { return name.starts_with("b-"); }));
+    lose(peers, "a-0");
+    EXPECT_EQ(takeoverCandidates(peers, "self", "a", "a-0", start).front(), "self");
+}
+
+// Guards against a job that nobody runs because its data centre is lost, or because this host does not know its runner.
+TEST(TakeoverCandidatesTest, lostDataCentreAndUnknownRunnerLeaveAllLiveHosts)
+{
+    PeerTable peers = fleet(8);
+    for (int number = 0; number < 8; ++number) {
+        lose(peers, "b-" + std::to_string(number));
+    }
+    EXPECT_EQ(takeoverCandidates(peers, "self", "a", "b-0", start).size(), 9U);
+    EXPECT_EQ(takeoverCandidates(peers, "self", "a", "unknown", start).size(), 9U);
+}
+
+} // namespace
+
+} // namespace Bergamotramp
