Log what each host shows of a job's results

Cause: an answer to a read of results left no line, so an answer without results could not be traced to the copy of the job that gave it.

Change: job_read says the position, the results returned, the results and result objects that the host knew, whether they were in memory or read from the store, and whom the host takes for the runner.

No decision is changed.

--- a/src/JobService.cpp
+++ b/src/JobService.cpp
@@ -63,6 +63,7 @@
     const bool wasOpen = entry.progress.isOpen();
     entry.progress = JobProgress::fromJson(object.status);
     if (ranHere && !this->runsHere(entry)) {
+        this->context.log.write("job_handed_over", {{"job", object.name}, {"to", runnerOf(entry)}, {"revision", object.revision}});
         entry.fenced = false;
         this->stopRuns(object.name);
     }
@@ -342,7 +343,7 @@
         const bool resultsInMemory = entry->job && entry->itemsLoaded && entry->fenced && !entry->loading && this->runsHere(*entry);
         const bool hasMore = entry->job && entry->job->storedResultCount() > position;
         if (resultsInMemory || hasMore || (entry->job && entry->job->allResultsStored())) {
-            this->answerRead(*entry, position, wait, done);
+            this->answerRead(*entry, position, wait, ReadSource::Memory, done);
             return;
         }
         this->load(*entry, false, [this, jobId, position, wait, done](StoreResult loadResult) {
@@ -351,15 +352,15 @@
                 done(JobLookup::Unknown, {});
                 return;
             }
-            this->answerRead(found->second, position, wait, done);
+            this->answerRead(found->second, position, wait, ReadSource::Store, done);
         });
     });
 }
 
-void JobService::answerRead(JobEntry &entry, std::size_t position, absl::Duration wait, std::function<void(JobLookup, const JobPage &)> done)
+void JobService::answerRead(JobEntry &entry, std::size_t position, absl::Duration wait, ReadSource source, std::function<void(JobLookup, const JobPage &)> done)
 {
     if (entry.job->storedResultCount() > position || wait <= absl::ZeroDuration() || entry.job->allResultsStored() || entry.progress.cancelled) {
-        done(JobLookup::Found, entry.job->page(position, maxPageBytes));
+        this->sendPage(entry, position, source, done);
         return;
     }
     if (!this->runsHere(entry) || !entry.itemsLoaded) {
@@ -378,7 +379,7 @@
         const auto expired = weak.lock();
         if (expired && found != this->entries.end() && found->second.job) {
             found->second.pendingReads.remove(expired);
-            expired->done(JobLookup::Found, found->second.job->page(expired->position, maxPageBytes));
+            this->sendPage(found->second, expired->position, ReadSource::Memory, expired->done);
         }
     });
     entry.pendingReads.push_back(pendingRead);
@@ -397,10 +398,43 @@
     }
     for (const auto &pendingRead : ready) {
         entry.pendingReads.remove(pendingRead);
-        pendingRead->done(JobLookup::Found, entry.job->page(pendingRead->position, maxPageBytes));
+        this->sendPage(entry, pendingRead->position, ReadSource::Memory, pendingRead->done);
     }
 }
 
+void JobService::sendPage(JobEntry &entry, std::size_t position, ReadSource source, const std::function<void(JobLookup, const JobPage &)> &done)
+{
+    const JobPage page = entry.job->page(position, maxPageBytes);
+    this->logRead(entry, position, page, source);
+    done(JobLookup::Found, page);
+}
+
+void JobService::logRead(JobEntry &entry, std::size_t position, const JobPage &page, ReadSource source)
+{
+    const ReadTrace trace{.source = source,
+                          .empty = page.results.empty(),
+                          .knownResults = entry.job->storedResultCount(),
+                          .knownObjects = entry.job->nextResultObject(),
+                          .revision = entry.revision,
+                          .runsHere = this->runsHere(entry),
+                          .fenced = entry.fenced};
+    if (entry.loggedRead == trace) {
+        return;
+    }
+    entry.loggedRead = trace;
+    this->context.log.write("job_read",
+                            {{"job", entry.header.id},
+                             {"position", static_cast<std::uint64_t>(position)},
+                             {"results", static_cast<std::uint64_t>(page.results.size())},
+                             {"known", static_cast<std::uint64_t>(trace.knownResults)},
+                             {"objects", trace.knownObjects},
+                             {"source", source == ReadSource::Memory ? "memory" : "store"},
+                             {"runsHere", trace.runsHere},
+                             {"fenced", trace.fenced},
+                             {"runner", runnerOf(entry)},
+                             {"revision", entry.revision}});
+}
+
 void JobService::itemBody(const std::string &jobId, const std::string &itemId, std::function<void(JobLookup, const std::string &)> done)
 {
     this->lookUp(jobId, [this, jobId, itemId, done = std::move(done)](JobLookup result, JobEntry *entry) {
--- a/src/JobService.h
+++ b/src/JobService.h
@@ -111,6 +111,26 @@
         std::function<void(JobLookup, const JobPage &)> done;
         LoopTimer timer;
     };
+    /** Where the answer to a read comes from. */
+    enum class ReadSource {
+        /** Results that this host had in memory. */
+        Memory,
+        /** The store was read for the answer. */
+        Store,
+    };
+    /** What an answered read shows of the answering host's copy of a job. */
+    struct ReadTrace {
+        ReadSource source = ReadSource::Memory;
+        /** Whether the answer had no result. */
+        bool empty = false;
+        std::size_t knownResults = 0;
+        std::uint64_t knownObjects = 0;
+        std::uint64_t revision = 0;
+        bool runsHere = false;
+        bool fenced = false;
+
+        bool operator==(const ReadTrace &) const = default;
+    };
     /** What this host knows of one job. */
     struct JobEntry {
         JobRecord header;
@@ -132,6 +152,8 @@
         absl::Time progressWrittenAt = absl::InfinitePast();
         absl::Time unstoredSince = absl::InfiniteFuture();
         absl::Time lastReadAt = absl::InfinitePast();
+        /** The last read in the log. */
+        std::optional<ReadTrace> loggedRead;
         std::vector<std::function<void(StoreResult)>> loadCallbacks;
         std::list<std::shared_ptr<PendingRead>> pendingReads;
     };
@@ -150,7 +172,11 @@
     /** Reads the result objects one after another until the next number does not exist. */
     void loadResults(const std::string &jobId);
     void finishLoading(const std::string &jobId, StoreResult result);
-    void answerRead(JobEntry &entry, std::size_t position, absl::Duration wait, std::function<void(JobLookup, const JobPage &)> done);
+    void answerRead(JobEntry &entry, std::size_t position, absl::Duration wait, ReadSource source, std::function<void(JobLookup, const JobPage &)> done);
+    /** Answers a read with the results that this host has, and logs it. */
+    void sendPage(JobEntry &entry, std::size_t position, ReadSource source, const std::function<void(JobLookup, const JobPage &)> &done);
+    /** Logs an answered read unless it shows the same as the last logged one of the job. */
+    void logRead(JobEntry &entry, std::size_t position, const JobPage &page, ReadSource source);
     void answerPendingReads(JobEntry &entry);
     void writeCancel(const std::string &jobId, std::uint64_t revision, JobProgress progress, absl::Time retryUntil, std::function<void(JobLookup)> done);
     [[nodiscard]] static const std::string &runnerOf(const JobEntry &entry);
