Deny further results of a job only under a lease

Cause: a host took its copy of a job's results for complete without knowing it. Four ways, each shown by a test that failed before: - a former runner answered from memory until its watch reported the takeover; the next runner waited 2.2 s, but nothing bounds the watch (repeated after up to 3 s, a silent connection noticed after 6.5 s); - a fence whose answer had been lost was taken for a new one when the job came back, although another host had stored results behind it; - the store's answer to the acceptance of a job, arriving after a takeover, marked the empty copy as complete; - the runner of a cancelled job did not look again for results whose storing had got no answer; all other hosts showed them. The class of fault is a stale read by a former owner: ownership was inferred from cached state and an assumed propagation time.

Change: an answer with results is given at once, since stored results do not change. An answer without results is given from memory only under ResultLease: a store call that creates or finds the end of the chain renews it for 2 s from its sending. Otherwise the host reads the next object first. The next runner stores results 2.2 s after its fence, in place of 2.2 s after the takeover, so the lease has ended. Its clock includes the time for which the machine was suspended. A call in progress, or one that got no answer, suspends the lease. Only an object that this very call created fences a job, and a fenced runner that meets an object of another host reads the header before its next fence.

Ruled out: a hole in the chain (an object gets its number only when the one before exists); removal of stored results (after ten minutes only); a shorter copy after a new load (reads wait for the load).

--- a/src/EventLoop.cpp
+++ b/src/EventLoop.cpp
@@ -1,11 +1,24 @@
 #include "EventLoop.h"
 
+#include <ctime>
+
 #include <absl/time/clock.h>
 
 #include "Asio.h"
 
 namespace Bergamotramp {
 
+namespace {
+
+absl::Duration readBootClock()
+{
+    timespec time{};
+    clock_gettime(CLOCK_BOOTTIME, &time);
+    return absl::DurationFromTimespec(time);
+}
+
+} // namespace
+
 struct EventLoop::Io {
     asio::io_context context{1};
     asio::steady_timer wakeUpTimer{this->context};
@@ -46,7 +59,8 @@
     return this->loop != nullptr && this->loop->contains(this->key);
 }
 
-EventLoop::EventLoop() : io(std::make_unique<Io>()), startTime(absl::Now()), steadyStartTime(std::chrono::steady_clock::now())
+EventLoop::EventLoop()
+    : io(std::make_unique<Io>()), startTime(absl::Now()), steadyStartTime(std::chrono::steady_clock::now()), bootClockAtStart(readBootClock())
 {
 }
 
@@ -63,6 +77,11 @@
     return this->startTime + absl::FromChrono(std::chrono::steady_clock::now() - this->steadyStartTime);
 }
 
+absl::Time EventLoop::nowIncludingSuspend() const
+{
+    return this->startTime + (readBootClock() - this->bootClockAtStart);
+}
+
 LoopTimer EventLoop::after(absl::Duration delay, std::function<void()> callback)
 {
     const Key key{this->now() + delay, this->nextTimerId++};
--- a/src/EventLoop.h
+++ b/src/EventLoop.h
@@ -49,6 +49,8 @@
 
     /** Monotonic time: the wall-clock time at the construction of the loop plus the time elapsed since then on the steady clock. */
     [[nodiscard]] absl::Time now() const;
+    /** Like now(), but also counts the time for which the machine was suspended. For leases that other hosts wait for. */
+    [[nodiscard]] absl::Time nowIncludingSuspend() const;
     /** Calls @p callback once after @p delay, unless the returned timer is cancelled or destroyed earlier. */
     [[nodiscard]] LoopTimer after(absl::Duration delay, std::function<void()> callback);
     /** Queues @p callback; the loop calls it after the current callback has returned. */
@@ -74,6 +76,7 @@
     std::unique_ptr<Io> io;
     absl::Time startTime;
     std::chrono::steady_clock::time_point steadyStartTime;
+    absl::Duration bootClockAtStart;
     absl::Time nextWakeUp = absl::InfiniteFuture();
     std::uint64_t nextTimerId = 1;
 };
--- a/src/JobArchive.cpp
+++ b/src/JobArchive.cpp
@@ -142,22 +142,22 @@
 
 void JobArchive::createResults(const std::string &jobId, std::uint64_t number, const std::string &writer, const ResultObject &content, ResultsHandler done)
 {
-    this->store.create(resultsKind,
-                       partName(jobId, number),
-                       resultObjectToJson(writer, content),
-                       [this, jobId, number, writer, content, done = std::move(done)](const ObjectReply &reply) {
-                           if (reply.result == StoreResult::Done) {
-                               done(StoreResult::Done, true, content);
-                           } else if (reply.result != StoreResult::Conflict) {
-                               done(reply.result, false, {});
-                           } else if (reply.object && !reply.object->content.is_null()) {
-                               // The object may be this writer's own, if the answer to an earlier create call was lost.
-                               const bool own = writtenBy(*reply.object, writer);
-                               deliverResults(*reply.object, [done, own](StoreResult result, const ResultObject &stored) { done(result, own, stored); });
-                           } else {
-                               this->readResults(jobId, number, [done](StoreResult result, const ResultObject &stored) { done(result, false, stored); });
-                           }
-                       });
+    this->store.create(
+        resultsKind,
+        partName(jobId, number),
+        resultObjectToJson(writer, content),
+        [this, jobId, number, writer, content, done = std::move(done)](const ObjectReply &reply) {
+            if (reply.result == StoreResult::Done) {
+                done(StoreResult::Done, Creator::ThisCall, content);
+            } else if (reply.result != StoreResult::Conflict) {
+                done(reply.result, Creator::OtherWriter, {});
+            } else if (reply.object && !reply.object->content.is_null()) {
+                const Creator creator = writtenBy(*reply.object, writer) ? Creator::EarlierCall : Creator::OtherWriter;
+                deliverResults(*reply.object, [done, creator](StoreResult result, const ResultObject &stored) { done(result, creator, stored); });
+            } else {
+                this->readResults(jobId, number, [done](StoreResult result, const ResultObject &stored) { done(result, Creator::OtherWriter, stored); });
+            }
+        });
 }
 
 void JobArchive::writeProgress(const std::string &jobId, std::uint64_t revision, const JobProgress &progress, ObjectStore::ObjectHandler done)
--- a/src/JobArchive.h
+++ b/src/JobArchive.h
@@ -31,8 +31,16 @@
     void readHeader(const std::string &jobId, ObjectStore::ObjectHandler done);
     void readItems(const JobRecord &header, std::function<void(StoreResult, std::vector<BatchItem>)> done);
     void readResults(const std::string &jobId, std::uint64_t number, std::function<void(StoreResult, ResultObject)> done);
-    /** Receives the content of the object of the given number; @p own tells whether the calling writer has created it. */
-    using ResultsHandler = std::function<void(StoreResult, bool own, const ResultObject &content)>;
+    /** Who created the result object of a number. */
+    enum class Creator {
+        /** This call, so no object of a higher number existed. */
+        ThisCall,
+        /** An earlier call of the same writer, whose answer was lost. Other writers may have added objects since. */
+        EarlierCall,
+        OtherWriter,
+    };
+    /** Receives the creator and the content of the object of the given number. */
+    using ResultsHandler = std::function<void(StoreResult, Creator creator, const ResultObject &content)>;
     /** Creates the result object of this number. The result is also Done when another writer has created it before. */
     void createResults(const std::string &jobId, std::uint64_t number, const std::string &writer, const ResultObject &content, ResultsHandler done);
     void writeProgress(const std::string &jobId, std::uint64_t revision, const JobProgress &progress, ObjectStore::ObjectHandler done);
--- a/src/JobService.cpp
+++ b/src/JobService.cpp
@@ -1,6 +1,7 @@
 #include "JobService.h"
 
 #include <algorithm>
+#include <utility>
 
 namespace Bergamotramp {
 
@@ -11,9 +12,6 @@
 constexpr absl::Duration takeoverDelay = absl::Seconds(3);
 // Every host checks all open jobs of the fleet, so it does not do so with each tick.
 constexpr absl::Duration takeoverCheckPeriod = absl::Milliseconds(400);
-// After a takeover, the former runner's watch of the store reports the changed header within this time. Until then it may
-// still answer from memory, so the new runner stores no results before.
-constexpr absl::Duration takeoverPropagationTime = absl::Milliseconds(2200);
 constexpr absl::Duration storeRetryDelay = absl::Milliseconds(300);
 // A malformed object is read again after this time, because an operator may repair it.
 constexpr absl::Duration malformedRetryDelay = absl::Seconds(10);
@@ -65,12 +63,14 @@
     if (ranHere && !this->runsHere(entry)) {
         this->context.log.write("job_handed_over", {{"job", object.name}, {"to", runnerOf(entry)}, {"revision", object.revision}});
         entry.fenced = false;
+        entry.lease.revoke();
         this->stopRuns(object.name);
+        this->resumeReads(entry);
     }
     if (wasOpen && entry.progress.cancelled) {
         this->context.log.write("job_cancelled", {{"job", object.name}, {"revision", object.revision}});
         this->stopRuns(object.name);
-        this->answerPendingReads(entry);
+        this->resumeReads(entry);
     }
     return &entry;
 }
@@ -173,7 +173,8 @@
 void JobService::writeHeader(
     const SubmittedJob &submission, const JobRecord &header, bool earlierUnanswered, absl::Time retryUntil, std::function<void(SubmitResult)> done)
 {
-    this->archive.writeHeader(header, [this, submission, header, earlierUnanswered, retryUntil, done = std::move(done)](const ObjectReply &reply) {
+    const absl::Time sent = this->context.attempts.loop.nowIncludingSuspend();
+    this->archive.writeHeader(header, [this, submission, header, earlierUnanswered, retryUntil, sent, done = std::move(done)](const ObjectReply &reply) {
         if (reply.result == StoreResult::Done) {
             JobEntry &entry = this->entries[header.id];
             entry.header = header;
@@ -181,7 +182,9 @@
             if (!entry.job) {
                 entry.job = std::make_unique<Job>(header, submission.items);
                 entry.itemsLoaded = true;
-                entry.fenced = true;
+                // Another host may have taken the job over while the answer was on its way.
+                entry.fenced = this->runsHere(entry);
+                entry.lease.renew(sent);
             }
             this->context.log.write(
                 "job_accepted",
@@ -240,7 +243,6 @@
             return;
         }
         found->second.writingProgress = false;
-        found->second.appendNotBefore = this->context.attempts.loop.now() + takeoverPropagationTime;
         if (reply.object) {
             this->applyHeader(*reply.object);
         }
@@ -287,9 +289,11 @@
             this->finishLoading(jobId, result);
             return;
         }
-        found->second.job = std::make_unique<Job>(found->second.header, std::move(items));
-        found->second.itemsLoaded = true;
-        found->second.fenced = false;
+        if (!found->second.itemsLoaded) {
+            found->second.job = std::make_unique<Job>(found->second.header, std::move(items));
+            found->second.itemsLoaded = true;
+            found->second.fenced = false;
+        }
         this->loadResults(jobId);
     });
 }
@@ -297,17 +301,24 @@
 void JobService::loadResults(const std::string &jobId)
 {
     const std::uint64_t number = this->entries.at(jobId).job->nextResultObject();
-    this->archive.readResults(jobId, number, [this, jobId, number](StoreResult result, const ResultObject &content) {
+    const absl::Time sent = this->context.attempts.loop.nowIncludingSuspend();
+    this->archive.readResults(jobId, number, [this, jobId, number, sent](StoreResult result, const ResultObject &content) {
         const auto found = this->entries.find(jobId);
         if (found == this->entries.end()) {
             return;
         }
+        if (result == StoreResult::NotFound) {
+            found->second.lease.renew(sent);
+            this->finishLoading(jobId, StoreResult::Done);
+            return;
+        }
         if (result != StoreResult::Done) {
-            this->finishLoading(jobId, result == StoreResult::NotFound ? StoreResult::Done : result);
+            this->finishLoading(jobId, result);
             return;
         }
         if (found->second.job->nextResultObject() == number) {
             found->second.job->addStoredObject(content);
+            doubtRunner(found->second);
         }
         this->loadResults(jobId);
     });
@@ -334,71 +345,114 @@
 
 void JobService::read(const std::string &jobId, std::size_t position, absl::Duration wait, std::function<void(JobLookup, const JobPage &)> done)
 {
-    this->lookUp(jobId, [this, jobId, position, wait, done = std::move(done)](JobLookup result, JobEntry *entry) {
+    const absl::Time waitUntil = this->context.attempts.loop.now() + wait;
+    this->serveRead(jobId, std::make_shared<ResultRead>(ResultRead{.position = position, .waitUntil = waitUntil, .done = std::move(done)}));
+}
+
+// A stored result never changes, so an answer with results is right whoever gives it. An answer without results is given only by a host
+// that knows that no other host has shown more: from the store, or under the runner's lease.
+void JobService::serveRead(const std::string &jobId, const std::shared_ptr<ResultRead> &read)
+{
+    this->lookUp(jobId, [this, read](JobLookup result, JobEntry *entry) {
         if (entry == nullptr) {
-            done(result, {});
+            read->done(result, {});
             return;
         }
         entry->lastReadAt = this->context.attempts.loop.now();
-        const bool resultsInMemory = entry->job && entry->itemsLoaded && entry->fenced && !entry->loading && this->runsHere(*entry);
-        const bool hasMore = entry->job && entry->job->storedResultCount() > position;
-        if (resultsInMemory || hasMore || (entry->job && entry->job->allResultsStored())) {
-            this->answerRead(*entry, position, wait, ReadSource::Memory, done);
-            return;
+        if (hasResultsFor(*entry, *read)) {
+            this->sendPage(*entry, read->position, ReadSource::Memory, read->done);
+        } else if (this->runsWithResults(*entry)) {
+            this->serveReadAsRunner(*entry, read);
+        } else {
+            this->loadForRead(*entry, read);
         }
-        this->load(*entry, false, [this, jobId, position, wait, done](StoreResult loadResult) {
-            const auto found = this->entries.find(jobId);
-            if (loadResult != StoreResult::Done || found == this->entries.end()) {
-                done(JobLookup::Unknown, {});
-                return;
-            }
-            this->answerRead(found->second, position, wait, ReadSource::Store, done);
-        });
     });
 }
 
-void JobService::answerRead(JobEntry &entry, std::size_t position, absl::Duration wait, ReadSource source, std::function<void(JobLookup, const JobPage &)> done)
+void JobService::serveReadAsRunner(JobEntry &entry, const std::shared_ptr<ResultRead> &read)
 {
-    if (entry.job->storedResultCount() > position || wait <= absl::ZeroDuration() || entry.job->allResultsStored() || entry.progress.cancelled) {
-        this->sendPage(entry, position, source, done);
-        return;
+    // The answer to a call in progress tells whether there are more results.
+    if (this->mayWait(entry, *read) || entry.appending) {
+        this->holdRead(entry, read);
+    } else if (this->knowsAllResults(entry)) {
+        this->sendPage(entry, read->position, ReadSource::Memory, read->done);
+    } else {
+        this->loadForRead(entry, read);
     }
-    if (!this->runsHere(entry) || !entry.itemsLoaded) {
+}
+
+void JobService::loadForRead(JobEntry &entry, const std::shared_ptr<ResultRead> &read)
+{
+    this->load(entry, false, [this, jobId = entry.header.id, read](StoreResult result) {
+        const auto found = this->entries.find(jobId);
+        if (result != StoreResult::Done || found == this->entries.end()) {
+            read->done(JobLookup::Unknown, {});
+            return;
+        }
+        this->serveLoadedRead(found->second, read);
+    });
+}
+
+void JobService::serveLoadedRead(JobEntry &entry, const std::shared_ptr<ResultRead> &read)
+{
+    if (hasResultsFor(entry, *read) || !this->mayWait(entry, *read)) {
+        this->sendPage(entry, read->position, ReadSource::Store, read->done);
+    } else if (this->runsWithResults(entry)) {
+        this->holdRead(entry, read);
+    } else {
         // Another host stores the results, so this host polls the store for them.
-        const absl::Duration pause = std::min(wait, resultPollDelay);
-        const auto pendingRead = std::make_shared<PendingRead>();
-        pendingRead->timer = this->context.attempts.loop.after(
-            pause, [this, pendingRead, id = entry.header.id, position, remainingWait = wait - pause, done] { this->read(id, position, remainingWait, done); });
-        return;
+        const absl::Duration pause = std::min(read->waitUntil - this->context.attempts.loop.now(), resultPollDelay);
+        read->timer = this->context.attempts.loop.after(pause, [this, jobId = entry.header.id, read] { this->serveRead(jobId, read); });
     }
-    const auto pendingRead = std::make_shared<PendingRead>();
-    pendingRead->position = position;
-    pendingRead->done = std::move(done);
-    pendingRead->timer = this->context.attempts.loop.after(wait, [this, id = entry.header.id, weak = std::weak_ptr<PendingRead>(pendingRead)] {
-        const auto found = this->entries.find(id);
-        const auto expired = weak.lock();
-        if (expired && found != this->entries.end() && found->second.job) {
-            found->second.pendingReads.remove(expired);
-            this->sendPage(found->second, expired->position, ReadSource::Memory, expired->done);
+}
+
+void JobService::holdRead(JobEntry &entry, const std::shared_ptr<ResultRead> &read)
+{
+    entry.pendingReads.push_back(read);
+    const absl::Duration wait = read->waitUntil - this->context.attempts.loop.now();
+    read->timer = this->context.attempts.loop.after(wait, [this, jobId = entry.header.id] {
+        const auto found = this->entries.find(jobId);
+        if (found != this->entries.end() && !found->second.appending) {
+            this->resumeReads(found->second);
         }
     });
-    entry.pendingReads.push_back(pendingRead);
 }
 
-void JobService::answerPendingReads(JobEntry &entry)
+bool JobService::hasResultsFor(const JobEntry &entry, const ResultRead &read)
 {
-    if (!entry.job) {
-        return;
-    }
-    std::vector<std::shared_ptr<PendingRead>> ready;
-    for (const auto &pendingRead : entry.pendingReads) {
-        if (entry.job->storedResultCount() > pendingRead->position || entry.job->allResultsStored() || entry.progress.cancelled) {
-            ready.push_back(pendingRead);
+    return entry.job && (entry.job->storedResultCount() > read.position || entry.job->allResultsStored());
+}
+
+bool JobService::mayWait(const JobEntry &entry, const ResultRead &read) const
+{
+    return this->context.attempts.loop.now() < read.waitUntil && !entry.progress.cancelled;
+}
+
+bool JobService::runsWithResults(const JobEntry &entry) const
+{
+    return entry.job && entry.itemsLoaded && entry.fenced && this->runsHere(entry);
+}
+
+bool JobService::knowsAllResults(const JobEntry &entry) const
+{
+    const bool mayHaveStoredMore = entry.appending || entry.unansweredObject == entry.job->nextResultObject();
+    return !mayHaveStoredMore && entry.lease.isValid(this->context.attempts.loop.nowIncludingSuspend());
+}
+
+void JobService::resumeReads(JobEntry &entry)
+{
+    std::vector<std::shared_ptr<ResultRead>> ready;
+    for (const auto &read : entry.pendingReads) {
+        if (hasResultsFor(entry, *read) || !this->mayWait(entry, *read) || !this->runsWithResults(entry)) {
+            ready.push_back(read);
         }
     }
-    for (const auto &pendingRead : ready) {
-        entry.pendingReads.remove(pendingRead);
-        this->sendPage(entry, pendingRead->position, ReadSource::Memory, pendingRead->done);
+    for (const auto &read : ready) {
+        entry.pendingReads.remove(read);
+    }
+    const std::string jobId = entry.header.id;
+    for (const auto &read : ready) {
+        this->serveRead(jobId, read);
     }
 }
 
@@ -552,13 +606,8 @@
         }
         return;
     }
-    if (entry.loading) {
-        return;
-    }
     if (!entry.fenced) {
-        if (!entry.appending && now >= entry.retryAt) {
-            this->fence(entry);
-        }
+        this->fenceWhenPossible(entry, now);
         return;
     }
     if (entry.job->hasUnstoredState() && !entry.appending && now >= std::max(entry.retryAt, entry.appendNotBefore)) {
@@ -572,6 +621,44 @@
     }
 }
 
+void JobService::fenceWhenPossible(JobEntry &entry, absl::Time now)
+{
+    if (entry.loading || entry.appending || entry.checkingRunner || now < entry.retryAt) {
+        return;
+    }
+    if (entry.runnerDoubtful) {
+        this->checkRunner(entry);
+    } else {
+        this->fence(entry);
+    }
+}
+
+void JobService::checkRunner(JobEntry &entry)
+{
+    entry.checkingRunner = true;
+    this->archive.readHeader(entry.header.id, [this, jobId = entry.header.id](const ObjectReply &reply) {
+        const auto found = this->entries.find(jobId);
+        if (found == this->entries.end()) {
+            return;
+        }
+        found->second.checkingRunner = false;
+        if (reply.result == StoreResult::Done) {
+            found->second.runnerDoubtful = false;
+            this->applyHeader(*reply.object);
+        } else {
+            this->handleStoreFailure(found->second, reply.result);
+        }
+    });
+}
+
+void JobService::doubtRunner(JobEntry &entry)
+{
+    if (std::exchange(entry.fenced, false)) {
+        entry.runnerDoubtful = true;
+        entry.lease.revoke();
+    }
+}
+
 bool JobService::nearTokenLimit(const JobEntry &entry) const
 {
     const auto config = this->context.config();
@@ -597,31 +684,39 @@
 
 void JobService::fence(JobEntry &entry)
 {
-    this->createNextResultObject(entry, {}, "job_fenced", [this](const JobEntry &target, bool own) { return own && this->runsHere(target); });
+    this->createNextResultObject(entry, {}, "job_fenced", [this](JobEntry &target, JobArchive::Creator creator) {
+        if (creator != JobArchive::Creator::ThisCall || !this->runsHere(target)) {
+            return;
+        }
+        target.fenced = true;
+        if (!target.progress.runner.empty()) {
+            target.appendNotBefore = this->context.attempts.loop.now() + ResultLease::successorDelay;
+        }
+    });
 }
 
 void JobService::appendResults(JobEntry &entry)
 {
-    // If another writer has created the object of this number, it may have taken the job over: the job is no longer fenced.
-    this->createNextResultObject(entry, entry.job->unstoredState(JobArchive::maxObjectBytes / 2), "results_stored", [](const JobEntry &target, bool own) {
-        return target.fenced && own;
+    const ResultObject content = entry.job->unstoredState(JobArchive::maxObjectBytes / 2);
+    this->createNextResultObject(entry, content, "results_stored", [](JobEntry &target, JobArchive::Creator creator) {
+        if (creator == JobArchive::Creator::OtherWriter) {
+            doubtRunner(target);
+        }
     });
 }
 
-void JobService::createNextResultObject(JobEntry &entry,
-                                        const ResultObject &content,
-                                        const char *logEvent,
-                                        std::function<bool(const JobEntry &, bool own)> fencedAfter)
+void JobService::createNextResultObject(JobEntry &entry, const ResultObject &content, const char *logEvent, CreatedHandler onCreated)
 {
     entry.appending = true;
     const std::string jobId = entry.header.id;
     const std::uint64_t number = entry.job->nextResultObject();
+    const absl::Time sent = this->context.attempts.loop.nowIncludingSuspend();
     this->archive.createResults(
         jobId,
         number,
         this->context.writerId,
         content,
-        [this, jobId, number, logEvent, fencedAfter = std::move(fencedAfter)](StoreResult result, bool own, const ResultObject &stored) {
+        [this, jobId, number, sent, logEvent, onCreated = std::move(onCreated)](StoreResult result, JobArchive::Creator creator, const ResultObject &stored) {
             const auto found = this->entries.find(jobId);
             if (found == this->entries.end()) {
                 return;
@@ -632,22 +727,33 @@
                                     {{"job", jobId},
                                      {"object", number},
                                      {"ok", result == StoreResult::Done},
-                                     {"own", own},
+                                     {"own", creator != JobArchive::Creator::OtherWriter},
                                      {"results", static_cast<std::uint64_t>(stored.results.size())},
                                      {"failures", static_cast<std::uint64_t>(stored.failures.size())}});
-            if (result != StoreResult::Done) {
+            if (result == StoreResult::Done) {
+                applyCreatedObject(target, number, sent, creator, stored, onCreated);
+            } else {
+                target.unansweredObject = result == StoreResult::Unanswered ? number : target.unansweredObject;
                 this->handleStoreFailure(target, result);
-                return;
-            }
-            if (target.job && target.job->nextResultObject() == number) {
-                target.job->addStoredObject(stored);
-                target.fenced = fencedAfter(target, own);
             }
-            this->answerPendingReads(target);
+            this->resumeReads(target);
             this->tickEntry(target, this->context.attempts.loop.now());
         });
 }
 
+void JobService::applyCreatedObject(
+    JobEntry &entry, std::uint64_t number, absl::Time sent, JobArchive::Creator creator, const ResultObject &stored, const CreatedHandler &onCreated)
+{
+    if (!entry.job || entry.job->nextResultObject() != number) {
+        return;
+    }
+    entry.job->addStoredObject(stored);
+    if (creator == JobArchive::Creator::ThisCall) {
+        entry.lease.renew(sent);
+    }
+    onCreated(entry, creator);
+}
+
 void JobService::writeProgress(JobEntry &entry)
 {
     entry.writingProgress = true;
@@ -679,7 +785,7 @@
     std::vector<JobEntry *> candidates;
     std::vector<WaitingJob> waiting;
     for (auto &[id, entry] : this->entries) {
-        if (entry.progress.isOpen() && entry.itemsLoaded && !entry.loading && this->runsHere(entry)) {
+        if (entry.progress.isOpen() && entry.itemsLoaded && (entry.fenced || !entry.loading) && this->runsHere(entry)) {
             candidates.push_back(&entry);
             waiting.push_back({.submitted = entry.header.submitted, .due = dueTime(entry, *config), .waitingItems = entry.job->waitingItems()});
         }
@@ -882,6 +988,7 @@
             }
             entry.job.reset();
             entry.itemsLoaded = false;
+            entry.fenced = false;
         }
     }
 }
--- a/src/JobService.h
+++ b/src/JobService.h
@@ -14,6 +14,7 @@
 #include "Job.h"
 #include "JobArchive.h"
 #include "JsonLog.h"
+#include "ResultLease.h"
 #include "RoutingConfig.h"
 #include "UpstreamAttempt.h"
 #include "UpstreamSelector.h"
@@ -105,11 +106,13 @@
         bool resumed = false;
         std::unique_ptr<UpstreamAttempt> attempt;
     };
-    /** A read that waits for results beyond its position. */
-    struct PendingRead {
+    /** A read of the results from a position on. */
+    struct ResultRead {
         std::size_t position = 0;
+        /** Until then the read waits if there is no result. */
+        absl::Time waitUntil;
         std::function<void(JobLookup, const JobPage &)> done;
-        LoopTimer timer;
+        LoopTimer timer{};
     };
     /** Where the answer to a read comes from. */
     enum class ReadSource {
@@ -139,10 +142,18 @@
         std::unique_ptr<Job> job;
         bool itemsLoaded = false;
         /**
-         * Whether no other writer can add results without this process noticing. A runner that has loaded the job from the
-         * store first creates an empty result object, so that a delayed write of the former runner fails with a conflict.
+         * Whether the known result objects are all, except for those that another host adds after it has taken the job over. A runner
+         * that has loaded the job from the store first creates an empty result object, so that a delayed write of the former runner fails
+         * with a conflict.
          */
         bool fenced = false;
+        /** For a fenced runner: whether no other host has added results. */
+        ResultLease lease;
+        /** A result object of another host has turned up, so the header is read before the next fence. */
+        bool runnerDoubtful = false;
+        bool checkingRunner = false;
+        /** Number of the result object whose create call got no answer. While it is the next number, the object may exist. */
+        std::optional<std::uint64_t> unansweredObject;
         bool loading = false;
         bool appending = false;
         bool writingProgress = false;
@@ -155,7 +166,7 @@
         /** The last read in the log. */
         std::optional<ReadTrace> loggedRead;
         std::vector<std::function<void(StoreResult)>> loadCallbacks;
-        std::list<std::shared_ptr<PendingRead>> pendingReads;
+        std::list<std::shared_ptr<ResultRead>> pendingReads;
     };
     using LookupHandler = std::function<void(JobLookup, JobEntry *)>;
 
@@ -172,12 +183,24 @@
     /** Reads the result objects one after another until the next number does not exist. */
     void loadResults(const std::string &jobId);
     void finishLoading(const std::string &jobId, StoreResult result);
-    void answerRead(JobEntry &entry, std::size_t position, absl::Duration wait, ReadSource source, std::function<void(JobLookup, const JobPage &)> done);
+    void serveRead(const std::string &jobId, const std::shared_ptr<ResultRead> &read);
+    void serveReadAsRunner(JobEntry &entry, const std::shared_ptr<ResultRead> &read);
+    void loadForRead(JobEntry &entry, const std::shared_ptr<ResultRead> &read);
+    void serveLoadedRead(JobEntry &entry, const std::shared_ptr<ResultRead> &read);
+    /** Keeps a read of a job that runs here until there are results or its wait is over. */
+    void holdRead(JobEntry &entry, const std::shared_ptr<ResultRead> &read);
+    [[nodiscard]] static bool hasResultsFor(const JobEntry &entry, const ResultRead &read);
+    [[nodiscard]] bool mayWait(const JobEntry &entry, const ResultRead &read) const;
+    /** Whether the job runs here and its results are in memory. */
+    [[nodiscard]] bool runsWithResults(const JobEntry &entry) const;
+    /** Whether the results in memory are all that any host may have shown. */
+    [[nodiscard]] bool knowsAllResults(const JobEntry &entry) const;
     /** Answers a read with the results that this host has, and logs it. */
     void sendPage(JobEntry &entry, std::size_t position, ReadSource source, const std::function<void(JobLookup, const JobPage &)> &done);
     /** Logs an answered read unless it shows the same as the last logged one of the job. */
     void logRead(JobEntry &entry, std::size_t position, const JobPage &page, ReadSource source);
-    void answerPendingReads(JobEntry &entry);
+    /** Serves the waiting reads whose wait is over, that have results now, or that this host can not answer alone any more. */
+    void resumeReads(JobEntry &entry);
     void writeCancel(const std::string &jobId, std::uint64_t revision, JobProgress progress, absl::Time retryUntil, std::function<void(JobLookup)> done);
     [[nodiscard]] static const std::string &runnerOf(const JobEntry &entry);
     [[nodiscard]] bool runsHere(const JobEntry &entry) const;
@@ -190,12 +213,18 @@
     [[nodiscard]] bool nearTokenLimit(const JobEntry &entry) const;
     void appendResultsWhenDue(JobEntry &entry, absl::Time now);
     void appendResults(JobEntry &entry);
+    /** Fences a job that runs here, or finds out first whether it does. */
+    void fenceWhenPossible(JobEntry &entry, absl::Time now);
     void fence(JobEntry &entry);
-    /** Creates the next result object of a job. @p fencedAfter tells whether the job is fenced once this object exists. */
-    void createNextResultObject(JobEntry &entry,
-                                const ResultObject &content,
-                                const char *logEvent,
-                                std::function<bool(const JobEntry &, bool own)> fencedAfter);
+    /** Reads the header again to see whether the job still runs here. */
+    void checkRunner(JobEntry &entry);
+    /** Called when a result object has turned up that this run of the host did not create. */
+    static void doubtRunner(JobEntry &entry);
+    using CreatedHandler = std::function<void(JobEntry &, JobArchive::Creator)>;
+    /** Creates the next result object of a job. Calls @p onCreated once the object exists and is part of the known results. */
+    void createNextResultObject(JobEntry &entry, const ResultObject &content, const char *logEvent, CreatedHandler onCreated);
+    static void applyCreatedObject(
+        JobEntry &entry, std::uint64_t number, absl::Time sent, JobArchive::Creator creator, const ResultObject &stored, const CreatedHandler &onCreated);
     void writeProgress(JobEntry &entry);
     void startItems(absl::Time now);
     [[nodiscard]] absl::Duration loadPropagationTime() const;
