Do not deny results by a load that began before the read

What callers could see: a read without results although another host had shown some (LOST, the same class as the former-owner reads).

Cause: a read that found a load of the job's results in progress waited for it and took its end for an answer from the store. That load may have looked for the next object before the results were stored, and the read may have arrived after another host had shown them; the gap is the duration of one call, up to its timeout of 1.5 s.

Change: a read that joined an older load and found nothing loads again.

Measured: JobReadTest.readDoesNotRelyOnALoadThatBeganBeforeIt fails without the change (0 results, 1 expected).

--- a/src/JobService.cpp
+++ b/src/JobService.cpp
@@ -271,6 +271,7 @@
         return;
     }
     entry.loading = true;
+    entry.loadStartedAt = this->context.attempts.loop.now();
     if (entry.job && (entry.itemsLoaded || !withItems)) {
         this->loadResults(jobId);
         return;
@@ -345,8 +346,8 @@
 
 void JobService::read(const std::string &jobId, std::size_t position, absl::Duration wait, std::function<void(JobLookup, const JobPage &)> done)
 {
-    const absl::Time waitUntil = this->context.attempts.loop.now() + wait;
-    this->serveRead(jobId, std::make_shared<ResultRead>(ResultRead{.position = position, .waitUntil = waitUntil, .done = std::move(done)}));
+    const absl::Time now = this->context.attempts.loop.now();
+    this->serveRead(jobId, std::make_shared<ResultRead>(ResultRead{.position = position, .received = now, .waitUntil = now + wait, .done = std::move(done)}));
 }
 
 // A stored result never changes, so an answer with results is right whoever gives it. An answer without results is given only by a host
@@ -383,13 +384,17 @@
 
 void JobService::loadForRead(JobEntry &entry, const std::shared_ptr<ResultRead> &read)
 {
-    this->load(entry, false, [this, jobId = entry.header.id, read](StoreResult result) {
+    const absl::Time loadStartedAt = entry.loading ? entry.loadStartedAt : this->context.attempts.loop.now();
+    this->load(entry, false, [this, jobId = entry.header.id, read, loadStartedAt](StoreResult result) {
         const auto found = this->entries.find(jobId);
         if (result != StoreResult::Done || found == this->entries.end()) {
             read->done(JobLookup::Unknown, {});
-            return;
+        } else if (loadStartedAt < read->received && !hasResultsFor(found->second, *read)) {
+            // Results may have been stored and shown after this load looked for them and before the read arrived.
+            this->serveRead(jobId, read);
+        } else {
+            this->serveLoadedRead(found->second, read);
         }
-        this->serveLoadedRead(found->second, read);
     });
 }
 
--- a/src/JobService.h
+++ b/src/JobService.h
@@ -109,6 +109,7 @@
     /** A read of the results from a position on. */
     struct ResultRead {
         std::size_t position = 0;
+        absl::Time received;
         /** Until then the read waits if there is no result. */
         absl::Time waitUntil;
         std::function<void(JobLookup, const JobPage &)> done;
@@ -155,6 +156,7 @@
         /** Number of the result object whose create call got no answer. While it is the next number, the object may exist. */
         std::optional<std::uint64_t> unansweredObject;
         bool loading = false;
+        absl::Time loadStartedAt = absl::InfinitePast();
         bool appending = false;
         bool writingProgress = false;
         absl::Time retryAt = absl::InfinitePast();
--- a/test/entry/JobReadTest.cpp
+++ b/test/entry/JobReadTest.cpp
@@ -224,6 +224,20 @@
     EXPECT_EQ(this->readResults().page.results.size(), 3U);
 }
 
+// Guards against a read that joins a load in progress, which has looked for results before they were stored and shown elsewhere.
+TEST_F(JobReadTest, readDoesNotRelyOnALoadThatBeganBeforeIt)
+{
+    this->writeJobOfOtherHost();
+    this->store.setReplies(InMemoryObjectStore::Replies::Held);
+    this->jobs.read(jobId, 0, absl::ZeroDuration(), [](JobLookup, const JobPage &) {});
+    ASSERT_EQ(this->store.heldReplies(), 1U);
+    runFor(this->loop, absl::Milliseconds(1));
+    this->writeResultsOfOtherHost();
+    this->store.setReplies(InMemoryObjectStore::Replies::Delivered);
+    const LoopTimer released = this->loop.after(absl::Milliseconds(1), [this] { this->store.releaseReplies(); });
+    EXPECT_EQ(this->readResults().page.results.size(), 1U);
+}
+
 // Guards against an answer without results while the store can not tell whether there are some.
 TEST_F(JobReadTest, hostThatCanNotAskTheStoreDoesNotDenyResults)
 {
