Answer the reads of a job that is removed from the store

What callers saw: none was reported. A read that waited for results got no answer at all when its job was removed from the store, and the process could end.

Cause: removing a job from memory dropped the calls that waited for it. Loading continued after the job had come back without its copy of the results, and the answer to the older call was applied to that missing copy (null pointer). A header that is malformed for a moment and then repaired by an operator is enough, since a malformed header removes the job from memory.

Change: removeEntry() answers the waiting calls as unknown. The answers to loading calls are used only while the job is being loaded.

--- a/src/JobService.cpp
+++ b/src/JobService.cpp
@@ -53,7 +53,7 @@
         entry.header = JobRecord::fromJson(object.name, object.content);
     } catch (const JobFormatError &error) {
         this->context.log.write("job_unreadable", {{"job", object.name}, {"error", error.what()}});
-        this->entries.erase(object.name);
+        this->removeEntry(object.name);
         return nullptr;
     }
     entry.revision = object.revision;
@@ -89,7 +89,27 @@
         return;
     }
     this->stopRuns(change.object.name);
-    this->entries.erase(change.object.name);
+    this->removeEntry(change.object.name);
+}
+
+void JobService::removeEntry(const std::string &jobId)
+{
+    const auto removed = this->entries.extract(jobId);
+    if (removed.empty()) {
+        return;
+    }
+    for (const auto &loaded : removed.mapped().loadCallbacks) {
+        loaded(StoreResult::NotFound);
+    }
+    for (const auto &read : removed.mapped().pendingReads) {
+        read->done(JobLookup::Unknown, {});
+    }
+}
+
+JobService::JobEntry *JobService::findLoading(const std::string &jobId)
+{
+    const auto found = this->entries.find(jobId);
+    return found != this->entries.end() && found->second.loading ? &found->second : nullptr;
 }
 
 void JobService::lookUp(const std::string &jobId, LookupHandler done)
@@ -282,18 +302,18 @@
         return;
     }
     this->archive.readItems(entry.header, [this, jobId](StoreResult result, std::vector<BatchItem> items) {
-        const auto found = this->entries.find(jobId);
-        if (found == this->entries.end()) {
+        JobEntry *const loaded = this->findLoading(jobId);
+        if (loaded == nullptr) {
             return;
         }
         if (result != StoreResult::Done) {
             this->finishLoading(jobId, result);
             return;
         }
-        if (!found->second.itemsLoaded) {
-            found->second.job = std::make_unique<Job>(found->second.header, std::move(items));
-            found->second.itemsLoaded = true;
-            found->second.fenced = false;
+        if (!loaded->itemsLoaded) {
+            loaded->job = std::make_unique<Job>(loaded->header, std::move(items));
+            loaded->itemsLoaded = true;
+            loaded->fenced = false;
         }
         this->loadResults(jobId);
     });
@@ -304,12 +324,12 @@
     const std::uint64_t number = this->entries.at(jobId).job->nextResultObject();
     const absl::Time sent = this->context.attempts.loop.nowIncludingSuspend();
     this->archive.readResults(jobId, number, [this, jobId, number, sent](StoreResult result, const ResultObject &content) {
-        const auto found = this->entries.find(jobId);
-        if (found == this->entries.end()) {
+        JobEntry *const loaded = this->findLoading(jobId);
+        if (loaded == nullptr || !loaded->job) {
             return;
         }
         if (result == StoreResult::NotFound) {
-            found->second.lease.renew(sent);
+            loaded->lease.renew(sent);
             this->finishLoading(jobId, StoreResult::Done);
             return;
         }
@@ -317,9 +337,9 @@
             this->finishLoading(jobId, result);
             return;
         }
-        if (found->second.job->nextResultObject() == number) {
-            found->second.job->addStoredObject(content);
-            doubtRunner(found->second);
+        if (loaded->job->nextResultObject() == number) {
+            loaded->job->addStoredObject(content);
+            doubtRunner(*loaded);
         }
         this->loadResults(jobId);
     });
--- a/src/JobService.h
+++ b/src/JobService.h
@@ -174,6 +174,10 @@
 
     /** Applies a stored header unless a newer one is known. Returns null when it is malformed. */
     JobEntry *applyHeader(const ObjectRecord &object);
+    /** Forgets a job that was removed from the store or is malformed there, and answers the calls that wait for it. */
+    void removeEntry(const std::string &jobId);
+    /** The job if its items or results are being loaded, otherwise null: it may have been removed and added again meanwhile. */
+    [[nodiscard]] JobEntry *findLoading(const std::string &jobId);
     /** Finds a job in memory, or else reads its header from the store. */
     void lookUp(const std::string &jobId, LookupHandler done);
     [[nodiscard]] std::int64_t waitingTokens(const std::string &host, const std::string &pathPrefix) const;
--- a/test/entry/JobReadTest.cpp
+++ b/test/entry/JobReadTest.cpp
@@ -238,6 +238,35 @@
     EXPECT_EQ(this->readResults().page.results.size(), 1U);
 }
 
+// Guards against a caller that gets no answer because the job is removed from the store, by an operator or as malformed, while its read
+// waits for results.
+TEST_F(JobReadTest, waitingReadIsAnsweredWhenTheJobIsRemoved)
+{
+    this->submitJob();
+    const LoopTimer removal = this->loop.after(
+        absl::Milliseconds(100), [this] { this->jobs.changeHeader({.removed = true, .object = this->store.object(JobArchive::headerKind, jobId)}); });
+    EXPECT_EQ(this->readResults(absl::Seconds(5)).lookup, JobLookup::Unknown);
+}
+
+// Guards against a process that ends, and a read without an answer, when a job is removed and comes back while its results are loaded.
+TEST_F(JobReadTest, jobMayBeRemovedAndReturnWhileItsResultsAreLoaded)
+{
+    this->writeJobOfOtherHost();
+    this->writeResultsOfOtherHost();
+    this->store.setReplies(InMemoryObjectStore::Replies::Held);
+    std::optional<JobLookup> lookup;
+    this->jobs.read(jobId, 0, absl::ZeroDuration(), [&lookup](JobLookup result, const JobPage &) { lookup = result; });
+    ASSERT_EQ(this->store.heldReplies(), 1U);
+    const ObjectRecord header = this->store.object(JobArchive::headerKind, jobId);
+    this->jobs.changeHeader({.removed = true, .object = header});
+    this->jobs.changeHeader({.removed = false, .object = header});
+    EXPECT_EQ(lookup, JobLookup::Unknown);
+    this->store.setReplies(InMemoryObjectStore::Replies::Delivered);
+    this->store.releaseReplies();
+    runFor(this->loop, tickPeriod);
+    EXPECT_EQ(this->readResults().lookup, JobLookup::Found);
+}
+
 // Guards against an answer without results while the store can not tell whether there are some.
 TEST_F(JobReadTest, hostThatCanNotAskTheStoreDoesNotDenyResults)
 {
