Log which start of an upstream was lost before it began an answer

What callers saw: requests that share one part of their prompt crash upstream after upstream. The log could not show it: request_suspected names a request, and these requests are all different.

No decision is changed.

--- a/src/OnlineCall.cpp
+++ b/src/OnlineCall.cpp
@@ -1,5 +1,8 @@
 #include "OnlineCall.h"
 
+#include <absl/strings/str_cat.h>
+#include <absl/strings/str_join.h>
+
 #include "CallRefusal.h"
 #include "RendezvousHash.h"
 #include "WeakCallback.h"
@@ -34,6 +37,11 @@
     return "unknown";
 }
 
+std::string partNames(const std::vector<std::uint64_t> &parts)
+{
+    return absl::StrJoin(parts, ",", [](std::string *text, std::uint64_t part) { absl::StrAppend(text, absl::Hex(part)); });
+}
+
 } // namespace
 
 OnlineCall::OnlineCall(
@@ -157,6 +165,13 @@
                              {"end", nameOf(result.outcome)},
                              {"status", result.head.status},
                              {"disconnected", result.connectionLost}});
+    if (this->lostBeforeAnswer(result)) {
+        this->context.log.write("upstream_lost_before_answer",
+                                {{"request", this->call.id},
+                                 {"upstream", upstream.id},
+                                 {"startedAtMs", upstream.startedAtMs},
+                                 {"promptParts", partNames(this->call.sharedPromptParts)}});
+    }
     if (this->retryPolicy.mayRetry(result.outcome, this->context.attempts.loop.now())) {
         this->startNextAttempt();
     } else if (result.outcome == AttemptOutcome::Failed && !this->exchange->started()) {
@@ -166,6 +181,11 @@
     }
 }
 
+bool OnlineCall::lostBeforeAnswer(const AttemptResult &result)
+{
+    return result.outcome == AttemptOutcome::MayHaveRun && result.connectionLost && !result.answerBegun;
+}
+
 void OnlineCall::updateCrashRecord(const AttemptResult &result, const std::string &upstream)
 {
     const absl::Time now = this->context.attempts.loop.now();
--- a/src/OnlineCall.h
+++ b/src/OnlineCall.h
@@ -47,6 +47,8 @@
     void onStreamStarted(const HttpHead &head);
     void onEvent(const StreamEvent &event);
     void onAttemptEnded(const AttemptResult &result);
+    /** Whether the upstream may have crashed before it began the answer. */
+    [[nodiscard]] static bool lostBeforeAnswer(const AttemptResult &result);
     void updateCrashRecord(const AttemptResult &result, const std::string &upstream);
     void finishStream();
     void deliverResponse(const AttemptResult &result);
--- a/src/ServingProtocol.h
+++ b/src/ServingProtocol.h
@@ -4,6 +4,7 @@
 #include <functional>
 #include <optional>
 #include <string>
+#include <vector>
 
 #include <absl/time/time.h>
 
@@ -33,6 +34,8 @@
     absl::Duration timeBudget = absl::InfiniteDuration();
     /** Id of the last event that the caller has received, when it resumes a stream. */
     std::optional<std::uint64_t> resumeAfter;
+    /** Ids of the parts of the prompt, in order, that other requests may share. The part that belongs to this request alone is left out. */
+    std::vector<std::uint64_t> sharedPromptParts;
     /** For ReadItemBody: the item whose body the caller wants. */
     std::string itemId;
     /** For ReadJob: position of the first result that the caller wants. */
--- a/src/UpstreamAttempt.cpp
+++ b/src/UpstreamAttempt.cpp
@@ -92,6 +92,7 @@
         accepted = this->events.feed(bytes);
     } else {
         this->lastActivityAt = now;
+        this->answerBegun = true;
         accepted = this->body.size() + bytes.size() <= maxCollectedBytes;
         if (accepted) {
             this->body.append(bytes);
@@ -107,6 +108,7 @@
 {
     if (event.id || !event.data.empty()) {
         this->lastActivityAt = this->context.loop.now();
+        this->answerBegun = true;
     }
     if (this->hooks.event) {
         const auto report = this->hooks.event;
@@ -146,6 +148,7 @@
 
 void UpstreamAttempt::finish(AttemptResult result)
 {
+    result.answerBegun = this->answerBegun;
     if (std::exchange(this->countedInLoad, false)) {
         this->context.load.removeRequest(this->target.id, this->batch);
     }
--- a/src/UpstreamAttempt.h
+++ b/src/UpstreamAttempt.h
@@ -34,6 +34,8 @@
     bool misdirected = false;
     /** The connection was lost or could not be opened, so the upstream may have crashed. */
     bool connectionLost = false;
+    /** Content of an answer has arrived: an event with content, or bytes of a body that is no stream. */
+    bool answerBegun = false;
 
     bool operator==(const AttemptResult &) const = default;
 };
@@ -89,6 +91,7 @@
     std::string body;
     EventStreamParser events;
     bool streaming = false;
+    bool answerBegun = false;
     /** Whether the load of the upstream still includes this attempt. */
     bool countedInLoad = true;
     absl::Time lastActivityAt;
