Show that requests that share a deadly part crash upstream after upstream

The stand-in for upstreams can crash on a request: it drops all its connections and is back after a while at another address and with a later start time.

--- a/test/site/SiteFleet.cpp
+++ b/test/site/SiteFleet.cpp
@@ -55,14 +55,16 @@
 
 void SiteFleet::registerUpstream(const StandinUpstream &upstream, const std::string &service, const std::string &state)
 {
-    this->store.write("servers",
-                      upstream.id(),
-                      {{"service", service}, {"address", upstream.address()}, {"zone", "a"}, {"version", "v1"}, {"slots", 8}, {"state", state}, {"born", 1}});
+    this->store.write(
+        "servers",
+        upstream.id(),
+        {{"service", service}, {"address", upstream.address()}, {"zone", "a"}, {"version", "v1"}, {"slots", 8}, {"state", state}, {"born", upstream.starts()}});
 }
 
-void SiteFleet::addUpstream(const std::string &service, int events, absl::Duration eventInterval)
+void SiteFleet::addUpstream(const std::string &service, int events, absl::Duration eventInterval, UpstreamOptions options)
 {
-    this->upstreams.push_back(std::make_unique<StandinUpstream>(this->loop, absl::StrCat("up-", this->upstreams.size()), events, eventInterval));
+    options.onRestarted = [this, service, number = this->upstreams.size()] { this->registerUpstream(*this->upstreams[number], service, "ready"); };
+    this->upstreams.push_back(std::make_unique<StandinUpstream>(this->loop, absl::StrCat("up-", this->upstreams.size()), events, eventInterval, options));
     this->registerUpstream(*this->upstreams.back(), service, "ready");
 }
 
--- a/test/site/SiteFleet.h
+++ b/test/site/SiteFleet.h
@@ -51,7 +51,7 @@
     void startHosts(int count);
     /** Destroys a host without a planned stop, as in a crash. */
     void crashHost(RunningHost &host);
-    void addUpstream(const std::string &service, int events, absl::Duration eventInterval = absl::Milliseconds(5));
+    void addUpstream(const std::string &service, int events, absl::Duration eventInterval = absl::Milliseconds(5), UpstreamOptions options = {});
     void registerUpstream(const StandinUpstream &upstream, const std::string &service, const std::string &state);
     void writeConfig(int version, int timeoutMs = 5000);
     std::shared_ptr<Answer> send(
--- a/test/standin/StandinUpstream.cpp
+++ b/test/standin/StandinUpstream.cpp
@@ -22,18 +22,54 @@
 } // namespace
 
 StandinUpstream::StandinUpstream(EventLoop &loop, std::string id, int events, absl::Duration eventInterval, UpstreamOptions upstreamOptions)
-    : loop(loop)
-    , upstreamId(std::move(id))
-    , events(events)
-    , eventInterval(eventInterval)
-    , options(std::move(upstreamOptions))
-    , server(loop, this->options.address, maxConnections, [this](const std::shared_ptr<HttpExchange> &exchange) { this->handle(exchange); })
+    : loop(loop), upstreamId(std::move(id)), events(events), eventInterval(eventInterval), options(std::move(upstreamOptions))
 {
+    this->listen(this->options.address);
+}
+
+void StandinUpstream::listen(const std::string &address)
+{
+    this->server =
+        std::make_shared<HttpServer>(this->loop, address, maxConnections, [this](const std::shared_ptr<HttpExchange> &exchange) { this->handle(exchange); });
+    this->boundAddress = this->server->address();
+}
+
+void StandinUpstream::resetConnections()
+{
+    for (const auto &run : std::exchange(this->activeRuns, {})) {
+        run->exchange->abort();
+    }
+}
+
+void StandinUpstream::crash()
+{
+    this->resetConnections();
+    // The server may be the caller, so it is destroyed by the loop.
+    this->server->stopAccepting();
+    this->loop.post([stopped = std::exchange(this->server, nullptr)] {});
+    this->restartTimer = this->loop.after(this->options.restartDelay, [this] {
+        ++this->startCount;
+        // The former port may belong to another process by now.
+        this->listen("127.0.0.1:0");
+        if (this->options.onRestarted) {
+            this->options.onRestarted();
+        }
+    });
+}
+
+bool StandinUpstream::down() const
+{
+    return this->server == nullptr;
+}
+
+int StandinUpstream::starts() const
+{
+    return this->startCount;
 }
 
 std::string StandinUpstream::address() const
 {
-    return this->server.address();
+    return this->boundAddress;
 }
 
 const std::string &StandinUpstream::id() const
@@ -69,6 +105,10 @@
 void StandinUpstream::handle(const std::shared_ptr<HttpExchange> &exchange)
 {
     const HttpRequest &request = exchange->request();
+    if (this->down()) {
+        exchange->abort();
+        return;
+    }
     if (headerField(request, "X-Expect-Instance") != this->upstreamId) {
         exchange->respond({.head = {.status = 421, .fields = {{"X-Instance-Id", this->upstreamId}}}, .body = {}});
         return;
@@ -153,6 +193,10 @@
 
 void StandinUpstream::sendNextEvent(const std::shared_ptr<Run> &run)
 {
+    if (!run->exchange->started() && this->options.crashesOn && this->options.crashesOn(run->exchange->request())) {
+        this->crash();
+        return;
+    }
     if (this->events == 0) {
         this->activeRuns.erase(run);
         run->exchange->respond({.head = {.status = 200, .fields = this->responseFields(run->exchange->request())},
--- a/test/standin/StandinUpstream.h
+++ b/test/standin/StandinUpstream.h
@@ -43,6 +43,12 @@
     bool tagsResponses = false;
     /** Called for each request that runs, before any response is sent. May be empty. */
     std::function<void(const std::string &requestId)> onRun;
+    /** Whether the upstream crashes when it would begin the answer to this request. May be empty. */
+    std::function<bool(const HttpRequest &)> crashesOn{};
+    /** Time from a crash until the upstream runs again, at another address and with a later start time. */
+    absl::Duration restartDelay = absl::Seconds(1);
+    /** Called when the upstream runs again after a crash. May be empty. */
+    std::function<void()> onRestarted{};
 };
 
 /** Stand-in for a model engine or a plain service. Runs on the event loop of the code that creates it. */
@@ -57,6 +63,14 @@
     void setMode(UpstreamMode mode);
     /** Number of runs by request id. */
     [[nodiscard]] const std::map<std::string, int> &runs() const;
+    /** Drops all connections and refuses new ones until it runs again after UpstreamOptions::restartDelay. */
+    void crash();
+    /** Drops all connections, as a failing network does; the upstream runs on. */
+    void resetConnections();
+    /** Whether a crash is followed by no restart yet. */
+    [[nodiscard]] bool down() const;
+    /** Number of starts, 1 at first; a restart increments it. */
+    [[nodiscard]] int starts() const;
     /** Number of requests that run now. */
     [[nodiscard]] std::size_t running() const;
     /** Bytes of all endless bodies. */
@@ -71,6 +85,7 @@
         LoopTimer timer;
     };
 
+    void listen(const std::string &address);
     void handle(const std::shared_ptr<HttpExchange> &exchange);
     void sendNextEvent(const std::shared_ptr<Run> &run);
     /** Sends @p bytes now and after each further @p interval, until the caller disconnects. */
@@ -88,7 +103,11 @@
     std::map<std::string, int> runCounts;
     std::set<std::shared_ptr<Run>> activeRuns;
     std::size_t endlessBytesSent = 0;
-    HttpServer server;
+    int startCount = 1;
+    LoopTimer restartTimer;
+    std::string boundAddress;
+    /** Null while the upstream is down. */
+    std::shared_ptr<HttpServer> server;
 };
 
 } // namespace Bergamotramp
