Quarantine parts of prompts on which upstreams crash

Cause: the unit of blame was a hash of target and body, and no two of these requests are alike. Crash counts of hosts were merged by their maximum, so crashes seen by different hosts did not add up.

Change: PromptPartQuarantine charges each shared part of a request with the loss of its upstream before any content of the answer. A loss is identified by the upstream and its start time; hosts merge sets of losses. A loss counts if its request was sent 50 ms after the loss counted before. An answer that begins clears the parts of its request, which is announced only if they had losses. Three losses quarantine a part, five that are 500 ms apart if this host has seen an answer with the part in the last 10 minutes. Requests with a quarantined part are refused as not run, with the time of the next trial as Retry-After. Trials are single attempts 10 s, 1, 5, 10, 20 and 30 minutes after the last loss; the hosts may start them one after another in the order of a rendezvous hash, and the request with the fewest quarantined parts goes first. A request with a part that is charged and unproven is retried once. Announcements carry changed parts for some seconds and quarantined ones whenever they are complete; without suspicion no byte is added. Jobs are unchanged: no item is charged or refused.

Ruled out: counting without distinguishing proven parts, because a part that all requests share collects the losses that other parts cause; one responsible host for trials, because it may get no request with the part; reporting times that other hosts reported, because each passing would add the delay of a datagram.

--- a/src/EntryHost.cpp
+++ b/src/EntryHost.cpp
@@ -62,6 +62,8 @@
 constexpr absl::Duration storedHostsDelayPerPeer = absl::Milliseconds(20);
 // Delay before a host that could not reach the store tries again to find the other hosts there.
 constexpr absl::Duration peerDiscoveryRetryDelay = absl::Seconds(2);
+// The hosts may start a due trial of a quarantined part of prompts one after another, this far apart.
+constexpr absl::Duration trialDelayPerHost = absl::Seconds(5);
 constexpr std::size_t controlConnections = 500;
 constexpr const char *snapshotPath = "/peer/snapshot";
 constexpr const char *jobChangedPath = "/peer/job-changed";
@@ -127,6 +129,7 @@
         this->peers,
         this->load,
         this->crashQuarantine,
+        this->promptParts,
         PeerExchange::Hooks{.announcedState =
                                 [this] {
                                     return AnnouncedState{.ready = this->ready(),
@@ -136,7 +139,12 @@
                                                           .storeSilent = this->loop.now() < this->storeUnansweredAt + storeSilenceAnnounceDuration,
                                                           .watchesStore = this->relayedStore.watchesStore()};
                                 },
-                            .announcementReceived = [this](const Peer &peer) { this->onPeerAnnouncement(peer); }});
+                            .announcementReceived = [this](const Peer &peer) { this->onPeerAnnouncement(peer); },
+                            .promptPartChanged =
+                                [this](std::uint64_t part, PartChange change) {
+                                    this->log.write(change == PartChange::Quarantined ? "prompt_part_quarantined" : "prompt_part_lifted",
+                                                    {{"promptPart", absl::StrCat(absl::Hex(part))}, {"reported", true}});
+                                }});
     const AttemptContext context{.loop = loop, .client = this->upstreamClient, .load = this->load, .health = this->health, .protocol = this->platform.serving};
     this->jobs = std::make_unique<JobService>(
         JobContext{.attempts = context,
@@ -494,6 +502,8 @@
 
 void EntryHost::onMetricsRequest(const std::shared_ptr<HttpExchange> &request)
 {
+    this->metrics.setGauge("prompt_parts_quarantined",
+                           static_cast<double>(this->promptParts.quarantinedParts(PromptPartQuarantine::maxParts, this->loop.now()).size()));
     this->metrics.setGauge("calls", static_cast<double>(this->onlineCalls.size()));
     this->metrics.setGauge("items_running", static_cast<double>(this->jobs->runningItems()));
     this->metrics.setGauge("peers_live", static_cast<double>(this->peers.liveHosts(this->loop.now()).size()));
@@ -593,9 +603,12 @@
         .choice = this->upstreamSelector,
         .upstreams = this->upstreams,
         .suspects = this->crashQuarantine,
+        .promptParts = this->promptParts,
         .log = this->log,
         .metrics = this->metrics,
-        .announceCrashes = [this](const auto &counts) { this->peerExchange->announceCrashes(counts); }};
+        .announceCrashes = [this](const auto &counts) { this->peerExchange->announceCrashes(counts); },
+        .announcePromptParts = [this](const auto &parts) { this->peerExchange->announcePromptParts(parts); },
+        .trialDelay = [this](std::uint64_t part) { return this->trialDelay(part); }};
     const std::string service = chooseTarget(route, this->randomFraction());
     const auto weakCall = std::make_shared<std::weak_ptr<OnlineCall>>();
     const auto online = std::make_shared<OnlineCall>(context, request, call, route, service, [this, weakCall] {
@@ -652,6 +665,17 @@
     return rendezvousPick(jobId, takeoverCandidates(this->peers, this->settings.name, this->settings.dataCentre, owner, this->loop.now()));
 }
 
+absl::Duration EntryHost::trialDelay(std::uint64_t part) const
+{
+    std::vector<std::string> names{this->settings.name};
+    for (const Peer &peer : this->peers.liveHosts(this->loop.now())) {
+        names.push_back(peer.name);
+    }
+    const std::vector<std::string> order = rendezvousOrder(absl::StrCat(absl::Hex(part)), std::move(names));
+    // The first host may get no request with the part, for example when they all come from another region.
+    return trialDelayPerHost * static_cast<double>(std::ranges::find(order, this->settings.name) - order.begin());
+}
+
 void EntryHost::onJobCall(const std::shared_ptr<HttpExchange> &request, const CallerCall &call, bool forwarded)
 {
     if (forwarded || call.kind == CallKind::CancelJob) {
--- a/src/EntryHost.h
+++ b/src/EntryHost.h
@@ -22,6 +22,7 @@
 #include "PeerExchange.h"
 #include "PeerTable.h"
 #include "PlatformAdapter.h"
+#include "PromptPartQuarantine.h"
 #include "RelayedStore.h"
 #include "RevisionLag.h"
 #include "UpstreamHealth.h"
@@ -102,6 +103,8 @@
     [[nodiscard]] std::vector<EntryEndpoint> readyEndpoints() const;
     /** The host that is to run a job: @p owner while it is live, else a live host chosen by rendezvous hashing. */
     [[nodiscard]] std::string runningHost(const std::string &jobId, const std::string &owner) const;
+    /** How long after the time at which a trial of a quarantined part of prompts is due this host may start it. */
+    [[nodiscard]] absl::Duration trialDelay(std::uint64_t part) const;
     [[nodiscard]] nlohmann::json snapshot() const;
     double randomFraction();
 
@@ -118,6 +121,7 @@
     UpstreamHealth health;
     UpstreamSelector upstreamSelector;
     CrashQuarantine crashQuarantine;
+    PromptPartQuarantine promptParts;
     PeerTable peers;
     std::shared_ptr<const RoutingConfig> config;
     nlohmann::json configObject;
--- a/src/OnlineCall.cpp
+++ b/src/OnlineCall.cpp
@@ -1,5 +1,9 @@
 #include "OnlineCall.h"
 
+#include <algorithm>
+#include <map>
+#include <utility>
+
 #include <absl/strings/str_cat.h>
 #include <absl/strings/str_join.h>
 
@@ -19,6 +23,8 @@
 constexpr absl::Duration minSilenceLimit = absl::Milliseconds(120);
 // Sent as Retry-After with a response that says the request has not run. A request to the users' services takes about a second.
 constexpr absl::Duration overloadRetryAfter = absl::Milliseconds(250);
+// A request with a part that may crash upstreams is sent to at most this many that do.
+constexpr int maxLostAttemptsOfSuspects = 2;
 constexpr int gatewayError = 502;
 constexpr int gatewayTimeout = 504;
 
@@ -73,6 +79,9 @@
 
 void OnlineCall::startNextAttempt()
 {
+    if (!this->admitPromptParts()) {
+        return;
+    }
     const absl::Time now = this->context.attempts.loop.now();
     const UpstreamInfo *upstream = this->context.choice.chooseForOnline(this->service, this->triedUpstreams, now);
     if (upstream == nullptr && !this->triedUpstreams.empty()) {
@@ -124,6 +133,9 @@
     if (this->finished) {
         return;
     }
+    if (event.id || !event.data.empty()) {
+        this->onAnswerBegun();
+    }
     if (event.id) {
         if (this->lastEventId && *event.id <= *this->lastEventId) {
             return;
@@ -152,6 +164,9 @@
     this->updateCrashRecord(result, upstream.id);
     const bool streamed = this->route.kind == RouteKind::Stream && result.head.status / 100 == 2;
     if (result.outcome == AttemptOutcome::Completed) {
+        if (result.answerBegun && result.head.status / 100 == 2) {
+            this->onAnswerBegun();
+        }
         if (streamed && result.body.empty()) {
             this->finishStream();
         } else {
@@ -171,8 +186,9 @@
                                  {"upstream", upstream.id},
                                  {"startedAtMs", upstream.startedAtMs},
                                  {"promptParts", partNames(this->call.sharedPromptParts)}});
+        this->chargePromptParts(upstream);
     }
-    if (this->retryPolicy.mayRetry(result.outcome, this->context.attempts.loop.now())) {
+    if (this->retryPolicy.mayRetry(result.outcome, this->context.attempts.loop.now()) && !this->retryWouldRiskUpstreams(result.outcome)) {
         this->startNextAttempt();
     } else if (result.outcome == AttemptOutcome::Failed && !this->exchange->started()) {
         this->deliverResponse(result);
@@ -181,9 +197,105 @@
     }
 }
 
-bool OnlineCall::lostBeforeAnswer(const AttemptResult &result)
+bool OnlineCall::lostBeforeAnswer(const AttemptResult &result) const
+{
+    // A resumed answer has begun earlier, which has shown that the request crashes no upstream.
+    return result.outcome == AttemptOutcome::MayHaveRun && result.connectionLost && !result.answerBegun && !this->answerBegun;
+}
+
+bool OnlineCall::admitPromptParts()
+{
+    if (!this->trialParts.empty()) {
+        return true;
+    }
+    const PartAdmission admission = this->context.promptParts.admit(this->call.sharedPromptParts, this->context.trialDelay, this->context.attempts.loop.now());
+    if (admission.verdict == PartVerdict::Admitted) {
+        return true;
+    }
+    // The trial is the only attempt of its request, so that it costs one upstream at most.
+    if (admission.verdict == PartVerdict::Trial && this->retryPolicy.state() == CallState::NotRun) {
+        this->startTrial(admission);
+        return true;
+    }
+    this->context.log.write(
+        "prompt_part_refused",
+        {{"request", this->call.id}, {"promptParts", partNames(admission.quarantined)}, {"attempts", this->attempts}, {"retryAfterMs", admission.retryAfter}});
+    if (this->retryPolicy.state() == CallState::NotRun && !this->exchange->started()) {
+        this->answer(notRunResponse("crashing_request", "a part of the prompt has crashed the upstreams that ran it", admission.retryAfter),
+                     "prompt_part_quarantined");
+    } else {
+        this->giveUp("prompt_part_quarantined");
+    }
+    return false;
+}
+
+void OnlineCall::startTrial(const PartAdmission &admission)
 {
-    return result.outcome == AttemptOutcome::MayHaveRun && result.connectionLost && !result.answerBegun;
+    this->trialParts = admission.quarantined;
+    this->context.log.write("prompt_part_trial", {{"request", this->call.id}, {"promptParts", partNames(this->trialParts)}});
+    this->context.announcePromptParts(this->trialParts);
+}
+
+void OnlineCall::chargePromptParts(const UpstreamInfo &upstream)
+{
+    ++this->lostAttempts;
+    const absl::Time now = this->context.attempts.loop.now();
+    const PartCrash crash{
+        .lost = now, .sent = this->attemptStarted, .upstreamStart = stableHash(stableHash(upstream.id), std::to_string(upstream.startedAtMs))};
+    std::vector<std::pair<std::uint64_t, PartChange>> changes;
+    // The cause of a failed trial is one of the parts that were on trial.
+    for (const std::uint64_t part : this->trialParts.empty() ? this->call.sharedPromptParts : this->trialParts) {
+        changes.emplace_back(part, this->context.promptParts.recordCrash(part, crash, now));
+    }
+    this->reportPartChanges(changes, upstream.id);
+}
+
+// Upstreams crash on a part when they begin the answer, so the first content of an answer already shows that none of the parts did it.
+void OnlineCall::onAnswerBegun()
+{
+    if (std::exchange(this->answerBegun, true)) {
+        return;
+    }
+    const absl::Time now = this->context.attempts.loop.now();
+    std::vector<std::pair<std::uint64_t, PartChange>> changes;
+    for (const std::uint64_t part : this->call.sharedPromptParts) {
+        changes.emplace_back(part, this->context.promptParts.recordAnswer(part, now));
+    }
+    this->reportPartChanges(changes, this->attempt ? std::string_view(this->attempt->upstream().id) : std::string_view());
+}
+
+void OnlineCall::reportPartChanges(const std::vector<std::pair<std::uint64_t, PartChange>> &changes, std::string_view upstream)
+{
+    static const std::map<PartChange, std::string_view> events{{PartChange::Charged, "prompt_part_charged"},
+                                                               {PartChange::Quarantined, "prompt_part_quarantined"},
+                                                               {PartChange::Cleared, "prompt_part_cleared"},
+                                                               {PartChange::Lifted, "prompt_part_lifted"}};
+    const absl::Time now = this->context.attempts.loop.now();
+    std::vector<std::uint64_t> changed;
+    for (const auto &[part, change] : changes) {
+        if (change == PartChange::None) {
+            continue;
+        }
+        changed.push_back(part);
+        this->context.log.write(events.at(change),
+                                {{"request", this->call.id},
+                                 {"promptPart", absl::StrCat(absl::Hex(part))},
+                                 {"upstream", upstream},
+                                 {"crashes", static_cast<std::uint64_t>(this->context.promptParts.crashes(part, now))}});
+    }
+    if (!changed.empty()) {
+        this->context.announcePromptParts(changed);
+    }
+}
+
+bool OnlineCall::retryWouldRiskUpstreams(AttemptOutcome outcome) const
+{
+    if (outcome == AttemptOutcome::NotRun) {
+        return false;
+    }
+    const absl::Time now = this->context.attempts.loop.now();
+    const auto isSuspect = [this, now](std::uint64_t part) { return this->context.promptParts.isSuspect(part, now); };
+    return !this->trialParts.empty() || (this->lostAttempts >= maxLostAttemptsOfSuspects && std::ranges::any_of(this->call.sharedPromptParts, isSuspect));
 }
 
 void OnlineCall::updateCrashRecord(const AttemptResult &result, const std::string &upstream)
@@ -222,7 +334,7 @@
 
 void OnlineCall::checkProgress(absl::Time now)
 {
-    if (this->finished || !this->attempt || !this->retryPolicy.mayReplace(now)) {
+    if (this->finished || !this->attempt || !this->trialParts.empty() || !this->retryPolicy.mayReplace(now)) {
         return;
     }
     const std::string upstream = this->attempt->upstream().id;
@@ -234,6 +346,10 @@
     if (replacement == nullptr) {
         return;
     }
+    const auto isQuarantined = [this, now](std::uint64_t part) { return this->context.promptParts.isQuarantined(part, now); };
+    if (std::ranges::any_of(this->call.sharedPromptParts, isQuarantined)) {
+        return;
+    }
     this->context.log.write("attempt_replaced", {{"request", this->call.id}, {"upstream", upstream}, {"silentMs", silent}});
     if (now - this->context.attempts.health.lastActivity(upstream) > recentActivityPeriod) {
         this->context.attempts.health.recordFailure(upstream, now);
--- a/src/OnlineCall.h
+++ b/src/OnlineCall.h
@@ -10,6 +10,7 @@
 #include "EntryMetrics.h"
 #include "HttpServer.h"
 #include "JsonLog.h"
+#include "PromptPartQuarantine.h"
 #include "RetryPolicy.h"
 #include "ServingProtocol.h"
 #include "UpstreamAttempt.h"
@@ -23,10 +24,15 @@
     const UpstreamSelector &choice;
     const UpstreamTable &upstreams;
     CrashQuarantine &suspects;
+    PromptPartQuarantine &promptParts;
     JsonLog &log;
     EntryMetrics &metrics;
     /** Announces changed crash counts of request fingerprints to the other hosts; 0 when the request has completed. */
     std::function<void(const std::vector<std::pair<std::uint64_t, std::uint32_t>> &)> announceCrashes;
+    /** Announces the changed state of these parts of prompts to the other hosts. */
+    std::function<void(const std::vector<std::uint64_t> &)> announcePromptParts;
+    /** How long after the time at which a trial of this part is due the host may start it. */
+    std::function<absl::Duration(std::uint64_t part)> trialDelay;
 };
 
 /** One online request, from its arrival to the end of its response, over all its attempts at upstreams. */
@@ -48,8 +54,18 @@
     void onEvent(const StreamEvent &event);
     void onAttemptEnded(const AttemptResult &result);
     /** Whether the upstream may have crashed before it began the answer. */
-    [[nodiscard]] static bool lostBeforeAnswer(const AttemptResult &result);
+    [[nodiscard]] bool lostBeforeAnswer(const AttemptResult &result) const;
     void updateCrashRecord(const AttemptResult &result, const std::string &upstream);
+    /** Whether the parts of the prompt allow an attempt. Ends the call if they don't. */
+    bool admitPromptParts();
+    void startTrial(const PartAdmission &admission);
+    void chargePromptParts(const UpstreamInfo &upstream);
+    /** Records that an upstream has begun the answer: it did not crash on the parts of the prompt. */
+    void onAnswerBegun();
+    /** Logs and announces the parts that changed. */
+    void reportPartChanges(const std::vector<std::pair<std::uint64_t, PartChange>> &changes, std::string_view upstream);
+    /** Whether another attempt would risk too many upstreams. */
+    [[nodiscard]] bool retryWouldRiskUpstreams(AttemptOutcome outcome) const;
     void finishStream();
     void deliverResponse(const AttemptResult &result);
     /** Ends the call without an upstream's response: aborts a started response, else answers with an error of this host. */
@@ -79,6 +95,12 @@
     /** Response head of the stream, kept until its first event. */
     HttpHead streamHead;
     int attempts = 0;
+    /** Attempts whose upstream was lost before it began the answer. */
+    int lostAttempts = 0;
+    /** Whether an upstream has begun the answer. */
+    bool answerBegun = false;
+    /** The quarantined parts of a request that runs as their trial. */
+    std::vector<std::uint64_t> trialParts;
     bool finished = false;
     LoopTimer deadlineTimer;
 };
--- a/src/PeerExchange.cpp
+++ b/src/PeerExchange.cpp
@@ -1,6 +1,8 @@
 #include "PeerExchange.h"
 
 #include <algorithm>
+#include <limits>
+#include <set>
 #include <stdexcept>
 
 #include <absl/container/flat_hash_map.h>
@@ -15,6 +17,11 @@
 constexpr absl::Duration crashAnnouncementDuration = absl::Seconds(3);
 // A crash count from this on is announced to all hosts at once: with the next crash the request has to be quarantined everywhere.
 constexpr std::uint32_t urgentCrashes = CrashQuarantine::crashesToQuarantine - 1;
+// A part of prompts with this many crashes is announced to all hosts at once: it may be quarantined with the next one.
+constexpr std::size_t urgentPartCrashes = PromptPartQuarantine::crashesToQuarantine - 1;
+// Bounds for a datagram, in which a part with all of its crashes takes about 250 bytes.
+constexpr std::size_t maxAnnouncedParts = 64;
+constexpr std::size_t maxAnnouncedQuarantinedParts = 32;
 constexpr std::size_t maxDatagramBytes = 60'000;
 constexpr std::size_t maxCachedEndpoints = 4000;
 constexpr std::int64_t receivesPerTick = 4;
@@ -33,6 +40,48 @@
 constexpr absl::Duration announcementDelay = absl::Milliseconds(100);
 constexpr absl::Duration defaultAnnouncementPeriod = absl::Milliseconds(500);
 
+std::uint32_t toMilliseconds(absl::Duration duration)
+{
+    const std::int64_t limit = std::numeric_limits<std::uint32_t>::max();
+    return static_cast<std::uint32_t>(std::clamp<std::int64_t>(absl::ToInt64Milliseconds(duration), 0, limit));
+}
+
+void encodePart(peer::PromptPart &entry, const PartReport &report, absl::Time now)
+{
+    entry.set_part(report.part);
+    for (const PartCrash &crash : report.crashes) {
+        peer::PromptPartCrash *encoded = entry.add_crashes();
+        encoded->set_upstream_start(crash.upstreamStart);
+        encoded->set_lost_ms(toMilliseconds(now - crash.lost));
+        encoded->set_ran_ms(toMilliseconds(crash.lost - crash.sent));
+    }
+    if (report.clearedAt > absl::InfinitePast()) {
+        entry.set_cleared_ms(toMilliseconds(now - report.clearedAt));
+    }
+    if (report.trialAt > absl::InfinitePast()) {
+        entry.set_trial_ms(toMilliseconds(now - report.trialAt));
+    }
+    entry.set_requested_ms(toMilliseconds(now - report.requestedAt));
+}
+
+PartReport decodePart(const peer::PromptPart &entry, absl::Time now)
+{
+    PartReport report;
+    report.part = entry.part();
+    for (const peer::PromptPartCrash &crash : entry.crashes()) {
+        const absl::Time lost = now - absl::Milliseconds(crash.lost_ms());
+        report.crashes.push_back({.lost = lost, .sent = lost - absl::Milliseconds(crash.ran_ms()), .upstreamStart = crash.upstream_start()});
+    }
+    if (entry.has_cleared_ms()) {
+        report.clearedAt = now - absl::Milliseconds(entry.cleared_ms());
+    }
+    if (entry.has_trial_ms()) {
+        report.trialAt = now - absl::Milliseconds(entry.trial_ms());
+    }
+    report.requestedAt = now - absl::Milliseconds(entry.requested_ms());
+    return report;
+}
+
 asio::ip::udp::endpoint udpEndpoint(const std::string &address)
 {
     const asio::ip::tcp::endpoint endpoint = parseEndpoint(address);
@@ -63,12 +112,14 @@
     absl::flat_hash_map<std::string, asio::ip::udp::endpoint> endpoints;
 };
 
-PeerExchange::PeerExchange(EventLoop &loop, Peer self, PeerTable &peers, FleetLoad &load, CrashQuarantine &crashQuarantine, Hooks hooks)
+PeerExchange::PeerExchange(
+    EventLoop &loop, Peer self, PeerTable &peers, FleetLoad &load, CrashQuarantine &crashQuarantine, PromptPartQuarantine &promptParts, Hooks hooks)
     : loop(loop)
     , self(std::move(self))
     , peers(peers)
     , load(load)
     , crashQuarantine(crashQuarantine)
+    , promptParts(promptParts)
     , hooks(std::move(hooks))
     , socket(std::make_unique<Socket>(loop))
 {
@@ -132,7 +183,8 @@
     this->updateSchedule();
     this->timer = this->loop.after(this->schedule.tickPeriod(), [this] { this->tick(); });
     this->sendIntroductions(now);
-    for (const AnnouncementSchedule::Round &round : this->schedule.takeDue(this->load.hasChanges(), this->announcesUrgentCrash(now), now)) {
+    for (const AnnouncementSchedule::Round &round :
+         this->schedule.takeDue(this->load.hasChanges(), this->announcesUrgentCrash(now) || this->announcesUrgentPart(now), now)) {
         this->announce(round);
     }
 }
@@ -158,6 +210,43 @@
     return now <= this->announceCrashesUntil && std::ranges::any_of(this->crashCounts, [](const auto &entry) { return entry.second >= urgentCrashes; });
 }
 
+bool PeerExchange::announcesUrgentPart(absl::Time now) const
+{
+    return std::ranges::any_of(this->announcedParts, [this, now](const auto &entry) {
+        return now <= entry.second && this->promptParts.crashes(entry.first, now) >= urgentPartCrashes;
+    });
+}
+
+void PeerExchange::announcePromptParts(const std::vector<std::uint64_t> &parts)
+{
+    // Hosts of other regions get announcements that are not urgent at long intervals in a large fleet.
+    const absl::Time until = this->loop.now() + std::max(crashAnnouncementDuration, 2 * this->schedule.period(PeerDistance::OtherRegion));
+    for (const std::uint64_t part : parts) {
+        std::erase_if(this->announcedParts, [part](const auto &entry) { return entry.first == part; });
+        this->announcedParts.emplace_back(part, until);
+    }
+    while (this->announcedParts.size() > maxAnnouncedParts) {
+        this->announcedParts.pop_front();
+    }
+}
+
+void PeerExchange::addPromptParts(peer::HostState &message, bool quarantined)
+{
+    const absl::Time now = this->loop.now();
+    std::erase_if(this->announcedParts, [now](const auto &entry) { return entry.second < now; });
+    std::set<std::uint64_t> parts;
+    std::ranges::transform(this->announcedParts, std::inserter(parts, parts.end()), [](const auto &entry) { return entry.first; });
+    if (quarantined) {
+        const std::vector<std::uint64_t> kept = this->promptParts.quarantinedParts(maxAnnouncedQuarantinedParts, now);
+        parts.insert(kept.begin(), kept.end());
+    }
+    for (const std::uint64_t part : parts) {
+        if (const auto report = this->promptParts.report(part)) {
+            encodePart(*message.add_prompt_parts(), *report, now);
+        }
+    }
+}
+
 void PeerExchange::announceNow()
 {
     for (const PeerDistance distance : {PeerDistance::Near, PeerDistance::SameRegion, PeerDistance::OtherRegion}) {
@@ -179,6 +268,7 @@
     const absl::Time now = this->loop.now();
     peer::HostState message = this->currentState();
     addLoad(message, round.distance == PeerDistance::Near ? this->load.nextAnnouncement(round.complete) : this->load.completeAnnouncement());
+    this->addPromptParts(message, round.complete);
     message.set_next_within_ms(static_cast<std::uint32_t>(absl::ToInt64Milliseconds(round.nextWithin)));
     const std::string plainBytes = message.SerializeAsString();
     if (round.complete) {
@@ -211,6 +301,7 @@
 {
     peer::HostState message = this->currentState();
     addLoad(message, {.complete = false, .uses = {}, .batchWaiting = this->load.ownBatchWaiting()});
+    this->addPromptParts(message, true);
     this->addIdentity(message, maxNamedPeers);
     message.set_request(request);
     this->send(message.SerializeAsString(), peerAddress);
@@ -346,6 +437,7 @@
     this->answerRequest(message, senderAddress);
     this->applyLoad(*sender, message);
     this->applyCrashCounts(message);
+    this->applyPromptParts(message);
     this->hooks.announcementReceived(*sender);
 }
 
@@ -415,4 +507,15 @@
     }
 }
 
+void PeerExchange::applyPromptParts(const peer::HostState &message)
+{
+    const absl::Time now = this->loop.now();
+    for (const peer::PromptPart &entry : message.prompt_parts()) {
+        const PartChange change = this->promptParts.merge(decodePart(entry, now), now);
+        if (change == PartChange::Quarantined || change == PartChange::Lifted) {
+            this->hooks.promptPartChanged(entry.part(), change);
+        }
+    }
+}
+
 } // namespace Bergamotramp
--- a/src/PeerExchange.h
+++ b/src/PeerExchange.h
@@ -2,6 +2,7 @@
 
 #include <array>
 #include <cstdint>
+#include <deque>
 #include <functional>
 #include <map>
 #include <memory>
@@ -17,6 +18,7 @@
 #include "EventLoop.h"
 #include "FleetLoad.h"
 #include "PeerTable.h"
+#include "PromptPartQuarantine.h"
 #include "peer.pb.h"
 
 namespace Bergamotramp {
@@ -35,7 +37,7 @@
 
 /**
  * Announces this host's state and load to the other hosts by UDP datagrams, and applies their announcements to the table of
- * peers, the fleet load and the crash counts. A lost datagram is not resent; the next announcement replaces it. Data that must
+ * peers, the fleet load, the crash counts and the quarantine of prompt parts. A lost datagram is not resent; the next announcement replaces it. Data that must
  * arrive is therefore not sent this way.
  */
 class PeerExchange
@@ -44,10 +46,13 @@
     struct Hooks {
         std::function<AnnouncedState()> announcedState;
         std::function<void(const Peer &)> announcementReceived;
+        /** A report of another host has quarantined a part of prompts or lifted its quarantine. */
+        std::function<void(std::uint64_t part, PartChange)> promptPartChanged;
     };
 
     /** Binds @p self.peerAddress; throws std::runtime_error when that fails. */
-    PeerExchange(EventLoop &loop, Peer self, PeerTable &peers, FleetLoad &load, CrashQuarantine &crashQuarantine, Hooks hooks);
+    PeerExchange(
+        EventLoop &loop, Peer self, PeerTable &peers, FleetLoad &load, CrashQuarantine &crashQuarantine, PromptPartQuarantine &promptParts, Hooks hooks);
 
     ~PeerExchange();
     PeerExchange(const PeerExchange &) = delete;
@@ -69,6 +74,8 @@
     void announceNow();
     /** Adds the crash counts of these request fingerprints to the announcements of the next seconds. */
     void announceCrashes(const std::vector<std::pair<std::uint64_t, std::uint32_t>> &counts);
+    /** Adds the state of these parts of prompts to the announcements of the next seconds. */
+    void announcePromptParts(const std::vector<std::uint64_t> &parts);
 
 private:
     struct Socket;
@@ -85,6 +92,8 @@
     void announce(const AnnouncementSchedule::Round &round);
     /** The message without loads and identity. */
     [[nodiscard]] peer::HostState currentState();
+    /** Adds the parts that are announced now, and the quarantined ones if @p quarantined. */
+    void addPromptParts(peer::HostState &message, bool quarantined);
     static void addLoad(peer::HostState &message, const LoadAnnouncement &announcement);
     /** Adds the identity of this host and the addresses of up to @p maxNamedPeers live hosts. */
     void addIdentity(peer::HostState &message, std::size_t maxNamedPeers);
@@ -94,6 +103,7 @@
     void sendIntroductions(absl::Time now);
     void answerRequest(const peer::HostState &message, const std::string &senderAddress);
     [[nodiscard]] PeerDistance distanceOf(const Peer &peer) const;
+    [[nodiscard]] bool announcesUrgentPart(absl::Time now) const;
     /** Whether a crash count is announced that another crash would raise to a quarantine. */
     [[nodiscard]] bool announcesUrgentCrash(absl::Time now) const;
     void receiveDatagrams();
@@ -102,12 +112,14 @@
     [[nodiscard]] std::optional<Peer> decodeSender(const peer::HostState &message, const std::string &senderAddress);
     void applyLoad(const Peer &sender, const peer::HostState &message);
     void applyCrashCounts(const peer::HostState &message);
+    void applyPromptParts(const peer::HostState &message);
 
     EventLoop &loop;
     Peer self;
     PeerTable &peers;
     FleetLoad &load;
     CrashQuarantine &crashQuarantine;
+    PromptPartQuarantine &promptParts;
     Hooks hooks;
     std::unique_ptr<Socket> socket;
     AnnouncementSchedule schedule;
@@ -119,6 +131,8 @@
     std::map<std::uint32_t, std::string> namesByKey;
     std::vector<std::pair<std::uint64_t, std::uint32_t>> crashCounts;
     absl::Time announceCrashesUntil = absl::InfinitePast();
+    /** Parts of prompts whose state is announced, with the end of that; the newest last. */
+    std::deque<std::pair<std::uint64_t, absl::Time>> announcedParts;
     std::size_t nextPeerToName = 0;
     LoopTimer receiveTimer;
     LoopTimer timer;
--- a/test/site/PromptPartTest.cpp
+++ b/test/site/PromptPartTest.cpp
@@ -65,7 +65,10 @@
             std::ranges::count_if(this->runLog, [&](const auto &run) { return run.first >= from && absl::StartsWith(run.second, prefix); }));
     }
 
-    /** Sends a request with the deadly part to each host in turn until one is refused without a run. Returns whether one was. */
+    /**
+     * Sends a request with the deadly part to each host in turn until one is refused without a run, and a sound one after each: these
+     * show which of the shared parts is deadly. Returns whether one was refused.
+     */
     bool sendDeadlyUntilRefused()
     {
         for (std::size_t number = 0; number < 4 * this->hosts.size(); ++number) {
@@ -75,6 +78,7 @@
                 return true;
             }
             runFor(this->loop, absl::Milliseconds(200));
+            EXPECT_EQ(this->wait(this->sendSound(*this->hosts[number % this->hosts.size()])).head.status, 200);
         }
         return false;
     }
