Ignore connections that are reported after the end of their server

Seen: one run of PromptPartTest ended with a heap-use-after-free in the handler of HttpServer::accept(), when an upstream of the stand-in crashed.

Cause: a connection that waits is accepted as soon as the one before it is handled, and reported by a later turn of the loop. A server that is destroyed in between does not cancel that report. The daemon destroys its servers only at its end; the stand-in does so while it runs.

Change: the handler checks that the server still exists.

Measured: the new test fails without the change (heap-use-after-free in the same handler) and passes with it.

--- a/src/HttpServer.cpp
+++ b/src/HttpServer.cpp
@@ -29,6 +29,8 @@
     {
     }
     asio::ip::tcp::acceptor acceptor;
+    /** Expires with the server. */
+    std::shared_ptr<bool> lifetime = std::make_shared<bool>(true);
 };
 
 HttpExchange::HttpExchange(std::shared_ptr<HttpServerConnection> connection, HttpRequest request, absl::Time received)
@@ -307,24 +309,26 @@
 
 void HttpServer::accept()
 {
-    this->acceptor->acceptor.async_accept([this](const boost::system::error_code &error, asio::ip::tcp::socket socket) {
-        if (error == asio::error::operation_aborted) {
-            return;
-        }
-        if (error) {
-            this->acceptRetryTimer = this->loop.after(acceptRetryDelay, [this] { this->accept(); });
-            return;
-        }
-        const auto stream = std::make_shared<TcpStream>(this->loop, TcpSocket{std::move(socket)});
-        if (this->openConnections.size() >= this->maxConnections) {
-            stream->reset();
-        } else {
-            const auto connection = std::make_shared<HttpServerConnection>(*this, stream);
-            this->openConnections.insert(connection);
-            connection->start();
-        }
-        this->accept();
-    });
+    this->acceptor->acceptor.async_accept(
+        [this, lifetime = std::weak_ptr<bool>(this->acceptor->lifetime)](const boost::system::error_code &error, asio::ip::tcp::socket socket) {
+            // A connection that was accepted before the server is destroyed may be reported after it, without an error.
+            if (lifetime.expired() || error == asio::error::operation_aborted) {
+                return;
+            }
+            if (error) {
+                this->acceptRetryTimer = this->loop.after(acceptRetryDelay, [this] { this->accept(); });
+                return;
+            }
+            const auto stream = std::make_shared<TcpStream>(this->loop, TcpSocket{std::move(socket)});
+            if (this->openConnections.size() >= this->maxConnections) {
+                stream->reset();
+            } else {
+                const auto connection = std::make_shared<HttpServerConnection>(*this, stream);
+                this->openConnections.insert(connection);
+                connection->start();
+            }
+            this->accept();
+        });
 }
 
 void HttpServer::closeAfterResponses()
--- a/test/entry/HttpTest.cpp
+++ b/test/entry/HttpTest.cpp
@@ -48,6 +48,32 @@
     EXPECT_TRUE(this->exchanges.empty());
 }
 
+// Guards against an access to a server that was destroyed between the acceptance of a connection and its report to the server. How
+// often the loop turns between these depends on the order of its queue, so several are tried.
+TEST(HttpServerEndTest, connectionAcceptedBeforeTheEndOfTheServerIsIgnored)
+{
+    for (int turns = 0; turns < 4; ++turns) {
+        EventLoop loop;
+        auto server = std::make_unique<HttpServer>(loop, "127.0.0.1:0", maxConnections, [](const std::shared_ptr<HttpExchange> &) { FAIL(); });
+        asio::io_context clientContext;
+        // The second connection is accepted while the first one is handled, and reported by a later turn of the loop.
+        asio::ip::tcp::socket first(clientContext);
+        asio::ip::tcp::socket second(clientContext);
+        first.connect(parseEndpoint(server->address()));
+        second.connect(parseEndpoint(server->address()));
+        std::function<void(int)> endAfter = [&](int left) {
+            if (left == 0) {
+                server.reset();
+            } else {
+                loop.post([&endAfter, left] { endAfter(left - 1); });
+            }
+        };
+        loop.post([&endAfter, turns] { endAfter(turns); });
+        EXPECT_TRUE(runUntil(loop, [&server] { return server == nullptr; }));
+        runFor(loop, absl::Milliseconds(20));
+    }
+}
+
 // Guards against configured size limits that are not applied.
 TEST_F(HttpServerTest, rejectsHeadersAndBodiesOverTheLimits)
 {
