Test the end of a quarantine of a prompt part and the decoding of the parts

A trial has to lift the quarantine at all hosts once upstreams no longer crash on the part; malformed headers name no parts. The test with the deadly part records its figures.

--- a/test/site/PromptPartTest.cpp
+++ b/test/site/PromptPartTest.cpp
@@ -30,7 +30,7 @@
             options.restartDelay = restartDelay;
             options.onRun = [this](const std::string &id) { this->runLog.emplace_back(this->loop.now(), id); };
             options.crashesOn = [this](const HttpRequest &request) {
-                const bool crashes = absl::StrContains(std::string(request.fields.find(prefixField).value_or("")), deadlyPart);
+                const bool crashes = this->partIsDeadly && absl::StrContains(std::string(request.fields.find(prefixField).value_or("")), deadlyPart);
                 if (crashes) {
                     this->crashes.push_back(this->loop.now());
                 }
@@ -86,6 +86,7 @@
     std::vector<std::pair<absl::Time, std::string>> runLog;
     std::vector<absl::Time> crashes;
     std::uint32_t prompts = 0;
+    bool partIsDeadly = true;
 };
 
 // Guards against requests that are all different but share a part on which each upstream crashes: they take one upstream after the
@@ -114,6 +115,8 @@
     }
     const absl::Time from = std::min(limitStart(), started + absl::Seconds(8));
     const int deadlyRuns = this->runsSince(from, "deadly");
+    RecordProperty("runsWithTheDeadlyPart", deadlyRuns);
+    RecordProperty("crashes", static_cast<int>(this->crashes.size()));
     EXPECT_LE(deadlyRuns, maxDeadlyRuns);
     ASSERT_TRUE(runUntil(this->loop, [&sound] { return std::ranges::all_of(sound, [](const auto &answer) { return answer->ended(); }); }));
     const auto served = std::ranges::count_if(sound, [](const auto &answer) { return answer->completed && answer->head.status == 200; });
@@ -155,6 +158,42 @@
     EXPECT_EQ(this->wait(this->sendSound(restarted)).head.status, 200);
 }
 
+// Guards against a part that stays refused, or stays so at some hosts, after the upstreams no longer crash on it.
+TEST_F(PromptPartTest, trialLiftsTheQuarantineAtAllHosts)
+{
+    this->start(3, 6);
+    ASSERT_TRUE(this->sendDeadlyUntilRefused());
+    this->partIsDeadly = false;
+    const absl::Time end = this->loop.now() + absl::Seconds(35);
+    bool served = false;
+    for (std::size_t round = 0; !served && this->loop.now() < end; ++round) {
+        served = this->wait(this->sendDeadly(*this->hosts[round % this->hosts.size()])).head.status == 200;
+        runFor(this->loop, absl::Milliseconds(50));
+    }
+    ASSERT_TRUE(served);
+    runFor(this->loop, absl::Seconds(1));
+    for (const auto &host : this->hosts) {
+        EXPECT_EQ(this->wait(this->sendDeadly(*host)).head.status, 200);
+    }
+}
+
+// Guards against a malformed header that blames parts at random, and against blaming the part of the request itself.
+TEST(PromptPartHeaderTest, lastPartAndMalformedHeadersAreLeftOut)
+{
+    EventLoop loop;
+    EntryMetrics metrics;
+    const PlatformAdapter platform = connectPlatform(loop, "127.0.0.1:1", metrics);
+    const auto sharedParts = [&platform](const std::string &header) {
+        const HttpRequest request{.method = "POST", .target = "/stream/x", .fields = {{prefixField, header}}, .body = {}};
+        return platform.serving.decodeCall(request).sharedPromptParts;
+    };
+    EXPECT_EQ(sharedParts("5c1e07a2:800, 91BD3F06:410,e4402b7d:250"), (std::vector<std::uint64_t>{0x5c1e07a2, 0x91bd3f06}));
+    EXPECT_EQ(sharedParts("ffffffffffffffff:1,1:1"), (std::vector<std::uint64_t>{0xffffffffffffffff}));
+    for (const char *malformed : {"", "5c1e07a2:800", "x:1,1:1", "1:1,2", "1:1,2:x", "1:,2:1", ":1,2:1", "1:1,", "1ffffffffffffffff:1,2:1", "-1:1,2:1"}) {
+        EXPECT_TRUE(sharedParts(malformed).empty()) << malformed;
+    }
+}
+
 // Guards against refusing a part that all requests share, after the connections to all upstreams have been reset at once several times.
 TEST_F(PromptPartTest, resetOfAllConnectionsRefusesNoPart)
 {
