Send nothing new to an upstream that states that it leaves

What callers would see: an upstream that leaves says so in all its answers (Server-Leaving: 1), but a host went by the store's entries alone. A host whose watch lags, or whose store is silent, went on sending requests to it for as long as its entry said "ready", and these were lost when the upstream ended.

UpstreamTable takes the run of the upstream (id and start of its process) out of the choice at once, so for online requests, items, retries, replacements, resumed streams and the last resort. An entry without a start can not show another run: it is let in again only after it was removed while the store was available. A misdirected answer holds for the upstream that was expected and for the registered one that the answer names. The event is upstream_states_leaving, the metric bergamotramp_upstreams_leaving_total. The stand-in gets setLeaving().

--- a/src/EntryHost.cpp
+++ b/src/EntryHost.cpp
@@ -145,9 +145,8 @@
                                     this->log.write(change == PartChange::Quarantined ? "prompt_part_quarantined" : "prompt_part_lifted",
                                                     {{"promptPart", absl::StrCat(absl::Hex(part))}, {"reported", true}});
                                 }});
-    const AttemptContext context{.loop = loop, .client = this->upstreamClient, .load = this->load, .health = this->health, .protocol = this->platform.serving};
     this->jobs = std::make_unique<JobService>(
-        JobContext{.attempts = context,
+        JobContext{.attempts = this->attemptContext(),
                    .store = *this->platform.store,
                    .choice = this->upstreamSelector,
                    .upstreams = this->upstreams,
@@ -389,6 +388,34 @@
     this->upstreamObjects[id] = change.object.toJson();
 }
 
+AttemptContext EntryHost::attemptContext()
+{
+    return {.loop = this->loop,
+            .client = this->upstreamClient,
+            .load = this->load,
+            .health = this->health,
+            .protocol = this->platform.serving,
+            .statedLeaving = [this](const LeavingStatement &statement) { this->onStatedLeaving(statement); }};
+}
+
+void EntryHost::onStatedLeaving(const LeavingStatement &statement)
+{
+    // When another upstream has the address and leaves, requests for the expected one would reach it, too.
+    this->recordStatedLeaving({.id = statement.expected.id, .startedAtMs = statement.expected.startedAtMs}, "answer");
+    const UpstreamInfo *sender = statement.sender ? this->upstreams.find(*statement.sender) : nullptr;
+    if (sender != nullptr && sender->address == statement.expected.address) {
+        this->recordStatedLeaving({.id = sender->id, .startedAtMs = sender->startedAtMs}, "answer");
+    }
+}
+
+void EntryHost::recordStatedLeaving(const UpstreamRun &run, const std::string &source)
+{
+    if (this->upstreams.recordStatedLeaving(run)) {
+        this->log.write("upstream_states_leaving", {{"upstream", run.id}, {"startedAtMs", run.startedAtMs}, {"source", source}});
+        this->metrics.recordLeavingUpstream(source);
+    }
+}
+
 void EntryHost::onPeerAnnouncement(const Peer &peer)
 {
     const std::uint64_t own = this->config ? this->config->revision : 0;
@@ -598,17 +625,16 @@
 
 void EntryHost::startOnline(const std::shared_ptr<HttpExchange> &request, const CallerCall &call, const Route &route)
 {
-    const OnlineContext context{
-        .attempts = {.loop = this->loop, .client = this->upstreamClient, .load = this->load, .health = this->health, .protocol = this->platform.serving},
-        .choice = this->upstreamSelector,
-        .upstreams = this->upstreams,
-        .suspects = this->crashQuarantine,
-        .promptParts = this->promptParts,
-        .log = this->log,
-        .metrics = this->metrics,
-        .announceCrashes = [this](const auto &counts) { this->peerExchange->announceCrashes(counts); },
-        .announcePromptParts = [this](const auto &parts) { this->peerExchange->announcePromptParts(parts); },
-        .trialDelay = [this](std::uint64_t part) { return this->trialDelay(part); }};
+    const OnlineContext context{.attempts = this->attemptContext(),
+                                .choice = this->upstreamSelector,
+                                .upstreams = this->upstreams,
+                                .suspects = this->crashQuarantine,
+                                .promptParts = this->promptParts,
+                                .log = this->log,
+                                .metrics = this->metrics,
+                                .announceCrashes = [this](const auto &counts) { this->peerExchange->announceCrashes(counts); },
+                                .announcePromptParts = [this](const auto &parts) { this->peerExchange->announcePromptParts(parts); },
+                                .trialDelay = [this](std::uint64_t part) { return this->trialDelay(part); }};
     const std::string service = chooseTarget(route, this->randomFraction());
     const auto weakCall = std::make_shared<std::weak_ptr<OnlineCall>>();
     const auto online = std::make_shared<OnlineCall>(context, request, call, route, service, [this, weakCall] {
--- a/src/EntryHost.h
+++ b/src/EntryHost.h
@@ -73,6 +73,10 @@
     void applyConfig(const ObjectRecord &object);
     void applyUpstreams(const std::vector<ObjectRecord> &objects);
     void applyUpstreamChange(const ObjectChange &change);
+    void onStatedLeaving(const LeavingStatement &statement);
+    /** Takes the run of an upstream out of the choice for new requests; @p source is what this host learned it from. */
+    void recordStatedLeaving(const UpstreamRun &run, const std::string &source);
+    [[nodiscard]] AttemptContext attemptContext();
     void onPeerAnnouncement(const Peer &peer);
     void adjustWatchTimings();
     /** Fetches a newer configuration from @p peer when this host has lacked it for at least configRequestDelay(). */
--- a/src/EntryMetrics.cpp
+++ b/src/EntryMetrics.cpp
@@ -33,6 +33,10 @@
         prometheus::BuildCounter().Name("bergamotramp_items_total").Help("Runs of batch items by service and end.").Register(registry);
     prometheus::Family<prometheus::Counter> &storeCalls =
         prometheus::BuildCounter().Name("bergamotramp_store_calls_total").Help("Calls to the store by kind of call and result.").Register(registry);
+    prometheus::Family<prometheus::Counter> &leavingUpstreams = prometheus::BuildCounter()
+                                                                    .Name("bergamotramp_upstreams_leaving_total")
+                                                                    .Help("Upstreams that stated that they leave, by source of the statement.")
+                                                                    .Register(registry);
     prometheus::Family<prometheus::Gauge> &gauges = prometheus::BuildGauge().Name("bergamotramp_state").Help("State of this host by name.").Register(registry);
 };
 
@@ -73,6 +77,11 @@
     this->families->storeCalls.Add({{"call", call}, {"result", result}}).Increment();
 }
 
+void EntryMetrics::recordLeavingUpstream(const std::string &source)
+{
+    this->families->leavingUpstreams.Add({{"source", source}}).Increment();
+}
+
 void EntryMetrics::setGauge(const std::string &name, double value)
 {
     this->families->gauges.Add({{"name", name}}).Set(value);
--- a/src/EntryMetrics.h
+++ b/src/EntryMetrics.h
@@ -25,6 +25,8 @@
     void recordBatchPreemption(const std::string &service);
     void recordItemRun(const std::string &service, const std::string &outcome);
     void recordStoreCall(const std::string &call, const std::string &result);
+    /** Counts an upstream that has stated that it leaves, by what this host learned it from. */
+    void recordLeavingUpstream(const std::string &source);
     void setGauge(const std::string &name, double value);
 
     [[nodiscard]] std::string text() const;
--- a/src/ServingProtocol.h
+++ b/src/ServingProtocol.h
@@ -71,6 +71,10 @@
     std::function<bool(const HttpHead &)> statesNotRun;
     /** Whether the response states that another upstream has the address now. */
     std::function<bool(const HttpHead &)> misdirected;
+    /** Whether the upstream that sent the response states that it leaves. */
+    std::function<bool(const HttpHead &)> statesLeaving;
+    /** Id of the upstream that sent the response, if the response names it; misdirected ones do. */
+    std::function<std::optional<std::string>(const HttpHead &)> respondingUpstream;
 };
 
 } // namespace Bergamotramp
--- a/src/UpstreamAttempt.cpp
+++ b/src/UpstreamAttempt.cpp
@@ -77,12 +77,20 @@
     this->lastActivityAt = this->context.loop.now();
     this->context.health.recordActivity(this->target.id, this->lastActivityAt);
     this->head = received;
+    this->reportIfLeaving(received);
     this->streaming = this->stream && received.status >= firstSuccessStatus && received.status < firstRedirectStatus;
     if (this->streaming && this->hooks.streamStarted) {
         this->hooks.streamStarted(this->head);
     }
 }
 
+void UpstreamAttempt::reportIfLeaving(const HttpHead &received) const
+{
+    if (this->context.statedLeaving && this->context.protocol.statesLeaving(received)) {
+        this->context.statedLeaving({.expected = this->target, .sender = this->context.protocol.respondingUpstream(received)});
+    }
+}
+
 void UpstreamAttempt::onBody(std::string_view bytes)
 {
     const absl::Time now = this->context.loop.now();
--- a/src/UpstreamAttempt.h
+++ b/src/UpstreamAttempt.h
@@ -2,6 +2,7 @@
 
 #include <functional>
 #include <memory>
+#include <optional>
 #include <string>
 
 #include <absl/time/time.h>
@@ -15,6 +16,14 @@
 
 namespace Bergamotramp {
 
+/** A response in which an upstream states itself that it leaves. */
+struct LeavingStatement {
+    /** The upstream to which the request was sent. */
+    const UpstreamInfo &expected;
+    /** Id of the upstream that sent the response, if the response names it; another one when the request was misdirected. */
+    std::optional<std::string> sender;
+};
+
 /** Services of the entry host that UpstreamAttempt uses. */
 struct AttemptContext {
     EventLoop &loop;
@@ -22,6 +31,8 @@
     FleetLoad &load;
     UpstreamHealth &health;
     const ServingProtocol &protocol;
+    /** Called for each response that states that its upstream leaves. May be empty. */
+    std::function<void(const LeavingStatement &)> statedLeaving{};
 };
 
 /** Outcome of an attempt and the response, if any. */
@@ -76,6 +87,7 @@
 
 private:
     void onHead(const HttpHead &head);
+    void reportIfLeaving(const HttpHead &head) const;
     void onBody(std::string_view bytes);
     void onCompleted();
     void onFailed(HttpCallError error);
--- a/src/UpstreamTable.cpp
+++ b/src/UpstreamTable.cpp
@@ -1,12 +1,37 @@
 #include "UpstreamTable.h"
 
 #include <set>
+#include <utility>
 
 namespace Bergamotramp {
 
 void UpstreamTable::put(const UpstreamInfo &upstream)
 {
-    this->entries[upstream.id] = {.info = upstream, .state = RegistrationState::Registered, .vanishedAt = absl::InfinitePast()};
+    const bool statedLeaving = this->hasStatedLeaving(upstream);
+    this->entries[upstream.id] = {.info = upstream, .state = RegistrationState::Registered, .vanishedAt = absl::InfinitePast(), .statedLeaving = statedLeaving};
+}
+
+bool UpstreamTable::hasStatedLeaving(const UpstreamInfo &upstream) const
+{
+    if (upstream.startedAtMs != 0) {
+        return this->leavingRuns.contains({.id = upstream.id, .startedAtMs = upstream.startedAtMs});
+    }
+    // Nothing in the registration tells another run from the one that leaves. A registration that was removed and is back counts as
+    // another run: an upstream that is kept out wrongly would stay out for ever, one that is let in wrongly states again that it leaves.
+    const auto known = this->entries.find(upstream.id);
+    return known != this->entries.end() && known->second.statedLeaving && known->second.state != RegistrationState::Removed;
+}
+
+bool UpstreamTable::recordStatedLeaving(const UpstreamRun &run)
+{
+    const bool added = run.startedAtMs != 0 && this->leavingRuns.add(run);
+    const auto found = this->entries.find(run.id);
+    if (found == this->entries.end()) {
+        return added;
+    }
+    Entry &entry = found->second;
+    const bool sameRun = entry.info.startedAtMs == run.startedAtMs || entry.info.startedAtMs == 0;
+    return (sameRun && !std::exchange(entry.statedLeaving, true)) || added;
 }
 
 bool UpstreamTable::inOutageGrace(absl::Time now) const
@@ -75,7 +100,8 @@
     std::vector<const UpstreamInfo *> result;
     std::vector<const UpstreamInfo *> lastResort;
     for (const auto &[id, entry] : this->entries) {
-        if (entry.info.service == service && !entry.info.leaving) {
+        // The last resort does not use upstreams that leave either: they may not get requests that callers send later.
+        if (entry.info.service == service && !entry.info.leaving && !entry.statedLeaving) {
             (entry.state == RegistrationState::Removed ? lastResort : result).push_back(&entry.info);
         }
     }
--- a/src/UpstreamTable.h
+++ b/src/UpstreamTable.h
@@ -8,6 +8,8 @@
 
 #include <absl/time/time.h>
 
+#include "LeavingRuns.h"
+
 namespace Bergamotramp {
 
 /** One upstream as it registered itself. */
@@ -47,6 +49,12 @@
     void remove(std::string_view id, absl::Time now);
     /** Replaces the table by the complete list of registrations. */
     void replaceAll(const std::vector<UpstreamInfo> &upstreams, absl::Time now);
+    /**
+     * Records that a run of an upstream has stated itself that it leaves; returns whether that was not known. The run gets no new
+     * requests any more, whatever its registration says, and neither as a last resort. If its start is not known, that holds until the
+     * registration has vanished and the id is registered again.
+     */
+    bool recordStatedLeaving(const UpstreamRun &run);
     void registryLost(absl::Time now);
     void registryRegained(absl::Time now);
     /** Drops vanished registrations whose grace period has passed. */
@@ -69,11 +77,15 @@
         UpstreamInfo info;
         RegistrationState state = RegistrationState::Registered;
         absl::Time vanishedAt = absl::InfinitePast();
+        /** The run that is registered has stated itself that it leaves. */
+        bool statedLeaving = false;
     };
 
     [[nodiscard]] bool inOutageGrace(absl::Time now) const;
+    [[nodiscard]] bool hasStatedLeaving(const UpstreamInfo &upstream) const;
 
     std::map<std::string, Entry, std::less<>> entries;
+    LeavingRuns leavingRuns;
     bool registryUnavailable = false;
     absl::Time regainedAt = absl::InfinitePast();
 };
--- a/test/site/SiteFleet.cpp
+++ b/test/site/SiteFleet.cpp
@@ -53,12 +53,13 @@
                        {"limits", {{"maxHeaderBytes", 16384}, {"maxBodyBytes", 4194304}, {"headerTimeoutMs", 3000}, {"idleTimeoutMs", 15000}}}});
 }
 
-void SiteFleet::registerUpstream(const StandinUpstream &upstream, const std::string &service, const std::string &state)
+void SiteFleet::registerUpstream(const StandinUpstream &upstream, const std::string &service, const std::string &state, std::optional<std::int64_t> startedAtMs)
 {
-    this->store.write(
-        "servers",
-        upstream.id(),
-        {{"service", service}, {"address", upstream.address()}, {"zone", "a"}, {"version", "v1"}, {"slots", 8}, {"state", state}, {"born", upstream.starts()}});
+    nlohmann::json entry{{"service", service}, {"address", upstream.address()}, {"zone", "a"}, {"version", "v1"}, {"slots", 8}, {"state", state}};
+    if (const std::int64_t started = startedAtMs.value_or(upstream.starts()); started != 0) {
+        entry["born"] = started;
+    }
+    this->store.write("servers", upstream.id(), entry);
 }
 
 void SiteFleet::addUpstream(const std::string &service, int events, absl::Duration eventInterval, UpstreamOptions options)
--- a/test/site/SiteFleet.h
+++ b/test/site/SiteFleet.h
@@ -52,7 +52,8 @@
     /** Destroys a host without a planned stop, as in a crash. */
     void crashHost(RunningHost &host);
     void addUpstream(const std::string &service, int events, absl::Duration eventInterval = absl::Milliseconds(5), UpstreamOptions options = {});
-    void registerUpstream(const StandinUpstream &upstream, const std::string &service, const std::string &state);
+    /** @p startedAtMs distinguishes the runs of an upstream under one id: its number of starts by default; 0 leaves it out. */
+    void registerUpstream(const StandinUpstream &upstream, const std::string &service, const std::string &state, std::optional<std::int64_t> startedAtMs = {});
     void writeConfig(int version, int timeoutMs = 5000);
     std::shared_ptr<Answer> send(
         const RunningHost &host, const std::string &method, const std::string &target, const HttpFields &fields, const std::string &body = "");
--- a/test/standin/StandinUpstream.cpp
+++ b/test/standin/StandinUpstream.cpp
@@ -82,6 +82,16 @@
     this->mode = newMode;
 }
 
+void StandinUpstream::setLeaving(bool nowLeaving)
+{
+    this->leaving = nowLeaving;
+}
+
+std::size_t StandinUpstream::received() const
+{
+    return this->receivedCount;
+}
+
 const std::map<std::string, int> &StandinUpstream::runs() const
 {
     return this->runCounts;
@@ -99,23 +109,40 @@
 
 HttpFields StandinUpstream::responseFields(const HttpRequest &request) const
 {
-    return {{"X-Request-Id", headerField(request, "X-Request-Id")}, {"X-Response-Signature", absl::StrCat("by-", this->upstreamId)}};
+    return this->withStatements({{"X-Request-Id", headerField(request, "X-Request-Id")}, {"X-Response-Signature", absl::StrCat("by-", this->upstreamId)}});
+}
+
+HttpFields StandinUpstream::withStatements(HttpFields fields) const
+{
+    if (this->leaving) {
+        fields.add("Server-Leaving", "1");
+    }
+    return fields;
+}
+
+bool StandinUpstream::refuse(const std::shared_ptr<HttpExchange> &exchange)
+{
+    if (headerField(exchange->request(), "X-Expect-Instance") != this->upstreamId) {
+        exchange->respond({.head = {.status = 421, .fields = this->withStatements({{"X-Instance-Id", this->upstreamId}})}, .body = {}});
+        return true;
+    }
+    const bool full = this->options.slots > 0 && this->activeRuns.size() >= this->options.slots;
+    if (full || this->mode == UpstreamMode::Full) {
+        exchange->respond({.head = {.status = 503, .fields = this->withStatements({{"X-Not-Executed", "1"}})}, .body = {}});
+        return true;
+    }
+    return false;
 }
 
 void StandinUpstream::handle(const std::shared_ptr<HttpExchange> &exchange)
 {
     const HttpRequest &request = exchange->request();
+    ++this->receivedCount;
     if (this->down()) {
         exchange->abort();
         return;
     }
-    if (headerField(request, "X-Expect-Instance") != this->upstreamId) {
-        exchange->respond({.head = {.status = 421, .fields = {{"X-Instance-Id", this->upstreamId}}}, .body = {}});
-        return;
-    }
-    const bool full = this->options.slots > 0 && this->activeRuns.size() >= this->options.slots;
-    if (full || this->mode == UpstreamMode::Full) {
-        exchange->respond({.head = {.status = 503, .fields = {{"X-Not-Executed", "1"}}}, .body = {}});
+    if (this->refuse(exchange)) {
         return;
     }
     ++this->runCounts[headerField(request, "X-Request-Id")];
--- a/test/standin/StandinUpstream.h
+++ b/test/standin/StandinUpstream.h
@@ -61,6 +61,8 @@
     [[nodiscard]] std::string address() const;
     [[nodiscard]] const std::string &id() const;
     void setMode(UpstreamMode mode);
+    /** Whether each response states with Server-Leaving that the upstream leaves. Requests are still handled as the mode says. */
+    void setLeaving(bool leaving);
     /** Number of runs by request id. */
     [[nodiscard]] const std::map<std::string, int> &runs() const;
     /** Drops all connections and refuses new ones until it runs again after UpstreamOptions::restartDelay. */
@@ -71,6 +73,8 @@
     [[nodiscard]] bool down() const;
     /** Number of starts, 1 at first; a restart increments it. */
     [[nodiscard]] int starts() const;
+    /** Number of requests that have arrived, including those that were refused. */
+    [[nodiscard]] std::size_t received() const;
     /** Number of requests that run now. */
     [[nodiscard]] std::size_t running() const;
     /** Bytes of all endless bodies. */
@@ -91,6 +95,10 @@
     /** Sends @p bytes now and after each further @p interval, until the caller disconnects. */
     void sendForEver(const std::shared_ptr<Run> &run, const std::string &bytes, absl::Duration interval);
     void startStream(const std::shared_ptr<Run> &run);
+    /** Refuses the request if it names another upstream or finds no free slot; returns whether it was refused. */
+    bool refuse(const std::shared_ptr<HttpExchange> &exchange);
+    /** Adds what the upstream states in all its responses. */
+    [[nodiscard]] HttpFields withStatements(HttpFields fields) const;
     [[nodiscard]] std::string requestTag(const HttpRequest &request) const;
     [[nodiscard]] HttpFields responseFields(const HttpRequest &request) const;
 
@@ -100,6 +108,8 @@
     absl::Duration eventInterval;
     UpstreamOptions options;
     UpstreamMode mode = UpstreamMode::Serving;
+    bool leaving = false;
+    std::size_t receivedCount = 0;
     std::map<std::string, int> runCounts;
     std::set<std::shared_ptr<Run>> activeRuns;
     std::size_t endlessBytesSent = 0;
