Announce upstreams that state that they leave to the other hosts

What callers would see: each host learned it from the upstream's own answer, so with 12 hosts up to 12 more requests went to an upstream that was leaving.

Hosts that learn it from a datagram do not pass it on. The field is repeated and stays empty while no upstream leaves, so it adds no bytes then. A run without a known start is not announced: the announcement could arrive after the same id was registered again. The rule does not depend on the announcements. The event and the metric say the source, "answer" or "host".

--- a/src/EntryHost.cpp
+++ b/src/EntryHost.cpp
@@ -144,7 +144,8 @@
                                 [this](std::uint64_t part, PartChange change) {
                                     this->log.write(change == PartChange::Quarantined ? "prompt_part_quarantined" : "prompt_part_lifted",
                                                     {{"promptPart", absl::StrCat(absl::Hex(part))}, {"reported", true}});
-                                }});
+                                },
+                            .leavingUpstreamAnnounced = [this](const UpstreamRun &run) { this->recordStatedLeaving(run, "host"); }});
     this->jobs = std::make_unique<JobService>(
         JobContext{.attempts = this->attemptContext(),
                    .store = *this->platform.store,
@@ -401,19 +402,28 @@
 void EntryHost::onStatedLeaving(const LeavingStatement &statement)
 {
     // When another upstream has the address and leaves, requests for the expected one would reach it, too.
-    this->recordStatedLeaving({.id = statement.expected.id, .startedAtMs = statement.expected.startedAtMs}, "answer");
+    std::vector<UpstreamRun> leaving{{.id = statement.expected.id, .startedAtMs = statement.expected.startedAtMs}};
     const UpstreamInfo *sender = statement.sender ? this->upstreams.find(*statement.sender) : nullptr;
     if (sender != nullptr && sender->address == statement.expected.address) {
-        this->recordStatedLeaving({.id = sender->id, .startedAtMs = sender->startedAtMs}, "answer");
+        leaving.push_back({.id = sender->id, .startedAtMs = sender->startedAtMs});
+    }
+    for (const UpstreamRun &run : leaving) {
+        // What another host has announced is not announced again, and an announcement without a start could come too late and then
+        // mean a former run.
+        if (this->recordStatedLeaving(run, "answer") && run.startedAtMs != 0) {
+            this->peerExchange->announceLeavingUpstream(run);
+        }
     }
 }
 
-void EntryHost::recordStatedLeaving(const UpstreamRun &run, const std::string &source)
+bool EntryHost::recordStatedLeaving(const UpstreamRun &run, const std::string &source)
 {
-    if (this->upstreams.recordStatedLeaving(run)) {
-        this->log.write("upstream_states_leaving", {{"upstream", run.id}, {"startedAtMs", run.startedAtMs}, {"source", source}});
-        this->metrics.recordLeavingUpstream(source);
+    if (!this->upstreams.recordStatedLeaving(run)) {
+        return false;
     }
+    this->log.write("upstream_states_leaving", {{"upstream", run.id}, {"startedAtMs", run.startedAtMs}, {"source", source}});
+    this->metrics.recordLeavingUpstream(source);
+    return true;
 }
 
 void EntryHost::onPeerAnnouncement(const Peer &peer)
--- a/src/EntryHost.h
+++ b/src/EntryHost.h
@@ -74,8 +74,8 @@
     void applyUpstreams(const std::vector<ObjectRecord> &objects);
     void applyUpstreamChange(const ObjectChange &change);
     void onStatedLeaving(const LeavingStatement &statement);
-    /** Takes the run of an upstream out of the choice for new requests; @p source is what this host learned it from. */
-    void recordStatedLeaving(const UpstreamRun &run, const std::string &source);
+    /** Takes the run of an upstream out of the choice for new requests; @p source is what this host learned it from. Returns whether it was new. */
+    bool recordStatedLeaving(const UpstreamRun &run, const std::string &source);
     [[nodiscard]] AttemptContext attemptContext();
     void onPeerAnnouncement(const Peer &peer);
     void adjustWatchTimings();
--- a/src/PeerExchange.cpp
+++ b/src/PeerExchange.cpp
@@ -22,6 +22,10 @@
 // Bounds for a datagram, in which a part with all of its crashes takes about 250 bytes.
 constexpr std::size_t maxAnnouncedParts = 64;
 constexpr std::size_t maxAnnouncedQuarantinedParts = 32;
+// Other hosts need not learn this to keep requests away: each upstream tells them itself. So it is announced for a short time, and
+// only the newest ones are.
+constexpr absl::Duration leavingAnnouncementDuration = absl::Seconds(2);
+constexpr std::size_t maxAnnouncedLeavingUpstreams = 64;
 constexpr std::size_t maxDatagramBytes = 60'000;
 constexpr std::size_t maxCachedEndpoints = 4000;
 constexpr std::int64_t receivesPerTick = 4;
@@ -263,6 +267,27 @@
     this->announceCrashesUntil = this->loop.now() + crashAnnouncementDuration;
 }
 
+void PeerExchange::announceLeavingUpstream(const UpstreamRun &run)
+{
+    this->announcedLeavingUpstreams.emplace_back(run, this->loop.now() + leavingAnnouncementDuration);
+    if (this->announcedLeavingUpstreams.size() > maxAnnouncedLeavingUpstreams) {
+        this->announcedLeavingUpstreams.pop_front();
+    }
+}
+
+void PeerExchange::addLeavingUpstreams(peer::HostState &message)
+{
+    const absl::Time now = this->loop.now();
+    while (!this->announcedLeavingUpstreams.empty() && now > this->announcedLeavingUpstreams.front().second) {
+        this->announcedLeavingUpstreams.pop_front();
+    }
+    for (const auto &[run, until] : this->announcedLeavingUpstreams) {
+        peer::LeavingUpstream *entry = message.add_leaving_upstreams();
+        entry->set_upstream(run.id);
+        entry->set_started_at_ms(run.startedAtMs);
+    }
+}
+
 void PeerExchange::announce(const AnnouncementSchedule::Round &round)
 {
     const absl::Time now = this->loop.now();
@@ -345,6 +370,7 @@
             entry->set_crashes(count);
         }
     }
+    this->addLeavingUpstreams(message);
     return message;
 }
 
@@ -438,6 +464,7 @@
     this->applyLoad(*sender, message);
     this->applyCrashCounts(message);
     this->applyPromptParts(message);
+    this->applyLeavingUpstreams(message);
     this->hooks.announcementReceived(*sender);
 }
 
@@ -518,4 +545,14 @@
     }
 }
 
+void PeerExchange::applyLeavingUpstreams(const peer::HostState &message)
+{
+    if (!this->hooks.leavingUpstreamAnnounced) {
+        return;
+    }
+    for (const peer::LeavingUpstream &leaving : message.leaving_upstreams()) {
+        this->hooks.leavingUpstreamAnnounced({.id = leaving.upstream(), .startedAtMs = leaving.started_at_ms()});
+    }
+}
+
 } // namespace Bergamotramp
--- a/src/PeerExchange.h
+++ b/src/PeerExchange.h
@@ -17,6 +17,7 @@
 #include "CrashQuarantine.h"
 #include "EventLoop.h"
 #include "FleetLoad.h"
+#include "LeavingRuns.h"
 #include "PeerTable.h"
 #include "PromptPartQuarantine.h"
 #include "peer.pb.h"
@@ -48,6 +49,8 @@
         std::function<void(const Peer &)> announcementReceived;
         /** A report of another host has quarantined a part of prompts or lifted its quarantine. */
         std::function<void(std::uint64_t part, PartChange)> promptPartChanged;
+        /** Another host announces that a run of an upstream has stated that it leaves. May be empty. */
+        std::function<void(const UpstreamRun &)> leavingUpstreamAnnounced{};
     };
 
     /** Binds @p self.peerAddress; throws std::runtime_error when that fails. */
@@ -76,6 +79,8 @@
     void announceCrashes(const std::vector<std::pair<std::uint64_t, std::uint32_t>> &counts);
     /** Adds the state of these parts of prompts to the announcements of the next seconds. */
     void announcePromptParts(const std::vector<std::uint64_t> &parts);
+    /** Adds a run of an upstream that has stated that it leaves to the announcements of the next seconds. */
+    void announceLeavingUpstream(const UpstreamRun &run);
 
 private:
     struct Socket;
@@ -113,6 +118,8 @@
     void applyLoad(const Peer &sender, const peer::HostState &message);
     void applyCrashCounts(const peer::HostState &message);
     void applyPromptParts(const peer::HostState &message);
+    void addLeavingUpstreams(peer::HostState &message);
+    void applyLeavingUpstreams(const peer::HostState &message);
 
     EventLoop &loop;
     Peer self;
@@ -133,6 +140,8 @@
     absl::Time announceCrashesUntil = absl::InfinitePast();
     /** Parts of prompts whose state is announced, with the end of that; the newest last. */
     std::deque<std::pair<std::uint64_t, absl::Time>> announcedParts;
+    /** Leaving upstreams that are announced, each with the time until which it is, in the order in which they were added. */
+    std::deque<std::pair<UpstreamRun, absl::Time>> announcedLeavingUpstreams;
     std::size_t nextPeerToName = 0;
     LoopTimer receiveTimer;
     LoopTimer timer;
--- a/test/site/LeavingUpstreamTest.cpp
+++ b/test/site/LeavingUpstreamTest.cpp
@@ -210,6 +210,17 @@
     EXPECT_EQ(this->upstreams[0]->received(), before);
 }
 
+// Guards against a host that sends requests to a leaving upstream until the upstream tells it so as well.
+TEST_F(LeavingUpstreamTest, otherHostsLearnOfItBeforeTheStoreSaysSo)
+{
+    this->start(2, false, 2);
+    this->store.setMode(ObjectApiMode::Silent);
+    this->learnThatItLeaves(*this->upstreams[0]);
+    // Announcements follow one another by half a second at most.
+    runFor(this->loop, absl::Seconds(1));
+    EXPECT_EQ(this->requestsThatReach(*this->upstreams[0], 1), 0U);
+}
+
 // Guards against requests for leaving upstreams as a last resort when all upstreams of a service leave, also when their
 // registrations vanish, and against callers that wait for a refusal or get one that does not say that the request has not run.
 TEST_F(LeavingUpstreamTest, requestIsRefusedWhenAllUpstreamsLeave)
