Let upstreams leave in the soak by their answers alone

What was missing: the soak's upstreams left only by a change of their registrations, so the soak could not notice a host that ignores what upstreams state in their answers.

The soak notes when a host passed on such an answer and checks, in the upstreams' logs of their runs, that no request that was sent to the same host more than 2.5 s later ran there. It is checked during faults as well; a restart or a pause of the host since then excuses it. Items are not checked: the logs do not say which host sent them.

--- a/test/soak/SoakCallers.cpp
+++ b/test/soak/SoakCallers.cpp
@@ -14,6 +14,7 @@
 // A host responds to a request at the latest half a second after the time-out of the request.
 constexpr absl::Duration timeoutResponseSlack = absl::Milliseconds(500);
 constexpr absl::Duration machineLoadSlack = absl::Milliseconds(1500);
+constexpr std::string_view signaturePrefix = "by-";
 constexpr int ok = 200;
 constexpr int notFound = 404;
 
@@ -109,6 +110,7 @@
 {
     request->address = this->pickAddress();
     request->sentAt = this->loop.now();
+    this->state.sentRequests[request->id] = {request->address, request->sentAt};
     this->openRequests.insert(request);
     request->deadline = this->loop.after(SoakBounds::requestTimeout + timeoutResponseSlack + machineLoadSlack, [this, weak = std::weak_ptr<Request>(request)] {
         if (const auto late = weak.lock()) {
@@ -123,12 +125,31 @@
                                                   {"X-Deadline-Ms", absl::StrCat(absl::ToInt64Milliseconds(SoakBounds::requestTimeout))}},
                                        .body = "question"},
                                       {.matchesRequest = {},
-                                       .head = [raw = request.get()](const HttpHead &head) { raw->head = head; },
+                                       .head =
+                                           [this, raw = request.get()](const HttpHead &head) {
+                                               raw->head = head;
+                                               this->recordLeavingUpstream(*raw);
+                                           },
                                        .body = [raw = request.get()](std::string_view bytes) { raw->body.append(bytes); },
                                        .completed = [this, request] { this->handleResponse(request); },
                                        .failed = [this, request](HttpCallError error) { this->handleFailure(request, error); }});
 }
 
+void SoakCallers::recordLeavingUpstream(const Request &request)
+{
+    const auto signature = request.head.fields.find("X-Response-Signature");
+    if (!request.head.fields.find("Server-Leaving") || !signature || !signature->starts_with(signaturePrefix)) {
+        return;
+    }
+    this->state.report.increment("answers of leaving upstreams");
+    const std::string upstream(signature->substr(signaturePrefix.size()));
+    const absl::Time interrupted = this->fleet.interruptedAt(request.address);
+    absl::Time &passedOn = this->state.leavingPassedOnAt.try_emplace({upstream, request.address}, this->loop.now()).first->second;
+    if (passedOn < interrupted) {
+        passedOn = this->loop.now();
+    }
+}
+
 std::string SoakCallers::describe(const Request &request) const
 {
     return absl::StrCat(request.id,
--- a/test/soak/SoakCallers.h
+++ b/test/soak/SoakCallers.h
@@ -53,6 +53,7 @@
     void sendNextRequest();
     void scheduleNextRequest();
     void send(const std::shared_ptr<Request> &request);
+    void recordLeavingUpstream(const Request &request);
     void handleResponse(const std::shared_ptr<Request> &request);
     void handleFailure(const std::shared_ptr<Request> &request, HttpCallError error);
     void handleTimeout(const std::shared_ptr<Request> &request);
--- a/test/soak/SoakFleet.cpp
+++ b/test/soak/SoakFleet.cpp
@@ -16,6 +16,7 @@
 constexpr absl::Duration registerDelay = absl::Milliseconds(300);
 // Longer than SoakBounds::drainTime, within which hosts may still send new requests to the draining upstream.
 constexpr absl::Duration drainedKillDelay = absl::Milliseconds(3500);
+constexpr absl::Duration unregisteredKillDelay = absl::Milliseconds(1500);
 constexpr absl::Duration restartDelay = absl::Milliseconds(200);
 constexpr int modelSlots = 8;
 constexpr int plainSlots = 6;
@@ -203,6 +204,7 @@
 
 void SoakFleet::startHost(Host &host)
 {
+    host.interruptedAt = this->loop.now();
     host.down = false;
     host.stopRequestedAt = absl::InfiniteFuture();
     host.process = std::make_unique<ChildProcess>(std::vector<std::string>{this->setup.daemon, "--settings", host.settingsFile},
@@ -224,6 +226,16 @@
     return absl::StrCat(this->hosts[host].ip, ":", portOf(this->hostPorts[Directory]));
 }
 
+absl::Time SoakFleet::interruptedAt(const std::string &entryAddress) const
+{
+    for (std::size_t host = 0; host < this->hosts.size(); ++host) {
+        if (this->entryAddress(host) == entryAddress) {
+            return this->hosts[host].interruptedAt;
+        }
+    }
+    return absl::InfinitePast();
+}
+
 void SoakFleet::killHost(std::size_t host)
 {
     this->report.log("kill " + this->hosts[host].name);
@@ -234,6 +246,7 @@
 void SoakFleet::pauseHost(std::size_t host)
 {
     this->report.log("pause " + this->hosts[host].name);
+    this->hosts[host].interruptedAt = this->loop.now();
     this->hosts[host].process->sendSignal(SIGSTOP);
 }
 
@@ -241,6 +254,7 @@
 {
     Host &target = this->hosts[host];
     this->report.log("recover " + target.name);
+    target.interruptedAt = this->loop.now();
     if (target.down) {
         this->startHost(target);
     } else {
@@ -350,25 +364,46 @@
     }
     target.draining = true;
     this->report.log("drain " + target.id);
+    if (this->setup.leaveByStatement) {
+        this->leaveByStatement(upstream);
+        return;
+    }
     this->registerUpstream(target, "draining", [this, raw = &target, id = target.id, done = std::move(acknowledged)] {
         done(id);
-        this->timers.push_back(this->loop.after(drainedKillDelay, [this, raw, id] {
-            if (raw->id == id && !raw->down) {
-                raw->process->kill();
-                this->eraseRegistrationLater(id, absl::ZeroDuration());
-                this->startUpstream(*raw);
-            }
-        }));
+        this->timers.push_back(this->loop.after(drainedKillDelay, [this, raw, id] { this->replaceUpstream(*raw, id); }));
     });
 }
 
+void SoakFleet::leaveByStatement(std::size_t upstream)
+{
+    Upstream &target = *this->upstreams[upstream];
+    this->postToUpstream(upstream, "/leave");
+    // The upstream ends some time after its registration was removed, because a host that has just started has no answer of it yet.
+    this->eraseRegistrationLater(target.id, drainedKillDelay);
+    this->timers.push_back(
+        this->loop.after(drainedKillDelay + unregisteredKillDelay, [this, raw = &target, id = target.id] { this->replaceUpstream(*raw, id); }));
+}
+
+void SoakFleet::replaceUpstream(Upstream &upstream, const std::string &id)
+{
+    if (upstream.id == id && !upstream.down) {
+        upstream.process->kill();
+        this->eraseRegistrationLater(id, absl::ZeroDuration());
+        this->startUpstream(upstream);
+    }
+}
+
 void SoakFleet::setUpstreamMode(std::size_t upstream, const std::string &mode)
 {
-    const Upstream &target = *this->upstreams[upstream];
-    this->report.log(absl::StrCat(target.id, " mode ", mode));
+    this->report.log(absl::StrCat(this->upstreams[upstream]->id, " mode ", mode));
+    this->postToUpstream(upstream, "/mode?value=" + mode);
+}
+
+void SoakFleet::postToUpstream(std::size_t upstream, const std::string &target)
+{
     this->modeCalls[upstream] =
-        this->client.send(target.controlPort.address(),
-                          {.method = "POST", .target = "/mode?value=" + mode, .fields = {}, .body = {}},
+        this->client.send(this->upstreams[upstream]->controlPort.address(),
+                          {.method = "POST", .target = target, .fields = {}, .body = {}},
                           {.matchesRequest = {}, .head = [](const HttpHead &) {}, .body = {}, .completed = [] {}, .failed = [](HttpCallError) {}});
 }
 
--- a/test/soak/SoakFleet.h
+++ b/test/soak/SoakFleet.h
@@ -29,6 +29,8 @@
     int hosts = 4;
     int modelUpstreams = 4;
     int plainUpstreams = 2;
+    /** Upstreams that leave state it in their responses only; their registrations do not change until they end. */
+    bool leaveByStatement = false;
 };
 
 /** Limits of the guarantees that a soak checks; the user documentation states them. */
@@ -77,6 +79,8 @@
     /** Sends SIGTERM; checkHosts() restarts the host after it has exited. */
     void stopHost(std::size_t host);
     void reloadHost(std::size_t host);
+    /** When the host with this entry address was last started, paused or resumed. */
+    [[nodiscard]] absl::Time interruptedAt(const std::string &entryAddress) const;
     /** Reports hosts that exit unexpectedly or don't stop in time, and restarts each host that has exited. */
     void checkHosts();
     /** Sets the faults of the connections from a host to the store. */
@@ -89,7 +93,8 @@
     void recoverUpstream(std::size_t upstream);
     /**
      * Registers an upstream as draining, and kills and replaces it some time after the store has acknowledged that. @p acknowledged gets
-     * the id of the draining upstream.
+     * the id of the draining upstream. With SoakSetup::leaveByStatement, the upstream states that it leaves instead, and @p acknowledged is
+     * not called.
      */
     void drainUpstream(std::size_t upstream, std::function<void(const std::string &id)> acknowledged);
     void setUpstreamMode(std::size_t upstream, const std::string &mode);
@@ -112,6 +117,7 @@
         std::string proxyRoute;
         std::unique_ptr<ChildProcess> process;
         absl::Time stopRequestedAt = absl::InfiniteFuture();
+        absl::Time interruptedAt = absl::InfinitePast();
         bool down = false;
     };
     struct Upstream {
@@ -132,6 +138,10 @@
     void startStore();
     void addUpstream(const std::string &name, const std::string &service);
     void startUpstream(Upstream &upstream);
+    void leaveByStatement(std::size_t upstream);
+    void postToUpstream(std::size_t upstream, const std::string &target);
+    /** Kills and restarts the upstream unless it has been killed or restarted since it had this id. */
+    void replaceUpstream(Upstream &upstream, const std::string &id);
     void addHost(std::size_t number);
     void startHost(Host &host);
     void registerUpstream(const Upstream &upstream, const std::string &state, std::function<void()> acknowledged);
@@ -159,7 +169,7 @@
     std::deque<ControlCall> controlCalls;
     HttpCall currentControlCall;
     bool controlCallInFlight = false;
-    /** The last call that changed the mode of each upstream. */
+    /** The last control call to each upstream. */
     std::map<std::size_t, HttpCall> modeCalls;
     std::vector<LoopTimer> timers;
     int lastConfigVersion = 0;
--- a/test/soak/SoakMain.cpp
+++ b/test/soak/SoakMain.cpp
@@ -84,12 +84,31 @@
             && this->state.isSettledAt(drained->second)) {
             this->report.recordViolation("no new request for an upstream that leaves", detail);
         }
+        this->checkLeavingUpstream(run, detail);
         const auto cancelled = this->state.cancelledItems.find(run.requestId);
         if (cancelled != this->state.cancelledItems.end() && run.time > cancelled->second + SoakBounds::cancelTime && this->state.isSettledAt(run.time)) {
             this->report.recordViolation("the items of an ended job do not run", detail);
         }
     }
 
+    /** A restart or a pause of the host excuses it, because its state is lost or it may have handled its input late. Faults do not. */
+    void checkLeavingUpstream(const RecordedRun &run, const std::string &detail)
+    {
+        const auto request = this->state.sentRequests.find(run.requestId);
+        if (request == this->state.sentRequests.end()) {
+            return;
+        }
+        const auto &[address, sentAt] = request->second;
+        const auto passedOn = this->state.leavingPassedOnAt.find({run.upstream, address});
+        if (passedOn == this->state.leavingPassedOnAt.end() || this->fleet.interruptedAt(address) > passedOn->second) {
+            return;
+        }
+        if (sentAt > passedOn->second + SoakBounds::drainTime) {
+            this->report.recordViolation("no later request for an upstream whose statement that it leaves was passed on",
+                                         absl::StrCat(detail, " from ", address, " sent ", absl::FormatDuration(sentAt - passedOn->second), " after it"));
+        }
+    }
+
     /** Stops new requests and jobs; runChecks() then ends the soak when the accepted ones are done or SoakBounds::jobCompletionTime has passed. */
     void stopAccepting()
     {
@@ -153,6 +172,9 @@
     app.add_option("--models", options.setup.modelUpstreams, "Number of model upstreams")->check(CLI::Range(1, 200));
     app.add_option("--plains", options.setup.plainUpstreams, "Number of plain upstreams")->check(CLI::Range(1, 200));
     app.add_option("--callers", options.callers, "Number of online callers")->check(CLI::Range(1, 1000));
+    app.add_flag("--leave-by-statement",
+                 options.setup.leaveByStatement,
+                 "Upstreams that leave state it in their responses only; their registrations do not change until they end");
     app.add_flag("--keep", options.keepLogs, "Keep the logs of a run without violations");
     CLI11_PARSE(app, argc, argv);
     std::signal(SIGPIPE, SIG_IGN);
--- a/test/soak/SoakState.h
+++ b/test/soak/SoakState.h
@@ -28,6 +28,10 @@
     std::set<std::string> retryableRequests{};
     /** When the store acknowledged that an upstream is draining, by upstream id. */
     std::map<std::string, absl::Time> drainAcknowledgedAt{};
+    /** The entry address to which each online request was sent, and when. */
+    std::map<std::string, std::pair<std::string, absl::Time>> sentRequests{};
+    /** When a host first passed on a response in which an upstream states that it leaves, by the upstream's id and the host's entry address. */
+    std::map<std::pair<std::string, std::string>, absl::Time> leavingPassedOnAt{};
     /** When the cancellation of a job was acknowledged, by the ids of its items. */
     std::map<std::string, absl::Time> cancelledItems{};
     /** The newest configuration that the store has acknowledged, and when. */
--- a/test/standin/StandinUpstreamMain.cpp
+++ b/test/standin/StandinUpstreamMain.cpp
@@ -41,9 +41,13 @@
     int descriptor;
 };
 
-/** Control interface: POST /mode?value=. Returns the response's status. */
+/** Control interface: POST /mode?value= and POST /leave, after which each response states that the upstream leaves. Returns the response's status. */
 int handleControl(StandinUpstream &upstream, const HttpRequest &request)
 {
+    if (request.path() == "/leave") {
+        upstream.setLeaving(true);
+        return 200;
+    }
     static const std::map<std::string, UpstreamMode> modes{{"serving", UpstreamMode::Serving},
                                                            {"full", UpstreamMode::Full},
                                                            {"silent", UpstreamMode::Silent},
