Test how the end of a connection completes an answer

Checked: whether a broken answer can look complete to a caller. No fault was found, so no logic is changed.

UpstreamAttemptTest also covers that each kind of answer may state that the upstream leaves, and that an answer to another request may not.

Not shown to fail: streamWithoutItsLastChunkIsBrokenOff, which Beast's parser upholds (it reports a message that is cut off).

--- a/test/entry/HttpTest.cpp
+++ b/test/entry/HttpTest.cpp
@@ -1,10 +1,10 @@
 #include <gtest/gtest.h>
 #include <rapidcheck.h>
 
+#include "FixedResponseServer.h"
 #include "HttpClient.h"
 #include "HttpServer.h"
 #include "LoopRunner.h"
-#include "TcpSocket.h"
 #include "TcpStream.h"
 
 namespace Bergamotramp {
@@ -154,63 +154,6 @@
     }
 };
 
-/** Accepts connections and responds to each request with fixed bytes. */
-class FixedResponseServer
-{
-public:
-    FixedResponseServer(EventLoop &loop, std::string response)
-        : loop(loop), response(std::move(response)), acceptor(loop.context(), parseEndpoint("127.0.0.1:0"))
-    {
-        this->accept();
-    }
-
-    [[nodiscard]] std::string address() const
-    {
-        return "127.0.0.1:" + std::to_string(this->acceptor.local_endpoint().port());
-    }
-
-    /** Closes all connections. */
-    void closeConnections()
-    {
-        for (const auto &stream : this->streams) {
-            stream->close();
-        }
-    }
-
-    EventLoop &loop;
-    std::string response;
-    bool closeAfterResponse = false;
-    int accepted = 0;
-    int requests = 0;
-    std::optional<StreamEnd> lastEnd;
-
-private:
-    void accept()
-    {
-        this->acceptor.async_accept([this](const boost::system::error_code &error, asio::ip::tcp::socket socket) {
-            if (error) {
-                return;
-            }
-            ++this->accepted;
-            const auto stream = std::make_shared<TcpStream>(this->loop, TcpSocket{std::move(socket)});
-            stream->start({.data =
-                               [this, raw = stream.get()](std::string_view) {
-                                   ++this->requests;
-                                   raw->write(this->response);
-                                   if (this->closeAfterResponse) {
-                                       raw->close();
-                                   }
-                               },
-                           .ended = [this](StreamEnd how) { this->lastEnd = how; }});
-            this->streams.push_back(stream);
-            this->accept();
-        });
-    }
-
-    asio::ip::tcp::acceptor acceptor;
-    std::vector<std::shared_ptr<TcpStream>> streams;
-};
-
 class HttpClientTest : public testing::Test
 {
 protected:
@@ -255,7 +198,7 @@
 TEST_F(HttpClientTest, endOfConnectionCompletesAResponseOnlyWithoutALength)
 {
     FixedResponseServer server(this->loop, "HTTP/1.1 200 OK\r\n\r\nunframed");
-    server.closeAfterResponse = true;
+    server.connectionEnd = ConnectionEnd::Close;
     CallRecord unframed;
     this->call(server.address(), unframed, unframed.events());
     EXPECT_TRUE(unframed.completed);
@@ -266,6 +209,17 @@
     EXPECT_EQ(truncated.error, HttpCallError::ConnectionLost);
 }
 
+// Guards against a response without a length that counts as complete although its connection was reset.
+TEST_F(HttpClientTest, resetDoesNotCompleteAResponseWithoutALength)
+{
+    FixedResponseServer server(this->loop, "HTTP/1.1 200 OK\r\n\r\nunframed", ConnectionEnd::Reset);
+    CallRecord record;
+    this->call(server.address(), record, record.events());
+    EXPECT_EQ(record.body, "unframed");
+    EXPECT_FALSE(record.completed);
+    EXPECT_EQ(record.error, HttpCallError::ConnectionLost);
+}
+
 // Guards against memory that grows with a response head that never ends, in one field or in many.
 TEST_F(HttpClientTest, endlessHeadIsABadResponse)
 {
--- /dev/null
+++ b/test/entry/UpstreamAttemptTest.cpp
@@ -0,0 +1,137 @@
+#include "UpstreamAttempt.h"
+
+#include <gtest/gtest.h>
+
+#include <absl/strings/str_cat.h>
+
+#include "FixedResponseServer.h"
+#include "LoopRunner.h"
+
+namespace Bergamotramp {
+
+namespace {
+
+constexpr const char *wholeEvent = "id: 1\ndata: one\n\n";
+constexpr const char *partOfAnEvent = "id: 1\ndata: one\n\nid: 2\ndata: tw";
+
+std::string untilTheEnd(const std::string &body)
+{
+    return "HTTP/1.1 200 OK\r\n\r\n" + body;
+}
+
+std::string withLength(const std::string &body)
+{
+    return absl::StrCat("HTTP/1.1 200 OK\r\nContent-Length: ", body.size(), "\r\n\r\n", body);
+}
+
+std::string withChunks(const std::string &body, bool lastChunk = true)
+{
+    return absl::StrCat("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n", absl::Hex(body.size()), "\r\n", body, "\r\n", lastChunk ? "0\r\n\r\n" : "");
+}
+
+class UpstreamAttemptTest : public testing::Test
+{
+protected:
+    /** Sends a request to an upstream that responds with @p response and waits for its end. */
+    AttemptResult run(const std::string &response, ConnectionEnd connectionEnd, bool stream = true)
+    {
+        FixedResponseServer server(this->loop, response, connectionEnd);
+        std::optional<AttemptResult> result;
+        this->events = 0;
+        UpstreamAttempt attempt(
+            this->context,
+            {.id = "up", .service = "model", .address = server.address(), .dataCentre = "a", .slots = 1, .leaving = false, .startedAtMs = 7},
+            false,
+            stream,
+            {.streamStarted = {},
+             .event = [this](const StreamEvent &) { ++this->events; },
+             .ended = [&result](const AttemptResult &ended) { result = ended; }});
+        attempt.send({.method = "POST", .target = "/", .fields = {}, .body = "prompt"}, "id-1", true);
+        EXPECT_TRUE(runUntil(this->loop, [&result] { return result.has_value(); }));
+        return result.value_or(AttemptResult());
+    }
+
+    EventLoop loop;
+    HttpClient client{this->loop, {}};
+    FleetLoad load;
+    UpstreamHealth health;
+    std::vector<std::string> leaving;
+    int events = 0;
+    ServingProtocol protocol{.decodeCall = {},
+                             .decodeSubmission = {},
+                             .encodePage = {},
+                             .prepareAttempt = {},
+                             .itemRequest = {},
+                             .matchesRequest = [](const HttpHead &head, const std::string &id) { return head.fields.find("x-for").value_or(id) == id; },
+                             .statesNotRun = [](const HttpHead &head) { return head.status == 503; },
+                             .misdirected = [](const HttpHead &) { return false; },
+                             .statesLeaving = [](const HttpHead &head) { return head.fields.find("x-leaves").has_value(); },
+                             .respondingUpstream = [](const HttpHead &) { return std::nullopt; }};
+    AttemptContext context{.loop = this->loop,
+                           .client = this->client,
+                           .load = this->load,
+                           .health = this->health,
+                           .protocol = this->protocol,
+                           .statedLeaving = [this](const LeavingStatement &statement) { this->leaving.push_back(statement.expected.id); }};
+};
+
+// Guards against a stream with neither a length nor chunks that does not complete when its connection is closed in order, and
+// against one that counts as complete although its connection was reset.
+TEST_F(UpstreamAttemptTest, endOfTheConnectionCompletesAStreamOnlyInOrder)
+{
+    EXPECT_EQ(this->run(untilTheEnd(wholeEvent), ConnectionEnd::Close).outcome, AttemptOutcome::Completed);
+    EXPECT_EQ(this->events, 1);
+    const AttemptResult reset = this->run(untilTheEnd(wholeEvent), ConnectionEnd::Reset);
+    EXPECT_EQ(reset.outcome, AttemptOutcome::MayHaveRun);
+    EXPECT_TRUE(reset.connectionLost);
+    EXPECT_EQ(this->events, 1);
+}
+
+// The same for an answer that is no stream.
+TEST_F(UpstreamAttemptTest, endOfTheConnectionCompletesAPlainAnswerOnlyInOrder)
+{
+    const AttemptResult closed = this->run(untilTheEnd("plain"), ConnectionEnd::Close, false);
+    EXPECT_EQ(closed.outcome, AttemptOutcome::Completed);
+    EXPECT_EQ(closed.body, "plain");
+    EXPECT_EQ(this->run(untilTheEnd("plain"), ConnectionEnd::Reset, false).outcome, AttemptOutcome::MayHaveRun);
+    EXPECT_EQ(this->run("HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nplain", ConnectionEnd::Close, false).outcome, AttemptOutcome::MayHaveRun);
+}
+
+// Guards against a stream that ends inside an event and counts as complete, because its message is complete as HTTP.
+TEST_F(UpstreamAttemptTest, streamThatEndsInsideAnEventIsBrokenOff)
+{
+    for (const std::string &response : {withLength(partOfAnEvent), withChunks(partOfAnEvent), untilTheEnd(partOfAnEvent)}) {
+        for (const ConnectionEnd connectionEnd : {ConnectionEnd::Close, ConnectionEnd::Reset}) {
+            EXPECT_EQ(this->run(response, connectionEnd).outcome, AttemptOutcome::MayHaveRun) << response;
+            EXPECT_EQ(this->events, 1);
+        }
+    }
+    for (const std::string &response : {withLength(wholeEvent), withChunks(wholeEvent)}) {
+        EXPECT_EQ(this->run(response, ConnectionEnd::Close).outcome, AttemptOutcome::Completed) << response;
+    }
+}
+
+// Guards against a stream in chunks that counts as complete when its connection is closed after a whole event but before the last chunk.
+TEST_F(UpstreamAttemptTest, streamWithoutItsLastChunkIsBrokenOff)
+{
+    EXPECT_EQ(this->run(withChunks(wholeEvent, false), ConnectionEnd::Close).outcome, AttemptOutcome::MayHaveRun);
+    EXPECT_EQ(this->events, 1);
+}
+
+// Guards against a statement that the upstream leaves which is missed in some kind of answer, or taken from an answer that belongs to
+// another request and may come from another upstream.
+TEST_F(UpstreamAttemptTest, eachAnswerToTheRequestMayStateThatTheUpstreamLeaves)
+{
+    for (const char *status : {"200 OK", "404 Not Found", "421 Misdirected Request", "500 Internal Server Error", "503 Service Unavailable"}) {
+        this->leaving.clear();
+        this->run(absl::StrCat("HTTP/1.1 ", status, "\r\nX-Leaves: 1\r\nContent-Length: 0\r\n\r\n"), ConnectionEnd::Close);
+        EXPECT_EQ(this->leaving, std::vector<std::string>{"up"}) << status;
+    }
+    this->leaving.clear();
+    this->run("HTTP/1.1 200 OK\r\nX-For: other\r\nX-Leaves: 1\r\nContent-Length: 0\r\n\r\nHTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n", ConnectionEnd::Close);
+    EXPECT_TRUE(this->leaving.empty());
+}
+
+} // namespace
+
+} // namespace Bergamotramp
