Never end batch items as failed because upstreams crashed

Callers of bergamotrampd saw accepted items with status "failed" after a burst of crashes, although the upstreams served again.

Shown before the change: SlotPoolTest.batchItemCompletesAfterABurstOfCrashes (no grant after 3 crashes), SlotPoolTest.waitingBatchItemIsNotDeniedByAnAnnouncedQuarantine, and scenario batch-crash-burst ("found job1.completed = 1, job1.failed = 1"). SlotServiceTest.batchItemIsNotRefusedForCrashes failed with the quarantine changed and without the probe ("deadline" after 60 s).

Change: only online requests are quarantined. Failures of upstreams, hosts and links delay the next attempt by up to 10 s and are not counted; failures that an upstream reports are counted as before. Batch items probe plain upstreams.

bergamotramp-entryd: not reproduced. The new tests JobTest.itemCompletesAfterABurstOfInterruptions (100 interruptions, a change of hands and a stored failure) and JobServiceTest.itemsCompleteAfterABurstOfCrashes (24 lost connections and a lost runner) passed without a change.

--- a/src/BatchRunner.cpp
+++ b/src/BatchRunner.cpp
@@ -26,6 +26,14 @@
 constexpr absl::Duration drainTimeout = absl::Seconds(10);
 constexpr std::int64_t defaultMaxAttempts = 4;
 
+ItemOutcome::Kind kindOfFailure(const ItemResult &result)
+{
+    if (result.interrupted) {
+        return ItemOutcome::Kind::Interrupted;
+    }
+    return result.retryable ? ItemOutcome::Kind::Retryable : ItemOutcome::Kind::Failed;
+}
+
 } // namespace
 
 struct BatchRunner::ActiveSegment {
@@ -360,7 +368,7 @@
         if (result.completed) {
             itemOutcome = {ItemOutcome::Kind::Completed, result.body};
         } else if (!cancellation->cancelled()) {
-            itemOutcome = {result.retryable ? ItemOutcome::Kind::Retryable : ItemOutcome::Kind::Failed, result.error};
+            itemOutcome = {kindOfFailure(result), result.error};
         }
     }
     const std::lock_guard<std::mutex> lock(this->mutex);
--- a/src/BatchSegment.cpp
+++ b/src/BatchSegment.cpp
@@ -10,6 +10,8 @@
 namespace {
 
 constexpr absl::Duration retryBackoff = absl::Seconds(1);
+// Bounds the time that an interrupted item waits once upstreams serve again.
+constexpr absl::Duration maxInterruptionBackoff = absl::Seconds(10);
 
 nlohmann::json parseBody(const std::string &text)
 {
@@ -134,6 +136,11 @@
     case ItemOutcome::Kind::Requeued:
         entry.state = ItemState::Waiting;
         return;
+    case ItemOutcome::Kind::Interrupted:
+        // An item is owed however many crashes have cut off its runs, so these never end it as failed.
+        entry.state = ItemState::Waiting;
+        entry.notBefore = now + std::min(maxInterruptionBackoff, retryBackoff * ++entry.interruptions);
+        return;
     case ItemOutcome::Kind::Retryable:
         if (++entry.attempts >= this->maxAttempts) {
             this->finishEntry(entry, true, absl::StrCat("gave up after ", entry.attempts, " attempts: ", outcome.text));
--- a/src/BatchSegment.h
+++ b/src/BatchSegment.h
@@ -21,6 +21,8 @@
         Retryable,
         /** Failed, and no attempt can succeed. */
         Failed,
+        /** Not run to its end because an upstream, a host or a link failed; the item runs again after a delay and the attempt is not counted. */
+        Interrupted,
         /** Not run, or cancelled; the item goes back to the queue and the attempt is not counted. */
         Requeued,
     };
@@ -114,6 +116,7 @@
         SegmentItem item;
         ItemState state = ItemState::Waiting;
         std::int64_t attempts = 0;
+        std::int64_t interruptions = 0;
         absl::Time notBefore = absl::InfinitePast();
         bool failed = false;
     };
--- a/src/BatchService.h
+++ b/src/BatchService.h
@@ -43,12 +43,17 @@
     [[nodiscard]] nlohmann::json toJson() const;
 };
 
-/** Outcome of one attempt to run an item. Retryable failures are retried up to the service's limit of attempts. */
+/**
+ * Outcome of one attempt to run an item. Retryable failures are retried up to the service's limit of attempts, interrupted attempts without
+ * a limit.
+ */
 struct ItemResult {
     bool completed = false;
     bool retryable = false;
     std::string body;
     std::string error;
+    /** An upstream, a host or a link failed before the item's answer was complete. */
+    bool interrupted = false;
 
     bool operator==(const ItemResult &) const = default;
 };
--- a/src/CrashQuarantine.cpp
+++ b/src/CrashQuarantine.cpp
@@ -97,6 +97,13 @@
     return record != nullptr && record->crashes < crashesToQuarantine;
 }
 
+// A quarantine of batch items would end accepted items as failed because of crashes that something else caused.
+bool CrashQuarantine::mustRunAlone(std::uint64_t fingerprint, absl::Time now) const
+{
+    const Record *record = this->find(fingerprint, now);
+    return record != nullptr && now - record->lastCrash < suspectLifetime;
+}
+
 // A crash does not show its cause: upstreams also fail with their rack, or are restarted several times in a row. With
 // quarantine after two crashes and only the short delay, two restarts within 0.6 s quarantined a harmless batch item.
 bool CrashQuarantine::mayRetry(std::uint64_t fingerprint, absl::Time now) const
--- a/src/CrashQuarantine.h
+++ b/src/CrashQuarantine.h
@@ -18,8 +18,8 @@
 /**
  * Fingerprints of requests that were in flight when an upstream of one service crashed. After the first crash a
  * fingerprint is a suspect and its requests run alone on an upstream. After crashesToQuarantine crashes it is
- * quarantined and its requests are denied. A fingerprint that has completed within completionLifetime is harmless: its crashes
- * are not counted. Fingerprint 0 stands for an unknown request and is ignored.
+ * quarantined and its online requests are denied; batch items are owed and keep running alone. A fingerprint that has completed within completionLifetime is
+ * harmless: its crashes are not counted. Fingerprint 0 stands for an unknown request and is ignored.
  */
 class CrashQuarantine
 {
@@ -59,7 +59,9 @@
     bool clear(std::uint64_t fingerprint);
 
     [[nodiscard]] bool isSuspect(std::uint64_t fingerprint, absl::Time now) const;
-    /** Whether the retry delay of a suspect is over. */
+    /** Whether a request with this fingerprint may run only alone on an upstream: it has a crash within suspectLifetime. */
+    [[nodiscard]] bool mustRunAlone(std::uint64_t fingerprint, absl::Time now) const;
+    /** Whether the retry delay after the last crash is over. */
     [[nodiscard]] bool mayRetry(std::uint64_t fingerprint, absl::Time now) const;
     [[nodiscard]] bool isQuarantined(std::uint64_t fingerprint, absl::Time now) const;
     [[nodiscard]] std::size_t size() const;
--- a/src/RequestHandler.cpp
+++ b/src/RequestHandler.cpp
@@ -5,6 +5,7 @@
 #include <glog/logging.h>
 
 #include "EventLog.h"
+#include "ItemFailure.h"
 #include "Metrics.h"
 #include "RendezvousHash.h"
 #include "SseReader.h"
@@ -16,7 +17,6 @@
 constexpr int statusBadRequest = 400;
 constexpr int statusNotFound = 404;
 constexpr int statusConflict = 409;
-constexpr int statusServerError = 500;
 constexpr const char *eventStreamType = "text/event-stream";
 constexpr const char *jsonType = "application/json";
 constexpr std::string_view plainPrefix = "/s/";
@@ -317,9 +317,7 @@
         return service->kind == ServiceKind::Model ? this->runModelItem(job, *service, body, cancellation)
                                                    : this->runPlainItem(job, *service, customId, body, cancellation);
     } catch (const CallerError &error) {
-        const CallerProblem &problem = error.problem();
-        const bool retryable = problem.status == 429 || problem.status >= statusServerError || problem.status == statusConflict;
-        return {false, retryable, "", absl::StrCat(problem.code, ": ", problem.message)};
+        return itemFailure(error.problem());
     } catch (const std::exception &error) {
         LOG(ERROR) << "batch item " << customId << " failed with an internal error: " << error.what();
         return {false, true, "", "internal error"};
--- a/src/SlotPool.cpp
+++ b/src/SlotPool.cpp
@@ -83,7 +83,7 @@
 
 bool SlotPool::denyIfInadmissible(const PoolRequest &request, absl::Time now)
 {
-    if (this->crashQuarantine.isQuarantined(request.fingerprint, now)) {
+    if (isOnline(request) && this->crashQuarantine.isQuarantined(request.fingerprint, now)) {
         this->deny(request.id, SlotDenialCode::quarantined, absl::ZeroDuration());
     } else if (request.grantDeadline <= now) {
         this->deny(request.id, SlotDenialCode::deadline, absl::ZeroDuration());
@@ -153,7 +153,7 @@
 SlotQueue::Placement SlotPool::placementOf(const PoolRequest &request, absl::Time now) const
 {
     SlotQueue::Placement placement;
-    if (this->crashQuarantine.isSuspect(request.fingerprint, now)) {
+    if (this->crashQuarantine.mustRunAlone(request.fingerprint, now)) {
         placement.stage = SlotQueue::Stage::Suspect;
     } else if (!this->copyAllowed(request)) {
         placement.stage = SlotQueue::Stage::Blocked;
@@ -175,7 +175,7 @@
 {
     const bool quarantined = this->crashQuarantine.isQuarantined(fingerprint, now);
     for (const GrantId &id : this->queue.copiesOf(fingerprint)) {
-        if (quarantined) {
+        if (quarantined && isOnline(this->queue.request(id))) {
             this->dropWaiting(id, now);
             this->deny(id, SlotDenialCode::quarantined, absl::ZeroDuration());
         } else {
@@ -377,7 +377,7 @@
     added.tokens = held.tokens;
     added.tokensAt = now;
     added.longStream = isOnline(added.request) && this->demand.runningLong(held.tokens);
-    added.isolated = this->crashQuarantine.isSuspect(held.fingerprint, now);
+    added.isolated = this->crashQuarantine.mustRunAlone(held.fingerprint, now);
     this->insertGrant(std::move(added), now);
 }
 
@@ -520,7 +520,7 @@
 {
     bool running = false;
     for (auto &[id, grant] : this->grants) {
-        if (grant.isolated || this->crashQuarantine.isSuspect(grant.request.fingerprint, now)) {
+        if (grant.isolated || this->crashQuarantine.mustRunAlone(grant.request.fingerprint, now)) {
             running = true;
             if (revokeBatch && !isOnline(grant.request)) {
                 this->revoke(grant, now);
--- a/src/SlotState.cpp
+++ b/src/SlotState.cpp
@@ -185,7 +185,7 @@
         if (pool == this->pools.end()) {
             return SlotDenial{SlotDenialCode::noUpstream, absl::Seconds(1)};
         }
-        if (this->crashQuarantines[demand.service].isQuarantined(demand.fingerprint, absl::Now())) {
+        if (demand.workClass == wire::WORK_CLASS_ONLINE && this->crashQuarantines[demand.service].isQuarantined(demand.fingerprint, absl::Now())) {
             return SlotDenial{SlotDenialCode::quarantined, absl::ZeroDuration()};
         }
         std::optional<Answer> answer = this->requestSlotOnce(lock, pool->second, demand, until, revocation);
@@ -309,7 +309,7 @@
 {
     const absl::Time now = absl::Now();
     const bool batch = demand.workClass == wire::WORK_CLASS_BATCH;
-    if (this->crashQuarantines[demand.service].isSuspect(demand.fingerprint, now) || this->localCopies(poolName, demand.fingerprint) >= SlotPool::maxCopies
+    if (this->crashQuarantines[demand.service].mustRunAlone(demand.fingerprint, now) || this->localCopies(poolName, demand.fingerprint) >= SlotPool::maxCopies
         || (batch && !this->localBatchAllowed(pool))) {
         return std::nullopt;
     }
@@ -362,26 +362,36 @@
 {
     const absl::Time now = absl::Now();
     const CrashQuarantine &quarantine = this->crashQuarantines[demand.service];
-    if (quarantine.isQuarantined(demand.fingerprint, now)) {
+    const bool batch = demand.workClass == wire::WORK_CLASS_BATCH;
+    if (!batch && quarantine.isQuarantined(demand.fingerprint, now)) {
         return SlotDenial{SlotDenialCode::quarantined, absl::ZeroDuration()};
     }
     if (!pool.localLoad.anyTakesWork()) {
         return SlotDenial{SlotDenialCode::noUpstream, absl::Seconds(1)};
     }
-    const bool batch = demand.workClass == wire::WORK_CLASS_BATCH;
-    if ((batch && (pool.onlineWaiting > 0 || !this->localBatchAllowed(pool)))
-        || (quarantine.isSuspect(demand.fingerprint, now) && this->suspectRunsLocally(poolName, now))) {
+    if ((batch && (pool.onlineWaiting > 0 || !quarantine.mayRetry(demand.fingerprint, now)))
+        || (quarantine.mustRunAlone(demand.fingerprint, now) && this->suspectRunsLocally(poolName, now))) {
         return std::nullopt;
     }
-    const std::uint64_t first = this->random();
-    const std::uint64_t second = this->random();
-    const std::optional<UpstreamLoad::Choice> choice = pool.localLoad.chooseOfTwo(demand.workClass, demand.excludedUpstreams, first, second, now);
+    const std::optional<UpstreamLoad::Choice> choice = this->choosePlain(pool, demand, now);
     if (!choice.has_value()) {
         return std::nullopt;
     }
     return this->createTicket(poolName, pool, demand, *choice, this->nextNumber++, "", revocation);
 }
 
+// Batch work that leaves the reserve free may still probe. Without this, batch items would wait for ever if only they are left after all
+// upstreams crashed, because crashed upstreams count as free only after a probe.
+std::optional<UpstreamLoad::Choice> SlotService::State::choosePlain(const Pool &pool, const SlotDemand &demand, absl::Time now)
+{
+    if (demand.workClass == wire::WORK_CLASS_BATCH && !this->localBatchAllowed(pool)) {
+        return pool.localLoad.chooseProbe(demand.workClass, demand.excludedUpstreams, now);
+    }
+    const std::uint64_t first = this->random();
+    const std::uint64_t second = this->random();
+    return pool.localLoad.chooseOfTwo(demand.workClass, demand.excludedUpstreams, first, second, now);
+}
+
 void SlotService::State::revokeLocalBatch(const std::string &poolName, Outbox &outbox)
 {
     const Ticket *cheapest = nullptr;
@@ -417,7 +427,7 @@
 bool SlotService::State::suspectRunsLocally(const std::string &poolName, absl::Time now)
 {
     return std::any_of(this->tickets.begin(), this->tickets.end(), [&](const auto &item) {
-        return item.second.pool == poolName && this->crashQuarantines[item.second.ticket.service].isSuspect(item.second.fingerprint, now);
+        return item.second.pool == poolName && this->crashQuarantines[item.second.ticket.service].mustRunAlone(item.second.fingerprint, now);
     });
 }
 
--- a/src/SlotState.h
+++ b/src/SlotState.h
@@ -135,6 +135,7 @@
 
     Answer acquirePlain(const SlotDemand &demand, const std::shared_ptr<Revocation> &revocation);
     std::optional<Answer> tryPlain(const std::string &poolName, Pool &pool, const SlotDemand &demand, const std::shared_ptr<Revocation> &revocation);
+    [[nodiscard]] std::optional<UpstreamLoad::Choice> choosePlain(const Pool &pool, const SlotDemand &demand, absl::Time now);
     void revokeLocalBatch(const std::string &poolName, Outbox &outbox);
     [[nodiscard]] bool localBatchAllowed(const Pool &pool) const;
     [[nodiscard]] std::size_t localCopies(const std::string &poolName, std::uint64_t fingerprint) const;
--- a/src/SlotTypes.h
+++ b/src/SlotTypes.h
@@ -128,7 +128,7 @@
 inline constexpr const char *overloaded = "overloaded";
 /** All upstreams of the pool are leaving, or it has none. */
 inline constexpr const char *noUpstream = "no_upstream";
-/** The request was running on CrashQuarantine::crashesToQuarantine upstreams when they crashed. */
+/** The online request was running on CrashQuarantine::crashesToQuarantine upstreams when they crashed. */
 inline constexpr const char *quarantined = "quarantined";
 } // namespace SlotDenialCode
 
--- a/test/core/BatchSegmentTest.cpp
+++ b/test/core/BatchSegmentTest.cpp
@@ -212,6 +212,28 @@
     EXPECT_NE(commit->outputText.find("gave up after 3 attempts: broken"), std::string::npos);
 }
 
+// Guards against an accepted item that ends as failed, or waits without bound, because upstreams crashed while it ran.
+TEST(BatchSegmentTest, interruptedItemCompletes)
+{
+    SegmentProgress claimed;
+    claimed.items = std::string(1, SegmentProgress::openItem);
+    BatchSegment segment({{"only", "{}"}}, claimed, 1, maxAttempts);
+    absl::Time now = absl::UnixEpoch();
+    for (int interruption = 0; interruption < 100 * maxAttempts; ++interruption) {
+        const auto index = segment.nextItem(now);
+        ASSERT_TRUE(index.has_value()) << "after " << interruption << " interruptions";
+        segment.itemEnded(*index, {ItemOutcome::Kind::Interrupted, "upstream_failed"}, now);
+        EXPECT_FALSE(segment.nextItem(now).has_value()) << "an interrupted item must wait before it runs again";
+        now += absl::Seconds(10);
+    }
+    const auto index = segment.nextItem(now);
+    ASSERT_TRUE(index.has_value());
+    segment.itemEnded(*index, {ItemOutcome::Kind::Completed, "{}"}, now);
+    const auto commit = segment.nextCommit(false);
+    ASSERT_TRUE(commit.has_value());
+    EXPECT_EQ(commit->progress.items, std::string(1, SegmentProgress::completedItem));
+}
+
 std::string codeOf(const std::string &input, JobInputLimits limits = {})
 {
     try {
--- a/test/core/JobTest.cpp
+++ b/test/core/JobTest.cpp
@@ -123,6 +123,34 @@
     EXPECT_GE(pause, absl::Seconds(2));
 }
 
+// Guards against an item that becomes a dead letter, or is delayed without bound, because its runs were cut off by crashes of upstreams,
+// also when its job changes hands in between.
+TEST(JobTest, itemCompletesAfterABurstOfInterruptions)
+{
+    constexpr int interruptions = 50;
+    absl::Time now = start;
+    const auto interrupt = [&now](Job &job) {
+        for (int run = 0; run < interruptions; ++run) {
+            now += absl::Seconds(5);
+            ASSERT_EQ(job.nextItem(now), 0U) << "after " << run << " interruptions";
+            job.markStarted(0);
+            job.finishRun(0, RunOutcome::Interrupted, maxFailures, now);
+        }
+    };
+    Job first(header(1), items(1));
+    first.markStarted(0);
+    first.finishRun(0, RunOutcome::Failed, maxFailures, now);
+    interrupt(first);
+    Job next(header(1), items(1));
+    next.addStoredObject(resultObjectFromJson(resultObjectToJson("one", first.unstoredState(unlimitedBytes))));
+    interrupt(next);
+    now += absl::Seconds(5);
+    ASSERT_EQ(next.nextItem(now), 0U);
+    completeItem(next, 0);
+    ASSERT_EQ(next.unstoredState(unlimitedBytes).results.size(), 1U);
+    EXPECT_TRUE(next.unstoredState(unlimitedBytes).results.front().completed);
+}
+
 // Guards against results that callers see before they are stored, and that could be lost with the host.
 TEST(JobTest, onlyStoredResultsAreReturned)
 {
--- a/test/core/SlotPoolTest.cpp
+++ b/test/core/SlotPoolTest.cpp
@@ -302,6 +302,45 @@
     EXPECT_EQ(online(7, 66), denied(7, SlotDenialCode::quarantined));
 }
 
+// Guards against an item of a batch job that is refused, or that waits for ever, because upstreams crashed several times while it ran: it
+// is still owed. An online request with the same content stays quarantined.
+TEST_F(SlotPoolTest, batchItemCompletesAfterABurstOfCrashes)
+{
+    std::uint64_t number = 1;
+    for (std::uint32_t crash = 1; crash <= 3 * CrashQuarantine::crashesToQuarantine; ++crash) {
+        SlotActions actions = batch(number, 66);
+        now += CrashQuarantine::repeatedSuspectRetryDelay;
+        const SlotActions later = pool.tick(now);
+        actions.insert(actions.end(), later.begin(), later.end());
+        ASSERT_EQ(actions.size(), 1U) << "after " << crash - 1 << " crashes";
+        ASSERT_TRUE(std::holds_alternative<SlotGranted>(actions.front())) << "after " << crash - 1 << " crashes";
+        release(number, wire::SLOT_RESULT_UPSTREAM_DIED);
+        ++number;
+    }
+    EXPECT_EQ(online(100, 66), denied(100, SlotDenialCode::quarantined));
+    EXPECT_EQ(batch(101, 66), SlotActions()) << "no sooner than the delay after a crash";
+    EXPECT_EQ(batch(102, 66), SlotActions());
+    now += CrashQuarantine::repeatedSuspectRetryDelay;
+    ASSERT_EQ(pool.tick(now).size(), 1U) << "two copies must not run at once";
+    EXPECT_EQ(pool.status(now).batchInFlight, 1U);
+    release(101);
+    EXPECT_EQ(pool.status(now).batchInFlight, 1U) << "no further delay after a completed run";
+    release(102);
+    EXPECT_EQ(pool.status(now).suspectsQueued + pool.status(now).batchQueued, 0U);
+}
+
+// Guards against a waiting batch item that is denied when the count of its crashes, counted by other hosts, reaches the quarantine.
+TEST_F(SlotPoolTest, waitingBatchItemIsNotDeniedByAnAnnouncedQuarantine)
+{
+    online(1);
+    online(2);
+    batch(3, 66);
+    online(4, 66);
+    EXPECT_EQ(pool.mergeCrashCount(66, CrashQuarantine::crashesToQuarantine, now), denied(4, SlotDenialCode::quarantined));
+    now += CrashQuarantine::repeatedSuspectRetryDelay;
+    EXPECT_EQ(release(1), granted(3, "a"));
+}
+
 // Guards against suspects that are never run after all upstreams crashed, because no other request probes the
 // upstreams.
 TEST_F(SlotPoolTest, suspectProbesWhenAllUpstreamsCrashed)
--- a/test/host/SlotServiceTest.cpp
+++ b/test/host/SlotServiceTest.cpp
@@ -182,6 +182,18 @@
         return denial == nullptr ? std::get<SlotTicket>(answer) : SlotTicket();
     }
 
+    /** Whether a request is denied; releases the slot if it is granted. */
+    static bool isDenied(Host &host, const SlotDemand &demand)
+    {
+        const auto answer = host.slots->acquire(demand, [] {});
+        if (const auto *ticket = std::get_if<SlotTicket>(&answer)) {
+            GrantOutcome cancelled;
+            cancelled.result = wire::SLOT_RESULT_CANCELLED;
+            host.slots->release(*ticket, cancelled);
+        }
+        return std::holds_alternative<SlotDenial>(answer);
+    }
+
     static nlohmann::json pool(const Host &host)
     {
         return host.slots->status()["pools"]["modelo/nordeste"];
@@ -319,6 +331,28 @@
     }
 }
 
+// Guards against a batch item that a host refuses, for a model or a plain service, because an online request with the same content is
+// quarantined: the item is owed.
+TEST_F(SlotServiceTest, batchItemIsNotRefusedForCrashes)
+{
+    GrantOutcome crashed;
+    crashed.result = wire::SLOT_RESULT_UPSTREAM_DIED;
+    for (const std::string service : {"modelo", "vitrine"}) {
+        SlotDemand crashing = demand(wire::WORK_CLASS_ONLINE);
+        crashing.service = service;
+        crashing.fingerprint = 79;
+        for (std::uint32_t crash = 1; crash <= CrashQuarantine::crashesToQuarantine; ++crash) {
+            holder().slots->release(acquireTicket(holder(), crashing), crashed);
+        }
+        EXPECT_TRUE(eventually([this, &crashing] { return isDenied(other(1), crashing); }));
+        SlotDemand item = crashing;
+        item.workClass = wire::WORK_CLASS_BATCH;
+        for (Host *host : {&holder(), &other(1)}) {
+            host->slots->release(acquireTicket(*host, item), {});
+        }
+    }
+}
+
 // Guards against a host that joins after a request was quarantined and lets it crash further upstreams.
 TEST_F(SlotServiceTest, joiningHostLearnsOfQuarantinedRequests)
 {
--- a/test/site/JobServiceTest.cpp
+++ b/test/site/JobServiceTest.cpp
@@ -188,6 +188,32 @@
     }
 }
 
+// Guards against an item that is never run again, or becomes a dead letter, because all upstreams lost the connections of its runs many
+// times, although they serve again. The job changes hands in between.
+TEST_F(JobServiceTest, itemsCompleteAfterABurstOfCrashes)
+{
+    constexpr int crashesBeforeTakeover = 12;
+    this->start(3);
+    this->upstreams[0]->setMode(UpstreamMode::AnswersLost);
+    this->upstreams[1]->setMode(UpstreamMode::AnswersLost);
+    const auto crashes = [this] {
+        int count = 0;
+        for (const auto &upstream : this->upstreams) {
+            for (const auto &[id, runs] : upstream->runs()) {
+                count += runs;
+            }
+        }
+        return count;
+    };
+    EXPECT_EQ(this->submit(*this->hosts[0], "job-1", 2), 202);
+    ASSERT_TRUE(runUntil(this->loop, [&crashes] { return crashes() >= crashesBeforeTakeover; }));
+    this->crashHost(*this->hosts[0]);
+    ASSERT_TRUE(runUntil(this->loop, [&crashes, before = crashes()] { return crashes() >= before + crashesBeforeTakeover; }));
+    this->upstreams[0]->setMode(UpstreamMode::Serving);
+    this->upstreams[1]->setMode(UpstreamMode::Serving);
+    expectAllCompleted(this->readWholeJob(*this->hosts[1], "job-1", 2), 2);
+}
+
 // Guards against an item that loses or repeats events when its stream is cut off and resumed at another upstream.
 TEST_F(JobServiceTest, interruptedItemsResumeAfterTheLastEvent)
 {
