Add up the crashes that different hosts count

Two causes were found at the level of SlotService and shown by tests that failed before the change:

- SlotServiceTest.crashOfASlotFromTheShareIsCounted: a host grants a slot from its share while the holder is silent.
When the upstream crashes the holder answers again, so the host left the count to it, but the holder does not know the grant and ignores its release.
Nobody counted.
- SlotServiceTest.crashesCountedByTwoHostsAddUp: two hosts that each count one crash while the holder is silent merged their counts by the maximum and had one crash together.

Change: every host counts the crashes that its own requests see, by upstream, and announces all of them. Counts are merged by the maximum for each upstream and added up over the upstreams. The number of an upstream's crash identifies it, so a crash that several hosts count is one (CrashQuarantineTest.crashCountedByTwoHostsIsOneCrash, SlotPoolTest.announcedCrashIsNotCountedAgain), and the order and number of announcements don't matter (CrashQuarantineTest.crashesCountedByDifferentHostsAddUp). An announcement repeats the earlier crashes, so that one that was lost is made up for by the next.

recordCrash() without an upstream is gone: only tests would use it. Its tests call the other overload with the same expectations. Expected actions in SlotPoolTest now include the upstreams.

--- a/src/CrashQuarantine.cpp
+++ b/src/CrashQuarantine.cpp
@@ -5,37 +5,23 @@
 
 namespace Bergamotramp {
 
-std::vector<std::pair<std::uint64_t, std::uint32_t>> CrashQuarantine::recordCrash(std::vector<std::uint64_t> fingerprints, absl::Time now)
-{
-    // Two copies on one upstream count as one crash.
-    std::sort(fingerprints.begin(), fingerprints.end());
-    fingerprints.erase(std::unique(fingerprints.begin(), fingerprints.end()), fingerprints.end());
-    std::vector<std::pair<std::uint64_t, std::uint32_t>> counts;
-    for (const std::uint64_t fingerprint : fingerprints) {
-        if (fingerprint == 0) {
-            continue;
-        }
-        const Record *known = this->find(fingerprint, now);
-        const std::uint32_t crashes = known == nullptr ? 1 : known->crashes + 1;
-        this->store(fingerprint, crashes, now);
-        counts.emplace_back(fingerprint, crashes);
-    }
-    return counts;
-}
-
 std::optional<std::uint32_t> CrashQuarantine::recordCrash(std::uint64_t fingerprint, std::string_view upstream, absl::Time started, absl::Time now)
 {
     if (fingerprint == 0 || this->isHarmless(fingerprint, now)) {
         return std::nullopt;
     }
-    const Record *known = this->find(fingerprint, now);
-    if (known != nullptr && known->upstream == upstream && started <= known->lastCrash) {
-        return std::nullopt;
+    if (const Record *known = this->find(fingerprint, now)) {
+        const auto crashed = known->upstreams.find(upstream);
+        if (crashed != known->upstreams.end() && started <= crashed->second.lastCrash) {
+            return std::nullopt;
+        }
     }
-    const std::uint32_t crashes = known == nullptr ? 1 : known->crashes + 1;
-    this->store(fingerprint, crashes, now);
-    this->records[fingerprint].upstream = upstream;
-    return crashes;
+    Record &record = this->findOrCreate(fingerprint, now);
+    record.lastCrash = now;
+    UpstreamRecord &crashed = record.upstreams[std::string(upstream)];
+    ++crashed.crashes;
+    crashed.lastCrash = now;
+    return ++record.crashes;
 }
 
 bool CrashQuarantine::recordCompletion(std::uint64_t fingerprint, absl::Time now)
@@ -77,10 +63,34 @@
     if (known != nullptr && known->crashes >= crashes) {
         return false;
     }
-    this->store(fingerprint, crashes, now);
+    Record &record = this->findOrCreate(fingerprint, now);
+    record.crashes = crashes;
+    record.lastCrash = now;
     return true;
 }
 
+// Each host counts the crashes that its own requests see. The number of an upstream's crash identifies it: hosts that count the same crash
+// give it the same number, and the maximum by upstream is the union of what they saw. With only the maximum of the totals, two hosts that
+// each counted one crash of different upstreams had one crash together, and a crashing request crashed a fourth upstream.
+bool CrashQuarantine::merge(const CrashCount &count, absl::Time now)
+{
+    if (count.crashes == 0 || count.fingerprint == 0 || this->isHarmless(count.fingerprint, now)) {
+        return this->merge(count.fingerprint, count.crashes, now);
+    }
+    bool changed = false;
+    for (const UpstreamCrashes &announced : count.upstreams) {
+        Record &record = this->findOrCreate(count.fingerprint, now);
+        UpstreamRecord &known = record.upstreams[announced.upstream];
+        if (announced.crashes > known.crashes) {
+            record.crashes += announced.crashes - known.crashes;
+            record.lastCrash = now;
+            known = {announced.crashes, now};
+            changed = true;
+        }
+    }
+    return this->merge(count.fingerprint, count.crashes, now) || changed;
+}
+
 bool CrashQuarantine::clear(std::uint64_t fingerprint)
 {
     const auto found = this->records.find(fingerprint);
@@ -128,16 +138,31 @@
     return this->completed.size() + this->completedBefore.size();
 }
 
-std::vector<std::pair<std::uint64_t, std::uint32_t>> CrashQuarantine::list() const
+CrashCount CrashQuarantine::count(std::uint64_t fingerprint) const
+{
+    const auto found = this->records.find(fingerprint);
+    return found == this->records.end() ? CrashCount{fingerprint} : countOf(fingerprint, found->second);
+}
+
+std::vector<CrashCount> CrashQuarantine::list() const
 {
-    std::vector<std::pair<std::uint64_t, std::uint32_t>> all;
+    std::vector<CrashCount> all;
     for (const auto &[fingerprint, record] : this->records) {
-        all.emplace_back(fingerprint, record.crashes);
+        all.push_back(countOf(fingerprint, record));
     }
-    std::sort(all.begin(), all.end());
+    std::ranges::sort(all, {}, &CrashCount::fingerprint);
     return all;
 }
 
+CrashCount CrashQuarantine::countOf(std::uint64_t fingerprint, const Record &record)
+{
+    CrashCount count{fingerprint, record.crashes};
+    for (const auto &[upstream, crashed] : record.upstreams) {
+        count.upstreams.push_back({upstream, crashed.crashes});
+    }
+    return count;
+}
+
 const CrashQuarantine::Record *CrashQuarantine::find(std::uint64_t fingerprint, absl::Time now) const
 {
     const auto found = this->records.find(fingerprint);
@@ -148,12 +173,15 @@
     return now - found->second.lastCrash < lifetime ? &found->second : nullptr;
 }
 
-void CrashQuarantine::store(std::uint64_t fingerprint, std::uint32_t crashes, absl::Time now)
+CrashQuarantine::Record &CrashQuarantine::findOrCreate(std::uint64_t fingerprint, absl::Time now)
 {
-    if (!this->records.contains(fingerprint) && this->records.size() >= maxFingerprints) {
-        this->evictOldest();
+    if (this->find(fingerprint, now) == nullptr) {
+        this->records.erase(fingerprint);
+        if (this->records.size() >= maxFingerprints) {
+            this->evictOldest();
+        }
     }
-    this->records[fingerprint] = Record{crashes, now};
+    return this->records[fingerprint];
 }
 
 void CrashQuarantine::evictOldest()
--- a/src/CrashQuarantine.h
+++ b/src/CrashQuarantine.h
@@ -2,17 +2,19 @@
 
 #include <cstddef>
 #include <cstdint>
+#include <functional>
 #include <map>
 #include <optional>
 #include <string>
 #include <string_view>
-#include <utility>
 #include <vector>
 
 #include <absl/container/flat_hash_map.h>
 #include <absl/container/flat_hash_set.h>
 #include <absl/time/time.h>
 
+#include "CrashCount.h"
+
 namespace Bergamotramp {
 
 /**
@@ -41,17 +43,17 @@
      */
     static constexpr absl::Duration completionLifetime = absl::Minutes(10);
 
-    /** Counts one crash against each of @p fingerprints and returns them with their new counts. */
-    std::vector<std::pair<std::uint64_t, std::uint32_t>> recordCrash(std::vector<std::uint64_t> fingerprints, absl::Time now);
     /**
      * Counts a crash of @p upstream against the request, which ran there since @p started, and returns the new count. Returns nothing
-     * when the crash does not count: the request is harmless, or another copy of it has been counted for the same crash.
+     * when the crash does not count: the request is harmless, or the crash has been counted for another copy of it, here or by another host.
      */
     std::optional<std::uint32_t> recordCrash(std::uint64_t fingerprint, std::string_view upstream, absl::Time started, absl::Time now);
     /** Records that the request has completed, and clears it also from quarantine. Returns whether it had a crash count. */
     bool recordCompletion(std::uint64_t fingerprint, absl::Time now);
     /** Merges the count that another host announced; 0 clears a suspect. Returns whether anything changed. */
     bool merge(std::uint64_t fingerprint, std::uint32_t crashes, absl::Time now);
+    /** The same, by upstream: crashes of different upstreams add up, whichever hosts counted them. */
+    bool merge(const CrashCount &count, absl::Time now);
     /**
      * Clears a suspect that completed while it ran alone; a quarantined fingerprint stays. Returns whether it was a
      * suspect.
@@ -67,20 +69,27 @@
     [[nodiscard]] std::size_t size() const;
     /** Number of fingerprints that are kept as harmless. */
     [[nodiscard]] std::size_t completedCount() const;
-    /** Fingerprints and crash counts, for the status and for a host that joins. */
-    [[nodiscard]] std::vector<std::pair<std::uint64_t, std::uint32_t>> list() const;
+    /** The crash count of a fingerprint. */
+    [[nodiscard]] CrashCount count(std::uint64_t fingerprint) const;
+    /** All crash counts in order of the fingerprints, for a host that joins. */
+    [[nodiscard]] std::vector<CrashCount> list() const;
 
 private:
+    struct UpstreamRecord {
+        std::uint32_t crashes = 0;
+        /** When this host learnt of the last crash. */
+        absl::Time lastCrash = absl::InfinitePast();
+    };
     struct Record {
         std::uint32_t crashes = 0;
         absl::Time lastCrash;
-        /** The upstream of the last crash; empty when it is unknown. */
-        std::string upstream{};
+        std::map<std::string, UpstreamRecord, std::less<>> upstreams;
     };
 
     [[nodiscard]] bool isHarmless(std::uint64_t fingerprint, absl::Time now) const;
     [[nodiscard]] const Record *find(std::uint64_t fingerprint, absl::Time now) const;
-    void store(std::uint64_t fingerprint, std::uint32_t crashes, absl::Time now);
+    Record &findOrCreate(std::uint64_t fingerprint, absl::Time now);
+    [[nodiscard]] static CrashCount countOf(std::uint64_t fingerprint, const Record &record);
     void evictOldest();
 
     absl::flat_hash_map<std::uint64_t, Record> records;
--- a/src/SlotMessages.cpp
+++ b/src/SlotMessages.cpp
@@ -85,16 +85,30 @@
     return envelope;
 }
 
-wire::Envelope toMessage(const std::string &service, const SuspectChanged &changed)
+wire::Envelope toMessage(const std::string &service, const CrashCount &count)
 {
     wire::Envelope envelope;
     wire::SuspectNotice *message = envelope.mutable_suspect_notice();
     message->set_service(service);
-    message->set_fingerprint(changed.fingerprint);
-    message->set_crashes(changed.crashes);
+    message->set_fingerprint(count.fingerprint);
+    message->set_crashes(count.crashes);
+    for (const UpstreamCrashes &crashed : count.upstreams) {
+        wire::CrashedUpstream *upstream = message->add_upstreams();
+        upstream->set_upstream(crashed.upstream);
+        upstream->set_crashes(crashed.crashes);
+    }
     return envelope;
 }
 
+CrashCount fromMessage(const wire::SuspectNotice &message)
+{
+    CrashCount count{message.fingerprint(), message.crashes()};
+    for (const wire::CrashedUpstream &crashed : message.upstreams()) {
+        count.upstreams.push_back({crashed.upstream(), crashed.crashes()});
+    }
+    return count;
+}
+
 wire::Envelope toMessage(const std::string &pool, std::uint64_t grant, const GrantOutcome &outcome)
 {
     wire::Envelope envelope;
--- a/src/SlotMessages.h
+++ b/src/SlotMessages.h
@@ -22,7 +22,8 @@
 /** The acknowledgement that the request is queued. */
 wire::Envelope queuedMessage(const GrantId &id);
 wire::Envelope toMessage(const std::string &pool, const SlotRevoked &revoked);
-wire::Envelope toMessage(const std::string &service, const SuspectChanged &changed);
+wire::Envelope toMessage(const std::string &service, const CrashCount &count);
+CrashCount fromMessage(const wire::SuspectNotice &message);
 
 wire::Envelope toMessage(const std::string &pool, std::uint64_t grant, const GrantOutcome &outcome);
 GrantOutcome fromMessage(const wire::SlotRelease &message);
--- a/src/SlotPool.cpp
+++ b/src/SlotPool.cpp
@@ -293,7 +293,8 @@
             this->demand.onServed(now - grant.grantedAt, outcome.tokens);
         }
         if (grant.isolated && this->crashQuarantine.clear(grant.request.fingerprint)) {
-            this->onCrashCountChanged(grant.request.fingerprint, 0, now);
+            this->pendingActions.emplace_back(SuspectChanged{grant.request.fingerprint});
+            this->onCrashCountChanged(SuspectChanged{grant.request.fingerprint}, now);
         }
     } else if (outcome.result == wire::SLOT_RESULT_CANCELLED) {
         this->load.latency().recordCancelled(grant.upstream, outcome.firstToken, outcome.betweenTokens, now);
@@ -306,30 +307,35 @@
     if (grant.crashCounted) {
         return;
     }
-    std::vector<std::uint64_t> inFlight;
+    std::vector<std::pair<std::uint64_t, absl::Time>> inFlight;
     for (auto &[id, other] : this->grants) {
         if (other.upstream == grant.upstream && !other.crashCounted) {
             other.crashCounted = true;
-            inFlight.push_back(other.request.fingerprint);
+            inFlight.emplace_back(other.request.fingerprint, other.grantedAt);
         }
     }
+    std::sort(inFlight.begin(), inFlight.end());
     this->load.latency().recordCrash(grant.upstream, now);
-    for (const auto &[fingerprint, count] : this->crashQuarantine.recordCrash(std::move(inFlight), now)) {
-        this->onCrashCountChanged(fingerprint, count, now);
+    for (const auto &[fingerprint, started] : inFlight) {
+        if (this->crashQuarantine.recordCrash(fingerprint, grant.upstream, started, now).has_value()) {
+            const CrashCount count = this->crashQuarantine.count(fingerprint);
+            this->pendingActions.emplace_back(count);
+            this->onCrashCountChanged(count, now);
+        }
     }
 }
 
-void SlotPool::onCrashCountChanged(std::uint64_t fingerprint, std::uint32_t crashCount, absl::Time now)
+void SlotPool::onCrashCountChanged(const CrashCount &count, absl::Time now)
 {
-    this->pendingActions.emplace_back(SuspectChanged{fingerprint, crashCount});
     // Stops running batch copies of the suspect, which share their upstreams with other requests, before they crash
     // those upstreams too.
     for (auto &[id, grant] : this->grants) {
-        if (crashCount > 0 && !grant.crashCounted && grant.request.fingerprint == fingerprint && !isOnline(grant.request)) {
+        const bool sharesUpstream = !grant.crashCounted && !grant.isolated;
+        if (count.crashes > 0 && sharesUpstream && grant.request.fingerprint == count.fingerprint && !isOnline(grant.request)) {
             this->revoke(grant, now);
         }
     }
-    this->updateWaitingCopies(fingerprint, now);
+    this->updateWaitingCopies(count.fingerprint, now);
 }
 
 void SlotPool::rememberEnded(const GrantId &id)
@@ -416,10 +422,10 @@
     return this->dispatchAndTakeActions(now);
 }
 
-SlotActions SlotPool::mergeCrashCount(std::uint64_t fingerprint, std::uint32_t crashCount, absl::Time now)
+SlotActions SlotPool::mergeCrashCount(const CrashCount &count, absl::Time now)
 {
-    if (this->crashQuarantine.merge(fingerprint, crashCount, now)) {
-        this->updateWaitingCopies(fingerprint, now);
+    if (this->crashQuarantine.merge(count, now)) {
+        this->onCrashCountChanged(count, now);
     }
     return this->dispatchAndTakeActions(now);
 }
--- a/src/SlotPool.h
+++ b/src/SlotPool.h
@@ -99,7 +99,7 @@
     /** Ends the grants and drops the waiting requests of a host that is gone. */
     SlotActions removeHost(const std::string &host, absl::Time now);
     /** Merges a crash count that another host announced. */
-    SlotActions mergeCrashCount(std::uint64_t fingerprint, std::uint32_t crashCount, absl::Time now);
+    SlotActions mergeCrashCount(const CrashCount &count, absl::Time now);
     /** Expires requests and grants and repeats revocations; to be called about every 100 ms. */
     SlotActions tick(absl::Time now);
 
@@ -146,7 +146,7 @@
     void endGrant(const GrantId &id, absl::Time now);
     void recordOutcome(const Grant &grant, const GrantOutcome &outcome, absl::Time now);
     void onUpstreamCrash(const Grant &grant, absl::Time now);
-    void onCrashCountChanged(std::uint64_t fingerprint, std::uint32_t crashCount, absl::Time now);
+    void onCrashCountChanged(const CrashCount &count, absl::Time now);
     void updateOrAddGrant(const GrantId &id, const HeldGrant &held, absl::Time now);
     void updateTokens(Grant &grant, std::uint32_t tokens, absl::Time now);
     void revoke(Grant &grant, absl::Time now);
--- a/src/SlotState.cpp
+++ b/src/SlotState.cpp
@@ -446,6 +446,7 @@
     ticket.workClass = demand.workClass;
     ticket.fingerprint = demand.fingerprint;
     ticket.organisation = demand.organisation;
+    ticket.startedAt = absl::Now();
     ticket.probe = choice.probe;
     ticket.revocation = revocation;
     pool.localLoad.add(choice.upstream, choice.probe, absl::Now());
@@ -471,6 +472,9 @@
         if (!pool->second.region.empty()) {
             this->notifyHoldersOfRelease(pool->second, ticket, outcome, outbox);
         }
+        if (outcome.result == wire::SLOT_RESULT_UPSTREAM_DIED) {
+            this->recordLocalCrash(ticket, outbox);
+        }
     }
     lock.unlock();
     ticket.revocation->disable();
@@ -483,11 +487,6 @@
     const std::string &upstream = ticket.ticket.upstream;
     if (outcome.result == wire::SLOT_RESULT_UPSTREAM_DIED) {
         pool.localLoad.latency().recordCrash(upstream, now);
-        // Only the holder can count the crash once for all hosts. Without a responsive holder, each host counts the crashes that it
-        // sees itself.
-        if (pool.region.empty() || this->isUnresponsive(pool.holder, now)) {
-            this->recordLocalCrash(ticket, outbox);
-        }
     } else if (outcome.result == wire::SLOT_RESULT_FAILED) {
         pool.localLoad.latency().recordFailure(upstream, now);
     } else if (outcome.result == wire::SLOT_RESULT_CANCELLED) {
@@ -496,25 +495,40 @@
         pool.localLoad.latency().record(upstream, outcome.firstToken, outcome.betweenTokens, now);
     }
     if (pool.region.empty() && outcome.result == wire::SLOT_RESULT_COMPLETED && this->crashQuarantines[pool.service].clear(ticket.fingerprint)) {
-        this->broadcastCrashCount(pool.service, {ticket.fingerprint, 0}, outbox);
+        this->broadcastCrashCount(pool.service, CrashCount{ticket.fingerprint}, outbox);
     }
     pool.localLoad.remove(upstream, ticket.probe);
 }
 
+// Each host counts the crashes that its own requests see, because the holder may not know the grant: it does not know a slot from a host's
+// share until that is reported, and a holder may be lost with its upstream. A crash that several hosts count is still one, see
+// CrashQuarantine::merge().
 void SlotService::State::recordLocalCrash(const Ticket &ticket, Outbox &outbox)
 {
-    const std::string service = ticket.ticket.service;
-    for (const auto &[fingerprint, crashes] : this->crashQuarantines[service].recordCrash({ticket.fingerprint}, absl::Now())) {
-        this->broadcastCrashCount(service, {fingerprint, crashes}, outbox);
+    const std::string &service = ticket.ticket.service;
+    CrashQuarantine &quarantine = this->crashQuarantines[service];
+    if (quarantine.recordCrash(ticket.fingerprint, ticket.ticket.upstream, ticket.startedAt, absl::Now()).has_value()) {
+        this->broadcastCrashCount(service, quarantine.count(ticket.fingerprint), outbox);
+    }
+}
+
+void SlotService::State::mergeCrashCount(const std::string &service, const CrashCount &count, Outbox &outbox)
+{
+    const absl::Time now = absl::Now();
+    this->crashQuarantines[service].merge(count, now);
+    for (auto &[name, pool] : this->pools) {
+        if (pool.service == service && pool.slotPool != nullptr) {
+            this->applyActions(name, pool.slotPool->mergeCrashCount(count, now), outbox);
+        }
     }
 }
 
-void SlotService::State::broadcastCrashCount(const std::string &service, const SuspectChanged &changed, Outbox &outbox)
+void SlotService::State::broadcastCrashCount(const std::string &service, const CrashCount &count, Outbox &outbox)
 {
-    this->crashQuarantines[service].merge(changed.fingerprint, changed.crashes, absl::Now());
+    this->mergeCrashCount(service, count, outbox);
     for (const HostInfo &host : this->directory.hosts()) {
         if (host.name != this->self) {
-            this->enqueueMessage(outbox, host.name, toMessage(service, changed));
+            this->enqueueMessage(outbox, host.name, toMessage(service, count));
         }
     }
 }
@@ -534,8 +548,8 @@
             if (joined == this->self || rendezvousPick(absl::StrCat("suspects/", service), others) != this->self) {
                 continue;
             }
-            for (const auto &[fingerprint, crashes] : quarantine.list()) {
-                this->enqueueMessage(outbox, joined, toMessage(service, SuspectChanged{fingerprint, crashes}));
+            for (const CrashCount &count : quarantine.list()) {
+                this->enqueueMessage(outbox, joined, toMessage(service, count));
             }
         }
     }
@@ -642,8 +656,8 @@
     }
     // A new pool has no requests, so these calls return no actions.
     pool.slotPool->configure(spec == nullptr ? ServiceSpec() : *spec, pool.upstreams, now);
-    for (const auto &[fingerprint, crashes] : this->crashQuarantines[pool.service].list()) {
-        pool.slotPool->mergeCrashCount(fingerprint, crashes, now);
+    for (const CrashCount &count : this->crashQuarantines[pool.service].list()) {
+        pool.slotPool->mergeCrashCount(count, now);
     }
     Outbox discarded;
     this->reportHeldSlots(poolName, pool, now, discarded);
@@ -753,15 +767,8 @@
 
 void SlotService::State::onSuspectNotice(const wire::SuspectNotice &message, Outbox &outbox)
 {
-    const absl::Time now = absl::Now();
-    if (this->directory.catalogue()->find(message.service()) == nullptr) {
-        return;
-    }
-    this->crashQuarantines[message.service()].merge(message.fingerprint(), message.crashes(), now);
-    for (auto &[name, pool] : this->pools) {
-        if (pool.service == message.service() && pool.slotPool != nullptr) {
-            this->applyActions(name, pool.slotPool->mergeCrashCount(message.fingerprint(), message.crashes(), now), outbox);
-        }
+    if (this->directory.catalogue()->find(message.service()) != nullptr) {
+        this->mergeCrashCount(message.service(), fromMessage(message), outbox);
     }
 }
 
--- a/src/SlotState.h
+++ b/src/SlotState.h
@@ -92,6 +92,7 @@
         std::uint64_t fingerprint = 0;
         std::string organisation;
         std::uint32_t tokens = 0;
+        absl::Time startedAt;
         bool probe = false;
         bool revoked = false;
         std::shared_ptr<Revocation> revocation;
@@ -150,7 +151,8 @@
                             const std::shared_ptr<Revocation> &revocation);
     void recordOutcome(Pool &pool, const Ticket &ticket, const GrantOutcome &outcome, Outbox &outbox);
     void recordLocalCrash(const Ticket &ticket, Outbox &outbox);
-    void broadcastCrashCount(const std::string &service, const SuspectChanged &changed, Outbox &outbox);
+    void broadcastCrashCount(const std::string &service, const CrashCount &count, Outbox &outbox);
+    void mergeCrashCount(const std::string &service, const CrashCount &count, Outbox &outbox);
     void sendCrashCountsToJoinedHosts(absl::Time now, Outbox &outbox);
     void notifyHoldersOfRelease(const Pool &pool, const Ticket &ticket, const GrantOutcome &outcome, Outbox &outbox);
 
--- a/src/SlotTypes.h
+++ b/src/SlotTypes.h
@@ -9,6 +9,7 @@
 
 #include <absl/time/time.h>
 
+#include "CrashCount.h"
 #include "bergamotramp.pb.h"
 
 namespace Bergamotramp {
@@ -110,12 +111,7 @@
 };
 
 /** The crash count of a fingerprint changed and has to be sent to all hosts; 0 clears a suspect. */
-struct SuspectChanged {
-    std::uint64_t fingerprint = 0;
-    std::uint32_t crashes = 0;
-
-    bool operator==(const SuspectChanged &) const = default;
-};
+using SuspectChanged = CrashCount;
 
 using SlotAction = std::variant<SlotGranted, SlotDenied, SlotRevoked, SuspectChanged>;
 using SlotActions = std::vector<SlotAction>;
--- a/test/core/CrashQuarantineTest.cpp
+++ b/test/core/CrashQuarantineTest.cpp
@@ -64,6 +64,41 @@
     EXPECT_TRUE(quarantine.isQuarantined(fingerprint, later));
 }
 
+// Guards against a crash that is lost when several hosts each count one: two crashes counted apart were merged to one, and a crashing request
+// crashed a fourth upstream. The order of the announcements, and how often they arrive, must not matter.
+TEST(CrashQuarantineTest, crashesCountedByDifferentHostsAddUp)
+{
+    CrashQuarantine hosts[3];
+    for (std::size_t index = 0; index < 3; ++index) {
+        hosts[index].recordCrash(fingerprint, "upstream-" + std::to_string(index), start, start);
+    }
+    const CrashCount counts[3] = {hosts[0].count(fingerprint), hosts[1].count(fingerprint), hosts[2].count(fingerprint)};
+    for (std::size_t index = 0; index < 3; ++index) {
+        EXPECT_FALSE(hosts[index].merge(counts[index], start));
+        EXPECT_TRUE(hosts[index].merge(counts[(index + 2) % 3], start));
+        EXPECT_FALSE(hosts[index].merge(counts[(index + 2) % 3], start));
+        EXPECT_FALSE(hosts[index].isQuarantined(fingerprint, start)) << "two crashes";
+        EXPECT_TRUE(hosts[index].merge(counts[(index + 1) % 3], start));
+        EXPECT_TRUE(hosts[index].isQuarantined(fingerprint, start));
+        EXPECT_EQ(hosts[index].list(), hosts[0].list());
+    }
+}
+
+// Guards against a harmless request that is quarantined because several hosts count the same crash.
+TEST(CrashQuarantineTest, crashCountedByTwoHostsIsOneCrash)
+{
+    CrashQuarantine first;
+    CrashQuarantine second;
+    const absl::Time crash = start + absl::Milliseconds(20);
+    first.recordCrash(fingerprint, "upstream", start, crash);
+    second.recordCrash(fingerprint, "upstream", start, crash);
+    EXPECT_FALSE(first.merge(second.count(fingerprint), crash));
+    CrashQuarantine third;
+    EXPECT_TRUE(third.merge(first.count(fingerprint), crash));
+    EXPECT_EQ(third.recordCrash(fingerprint, "upstream", start, crash + absl::Milliseconds(20)), std::nullopt) << "announced before it was seen";
+    EXPECT_EQ(third.list(), first.list());
+}
+
 // Guards against memory that grows with the number of different requests.
 TEST(CrashQuarantineTest, completionsAreBounded)
 {
--- a/test/core/SlotPoliciesTest.cpp
+++ b/test/core/SlotPoliciesTest.cpp
@@ -154,7 +154,7 @@
     CrashQuarantine quarantine;
     quarantine.merge(1, CrashQuarantine::crashesToQuarantine, start);
     for (std::uint64_t fingerprint = 2; fingerprint < CrashQuarantine::maxFingerprints + 100; ++fingerprint) {
-        quarantine.recordCrash({fingerprint}, start + absl::Seconds(1));
+        quarantine.recordCrash(fingerprint, "upstream", start, start + absl::Seconds(1));
     }
     EXPECT_EQ(quarantine.size(), CrashQuarantine::maxFingerprints);
     EXPECT_TRUE(quarantine.isQuarantined(1, start + absl::Seconds(2)));
@@ -163,7 +163,9 @@
 TEST(CrashQuarantineTest, twoCopiesOnOneUpstreamAreOneCrash)
 {
     CrashQuarantine quarantine;
-    quarantine.recordCrash({4, 4, 0}, start);
+    for (const std::uint64_t fingerprint : {4, 4, 0}) {
+        quarantine.recordCrash(fingerprint, "upstream", start, start);
+    }
     EXPECT_TRUE(quarantine.isSuspect(4, start));
     EXPECT_FALSE(quarantine.isQuarantined(4, start));
     EXPECT_FALSE(quarantine.isSuspect(0, start));
@@ -173,15 +175,16 @@
 TEST(CrashQuarantineTest, secondCrashDelaysForLongerAndDoesNotQuarantine)
 {
     CrashQuarantine quarantine;
-    quarantine.recordCrash({4}, start);
+    quarantine.recordCrash(4, "upstream", start, start);
     const absl::Time second = start + CrashQuarantine::suspectRetryDelay;
     EXPECT_TRUE(quarantine.mayRetry(4, second));
-    quarantine.recordCrash({4}, second);
+    quarantine.recordCrash(4, "upstream", second, second);
     EXPECT_FALSE(quarantine.isQuarantined(4, second));
     EXPECT_FALSE(quarantine.mayRetry(4, second + CrashQuarantine::suspectRetryDelay));
     EXPECT_TRUE(quarantine.mayRetry(4, second + CrashQuarantine::repeatedSuspectRetryDelay));
-    quarantine.recordCrash({4}, second + CrashQuarantine::repeatedSuspectRetryDelay);
-    EXPECT_TRUE(quarantine.isQuarantined(4, second + CrashQuarantine::repeatedSuspectRetryDelay));
+    const absl::Time third = second + CrashQuarantine::repeatedSuspectRetryDelay;
+    quarantine.recordCrash(4, "upstream", third, third);
+    EXPECT_TRUE(quarantine.isQuarantined(4, third));
 }
 
 TEST(CrashQuarantineTest, clearRemovesSuspectsButNotQuarantinedRequests)
--- a/test/core/SlotPoolTest.cpp
+++ b/test/core/SlotPoolTest.cpp
@@ -282,7 +282,7 @@
     online(1, 66);
     online(2);
     online(3, 5);
-    EXPECT_EQ(release(1, wire::SLOT_RESULT_UPSTREAM_DIED), (SlotActions{SuspectChanged{5, 1}, SuspectChanged{66, 1}}));
+    EXPECT_EQ(release(1, wire::SLOT_RESULT_UPSTREAM_DIED), (SlotActions{SuspectChanged{5, 1, {{"a", 1}}}, SuspectChanged{66, 1, {{"a", 1}}}}));
     // Request 3 ran on the same upstream and reports the same crash, which must not count twice.
     EXPECT_EQ(release(3, wire::SLOT_RESULT_UPSTREAM_DIED), SlotActions());
     EXPECT_EQ(online(4, 66), SlotActions()) << "a suspect must not share an upstream";
@@ -291,14 +291,15 @@
     now += CrashQuarantine::suspectRetryDelay;
     EXPECT_EQ(pool.tick(now), granted(4, "b"));
     // With both upstreams crashed, the other suspect runs alone as the probe that shows whether one is back.
-    EXPECT_EQ(release(4, wire::SLOT_RESULT_UPSTREAM_DIED), (SlotActions{SuspectChanged{66, 2}, SlotGranted{{"h", 5}, "a", "127.0.0.1:1"}}));
+    EXPECT_EQ(release(4, wire::SLOT_RESULT_UPSTREAM_DIED),
+              (SlotActions{SuspectChanged{66, 2, {{"a", 1}, {"b", 1}}}, SlotGranted{{"h", 5}, "a", "127.0.0.1:1"}}));
     EXPECT_EQ(release(5), (SlotActions{SuspectChanged{5, 0}}));
     EXPECT_EQ(online(6, 66), SlotActions()) << "a second crash delays the suspect for longer";
     now += CrashQuarantine::suspectRetryDelay;
     EXPECT_EQ(pool.tick(now), SlotActions());
     now += CrashQuarantine::repeatedSuspectRetryDelay;
     EXPECT_EQ(pool.tick(now), granted(6, "a"));
-    EXPECT_EQ(release(6, wire::SLOT_RESULT_UPSTREAM_DIED), (SlotActions{SuspectChanged{66, 3}}));
+    EXPECT_EQ(release(6, wire::SLOT_RESULT_UPSTREAM_DIED), (SlotActions{SuspectChanged{66, 3, {{"a", 2}, {"b", 1}}}}));
     EXPECT_EQ(online(7, 66), denied(7, SlotDenialCode::quarantined));
 }
 
@@ -329,6 +330,20 @@
     EXPECT_EQ(pool.status(now).suspectsQueued + pool.status(now).batchQueued, 0U);
 }
 
+// Guards against a crash that counts twice because another host, whose copy ran on the same upstream, announces it before the holder learns
+// of it, and against batch copies that keep running beside other requests after such an announcement.
+TEST_F(SlotPoolTest, announcedCrashIsNotCountedAgain)
+{
+    configure({{"a", "127.0.0.1:1", 2, false}, {"b", "127.0.0.1:2", 2, false}});
+    EXPECT_EQ(online(1, 66), granted(1, "a"));
+    EXPECT_EQ(batch(2, 66), granted(2, "b"));
+    now += absl::Milliseconds(20);
+    EXPECT_EQ(pool.mergeCrashCount({66, 1, {{"a", 1}}}, now), (SlotActions{SlotRevoked{{"h", 2}}}));
+    now += absl::Milliseconds(20);
+    EXPECT_EQ(release(1, wire::SLOT_RESULT_UPSTREAM_DIED), SlotActions());
+    EXPECT_EQ(pool.suspects().count(66), (CrashCount{66, 1, {{"a", 1}}}));
+}
+
 // Guards against a waiting batch item that is denied when the count of its crashes, counted by other hosts, reaches the quarantine.
 TEST_F(SlotPoolTest, waitingBatchItemIsNotDeniedByAnAnnouncedQuarantine)
 {
@@ -336,7 +351,7 @@
     online(2);
     batch(3, 66);
     online(4, 66);
-    EXPECT_EQ(pool.mergeCrashCount(66, CrashQuarantine::crashesToQuarantine, now), denied(4, SlotDenialCode::quarantined));
+    EXPECT_EQ(pool.mergeCrashCount({66, CrashQuarantine::crashesToQuarantine}, now), denied(4, SlotDenialCode::quarantined));
     now += CrashQuarantine::repeatedSuspectRetryDelay;
     EXPECT_EQ(release(1), granted(3, "a"));
 }
@@ -357,7 +372,7 @@
 
 TEST_F(SlotPoolTest, suspectThatCompletesAloneIsCleared)
 {
-    pool.mergeCrashCount(66, 1, now);
+    pool.mergeCrashCount({66, 1}, now);
     now += CrashQuarantine::suspectRetryDelay;
     EXPECT_EQ(online(1, 66), granted(1, "a"));
     EXPECT_EQ(online(2, 66), SlotActions());
--- a/test/host/SlotServiceTest.cpp
+++ b/test/host/SlotServiceTest.cpp
@@ -1,5 +1,6 @@
 #include "SlotService.h"
 
+#include <algorithm>
 #include <functional>
 #include <future>
 #include <map>
@@ -64,6 +65,13 @@
             this->*flag = value;
         }
 
+        bool hasCrashNotice()
+        {
+            const std::lock_guard<std::mutex> lock(this->mutex);
+            return std::any_of(
+                this->delayedMessages.begin(), this->delayedMessages.end(), [](const wire::Envelope &message) { return message.has_suspect_notice(); });
+        }
+
         void deliver()
         {
             const std::lock_guard<std::mutex> lock(this->mutex);
@@ -182,6 +190,16 @@
         return denial == nullptr ? std::get<SlotTicket>(answer) : SlotTicket();
     }
 
+    /** Waits until a request of @p host gets its slot from the holder again. */
+    static void waitForHolder(Host &host)
+    {
+        EXPECT_TRUE(eventually([&host] {
+            const SlotTicket ticket = acquireTicket(host, demand(wire::WORK_CLASS_ONLINE));
+            host.slots->release(ticket, {});
+            return !ticket.fallback;
+        }));
+    }
+
     /** Whether a request is denied; releases the slot if it is granted. */
     static bool isDenied(Host &host, const SlotDemand &demand)
     {
@@ -331,6 +349,57 @@
     }
 }
 
+// Guards against a crash that nobody counts: the host granted the slot from its share while the holder was silent, so the holder does not
+// know the grant, and when the upstream crashes the holder answers again.
+TEST_F(SlotServiceTest, crashOfASlotFromTheShareIsCounted)
+{
+    SlotDemand crashing = demand(wire::WORK_CLASS_ONLINE);
+    crashing.fingerprint = 80;
+    GrantOutcome crashed;
+    crashed.result = wire::SLOT_RESULT_UPSTREAM_DIED;
+    holder().set(&Host::silent, true);
+    const SlotTicket shareTicket = acquireTicket(other(1), crashing);
+    ASSERT_TRUE(shareTicket.fallback);
+    holder().set(&Host::silent, false);
+    this->waitForHolder(other(1));
+    other(1).slots->release(shareTicket, crashed);
+    for (std::uint32_t crash = 2; crash <= CrashQuarantine::crashesToQuarantine; ++crash) {
+        holder().slots->release(acquireTicket(holder(), crashing), crashed);
+    }
+    const auto answer = holder().slots->acquire(crashing, [] {});
+    ASSERT_TRUE(std::holds_alternative<SlotDenial>(answer)) << "a fourth upstream crashes";
+    EXPECT_EQ(std::get<SlotDenial>(answer).code, "quarantined");
+}
+
+// Guards against a crash that is lost when two hosts each count one while the holder is silent and then learn of the other's count.
+TEST_F(SlotServiceTest, crashesCountedByTwoHostsAddUp)
+{
+    SlotDemand crashing = demand(wire::WORK_CLASS_ONLINE);
+    crashing.fingerprint = 81;
+    GrantOutcome crashed;
+    crashed.result = wire::SLOT_RESULT_UPSTREAM_DIED;
+    holder().set(&Host::silent, true);
+    crashing.excludedUpstreams = {"modelo-1"};
+    const SlotTicket first = acquireTicket(other(1), crashing);
+    crashing.excludedUpstreams = {"modelo-2"};
+    const SlotTicket second = acquireTicket(other(2), crashing);
+    ASSERT_TRUE(first.fallback && second.fallback && first.upstream != second.upstream);
+    other(1).set(&Host::delayMessages, true);
+    other(2).set(&Host::delayMessages, true);
+    other(1).slots->release(first, crashed);
+    other(2).slots->release(second, crashed);
+    ASSERT_TRUE(eventually([this] { return other(1).hasCrashNotice() && other(2).hasCrashNotice(); }));
+    holder().set(&Host::silent, false);
+    other(1).deliver();
+    other(2).deliver();
+    crashing.excludedUpstreams.clear();
+    other(1).slots->release(acquireTicket(other(1), crashing), crashed);
+    EXPECT_TRUE(eventually([this] { return inFlight(holder()) == 0; }));
+    const auto answer = other(1).slots->acquire(crashing, [] {});
+    ASSERT_TRUE(std::holds_alternative<SlotDenial>(answer)) << "a fourth upstream crashes";
+    EXPECT_EQ(std::get<SlotDenial>(answer).code, "quarantined");
+}
+
 // Guards against a batch item that a host refuses, for a model or a plain service, because an online request with the same content is
 // quarantined: the item is owed.
 TEST_F(SlotServiceTest, batchItemIsNotRefusedForCrashes)
