Log begins that were not answered and their repetition

Timeline of one, in seconds (cut 1.7, restored 4.6): 503 from h1 at 3.4, 503 from h4 at 5.2, request_in_progress from 5.5 on, outcome_unknown at 7.1. So the intent was recorded after the links were restored, 1.5 s before 7.0, and after its host had given up.

Hypotheses from the code: 1. The withdrawal repeats the begin. After the deadline of the attempt the answer is UNKNOWN, which counts as an answer, and the key stays blocked. 2. One thread sends all withdrawals in turn, so that they come too late. 3. Callers take outcome_unknown as final although a withdrawal is coming. 4. An upstream got the request.

The logs could not tell these apart.

--- a/src/JournalService.cpp
+++ b/src/JournalService.cpp
@@ -9,6 +9,7 @@
 #include <map>
 #include <mutex>
 #include <optional>
+#include <string_view>
 #include <thread>
 
 #include <absl/strings/str_cat.h>
@@ -91,10 +92,12 @@
         wire::JournalBegun begun = this->beginUntil(message, started + timeLeft, started + std::min(timeLeft, beginTimeout));
         const bool late = absl::Now() >= started + timeLeft;
         if (begun.state() == wire::JOURNAL_STATE_NEW && late) {
+            this->recordBeginEvent("journal.begin-late", message, begun.state());
             this->retryInBackground({message.key(), begun.attempt(), {}, true, "", std::nullopt, absl::Now() + backgroundRetryTime});
             begun.Clear();
             begun.set_state(wire::JOURNAL_STATE_UNAVAILABLE);
         } else if (begun.state() == wire::JOURNAL_STATE_UNAVAILABLE && !begun.never_started() && !begun.not_recorded()) {
+            this->recordBeginEvent("journal.begin-unanswered", message, begun.state());
             this->retryInBackground({message.key(), 0, {}, true, "", message, absl::Now() + backgroundRetryTime});
         }
         if (begun.state() == wire::JOURNAL_STATE_FINISHED && !this->bodies.load(key, *begun.mutable_result())) {
@@ -289,6 +292,14 @@
         return finished;
     }
 
+    // A begin with one of these events was granted nothing in time, so that this host has sent nothing to an upstream for it.
+    void recordBeginEvent(std::string_view event, const wire::JournalBegin &begin, wire::JournalState state)
+    {
+        if (this->context.events != nullptr) {
+            this->context.events->record(event, {{"key", begin.key()}, {"call", begin.request()}, {"state", wire::JournalState_Name(state)}});
+        }
+    }
+
     void removeUnusedBody(const PendingRecord &pending, const wire::JournalFinished &finished)
     {
         const std::string &ownReference = pending.result.body_object();
@@ -395,6 +406,7 @@
         if (pending.intent.has_value()) {
             const absl::Time limit = absl::Now() + replyTimeout;
             const wire::JournalBegun begun = this->beginUntil(*pending.intent, absl::Now() + absl::Seconds(10), limit);
+            this->recordBeginEvent("journal.begin-repeated", *pending.intent, begun.state());
             if (begun.state() != wire::JOURNAL_STATE_NEW) {
                 return begun.state() != wire::JOURNAL_STATE_UNAVAILABLE;
             }
