Withdraw a begin that was not answered, also after its deadline

Cause: a host withdrew a begin by repeating it with the same call id. Once the deadline of the attempt had passed the answer was UNKNOWN, which ended the withdrawal. The repetition could also record a new intent.

Change: JournalFinish names the withdrawn call. The holder appends a record for that call, under a key of its own, always, so that only the holder can answer. An attempt of a withdrawn call counts as not run, and a begin of that call that arrives later is not recorded. Records made from the index keep the hash of the call.

Ruled out: a withdrawn call as part of the state of the caller's key. It has room for one call; a begin delayed past the withdrawal of a later call was recorded and blocked the key. Also ruled out: a second durable step before the first byte, which costs one more write for each request.

The simulation covers lost answers, repeated and reordered begins and withdrawals, former holders and restarts.

--- a/src/JournalHolder.cpp
+++ b/src/JournalHolder.cpp
@@ -80,6 +80,13 @@
     });
 }
 
+void JournalHolder::withdraw(std::uint32_t shard, const JournalWithdrawal &withdrawal, AnswerCallback onAnswer)
+{
+    this->request(shard, std::move(onAnswer), [&withdrawal](JournalShard &machine, std::uint64_t request, absl::Time now) {
+        return machine.withdraw(request, withdrawal, now);
+    });
+}
+
 void JournalHolder::read(std::uint32_t shard, const std::string &key, AnswerCallback onAnswer)
 {
     this->request(shard, std::move(onAnswer), [&key](JournalShard &machine, std::uint64_t request, absl::Time now) { return machine.read(request, key, now); });
--- a/src/JournalHolder.h
+++ b/src/JournalHolder.h
@@ -34,6 +34,7 @@
     /** Takes the shard over if this host ranks first for it. Otherwise the answer for a shard that isn't held is NOT_HOLDER. */
     void begin(std::uint32_t shard, const JournalIntent &intent, AnswerCallback onAnswer);
     void finish(std::uint32_t shard, const JournalCompletion &completion, AnswerCallback onAnswer);
+    void withdraw(std::uint32_t shard, const JournalWithdrawal &withdrawal, AnswerCallback onAnswer);
     void read(std::uint32_t shard, const std::string &key, AnswerCallback onAnswer);
     /** Releases all shards once their queued records are written, and takes over no more. */
     void release();
--- a/src/JournalIndex.cpp
+++ b/src/JournalIndex.cpp
@@ -2,6 +2,8 @@
 
 #include <algorithm>
 
+#include <absl/strings/str_cat.h>
+
 namespace Bergamotramp {
 
 namespace {
@@ -50,10 +52,48 @@
     record.set_written_us(absl::ToUnixMicros(now));
     record.set_finished(true);
     record.set_not_run(false);
+    record.clear_call_hash();
     *record.mutable_result() = completion.result;
     return record;
 }
 
+// A withdrawn call has an entry of its own. The state of the caller's key has room for one call only, and a begin that was delayed may arrive
+// after the calls that followed it were withdrawn as well. Callers' keys contain no line break, because they come from a header.
+std::string withdrawnCallKey(const std::string &key, std::uint64_t callHash)
+{
+    return absl::StrCat(key, "\n", absl::Hex(callHash));
+}
+
+wire::JournalEntry withdrawnCallRecord(const std::string &callKey, absl::Time kept)
+{
+    wire::JournalEntry record;
+    record.set_key(callKey);
+    record.set_attempt(1);
+    record.set_written_us(absl::ToUnixMicros(kept));
+    record.set_not_run(true);
+    return record;
+}
+
+// An attempt whose call was withdrawn has not run. If an earlier attempt may have run, the key isn't freed; the attempt only ends.
+std::optional<JournalKeyState> applyWithdrawal(const JournalIndex &index, const std::string &key, const JournalKeyState *entry, absl::Time now)
+{
+    if (entry == nullptr) {
+        return std::nullopt;
+    }
+    JournalKeyState state = *entry;
+    const bool mayBeWithdrawn = !state.finished && !state.notRun && state.reference != 0;
+    if (mayBeWithdrawn && index.contains(withdrawnCallKey(key, state.reference), now)) {
+        state.notRun = !state.earlierAttempts;
+        state.deadlineUs = std::min(state.deadlineUs, absl::ToUnixMicros(now));
+    }
+    return state;
+}
+
+bool isOfCall(const JournalKeyState &state, const std::string &host, std::uint64_t callNumber)
+{
+    return callNumber != 0 && !state.finished && state.reference == journalCallHash(host, callNumber);
+}
+
 } // namespace
 
 JournalIndex::JournalIndex(absl::Duration retention) : JournalIndex(JournalRetentionLimits{retention, retention})
@@ -66,12 +106,18 @@
 
 JournalDecision JournalIndex::begin(const JournalIntent &intent, absl::Time now) const
 {
-    const JournalKeyState *entry = this->findUnexpired(intent.key, now);
-    const wire::JournalState state = entry == nullptr ? wire::JOURNAL_STATE_NOT_FOUND : entry->stateAt(now);
+    const std::optional<JournalKeyState> entry = applyWithdrawal(*this, intent.key, this->findUnexpired(intent.key, now), now);
+    const wire::JournalState state = !entry.has_value() ? wire::JOURNAL_STATE_NOT_FOUND : entry->stateAt(now);
+    const bool sameCall = entry.has_value() && isOfCall(*entry, intent.host, intent.callNumber);
+    const bool withdrawn = intent.callNumber != 0 && this->contains(withdrawnCallKey(intent.key, journalCallHash(intent.host, intent.callNumber)), now);
+    // The attempt of this call has ended, and its host waits for no answer any more. Another attempt would only block the key.
+    if (withdrawn || (sameCall && state != wire::JOURNAL_STATE_IN_PROGRESS)) {
+        return {wire::JOURNAL_STATE_UNAVAILABLE, 0, std::nullopt};
+    }
     const bool mayRun = state == wire::JOURNAL_STATE_NOT_FOUND
                         || (state == wire::JOURNAL_STATE_UNKNOWN && entry->idempotent && intent.idempotent && entry->fingerprint == intent.fingerprint);
     if (mayRun) {
-        wire::JournalEntry record = intentRecord(intent, entry, now);
+        wire::JournalEntry record = intentRecord(intent, entry.has_value() ? &*entry : nullptr, now);
         const std::uint32_t attempt = record.attempt();
         const bool earlier = record.earlier_attempts();
         return {wire::JOURNAL_STATE_NEW, attempt, std::move(record), earlier};
@@ -80,7 +126,6 @@
         return {wire::JOURNAL_STATE_CONFLICT, 0, std::nullopt};
     }
     // The reply may be lost after the intent was recorded. A repetition of the same call is granted the same attempt.
-    const bool sameCall = intent.callNumber != 0 && entry->reference == journalCallHash(intent.host, intent.callNumber);
     if (state == wire::JOURNAL_STATE_IN_PROGRESS && sameCall) {
         return {wire::JOURNAL_STATE_NEW, entry->attempt, std::nullopt, entry->earlierAttempts};
     }
@@ -89,8 +134,8 @@
 
 JournalDecision JournalIndex::finish(const JournalCompletion &completion, absl::Time now) const
 {
-    const JournalKeyState *entry = this->find(completion.key);
-    if (entry == nullptr || completion.attempt == 0 || completion.attempt > entry->attempt) {
+    const std::optional<JournalKeyState> entry = applyWithdrawal(*this, completion.key, this->find(completion.key), now);
+    if (!entry.has_value() || completion.attempt == 0 || completion.attempt > entry->attempt) {
         return {wire::JOURNAL_STATE_NOT_FOUND, 0, std::nullopt};
     }
     const bool current = completion.attempt == entry->attempt;
@@ -110,10 +155,19 @@
     return {state, entry->attempt, std::move(record)};
 }
 
+JournalDecision JournalIndex::withdraw(const JournalWithdrawal &withdrawal, absl::Time now) const
+{
+    const JournalKeyState *entry = this->findUnexpired(withdrawal.key, now);
+    // Kept for as long as the attempt, whose deadline may be later.
+    const absl::Time kept = entry == nullptr ? now : std::max(now, entry->endTime());
+    const std::uint64_t callHash = journalCallHash(withdrawal.host, withdrawal.callNumber);
+    return {this->read(withdrawal.key, now).state, 0, withdrawnCallRecord(withdrawnCallKey(withdrawal.key, callHash), kept)};
+}
+
 JournalDecision JournalIndex::read(const std::string &key, absl::Time now) const
 {
-    const JournalKeyState *entry = this->findUnexpired(key, now);
-    if (entry == nullptr) {
+    const std::optional<JournalKeyState> entry = applyWithdrawal(*this, key, this->findUnexpired(key, now), now);
+    if (!entry.has_value()) {
         return {};
     }
     return {entry->stateAt(now), entry->attempt, std::nullopt};
--- a/src/JournalIndex.h
+++ b/src/JournalIndex.h
@@ -39,6 +39,16 @@
     bool endedWithoutResult = false;
 };
 
+/** The end of a call whose host got no answer in time. The host has sent nothing to an upstream for the call and never will. */
+struct JournalWithdrawal {
+    std::string key;
+    /** The requesting host and the number of its call, as in JournalIntent. */
+    std::string host;
+    std::uint64_t callNumber = 0;
+
+    bool operator==(const JournalWithdrawal &) const = default;
+};
+
 /** The index's decision on a request, and the record that has to become durable before the reply may be sent. */
 struct JournalDecision {
     wire::JournalState state = wire::JOURNAL_STATE_NOT_FOUND;
@@ -61,6 +71,11 @@
 
     [[nodiscard]] JournalDecision begin(const JournalIntent &intent, absl::Time now) const;
     [[nodiscard]] JournalDecision finish(const JournalCompletion &completion, absl::Time now) const;
+    /**
+     * Ends the attempt of a call, also after its deadline, and refuses a begin of the call that arrives later. The decision always has a record,
+     * so that only the holder of the shard can answer.
+     */
+    [[nodiscard]] JournalDecision withdraw(const JournalWithdrawal &withdrawal, absl::Time now) const;
     [[nodiscard]] JournalDecision read(const std::string &key, absl::Time now) const;
 
     /** @p object is the number of the object that holds the record, or 0 while the record isn't durable. */
--- a/src/JournalKeyState.cpp
+++ b/src/JournalKeyState.cpp
@@ -28,7 +28,8 @@
     state.fingerprint = record.fingerprint();
     state.deadlineUs = record.deadline_us();
     state.writtenUs = record.written_us();
-    state.reference = record.finished() ? object : journalCallHash(record.host(), record.request());
+    const std::uint64_t callHash = record.call_hash() != 0 ? record.call_hash() : journalCallHash(record.host(), record.request());
+    state.reference = record.finished() ? object : callHash;
     state.attempt = record.attempt();
     state.idempotent = record.idempotent();
     state.finished = record.finished();
@@ -85,6 +86,7 @@
     record.set_finished(this->finished);
     record.set_not_run(this->notRun);
     record.set_earlier_attempts(this->earlierAttempts);
+    record.set_call_hash(this->finished ? 0 : this->reference);
     return record;
 }
 
--- a/src/JournalRequest.cpp
+++ b/src/JournalRequest.cpp
@@ -22,6 +22,9 @@
     if (const auto *intent = std::get_if<JournalIntent>(&event)) {
         return intent->key;
     }
+    if (const auto *withdrawal = std::get_if<JournalWithdrawal>(&event)) {
+        return withdrawal->key;
+    }
     const auto *completion = std::get_if<JournalCompletion>(&event);
     return completion != nullptr ? completion->key : std::get<std::string>(event);
 }
@@ -34,7 +37,7 @@
         begun.set_earlier_attempts(decision.earlierAttempts);
         return begun;
     }
-    if (std::holds_alternative<JournalCompletion>(event)) {
+    if (std::holds_alternative<JournalCompletion>(event) || std::holds_alternative<JournalWithdrawal>(event)) {
         return makeMessage<wire::JournalFinished>(decision, result);
     }
     return makeMessage<wire::JournalRecord>(decision, result);
--- a/src/JournalRequest.h
+++ b/src/JournalRequest.h
@@ -11,8 +11,8 @@
 
 namespace Bergamotramp {
 
-/** An intent, a completion, or the key to read. */
-using JournalEvent = std::variant<JournalIntent, JournalCompletion, std::string>;
+/** An intent, a completion, a withdrawal, or the key to read. */
+using JournalEvent = std::variant<JournalIntent, JournalCompletion, JournalWithdrawal, std::string>;
 
 /** A request to a shard and when it arrived. */
 struct JournalRequest {
--- a/src/JournalService.cpp
+++ b/src/JournalService.cpp
@@ -90,15 +90,13 @@
         message.set_idempotent(idempotent);
         message.set_request(this->nextCallId());
         wire::JournalBegun begun = this->beginUntil(message, started + timeLeft, started + std::min(timeLeft, beginTimeout));
-        const bool late = absl::Now() >= started + timeLeft;
-        if (begun.state() == wire::JOURNAL_STATE_NEW && late) {
-            this->recordBeginEvent("journal.begin-late", message, begun.state());
-            this->retryInBackground({message.key(), begun.attempt(), {}, true, "", std::nullopt, absl::Now() + backgroundRetryTime});
+        if (begun.state() == wire::JOURNAL_STATE_NEW && absl::Now() >= started + timeLeft) {
             begun.Clear();
             begun.set_state(wire::JOURNAL_STATE_UNAVAILABLE);
-        } else if (begun.state() == wire::JOURNAL_STATE_UNAVAILABLE && !begun.never_started() && !begun.not_recorded()) {
-            this->recordBeginEvent("journal.begin-unanswered", message, begun.state());
-            this->retryInBackground({message.key(), 0, {}, true, "", message, absl::Now() + backgroundRetryTime});
+        }
+        if (begun.state() == wire::JOURNAL_STATE_UNAVAILABLE && !begun.never_started() && !begun.not_recorded()) {
+            this->recordBeginEvent("journal.begin-unanswered", message.key(), message.request(), begun.state());
+            this->withdraw(message);
         }
         if (begun.state() == wire::JOURNAL_STATE_FINISHED && !this->bodies.load(key, *begun.mutable_result())) {
             begun.Clear();
@@ -109,7 +107,7 @@
 
     void endAttempt(const std::string &key, std::uint32_t attempt)
     {
-        PendingRecord pending{key, attempt, {}, false, "", std::nullopt, absl::Now() + backgroundRetryTime, true};
+        PendingRecord pending{key, attempt, {}, false, "", absl::Now() + backgroundRetryTime, true, 0};
         if (!isDefinitive(this->finishUntil(pending, absl::Now() + finishTimeout).state())) {
             this->retryInBackground(std::move(pending));
         }
@@ -117,7 +115,7 @@
 
     wire::JournalFinished finish(const std::string &key, std::uint32_t attempt, const wire::RecordedResult &result, bool notRun)
     {
-        PendingRecord pending{key, attempt, result, notRun, this->bodyKey(key), std::nullopt, absl::Now() + backgroundRetryTime, false};
+        PendingRecord pending{key, attempt, result, notRun, this->bodyKey(key), absl::Now() + backgroundRetryTime, false, 0};
         wire::JournalFinished finished = this->finishUntil(pending, absl::Now() + finishTimeout);
         if (!isDefinitive(finished.state())) {
             this->retryInBackground(std::move(pending));
@@ -186,16 +184,17 @@
     }
 
 private:
-    /** A finish that could not be recorded yet, or an intent that may have been recorded but must be cancelled, because its request won't run. */
+    /** A finish that could not be recorded yet, or the withdrawal of a call whose intent may have been recorded or still be. */
     struct PendingRecord {
         std::string key;
         std::uint32_t attempt = 0;
         wire::RecordedResult result;
         bool notRun = false;
         std::string bodyKey;
-        std::optional<wire::JournalBegin> intent;
         absl::Time retryUntil;
         bool attemptEnded = false;
+        /** 0 unless this is a withdrawal. */
+        std::uint64_t withdrawnCall = 0;
     };
     using EnvelopeCallback = std::function<void(wire::Envelope)>;
 
@@ -281,6 +280,7 @@
                 *message.mutable_result() = pending.result;
                 message.set_not_run(pending.notRun);
                 message.set_attempt_ended(pending.attemptEnded);
+                message.set_withdrawn_call(pending.withdrawnCall);
                 const std::optional<wire::Envelope> answer = this->callHolder(message.shard(), envelope, limit - absl::Now());
                 if (answer.has_value() && answer->has_journal_finished() && isDefinitive(answer->journal_finished().state())) {
                     this->removeUnusedBody(pending, answer->journal_finished());
@@ -293,13 +293,19 @@
     }
 
     // A begin with one of these events was granted nothing in time, so that this host has sent nothing to an upstream for it.
-    void recordBeginEvent(std::string_view event, const wire::JournalBegin &begin, wire::JournalState state)
+    void recordBeginEvent(std::string_view event, const std::string &key, std::uint64_t call, wire::JournalState state)
     {
         if (this->context.events != nullptr) {
-            this->context.events->record(event, {{"key", begin.key()}, {"call", begin.request()}, {"state", wire::JournalState_Name(state)}});
+            this->context.events->record(event, {{"key", key}, {"call", call}, {"state", wire::JournalState_Name(state)}});
         }
     }
 
+    // The intent may be recorded now or later although its request won't run, because its caller is told so. The call is never used again.
+    void withdraw(const wire::JournalBegin &begin)
+    {
+        this->retryInBackground({begin.key(), 0, {}, true, "", absl::Now() + backgroundRetryTime, false, begin.request()});
+    }
+
     void removeUnusedBody(const PendingRecord &pending, const wire::JournalFinished &finished)
     {
         const std::string &ownReference = pending.result.body_object();
@@ -353,6 +359,10 @@
             this->holder.begin(begin.shard(), intent, onAnswer);
         } else if (request.has_journal_finish() && request.journal_finish().shard() < shards) {
             const wire::JournalFinish &finish = request.journal_finish();
+            if (finish.withdrawn_call() != 0) {
+                this->holder.withdraw(finish.shard(), {finish.key(), from, finish.withdrawn_call()}, onAnswer);
+                return;
+            }
             this->holder.finish(finish.shard(), {finish.key(), finish.attempt(), finish.result(), finish.not_run(), finish.attempt_ended()}, onAnswer);
         } else if (request.has_journal_read() && request.journal_read().shard() < shards) {
             this->holder.read(request.journal_read().shard(), request.journal_read().key(), onAnswer);
@@ -399,21 +409,13 @@
         }
     }
 
-    // An intent is sent again with the same call id, which tells whether it was recorded. If so, it is cancelled, which frees the key now
-    // instead of at the deadline.
     bool recordPending(PendingRecord &pending)
     {
-        if (pending.intent.has_value()) {
-            const absl::Time limit = absl::Now() + replyTimeout;
-            const wire::JournalBegun begun = this->beginUntil(*pending.intent, absl::Now() + absl::Seconds(10), limit);
-            this->recordBeginEvent("journal.begin-repeated", *pending.intent, begun.state());
-            if (begun.state() != wire::JOURNAL_STATE_NEW) {
-                return begun.state() != wire::JOURNAL_STATE_UNAVAILABLE;
-            }
-            pending.attempt = begun.attempt();
-            pending.intent.reset();
+        const wire::JournalState state = this->finishUntil(pending, absl::Now()).state();
+        if (pending.withdrawnCall != 0) {
+            this->recordBeginEvent("journal.begin-withdrawn", pending.key, pending.withdrawnCall, state);
         }
-        return isDefinitive(this->finishUntil(pending, absl::Now()).state());
+        return isDefinitive(state);
     }
 
     const HostContext context;
--- a/src/JournalShard.cpp
+++ b/src/JournalShard.cpp
@@ -48,6 +48,11 @@
     return this->accept({requestId, completion, now}, now);
 }
 
+JournalActions JournalShard::withdraw(std::uint64_t requestId, const JournalWithdrawal &withdrawal, absl::Time now)
+{
+    return this->accept({requestId, withdrawal, now}, now);
+}
+
 JournalActions JournalShard::read(std::uint64_t requestId, const std::string &key, absl::Time now)
 {
     return this->accept({requestId, key, now}, now);
@@ -84,6 +89,9 @@
     if (const auto *completion = std::get_if<JournalCompletion>(&event)) {
         return this->index.finish(*completion, now);
     }
+    if (const auto *withdrawal = std::get_if<JournalWithdrawal>(&event)) {
+        return this->index.withdraw(*withdrawal, now);
+    }
     return this->index.read(std::get<std::string>(event), now);
 }
 
--- a/src/JournalShard.h
+++ b/src/JournalShard.h
@@ -72,6 +72,7 @@
     JournalActions release(absl::Time now);
     JournalActions begin(std::uint64_t requestId, const JournalIntent &intent, absl::Time now);
     JournalActions finish(std::uint64_t requestId, const JournalCompletion &completion, absl::Time now);
+    JournalActions withdraw(std::uint64_t requestId, const JournalWithdrawal &withdrawal, absl::Time now);
     JournalActions read(std::uint64_t requestId, const std::string &key, absl::Time now);
     JournalActions handleReadResult(std::uint64_t ticket, const JournalReadResult &result, absl::Time now);
     JournalActions handleWriteResult(std::uint64_t ticket, const WriteResult &result, absl::Time now);
--- a/test/core/JournalShardTest.cpp
+++ b/test/core/JournalShardTest.cpp
@@ -43,6 +43,36 @@
     EXPECT_GT(neverStarted, 0);
 }
 
+rc::Gen<Steps> genStepsWithLostAnswers(std::size_t count)
+{
+    const auto kind =
+        rc::gen::weightedElement<int>({{1, 0}, {3, 1}, {2, 2}, {4, 3}, {1, 4}, {4, 5}, {1, 6}, {30, 7}, {1, 8}, {4, 10}, {4, 11}, {2, 12}, {1, 13}});
+    const auto step = rc::gen::tuple(kind, rc::gen::inRange<std::size_t>(0, 3), rc::gen::inRange(0, 12));
+    return rc::gen::container<Steps>(count, step);
+}
+
+// Guards against a key that stays blocked although every host that began it has withdrawn its call, and against a withdrawal that frees a key
+// whose request another call may have sent. Withdrawals are repeated, overtake their begins and reach former holders.
+TEST(JournalShardTest, keysOfWithdrawnCallsRunInTheEnd)
+{
+    int withdrawnCalls = 0;
+    int completedKeys = 0;
+    EXPECT_TRUE(rc::check("withdrawn calls", [&] {
+        const Steps steps = *genStepsWithLostAnswers(600);
+        Simulation simulation(SimulationLimits{});
+        for (const auto &[kind, host, choice] : steps) {
+            simulation.step(kind, host, choice);
+        }
+        simulation.runWithoutFaults();
+        simulation.checkWithdrawnKeysRun();
+        withdrawnCalls += simulation.withdrawnCalls;
+        completedKeys += simulation.completedKeys;
+    }));
+    // Without withdrawals and keys the simulation would check nothing.
+    EXPECT_GT(withdrawnCalls, 100);
+    EXPECT_GT(completedKeys, 50);
+}
+
 // Guards against a paused holder that can still append after a compaction deleted the later objects: its successor's opening must be kept.
 TEST(JournalShardTest, pausedHolderFailsAfterCompaction)
 {
--- a/test/core/JournalSimulation.h
+++ b/test/core/JournalSimulation.h
@@ -62,6 +62,13 @@
     std::size_t host = 0;
 };
 
+/** A call whose host gets no answer to its begin and sends nothing to an upstream. It is withdrawn until the withdrawal is answered. */
+struct LostCall {
+    std::string key;
+    std::string host;
+    std::uint64_t call = 0;
+};
+
 /** Settings that differ between the tests. */
 struct SimulationLimits {
     absl::Duration requestTimeout = absl::Seconds(1);
@@ -83,7 +90,9 @@
 
     /**
      * Kinds: 0 takeover, 1 begin, 2 finish, 3 tick, 4 restart of the host, 5 late write or deletion, 6 pause of three seconds, 8 release,
-     * 9 pause in proportion to the retention, otherwise a store call. @p choice selects the variant; kinds 4 and 6 do nothing unless it is 0.
+     * 9 pause in proportion to the retention, 10 begin whose answer is lost, 11 withdrawal of such a call, 12 another copy of such a begin,
+     * 13 restart of the hosts that made such calls, otherwise a store call. @p choice selects the variant; kinds 4, 6 and 13 do nothing unless
+     * it is 0.
      */
     void step(int kind, std::size_t host, int choice)
     {
@@ -118,6 +127,20 @@
         case 9:
             this->now += this->limits.retention.shortest * choice / 8;
             break;
+        case 10:
+            this->beginWithLostAnswer(host, choice);
+            break;
+        case 11:
+            this->withdraw(host, choice);
+            break;
+        case 12:
+            this->repeatLostBegin(host, choice);
+            break;
+        case 13:
+            if (choice == 0) {
+                this->forgetLostCalls();
+            }
+            break;
         default:
             this->callStore(host, choice);
             this->deliverResult(host);
@@ -163,6 +186,29 @@
         }
     }
 
+    /** Checks that all withdrawals are answered in the end, and that a key whose request no host may have sent then runs. */
+    void checkWithdrawnKeysRun()
+    {
+        this->restart(0);
+        this->perform(0, this->hosts[0].shard->takeOver(this->now));
+        this->runWithoutFaults();
+        for (int attempt = 0; attempt < 300 && !this->lostCalls.empty(); ++attempt) {
+            const std::size_t before = this->lostCalls.size();
+            this->withdraw(0, 0);
+            this->runWithoutFaultsUntil([&] { return this->lostCalls.size() < before; });
+        }
+        RC_ASSERT(this->lostCalls.empty());
+        for (const std::string &key : this->neverSentKeys) {
+            const std::size_t before = this->grants.size();
+            const std::uint64_t request = ++this->lastRequest;
+            this->requests[request] = {key, request, this->now + requestTimeLeft, false, before, false, 0};
+            this->perform(0, this->hosts[0].shard->begin(request, {key, 1, false, "host-0", request, requestTimeLeft}, this->now));
+            this->runWithoutFaultsUntil([&] { return this->requests.count(request) == 0U; });
+            RC_ASSERT(this->grants.size() == before + 1);
+            ++this->completedKeys;
+        }
+    }
+
     [[nodiscard]] std::size_t openRequests() const
     {
         return this->requests.size();
@@ -177,6 +223,8 @@
     int expiredResults = 0;
     int refusedForMemory = 0;
     int retainedResults = 0;
+    int withdrawnCalls = 0;
+    int completedKeys = 0;
     SimulatedStore store;
 
     void perform(std::size_t host, const JournalActions &actions)
@@ -229,6 +277,63 @@
         this->perform(host, this->hosts[host].shard->begin(request, {key, 1, idempotent, absl::StrCat("host-", host), request, requestTimeLeft}, this->now));
     }
 
+    // The keys c0 to c5 are used by lost calls only, so that no host ever sends their requests. The keys b0 to b2 are shared with other calls.
+    void beginWithLostAnswer(std::size_t host, int choice)
+    {
+        const std::string key = choice % 2 == 0 ? absl::StrCat("c", choice / 2) : absl::StrCat("b", choice % 3);
+        if (choice % 2 == 0 && this->forgottenKeys.count(key) == 0U) {
+            this->neverSentKeys.insert(key);
+        }
+        this->lostCalls.push_back({key, absl::StrCat("caller-", host), ++this->lastRequest});
+        this->sendLostBegin(host, this->lostCalls.back());
+    }
+
+    // The reply finds no open request, so it is dropped.
+    void sendLostBegin(std::size_t host, const LostCall &lost)
+    {
+        const JournalIntent intent{lost.key, 1, false, lost.host, lost.call, requestTimeLeft};
+        this->perform(host, this->hosts[host].shard->begin(++this->lastRequest, intent, this->now));
+    }
+
+    void repeatLostBegin(std::size_t host, int choice)
+    {
+        if (!this->lostCalls.empty()) {
+            this->sendLostBegin(host, LostCall(this->lostCalls[static_cast<std::size_t>(choice) % this->lostCalls.size()]));
+        }
+    }
+
+    void withdraw(std::size_t host, int choice)
+    {
+        if (!this->lostCalls.empty()) {
+            const LostCall lost = this->lostCalls[static_cast<std::size_t>(choice) % this->lostCalls.size()];
+            const std::uint64_t request = ++this->lastRequest;
+            this->withdrawals[request] = lost.call;
+            this->perform(host, this->hosts[host].shard->withdraw(request, {lost.key, lost.host, lost.call}, this->now));
+        }
+    }
+
+    void handleWithdrawalReply(const JournalReply &reply)
+    {
+        const auto found = this->withdrawals.find(reply.requestId);
+        const auto *finished = std::get_if<wire::JournalFinished>(&reply.answer);
+        if (found == this->withdrawals.end() || finished == nullptr || finished->state() == wire::JOURNAL_STATE_NOT_HOLDER
+            || finished->state() == wire::JOURNAL_STATE_UNAVAILABLE) {
+            return;
+        }
+        const std::uint64_t call = found->second;
+        this->withdrawnCalls += static_cast<int>(std::erase_if(this->lostCalls, [call](const LostCall &lost) { return lost.call == call; }));
+    }
+
+    // After a restart nobody knows that the calls sent nothing, so their keys may stay blocked.
+    void forgetLostCalls()
+    {
+        for (const LostCall &lost : this->lostCalls) {
+            this->forgottenKeys.insert(lost.key);
+        }
+        this->lostCalls.clear();
+        std::erase_if(this->neverSentKeys, [this](const std::string &key) { return this->forgottenKeys.count(key) != 0U; });
+    }
+
     void finish(std::size_t host, int choice)
     {
         if (this->grants.empty()) {
@@ -279,6 +384,7 @@
     {
         const auto found = this->requests.find(reply.requestId);
         if (found == this->requests.end()) {
+            this->handleWithdrawalReply(reply);
             return;
         }
         const OpenRequest request = found->second;
@@ -376,6 +482,11 @@
     std::map<std::string, absl::Time> finishedAt;
     std::set<std::string> expiredBodies;
     std::optional<wire::JournalRecord> lastRead;
+    std::vector<LostCall> lostCalls;
+    /** The call that each withdrawal request names. */
+    std::map<std::uint64_t, std::uint64_t> withdrawals;
+    std::set<std::string> neverSentKeys;
+    std::set<std::string> forgottenKeys;
     std::uint64_t lastRequest = 0;
     std::uint64_t lastIncarnation = 0;
 };
--- a/test/host/JournalServiceTest.cpp
+++ b/test/host/JournalServiceTest.cpp
@@ -1,5 +1,6 @@
 #include "JournalService.h"
 
+#include <atomic>
 #include <thread>
 
 #include <absl/strings/str_cat.h>
@@ -176,6 +177,110 @@
     EXPECT_EQ(this->services[1]->read("key").result().body(), body);
 }
 
+/** Two hosts, one of which begins a request whose shard the other one holds. The link between them can be cut. */
+class JournalLostAnswerTest : public JournalServiceTest
+{
+protected:
+    JournalLostAnswerTest()
+    {
+        const std::uint64_t shard = stableHash(key) % static_cast<std::uint64_t>(this->hosts[0]->context.settings.journalShards);
+        this->holder = rendezvousPick(absl::StrCat("journal/", shard), {"first", "second"}) == "first" ? 0 : 1;
+        this->requester = 1 - this->holder;
+        this->fleet.setMessageHandler(*this->hosts[this->holder], [this](const wire::Envelope &envelope) { this->handleAtHolder(envelope); });
+        // Waits until the holder has taken the shard over, so that it stores the next begin at once.
+        EXPECT_EQ(this->services[this->holder]->read(key).state(), wire::JOURNAL_STATE_NOT_FOUND);
+    }
+    ~JournalLostAnswerTest() override
+    {
+        this->fleet.setMessageHandler(*this->hosts[this->holder], nullptr);
+    }
+
+    wire::JournalState beginAt(std::size_t host, absl::Duration timeLeft)
+    {
+        return this->services[host]->begin(key, 7, false, timeLeft).state();
+    }
+
+    /** Begins at the requester. The holder stores the intent, but its answer is lost and the link stays cut. */
+    void beginWithoutAnswer()
+    {
+        this->losesAnswers = true;
+        EXPECT_EQ(this->beginAt(this->requester, attemptTime), wire::JOURNAL_STATE_UNAVAILABLE);
+        this->cut = true;
+        EXPECT_EQ(this->services[this->holder]->read(key).state(), wire::JOURNAL_STATE_UNKNOWN);
+    }
+    void restoreLink()
+    {
+        this->losesAnswers = false;
+        this->cut = false;
+    }
+    /** Waits until the holder knows that nothing was run under the key. */
+    bool becomesFree()
+    {
+        for (int count = 0; count < 200; ++count) {
+            if (this->services[this->holder]->read(key).state() == wire::JOURNAL_STATE_NOT_FOUND) {
+                return true;
+            }
+            std::this_thread::sleep_for(std::chrono::milliseconds(50));
+        }
+        return false;
+    }
+
+    static constexpr absl::Duration attemptTime = absl::Milliseconds(800);
+    static constexpr const char *key = "key";
+    std::size_t holder = 0;
+    std::size_t requester = 0;
+    std::atomic<bool> losesAnswers{false};
+    std::atomic<bool> cut{false};
+
+private:
+    // The link counts as cut from the second begin on, so that the first one is stored and nothing can be undone before its deadline.
+    void handleAtHolder(wire::Envelope envelope)
+    {
+        if (this->cut || (this->losesAnswers && !envelope.has_journal_begin())) {
+            return;
+        }
+        if (this->losesAnswers) {
+            this->cut = true;
+            envelope.set_correlation(0); // The sender waits for no answer of this number.
+        }
+        this->services[this->holder]->handle(envelope);
+    }
+};
+
+// Guards against a key that stays blocked for ever although its only begin was never answered and its host sent nothing to an upstream.
+TEST_F(JournalLostAnswerTest, nextAttemptAtTheSameHostRunsAfterTheLinkIsBack)
+{
+    this->beginWithoutAnswer();
+    this->restoreLink();
+    ASSERT_TRUE(this->becomesFree());
+    EXPECT_EQ(this->beginAt(this->requester, absl::Seconds(30)), wire::JOURNAL_STATE_NEW);
+    EXPECT_EQ(this->beginAt(this->holder, absl::Seconds(30)), wire::JOURNAL_STATE_IN_PROGRESS);
+}
+
+// Guards against the same for a caller that goes to another host.
+TEST_F(JournalLostAnswerTest, nextAttemptAtAnotherHostRunsAfterTheLinkIsBack)
+{
+    this->beginWithoutAnswer();
+    this->restoreLink();
+    ASSERT_TRUE(this->becomesFree());
+    EXPECT_EQ(this->beginAt(this->holder, absl::Seconds(30)), wire::JOURNAL_STATE_NEW);
+    EXPECT_EQ(this->beginAt(this->requester, absl::Seconds(30)), wire::JOURNAL_STATE_IN_PROGRESS);
+}
+
+// Guards against running a request again when its host was restarted, since nobody knows any more whether that host had sent it.
+TEST_F(JournalLostAnswerTest, outcomeStaysUnknownAfterARestartOfTheHost)
+{
+    this->beginWithoutAnswer();
+    this->fleet.setMessageHandler(*this->hosts[this->requester], nullptr);
+    this->services[this->requester].reset();
+    this->restoreLink();
+    this->hosts[this->requester]->context.incarnation += 100;
+    this->services[this->requester] = std::make_unique<JournalService>(this->hosts[this->requester]->context);
+    this->fleet.setMessageHandler(*this->hosts[this->requester], [this](const wire::Envelope &envelope) { this->services[this->requester]->handle(envelope); });
+    EXPECT_EQ(this->beginAt(this->requester, attemptTime), wire::JOURNAL_STATE_UNKNOWN);
+    EXPECT_EQ(this->beginAt(this->holder, attemptTime), wire::JOURNAL_STATE_UNKNOWN);
+}
+
 /** Hosts with so little memory that no result stays in it. */
 class SmallJournalServiceTest : public JournalServiceTest
 {
