Send withdrawals and late results beside one another

Cause: one thread sent all pending records in turn.

Change: eight threads; a try waits for up to 1 s; only a record that failed waits before its next try. New records go first.

--- a/src/JournalService.cpp
+++ b/src/JournalService.cpp
@@ -32,7 +32,11 @@
 constexpr absl::Duration finishTimeout = absl::Seconds(4);
 constexpr absl::Duration retryDelay = absl::Milliseconds(100);
 constexpr absl::Duration backgroundRetryDelay = absl::Milliseconds(500);
-/** How long the background thread keeps trying to record a result or to cancel an intent. */
+/** How long one try of a background thread waits. A round trip between regions and an append take less than 100 ms. */
+constexpr absl::Duration backgroundReplyTimeout = absl::Seconds(1);
+/** Records are sent beside one another, because each one that can't be recorded while a holder doesn't answer would delay those behind it. */
+constexpr std::size_t backgroundThreadCount = 8;
+/** How long the background threads keep trying to record a result or to withdraw a call. */
 constexpr absl::Duration backgroundRetryTime = absl::Hours(1);
 constexpr absl::Duration drainTimeout = absl::Seconds(6);
 constexpr std::size_t peerThreads = 4;
@@ -62,8 +66,10 @@
         , bodies(context.store)
         , holder(context, [this](std::uint32_t shard) { return this->holderOf(shard).name == this->context.settings.name; })
         , peerWorkers(peerThreads)
-        , backgroundThread([this] { this->runBackground(); })
     {
+        for (std::size_t count = 0; count < backgroundThreadCount; ++count) {
+            this->backgroundThreads.emplace_back([this] { this->runBackground(); });
+        }
     }
 
     ~Implementation()
@@ -73,7 +79,9 @@
             this->stopping = true;
         }
         this->changed.notify_all();
-        this->backgroundThread.join();
+        for (std::thread &thread : this->backgroundThreads) {
+            thread.join();
+        }
         this->peerWorkers.stop();
     }
 
@@ -167,7 +175,7 @@
     nlohmann::json status() const
     {
         const std::lock_guard<std::mutex> lock(this->mutex);
-        return {{"shards", this->holder.status()}, {"unrecorded", this->pendingRecords.size()}};
+        return {{"shards", this->holder.status()}, {"unrecorded", this->unrecordedCount}};
     }
 
     void drain()
@@ -176,7 +184,7 @@
         const absl::Time limit = absl::Now() + drainTimeout;
         const auto hasPendingRecords = [this] {
             const std::lock_guard<std::mutex> lock(this->mutex);
-            return !this->pendingRecords.empty();
+            return this->unrecordedCount > 0;
         };
         while (absl::Now() < limit && (this->holder.activeShards() > 0 || hasPendingRecords())) {
             sleepFor(retryDelay);
@@ -195,6 +203,7 @@
         bool attemptEnded = false;
         /** 0 unless this is a withdrawal. */
         std::uint64_t withdrawnCall = 0;
+        absl::Time nextTry = absl::InfinitePast();
     };
     using EnvelopeCallback = std::function<void(wire::Envelope)>;
 
@@ -385,8 +394,9 @@
     void retryInBackground(PendingRecord pending)
     {
         const std::lock_guard<std::mutex> lock(this->mutex);
-        this->pendingRecords.push_back(std::move(pending));
-        this->changed.notify_all();
+        this->pendingRecords.push_front(std::move(pending));
+        ++this->unrecordedCount;
+        this->changed.notify_one();
     }
 
     void runBackground()
@@ -397,21 +407,29 @@
                 this->changed.wait(lock);
                 continue;
             }
-            PendingRecord pending = this->pendingRecords.front();
+            // New records come first and all others are queued again with the same delay, so that the first one is the next one due.
+            const absl::Duration delay = this->pendingRecords.front().nextTry - absl::Now();
+            if (delay > absl::ZeroDuration()) {
+                this->changed.wait_for(lock, absl::ToChronoMicroseconds(delay));
+                continue;
+            }
+            PendingRecord pending = std::move(this->pendingRecords.front());
+            this->pendingRecords.pop_front();
             lock.unlock();
             const bool done = this->recordPending(pending) || absl::Now() >= pending.retryUntil;
             lock.lock();
-            this->pendingRecords.pop_front();
-            if (!done) {
-                this->pendingRecords.push_back(std::move(pending));
-                this->changed.wait_for(lock, absl::ToChronoMilliseconds(backgroundRetryDelay));
+            if (done) {
+                --this->unrecordedCount;
+                continue;
             }
+            pending.nextTry = absl::Now() + backgroundRetryDelay;
+            this->pendingRecords.push_back(std::move(pending));
         }
     }
 
     bool recordPending(PendingRecord &pending)
     {
-        const wire::JournalState state = this->finishUntil(pending, absl::Now()).state();
+        const wire::JournalState state = this->finishUntil(pending, absl::Now() + backgroundReplyTimeout).state();
         if (pending.withdrawnCall != 0) {
             this->recordBeginEvent("journal.begin-withdrawn", pending.key, pending.withdrawnCall, state);
         }
@@ -426,10 +444,12 @@
     mutable std::mutex mutex;
     std::condition_variable changed;
     std::deque<PendingRecord> pendingRecords;
+    /** Pending records, including those that a thread is sending. */
+    std::size_t unrecordedCount = 0;
     std::atomic<bool> stopping{false};
     JournalHolder holder;
     WorkerPool peerWorkers;
-    std::thread backgroundThread;
+    std::vector<std::thread> backgroundThreads;
 };
 
 JournalService::JournalService(const HostContext &context) : implementation(std::make_unique<Implementation>(context))
