Wait for a withdrawal before the outcome is called unknown

Cause: the state UNKNOWN was passed on at once, although the host of the attempt may still withdraw it or record its result.

Change: a begin asks again for up to 3 s while the state is UNKNOWN, within the caller's time less 300 ms. A call under a key whose outcome is lost for good is therefore answered up to 3 s later and occupies a thread meanwhile.

--- a/src/JournalService.cpp
+++ b/src/JournalService.cpp
@@ -28,6 +28,13 @@
 constexpr absl::Duration replyTimeout = absl::Milliseconds(2500);
 /** Long enough for the shards of a lost holder to be taken over by other hosts. */
 constexpr absl::Duration beginTimeout = absl::Seconds(8);
+/**
+ * How long a begin waits for the outcome of an attempt whose deadline has passed. A host that got no answer to its begin withdraws it within
+ * two tries of the background threads once the holder answers again.
+ */
+constexpr absl::Duration outcomeTimeout = absl::Seconds(3);
+/** An outcome is no longer waited for when less than this is left, so that the last answer still arrives in time. */
+constexpr absl::Duration outcomeMargin = absl::Milliseconds(300);
 constexpr absl::Duration readTimeout = absl::Seconds(4);
 constexpr absl::Duration finishTimeout = absl::Seconds(4);
 constexpr absl::Duration retryDelay = absl::Milliseconds(100);
@@ -51,6 +58,13 @@
     return state != wire::JOURNAL_STATE_NOT_HOLDER && state != wire::JOURNAL_STATE_UNAVAILABLE;
 }
 
+// Callers take the answer that the outcome is unknown as final, although the attempt's host may still withdraw it or record its result.
+bool isFinalAnswer(wire::JournalState begunState, absl::Time outcomeLimit)
+{
+    const bool mayStillChange = begunState == wire::JOURNAL_STATE_UNKNOWN && absl::Now() < outcomeLimit;
+    return begunState != wire::JOURNAL_STATE_NOT_HOLDER && !mayStillChange;
+}
+
 void sleepFor(absl::Duration duration)
 {
     std::this_thread::sleep_for(absl::ToChronoMicroseconds(duration));
@@ -262,12 +276,13 @@
     {
         wire::JournalBegun begun;
         begun.set_state(wire::JOURNAL_STATE_UNAVAILABLE);
+        const absl::Time outcomeLimit = std::min(absl::Now() + outcomeTimeout, limit - outcomeMargin);
         do {
             wire::Envelope envelope;
             message.set_time_left_us(absl::ToInt64Microseconds(requestDeadline - absl::Now()));
             *envelope.mutable_journal_begin() = message;
             const std::optional<wire::Envelope> answer = this->callHolder(message.shard(), envelope, limit - absl::Now());
-            if (answer.has_value() && answer->has_journal_begun() && answer->journal_begun().state() != wire::JOURNAL_STATE_NOT_HOLDER) {
+            if (answer.has_value() && answer->has_journal_begun() && isFinalAnswer(answer->journal_begun().state(), outcomeLimit)) {
                 return answer->journal_begun();
             }
             sleepFor(retryDelay);
