Show that a former holder refuses a result that it doesn't know

The host should try for 4 s and then in the background; it does neither when the answer looks definitive.

The test fails on this code: a holder that has not noticed the takeover answers NOT_FOUND instead of NOT_HOLDER, since a finish without a record is answered at once.

--- a/test/core/JournalShardTest.cpp
+++ b/test/core/JournalShardTest.cpp
@@ -98,6 +98,22 @@
     EXPECT_EQ(beginAndRun(first, store, {"key1", 1, false, "first", 9, absl::Seconds(9)}, now + absl::Seconds(10)).state(), wire::JOURNAL_STATE_UNKNOWN);
 }
 
+// Guards against a former holder that refuses the result of an attempt it doesn't know. The host of the attempt would drop the result.
+TEST(JournalShardTest, formerHolderDoesNotRefuseAResult)
+{
+    const absl::Time now = absl::FromUnixSeconds(1'700'000'000);
+    SimulatedStore store;
+    JournalShard first(makeSettings("first"));
+    runToCompletion(first, store, first.takeOver(now), now);
+    JournalShard second(makeSettings("second"));
+    runToCompletion(second, store, second.takeOver(now), now);
+    const wire::JournalBegun begun = beginAndRun(second, store, {"key", 1, false, "second", 1, absl::Seconds(9)}, now);
+    ASSERT_EQ(begun.state(), wire::JOURNAL_STATE_NEW);
+    const std::vector<JournalReply> replies = runToCompletion(first, store, first.finish(2, {"key", begun.attempt(), {}, false}, now), now);
+    ASSERT_EQ(replies.size(), 1U);
+    EXPECT_EQ(std::get<wire::JournalFinished>(replies[0].answer).state(), wire::JOURNAL_STATE_NOT_HOLDER);
+}
+
 // Guards against records that are kept beyond the retention, and against a snapshot in several parts that loses keys.
 TEST(JournalShardTest, snapshotKeepsEntriesUntilRetention)
 {
