Include the header of parseEndpoint in HttpTest

Two changes that were made beside each other meet here: the moved test server no longer brings the header, and a new test of the end of a server uses the function. Without the include test_entry does not compile.

--- a/test/entry/HttpTest.cpp
+++ b/test/entry/HttpTest.cpp
@@ -5,6 +5,7 @@
 #include "HttpClient.h"
 #include "HttpServer.h"
 #include "LoopRunner.h"
+#include "TcpSocket.h"
 #include "TcpStream.h"
 
 namespace Bergamotramp {
