Move the calls about jobs out of EntryHost

JobCallHandler now answers the calls about jobs: submissions, reads, item bodies, cancellations, forwarding to the host that runs a job, and the notice of a changed job. It gets references to the services it uses, and a hook that tells whether the host is stopping.

--- a/src/EntryHost.cpp
+++ b/src/EntryHost.cpp
@@ -38,8 +38,7 @@
 // Another host's report that the store does not answer is acted on at most this often, because only that host may be affected.
 constexpr absl::Duration storeNoticeInterval = absl::Seconds(6);
 constexpr absl::Duration upstreamConnectTimeout = absl::Milliseconds(300);
-// Added to the wait that a request asks for, to give the other host time to answer.
-constexpr absl::Duration peerResponseTimeout = absl::Milliseconds(600);
+constexpr absl::Duration snapshotResponseTimeout = absl::Milliseconds(600);
 // Clients cache an address for a few seconds, so a host accepts connections for this long after it has begun to stop.
 constexpr absl::Duration stopAcceptDuration = absl::Milliseconds(3500);
 // Requests that arrive later than this after the signal to stop are refused, because they could not finish within the grace period.
@@ -47,11 +46,6 @@
 constexpr absl::Duration exitBeforeGraceEnd = absl::Milliseconds(500);
 constexpr absl::Duration closeIdleBeforeGraceEnd = absl::Milliseconds(1500);
 constexpr absl::Duration startingRetryAfter = absl::Milliseconds(400);
-constexpr absl::Duration storeRetryAfter = absl::Milliseconds(700);
-constexpr absl::Duration limitRetryAfter = absl::Seconds(1);
-// A submission is answered at least this long before its caller's time budget ends.
-constexpr absl::Duration responseMargin = absl::Milliseconds(300);
-constexpr absl::Duration maxStoreRetryTime = absl::Seconds(3);
 // A starting host has found the others when it has learned of no further one for this long, also from other regions.
 constexpr absl::Duration peerDiscoveryWait = absl::Milliseconds(150);
 // How long it waits at most, when it has found some hosts and when it has found none.
@@ -66,7 +60,6 @@
 constexpr absl::Duration trialDelayPerHost = absl::Seconds(5);
 constexpr std::size_t controlConnections = 500;
 constexpr const char *snapshotPath = "/peer/snapshot";
-constexpr const char *jobChangedPath = "/peer/job-changed";
 constexpr const char *hostKind = "hosts";
 
 std::uint64_t startTimeMicros()
@@ -159,6 +152,14 @@
                    .selectRunningHost = [this](const std::string &jobId, const std::string &owner) { return this->runningHost(jobId, owner); },
                    .reportUnansweredCall = [this] { this->onStoreFailed("job call", StoreResult::Unanswered); },
                    .loadAge = [this] { return this->peerExchange->nearLoadAge(); }});
+    this->jobCalls = std::make_unique<JobCallHandler>(JobCallContext{.loop = this->loop,
+                                                                     .jobs = *this->jobs,
+                                                                     .peers = this->peers,
+                                                                     .peerClient = this->peerClient,
+                                                                     .protocol = this->platform.serving,
+                                                                     .metrics = this->metrics,
+                                                                     .host = this->settings.name,
+                                                                     .stopping = [this] { return this->stopping; }});
     this->settings.peerAddress = this->peerExchange->address();
     this->createWatchers();
     this->contactPeers();
@@ -494,7 +495,7 @@
     this->configRequestPending = true;
     this->peerClient.send(peer.controlAddress,
                           {.method = "GET", .target = snapshotPath, .fields = {}, .body = {}},
-                          peerResponseTimeout,
+                          snapshotResponseTimeout,
                           [this](const std::optional<HttpResponse> &response) {
                               this->configRequestPending = false;
                               if (response && response->head.status == 200) {
@@ -584,9 +585,8 @@
         this->relayedStore.serve(request);
         return;
     }
-    if (request->request().path() == jobChangedPath) {
-        this->jobs->refresh(request->request().query("job"));
-        request->respond(jsonResponse(200, "{}"));
+    if (JobCallHandler::isChangeNotice(request->request())) {
+        this->jobCalls->handleChangeNotice(request);
         return;
     }
     if (request->request().path() == snapshotPath) {
@@ -598,14 +598,14 @@
         request->respond(failureResponse(404, "no_such_call", "hosts forward only calls about jobs", "not_run"));
         return;
     }
-    this->onJobCall(request, call, true);
+    this->jobCalls->handle(request, call, true);
 }
 
 void EntryHost::onEntryRequest(const std::shared_ptr<HttpExchange> &request)
 {
     const CallerCall call = this->platform.serving.decodeCall(request->request());
     if (call.kind != CallKind::Request) {
-        this->onJobCall(request, call, false);
+        this->jobCalls->handle(request, call, false);
         return;
     }
     if (!this->config) {
@@ -627,7 +627,7 @@
         return;
     }
     if (route->kind == RouteKind::Batch) {
-        this->submitJob(request, call, *route);
+        this->jobCalls->submit(request, call, *route);
     } else {
         this->startOnline(request, call, *route);
     }
@@ -657,42 +657,6 @@
     online->start();
 }
 
-void EntryHost::submitJob(const std::shared_ptr<HttpExchange> &request, const CallerCall &call, const Route &route)
-{
-    if (this->stopping) {
-        request->respond(notRunResponse("stopping", "this host is stopping", absl::ZeroDuration()));
-        return;
-    }
-    SubmittedJob submission;
-    try {
-        submission = this->platform.serving.decodeSubmission(request->request());
-    } catch (const JobFormatError &error) {
-        request->respond(failureResponse(400, "bad_job", error.what(), "not_run"));
-        return;
-    }
-    const absl::Time giveUpAt = request->received() + std::min(maxStoreRetryTime, call.timeBudget - responseMargin);
-    this->jobs->submit(submission, route, call.host, giveUpAt, [this, request, name = route.name](SubmitResult result) {
-        switch (result) {
-        case SubmitResult::Accepted:
-            request->respond(jsonResponse(202, "{}"));
-            break;
-        case SubmitResult::WaitingTokenLimitReached: {
-            HttpResponse refusal = notRunResponse("limit", "too many tokens wait on this route", limitRetryAfter);
-            refusal.head.status = 429;
-            request->respond(refusal);
-            break;
-        }
-        case SubmitResult::Unavailable:
-            request->respond(notRunResponse("store_unavailable", "the store can't take the job", storeRetryAfter));
-            break;
-        case SubmitResult::Unknown:
-            request->respond(failureResponse(504, "store_unanswered", "the store did not answer", "unknown"));
-            break;
-        }
-        this->metrics.recordResponse(name, result == SubmitResult::Accepted ? 202 : 503, this->loop.now() - request->received());
-    });
-}
-
 std::string EntryHost::runningHost(const std::string &jobId, const std::string &owner) const
 {
     if (owner == this->settings.name || this->peers.isLive(owner, this->loop.now())) {
@@ -712,99 +676,6 @@
     return trialDelayPerHost * static_cast<double>(std::ranges::find(order, this->settings.name) - order.begin());
 }
 
-void EntryHost::onJobCall(const std::shared_ptr<HttpExchange> &request, const CallerCall &call, bool forwarded)
-{
-    if (forwarded || call.kind == CallKind::CancelJob) {
-        this->answerJobCallLocally(request, call);
-        return;
-    }
-    this->jobs->locate(call.id, [this, request, call](JobLookup result, const std::string &host) {
-        const Peer *owner = result == JobLookup::Found && host != this->settings.name ? this->peers.find(host) : nullptr;
-        if (result != JobLookup::Found) {
-            this->respondLookupFailure(request, result);
-        } else if (owner != nullptr && this->peers.isLive(host, this->loop.now())) {
-            this->forwardJobCall(request, call, *owner);
-        } else {
-            this->answerJobCallLocally(request, call);
-        }
-    });
-}
-
-void EntryHost::forwardJobCall(const std::shared_ptr<HttpExchange> &request, const CallerCall &call, const Peer &owner)
-{
-    HttpRequest copy = request->request();
-    copy.fields = copy.fields.endToEnd();
-    this->peerClient.send(owner.controlAddress, copy, call.wait + peerResponseTimeout, [this, request, call](const std::optional<HttpResponse> &response) {
-        if (!response || response->head.status >= 500) {
-            this->answerJobCallLocally(request, call);
-            return;
-        }
-        request->respond({.head = {.status = response->head.status, .fields = response->head.fields.endToEnd()}, .body = response->body});
-    });
-}
-
-void EntryHost::respondLookupFailure(const std::shared_ptr<HttpExchange> &request, JobLookup lookup)
-{
-    if (lookup == JobLookup::NotFound) {
-        request->respond(failureResponse(404, "no_such_job", "there is no such job or item", "not_run"));
-    } else {
-        request->respond(notRunResponse("store_unavailable", "the store does not answer", storeRetryAfter));
-    }
-}
-
-void EntryHost::answerJobCallLocally(const std::shared_ptr<HttpExchange> &request, const CallerCall &call)
-{
-    switch (call.kind) {
-    case CallKind::ReadJob:
-        this->jobs->read(call.id, call.position, call.wait, [this, request](JobLookup result, const JobPage &page) {
-            if (result == JobLookup::Found) {
-                request->respond(this->platform.serving.encodePage(page));
-            } else {
-                this->respondLookupFailure(request, result);
-            }
-        });
-        break;
-    case CallKind::ReadItemBody:
-        this->jobs->itemBody(call.id, call.itemId, [this, request](JobLookup result, const std::string &body) {
-            if (result == JobLookup::Found) {
-                request->respond({.head = {.status = 200, .fields = {{"Content-Type", "application/octet-stream"}}}, .body = body});
-            } else {
-                this->respondLookupFailure(request, result);
-            }
-        });
-        break;
-    case CallKind::CancelJob:
-        this->cancelJob(request, call);
-        break;
-    case CallKind::Request:
-        break;
-    }
-}
-
-void EntryHost::cancelJob(const std::shared_ptr<HttpExchange> &request, const CallerCall &call)
-{
-    const absl::Time giveUpAt = request->received() + std::min(maxStoreRetryTime, call.timeBudget - responseMargin);
-    this->jobs->cancel(call.id, giveUpAt, [this, request, id = call.id](JobLookup result) {
-        if (result == JobLookup::Found) {
-            request->respond(jsonResponse(200, "{}"));
-            this->notifyRunningHost(id);
-        } else {
-            this->respondLookupFailure(request, result);
-        }
-    });
-}
-
-void EntryHost::notifyRunningHost(const std::string &jobId)
-{
-    this->jobs->locate(jobId, [this, jobId](JobLookup result, const std::string &host) {
-        const Peer *runner = result == JobLookup::Found ? this->peers.find(host) : nullptr;
-        if (runner != nullptr && this->peers.isLive(host, this->loop.now())) {
-            const HttpRequest notice{.method = "POST", .target = absl::StrCat(jobChangedPath, "?job=", percentEncode(jobId)), .fields = {}, .body = {}};
-            this->peerClient.send(runner->controlAddress, notice, peerResponseTimeout, [](const std::optional<HttpResponse> &) {});
-        }
-    });
-}
-
 bool EntryHost::ready() const
 {
     return this->config != nullptr && this->upstreamsKnown && !this->stopping;
--- a/src/EntryHost.h
+++ b/src/EntryHost.h
@@ -14,6 +14,7 @@
 #include "FleetLoad.h"
 #include "HttpClient.h"
 #include "HttpServer.h"
+#include "JobCallHandler.h"
 #include "JobService.h"
 #include "JsonLog.h"
 #include "KindWatcher.h"
@@ -93,14 +94,6 @@
     void onReadyRequest(const std::shared_ptr<HttpExchange> &exchange);
     void onMetricsRequest(const std::shared_ptr<HttpExchange> &exchange);
     void startOnline(const std::shared_ptr<HttpExchange> &exchange, const CallerCall &call, const Route &route);
-    void submitJob(const std::shared_ptr<HttpExchange> &exchange, const CallerCall &call, const Route &route);
-    void onJobCall(const std::shared_ptr<HttpExchange> &exchange, const CallerCall &call, bool forwarded);
-    void answerJobCallLocally(const std::shared_ptr<HttpExchange> &exchange, const CallerCall &call);
-    void forwardJobCall(const std::shared_ptr<HttpExchange> &exchange, const CallerCall &call, const Peer &owner);
-    void respondLookupFailure(const std::shared_ptr<HttpExchange> &exchange, JobLookup lookup);
-    void cancelJob(const std::shared_ptr<HttpExchange> &exchange, const CallerCall &call);
-    /** Notifies the host that runs a cancelled job, so that its items stop before that host's watch reports the change. */
-    void notifyRunningHost(const std::string &jobId);
 
     void tick();
     void checkStopProgress();
@@ -148,6 +141,7 @@
     WatchRelaySelector relaySelector;
     RelayedStore relayedStore;
     std::unique_ptr<JobService> jobs;
+    std::unique_ptr<JobCallHandler> jobCalls;
     std::unique_ptr<KindWatcher> configWatcher;
     std::unique_ptr<KindWatcher> upstreamWatcher;
     std::unique_ptr<KindWatcher> jobWatcher;
--- /dev/null
+++ b/src/JobCallHandler.cpp
@@ -0,0 +1,170 @@
+#include "JobCallHandler.h"
+
+#include <algorithm>
+#include <utility>
+
+#include <absl/strings/str_cat.h>
+
+#include "CallRefusal.h"
+
+namespace Bergamotramp {
+
+namespace {
+
+// Added to the wait that a request asks for, to give the other host time to answer.
+constexpr absl::Duration peerResponseTimeout = absl::Milliseconds(600);
+constexpr absl::Duration storeRetryAfter = absl::Milliseconds(700);
+constexpr absl::Duration limitRetryAfter = absl::Seconds(1);
+// A submission is answered at least this long before its caller's time budget ends.
+constexpr absl::Duration responseMargin = absl::Milliseconds(300);
+constexpr absl::Duration maxStoreRetryTime = absl::Seconds(3);
+constexpr const char *jobChangedPath = "/peer/job-changed";
+
+void respondLookupFailure(const std::shared_ptr<HttpExchange> &request, JobLookup lookup)
+{
+    if (lookup == JobLookup::NotFound) {
+        request->respond(failureResponse(404, "no_such_job", "there is no such job or item", "not_run"));
+    } else {
+        request->respond(notRunResponse("store_unavailable", "the store does not answer", storeRetryAfter));
+    }
+}
+
+} // namespace
+
+JobCallHandler::JobCallHandler(JobCallContext context) : context(std::move(context))
+{
+}
+
+bool JobCallHandler::isChangeNotice(const HttpRequest &request)
+{
+    return request.path() == jobChangedPath;
+}
+
+void JobCallHandler::handleChangeNotice(const std::shared_ptr<HttpExchange> &request)
+{
+    this->context.jobs.refresh(request->request().query("job"));
+    request->respond(jsonResponse(200, "{}"));
+}
+
+void JobCallHandler::submit(const std::shared_ptr<HttpExchange> &request, const CallerCall &call, const Route &route)
+{
+    if (this->context.stopping()) {
+        request->respond(notRunResponse("stopping", "this host is stopping", absl::ZeroDuration()));
+        return;
+    }
+    SubmittedJob submission;
+    try {
+        submission = this->context.protocol.decodeSubmission(request->request());
+    } catch (const JobFormatError &error) {
+        request->respond(failureResponse(400, "bad_job", error.what(), "not_run"));
+        return;
+    }
+    const absl::Time giveUpAt = request->received() + std::min(maxStoreRetryTime, call.timeBudget - responseMargin);
+    this->context.jobs.submit(submission, route, call.host, giveUpAt, [this, request, name = route.name](SubmitResult result) {
+        switch (result) {
+        case SubmitResult::Accepted:
+            request->respond(jsonResponse(202, "{}"));
+            break;
+        case SubmitResult::WaitingTokenLimitReached: {
+            HttpResponse refusal = notRunResponse("limit", "too many tokens wait on this route", limitRetryAfter);
+            refusal.head.status = 429;
+            request->respond(refusal);
+            break;
+        }
+        case SubmitResult::Unavailable:
+            request->respond(notRunResponse("store_unavailable", "the store can't take the job", storeRetryAfter));
+            break;
+        case SubmitResult::Unknown:
+            request->respond(failureResponse(504, "store_unanswered", "the store did not answer", "unknown"));
+            break;
+        }
+        this->context.metrics.recordResponse(name, result == SubmitResult::Accepted ? 202 : 503, this->context.loop.now() - request->received());
+    });
+}
+
+void JobCallHandler::handle(const std::shared_ptr<HttpExchange> &request, const CallerCall &call, bool forwarded)
+{
+    if (forwarded || call.kind == CallKind::CancelJob) {
+        this->answerLocally(request, call);
+        return;
+    }
+    this->context.jobs.locate(call.id, [this, request, call](JobLookup result, const std::string &host) {
+        const Peer *owner = result == JobLookup::Found && host != this->context.host ? this->context.peers.find(host) : nullptr;
+        if (result != JobLookup::Found) {
+            respondLookupFailure(request, result);
+        } else if (owner != nullptr && this->context.peers.isLive(host, this->context.loop.now())) {
+            this->forward(request, call, *owner);
+        } else {
+            this->answerLocally(request, call);
+        }
+    });
+}
+
+void JobCallHandler::forward(const std::shared_ptr<HttpExchange> &request, const CallerCall &call, const Peer &owner)
+{
+    HttpRequest copy = request->request();
+    copy.fields = copy.fields.endToEnd();
+    this->context.peerClient.send(
+        owner.controlAddress, copy, call.wait + peerResponseTimeout, [this, request, call](const std::optional<HttpResponse> &response) {
+            if (!response || response->head.status >= 500) {
+                this->answerLocally(request, call);
+                return;
+            }
+            request->respond({.head = {.status = response->head.status, .fields = response->head.fields.endToEnd()}, .body = response->body});
+        });
+}
+
+void JobCallHandler::answerLocally(const std::shared_ptr<HttpExchange> &request, const CallerCall &call)
+{
+    switch (call.kind) {
+    case CallKind::ReadJob:
+        this->context.jobs.read(call.id, call.position, call.wait, [this, request](JobLookup result, const JobPage &page) {
+            if (result == JobLookup::Found) {
+                request->respond(this->context.protocol.encodePage(page));
+            } else {
+                respondLookupFailure(request, result);
+            }
+        });
+        break;
+    case CallKind::ReadItemBody:
+        this->context.jobs.itemBody(call.id, call.itemId, [this, request](JobLookup result, const std::string &body) {
+            if (result == JobLookup::Found) {
+                request->respond({.head = {.status = 200, .fields = {{"Content-Type", "application/octet-stream"}}}, .body = body});
+            } else {
+                respondLookupFailure(request, result);
+            }
+        });
+        break;
+    case CallKind::CancelJob:
+        this->cancel(request, call);
+        break;
+    case CallKind::Request:
+        break;
+    }
+}
+
+void JobCallHandler::cancel(const std::shared_ptr<HttpExchange> &request, const CallerCall &call)
+{
+    const absl::Time giveUpAt = request->received() + std::min(maxStoreRetryTime, call.timeBudget - responseMargin);
+    this->context.jobs.cancel(call.id, giveUpAt, [this, request, id = call.id](JobLookup result) {
+        if (result == JobLookup::Found) {
+            request->respond(jsonResponse(200, "{}"));
+            this->notifyRunningHost(id);
+        } else {
+            respondLookupFailure(request, result);
+        }
+    });
+}
+
+void JobCallHandler::notifyRunningHost(const std::string &jobId)
+{
+    this->context.jobs.locate(jobId, [this, jobId](JobLookup result, const std::string &host) {
+        const Peer *runner = result == JobLookup::Found ? this->context.peers.find(host) : nullptr;
+        if (runner != nullptr && this->context.peers.isLive(host, this->context.loop.now())) {
+            const HttpRequest notice{.method = "POST", .target = absl::StrCat(jobChangedPath, "?job=", percentEncode(jobId)), .fields = {}, .body = {}};
+            this->context.peerClient.send(runner->controlAddress, notice, peerResponseTimeout, [](const std::optional<HttpResponse> &) {});
+        }
+    });
+}
+
+} // namespace Bergamotramp
--- /dev/null
+++ b/src/JobCallHandler.h
@@ -0,0 +1,57 @@
+#pragma once
+
+#include <functional>
+#include <memory>
+#include <string>
+
+#include "EntryMetrics.h"
+#include "EventLoop.h"
+#include "HttpServer.h"
+#include "JobService.h"
+#include "PeerClient.h"
+#include "PeerTable.h"
+#include "RoutingConfig.h"
+#include "ServingProtocol.h"
+
+namespace Bergamotramp {
+
+/** Services of the entry host that JobCallHandler uses. */
+struct JobCallContext {
+    EventLoop &loop;
+    JobService &jobs;
+    const PeerTable &peers;
+    PeerClient &peerClient;
+    const ServingProtocol &protocol;
+    EntryMetrics &metrics;
+    /** Name of this host. */
+    std::string host;
+    /** Whether this host is stopping and accepts no more jobs. */
+    std::function<bool()> stopping;
+};
+
+/** Answers the calls of callers and of other hosts about jobs. Reads go to the host that runs the job. */
+class JobCallHandler
+{
+public:
+    explicit JobCallHandler(JobCallContext context);
+
+    /** Accepts or refuses a new job. */
+    void submit(const std::shared_ptr<HttpExchange> &exchange, const CallerCall &call, const Route &route);
+    /** Answers a call about an existing job. @p forwarded tells that another host has sent it, so it is answered here. */
+    void handle(const std::shared_ptr<HttpExchange> &exchange, const CallerCall &call, bool forwarded);
+    /** Whether another host sends @p request to report a changed job. */
+    [[nodiscard]] static bool isChangeNotice(const HttpRequest &request);
+    /** Handles such a report. */
+    void handleChangeNotice(const std::shared_ptr<HttpExchange> &exchange);
+
+private:
+    void answerLocally(const std::shared_ptr<HttpExchange> &exchange, const CallerCall &call);
+    void forward(const std::shared_ptr<HttpExchange> &exchange, const CallerCall &call, const Peer &owner);
+    void cancel(const std::shared_ptr<HttpExchange> &exchange, const CallerCall &call);
+    /** Notifies the host that runs a cancelled job, so that its items stop before that host's watch reports the change. */
+    void notifyRunningHost(const std::string &jobId);
+
+    JobCallContext context;
+};
+
+} // namespace Bergamotramp
