Share the raw sockets of the HTTP tests

RawClient and FixedResponseServer move unchanged from HttpTest.cpp to the stand-ins, so that tests of whole hosts can send and answer any bytes.

--- a/test/entry/HttpTest.cpp
+++ b/test/entry/HttpTest.cpp
@@ -5,8 +5,7 @@
 #include "HttpClient.h"
 #include "HttpServer.h"
 #include "LoopRunner.h"
-#include "TcpSocket.h"
-#include "TcpStream.h"
+#include "RawSockets.h"
 
 namespace Bergamotramp {
 
@@ -14,22 +13,6 @@
 
 constexpr std::size_t maxConnections = 100;
 
-/** Raw TCP connection that records the bytes it receives. */
-struct RawClient {
-    RawClient(EventLoop &loop, const std::string &address)
-    {
-        TcpStream::connect(loop, address, absl::Seconds(5), [this](std::shared_ptr<TcpStream> opened) {
-            this->stream = std::move(opened);
-            this->stream->start({.data = [this](std::string_view bytes) { this->received.append(bytes); }, .ended = [this](StreamEnd) { this->ended = true; }});
-        });
-        runUntil(loop, [this] { return this->stream != nullptr; });
-    }
-
-    std::shared_ptr<TcpStream> stream;
-    std::string received;
-    bool ended = false;
-};
-
 class HttpServerTest : public testing::Test
 {
 protected:
