Keep a host alive through malformed input and unexpected errors

What callers would see: the whole host ended, with every request on it, after one datagram whose control address is no address; one object of kind "hosts" with a number as address; a job whose status in the store has a field of another type; an answer of the store with 300,000 nested arrays (stack overflow in the copy); an upstream or jobs with counts near 64 bits (signed overflow). A submission was accepted with negative tokens, with tokens of 1e300, and with line breaks in an item's id, path or header fields, which put further lines and requests into the connection to an upstream. A revision of -1, 1.5 or 1e300 was taken for a huge one, so that every later change would have been ignored.

Cause: values of other processes were converted without a check, and an exception in any callback left the event loop.

Change: parseLimitedJson leaves out what is nested deeper than 64 levels, so that one such object doesn't make a list useless. Revisions, tokens, slots, counts of stored jobs, item fields and addresses are checked where they are decoded. TcpStream::connect reports a malformed address like one that can't be reached. EventLoop reports exceptions of callbacks to a handler and continues; the daemon logs callback_failed. HttpServer answers a request whose handler throws with 500 "unknown", and TcpStream ends a connection whose owner throws.

Ruled out: base64, UTF-8 in log lines and error bodies, numbers over 64 bits in heads and chunk sizes; they were handled.

--- a/apps/bergamotramp-entryd.cpp
+++ b/apps/bergamotramp-entryd.cpp
@@ -50,6 +50,7 @@
     EventLoop loop;
     EntryMetrics metrics;
     JsonLog log(loop, settings.name, STDOUT_FILENO);
+    loop.setErrorHandler([&log](const std::string &error) { log.write("callback_failed", {{"error", error}}); });
     log.write("started", {{"role", settings.role == HostRole::Entry ? "entry" : "disk"}, {"dataCentre", settings.dataCentre}});
     asio::signal_set signals(loop.context(), SIGTERM, SIGINT, SIGHUP);
     PlatformAdapter platform = connectPlatform(loop, settings.storeAddress, metrics);
--- a/src/EntryHost.cpp
+++ b/src/EntryHost.cpp
@@ -1,13 +1,17 @@
 #include "EntryHost.h"
 
+#include <stdexcept>
+
 #include <unistd.h>
 
 #include <absl/strings/str_cat.h>
 #include <absl/time/clock.h>
 
 #include "CallRefusal.h"
+#include "LimitedJson.h"
 #include "RendezvousHash.h"
 #include "TakeoverCandidates.h"
+#include "TcpStream.h"
 
 namespace Bergamotramp {
 
@@ -77,6 +81,20 @@
     return address.substr(0, address.rfind(':'));
 }
 
+/** The address that a host has left in the store, or nothing if the object is malformed. */
+std::optional<std::string> storedPeerAddress(const ObjectRecord &object)
+{
+    try {
+        std::string address = object.content.at("peerAddress").get<std::string>();
+        checkEndpoint(address);
+        return address;
+    } catch (const nlohmann::json::exception &) {
+        return std::nullopt;
+    } catch (const std::invalid_argument &) {
+        return std::nullopt;
+    }
+}
+
 HostLocation locationOf(const EntrySettings &settings)
 {
     return {.dataCentre = settings.dataCentre, .region = settings.region, .regionByDataCentre = settings.regionByDataCentre};
@@ -283,8 +301,10 @@
             this->discoveryTimer = this->loop.after(peerDiscoveryRetryDelay, [this] { this->contactStoredHosts(); });
         }
         for (const ObjectRecord &object : reply.objects) {
-            if (object.content.is_object()) {
-                this->peerExchange->introduceTo(object.content.value("peerAddress", this->settings.peerAddress));
+            if (const auto address = storedPeerAddress(object)) {
+                this->peerExchange->introduceTo(*address);
+            } else {
+                this->log.write("host_unreadable", {{"object", object.name}, {"revision", object.revision}});
             }
         }
     });
@@ -516,7 +536,7 @@
 void EntryHost::applySnapshot(const std::string &body)
 {
     try {
-        const nlohmann::json json = nlohmann::json::parse(body);
+        const nlohmann::json json = parseLimitedJson(body);
         if (json.at("config").is_object()) {
             this->applyConfig(ObjectRecord::fromJson(json.at("config")));
         }
--- a/src/EventLoop.cpp
+++ b/src/EventLoop.cpp
@@ -92,13 +92,35 @@
 
 void EventLoop::post(std::function<void()> callback)
 {
-    asio::post(this->io->context, std::move(callback));
+    asio::post(this->io->context, [this, callback = std::move(callback)] { this->runGuarded(callback); });
 }
 
 void EventLoop::run()
 {
     const auto workGuard = asio::make_work_guard(this->io->context);
-    this->io->context.run();
+    while (!this->io->context.stopped()) {
+        // Callbacks of sockets that are not guarded by their owner end the run of the context, not of the loop.
+        this->runGuarded([this] { this->io->context.run(); });
+    }
+}
+
+void EventLoop::setErrorHandler(std::function<void(const std::string &)> handler)
+{
+    this->errorHandler = std::move(handler);
+}
+
+bool EventLoop::runGuarded(const std::function<void()> &callback)
+{
+    try {
+        callback();
+        return true;
+    } catch (const std::exception &error) {
+        if (!this->errorHandler) {
+            throw;
+        }
+        this->errorHandler(error.what());
+        return false;
+    }
 }
 
 void EventLoop::stop()
@@ -143,7 +165,7 @@
     const absl::Time currentTime = this->now();
     while (!this->timers.empty() && this->timers.begin()->first.first <= currentTime) {
         const auto timer = this->timers.extract(this->timers.begin());
-        timer.mapped()();
+        this->runGuarded(timer.mapped());
     }
     this->scheduleWakeUp();
 }
--- a/src/EventLoop.h
+++ b/src/EventLoop.h
@@ -5,6 +5,7 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <string>
 #include <utility>
 
 #include <absl/time/time.h>
@@ -55,6 +56,13 @@
     [[nodiscard]] LoopTimer after(absl::Duration delay, std::function<void()> callback);
     /** Queues @p callback; the loop calls it after the current callback has returned. */
     void post(std::function<void()> callback);
+    /**
+     * Sets the function that is told of the exceptions of callbacks; the loop then continues with the next callback. Without it,
+     * run() throws them.
+     */
+    void setErrorHandler(std::function<void(const std::string &error)> handler);
+    /** Calls @p callback and passes its exception to the error handler, if there is one. Returns whether it threw none. */
+    bool runGuarded(const std::function<void()> &callback);
     /** Runs callbacks until stop() is called, also while none is pending. */
     void run();
     void stop();
@@ -74,6 +82,7 @@
     /** Declared before the I/O context so that it is destroyed later: handlers that the context destroys cancel their timers. */
     std::map<Key, std::function<void()>> timers;
     std::unique_ptr<Io> io;
+    std::function<void(const std::string &)> errorHandler;
     absl::Time startTime;
     std::chrono::steady_clock::time_point steadyStartTime;
     absl::Duration bootClockAtStart;
--- a/src/HttpServer.cpp
+++ b/src/HttpServer.cpp
@@ -4,6 +4,7 @@
 
 #include <absl/strings/str_cat.h>
 
+#include "CallRefusal.h"
 #include "HttpServerConnection.h"
 #include "TcpSocket.h"
 #include "TcpStream.h"
@@ -21,6 +22,7 @@
 // Delay after a failed accept, for example when no file descriptor is free.
 constexpr absl::Duration acceptRetryDelay = absl::Milliseconds(50);
 constexpr int listenBacklog = 512;
+constexpr int internalErrorStatus = 500;
 
 } // namespace
 
@@ -194,7 +196,14 @@
     this->keepConnectionOpen = this->parser->keepAlive();
     const auto exchange = std::make_shared<HttpExchange>(this->shared_from_this(), this->parser->takeRequest(), this->server->loop.now());
     this->currentExchange = exchange;
-    this->server->handler(exchange);
+    const bool handled = this->server->loop.runGuarded([this, &exchange] { this->server->handler(exchange); });
+    if (!handled && !exchange->ended()) {
+        if (exchange->started()) {
+            exchange->abort();
+        } else {
+            exchange->respond(failureResponse(internalErrorStatus, "internal_error", "this host failed on the request", "unknown"));
+        }
+    }
 }
 
 bool HttpServerConnection::shouldCloseAfterResponse() const
--- a/src/JobTypes.cpp
+++ b/src/JobTypes.cpp
@@ -1,13 +1,19 @@
 #include "JobTypes.h"
 
+#include <algorithm>
 #include <functional>
 
 #include <absl/strings/escaping.h>
+#include <absl/strings/str_cat.h>
 
 namespace Bergamotramp {
 
 namespace {
 
+// Bounds of a header in the store. The sums over all jobs of a route stay within 64 bits.
+constexpr std::int64_t maxJobItems = 1'000'000'000;
+constexpr std::int64_t maxJobTokens = 1'000'000'000'000;
+
 /** Rethrows errors of the JSON library as JobFormatError. */
 template <typename Value>
 Value convertJsonErrors(const std::function<Value()> &read)
@@ -19,8 +25,68 @@
     }
 }
 
+/** The value of @p key if it has the type of @p fallback. */
+template <typename Value>
+Value readOr(const nlohmann::json &json, const char *key, Value fallback)
+{
+    try {
+        return json.value(key, fallback);
+    } catch (const nlohmann::json::exception &) {
+        return fallback;
+    }
+}
+
+/** Reads a number of @p name from 0 to @p maximum; throws JobFormatError. */
+std::int64_t readCount(const nlohmann::json &json, const char *name, std::int64_t maximum)
+{
+    const double value = json.is_number() ? json.get<double>() : -1.0;
+    if (!(value >= 0.0 && value <= static_cast<double>(maximum))) {
+        throw JobFormatError(absl::StrCat(name, " is not a number from 0 to ", maximum));
+    }
+    return json.get<std::int64_t>();
+}
+
+bool isVisible(char character)
+{
+    const auto byte = static_cast<unsigned char>(character);
+    return byte > 0x20 && byte != 0x7f;
+}
+
+bool isControl(char character)
+{
+    const auto byte = static_cast<unsigned char>(character);
+    return (byte < 0x20 && character != '\t') || byte == 0x7f;
+}
+
+bool isFieldName(const std::string &name)
+{
+    return !name.empty() && name.find(':') == std::string::npos && std::ranges::all_of(name, isVisible);
+}
+
 } // namespace
 
+std::int64_t readItemTokens(const nlohmann::json &json)
+{
+    return readCount(json, "tokens", maxItemTokens);
+}
+
+void checkItem(const BatchItem &item)
+{
+    // The id, the path and the fields become lines of the request to an upstream. A line break in them would start further lines,
+    // or a second request, whose answer would be taken for the one to the next request on the connection.
+    if (std::ranges::any_of(item.id, isControl)) {
+        throw JobFormatError("an item's id has control characters");
+    }
+    if (!item.path.starts_with('/') || !std::ranges::all_of(item.path, isVisible)) {
+        throw JobFormatError(absl::StrCat("the path of item ", item.id, " is not a path"));
+    }
+    for (const HttpField &field : item.fields.all()) {
+        if (!isFieldName(field.name) || std::ranges::any_of(field.value, isControl)) {
+            throw JobFormatError(absl::StrCat("a header field of item ", item.id, " is malformed"));
+        }
+    }
+}
+
 std::int64_t SubmittedJob::tokens() const
 {
     std::int64_t sum = 0;
@@ -49,9 +115,9 @@
                          .pathPrefix = json.at("pathPrefix"),
                          .owner = json.at("owner"),
                          .submitted = absl::FromUnixMillis(json.at("submittedMs")),
-                         .tokens = json.at("tokens"),
-                         .items = json.at("items"),
-                         .inputParts = json.at("inputParts")};
+                         .tokens = readCount(json.at("tokens"), "tokens", maxJobTokens),
+                         .items = static_cast<std::size_t>(readCount(json.at("items"), "items", maxJobItems)),
+                         .inputParts = static_cast<std::size_t>(readCount(json.at("inputParts"), "inputParts", maxJobItems))};
     });
 }
 
@@ -69,10 +135,10 @@
 {
     JobProgress progress;
     if (json.is_object()) {
-        progress.cancelled = json.value("cancelled", false);
-        progress.finished = json.value("finished", false);
-        progress.tokensFinished = json.value("tokensFinished", std::int64_t{0});
-        progress.runner = json.value("runner", std::string());
+        progress.cancelled = readOr(json, "cancelled", false);
+        progress.finished = readOr(json, "finished", false);
+        progress.tokensFinished = std::clamp(readOr(json, "tokensFinished", std::int64_t{0}), std::int64_t{0}, maxJobTokens);
+        progress.runner = readOr(json, "runner", std::string());
     }
     return progress;
 }
@@ -95,13 +161,14 @@
     return convertJsonErrors<std::vector<BatchItem>>([&] {
         std::vector<BatchItem> items;
         for (const nlohmann::json &entry : json.at("items")) {
-            BatchItem item{.id = entry.at("id"), .path = entry.at("path"), .fields = {}, .body = {}, .tokens = entry.at("tokens")};
+            BatchItem item{.id = entry.at("id"), .path = entry.at("path"), .fields = {}, .body = {}, .tokens = readItemTokens(entry.at("tokens"))};
             for (const nlohmann::json &field : entry.at("fields")) {
                 item.fields.add(field.at(0), field.at(1));
             }
             if (!absl::Base64Unescape(entry.at("body").get<std::string>(), &item.body)) {
                 throw JobFormatError("the body of item " + item.id + " is not base64");
             }
+            checkItem(item);
             items.push_back(std::move(item));
         }
         return items;
--- a/src/JobTypes.h
+++ b/src/JobTypes.h
@@ -33,6 +33,13 @@
     bool operator==(const BatchItem &) const = default;
 };
 
+/** The most tokens of one item. */
+constexpr std::int64_t maxItemTokens = 1'000'000'000;
+/** Reads the tokens of an item, from 0 to maxItemTokens; throws JobFormatError. */
+std::int64_t readItemTokens(const nlohmann::json &json);
+/** Throws JobFormatError if the id, the path or a header field of @p item can't be a part of a request's head. */
+void checkItem(const BatchItem &item);
+
 /** A job as its caller submitted it. */
 struct SubmittedJob {
     std::string id;
--- /dev/null
+++ b/src/LimitedJson.h
@@ -0,0 +1,17 @@
+#pragma once
+
+#include <string_view>
+
+#include <nlohmann/json.hpp>
+
+namespace Bergamotramp {
+
+/** Objects and arrays that are nested deeper than this are left out of parsed JSON. */
+constexpr int maxJsonLevels = 64;
+
+/** Parses JSON from another process, without the values below maxJsonLevels. Throws nlohmann::json::parse_error. */
+nlohmann::json parseLimitedJson(std::string_view text);
+/** The same, with a discarded value in place of the exception. */
+nlohmann::json parseLimitedJsonOrDiscard(std::string_view text);
+
+} // namespace Bergamotramp
--- a/src/ObjectStore.h
+++ b/src/ObjectStore.h
@@ -27,6 +27,9 @@
     Malformed,
 };
 
+/** Reads a revision; throws nlohmann::json::exception when @p json is not a whole number from 0 on. */
+std::uint64_t readRevision(const nlohmann::json &json);
+
 /** One object of the store. */
 struct ObjectRecord {
     std::string name;
--- a/src/RelayedStore.cpp
+++ b/src/RelayedStore.cpp
@@ -7,6 +7,7 @@
 #include <absl/strings/str_cat.h>
 
 #include "CallRefusal.h"
+#include "LimitedJson.h"
 
 namespace Bergamotramp {
 
@@ -52,8 +53,8 @@
 /** Throws nlohmann::json::exception. */
 ListReply parseList(const std::string &text)
 {
-    const nlohmann::json json = nlohmann::json::parse(text);
-    ListReply reply{.result = StoreResult::Done, .objects = {}, .revision = json.at("revision")};
+    const nlohmann::json json = parseLimitedJson(text);
+    ListReply reply{.result = StoreResult::Done, .objects = {}, .revision = readRevision(json.at("revision"))};
     for (const nlohmann::json &object : json.at("objects")) {
         reply.objects.push_back(ObjectRecord::fromJson(object));
     }
@@ -63,8 +64,8 @@
 /** Throws nlohmann::json::exception. */
 WatchReply parseChanges(const std::string &text)
 {
-    const nlohmann::json json = nlohmann::json::parse(text);
-    WatchReply reply{.result = StoreResult::Done, .changes = {}, .revision = json.at("revision")};
+    const nlohmann::json json = parseLimitedJson(text);
+    WatchReply reply{.result = StoreResult::Done, .changes = {}, .revision = readRevision(json.at("revision"))};
     for (const nlohmann::json &change : json.at("changes")) {
         reply.changes.push_back({.removed = change.at("removed"), .object = ObjectRecord::fromJson(change.at("object"))});
     }
--- a/src/TcpStream.cpp
+++ b/src/TcpStream.cpp
@@ -83,6 +83,14 @@
         asio::ip::tcp::socket socket;
         LoopTimer timer;
     };
+    asio::ip::tcp::endpoint endpoint;
+    try {
+        endpoint = parseEndpoint(address);
+    } catch (const std::invalid_argument &) {
+        // Addresses also come from other hosts. A malformed one is one that can't be reached.
+        loop.post([done = std::move(done)] { done(nullptr); });
+        return;
+    }
     const auto attempt = std::make_shared<Attempt>(loop);
     attempt->timer = loop.after(timeout, [weak = std::weak_ptr<Attempt>(attempt)] {
         if (const auto pending = weak.lock()) {
@@ -90,7 +98,7 @@
             pending->socket.close(ignored);
         }
     });
-    attempt->socket.async_connect(parseEndpoint(address), [&loop, attempt, done = std::move(done)](const boost::system::error_code &error) {
+    attempt->socket.async_connect(endpoint, [&loop, attempt, done = std::move(done)](const boost::system::error_code &error) {
         attempt->timer.cancel();
         done(error || !attempt->socket.is_open() ? nullptr : std::make_shared<TcpStream>(loop, TcpSocket{std::move(attempt->socket)}));
     });
@@ -142,7 +150,11 @@
     if (this->handlers.data) {
         // Copied because the handler may replace or destroy this->handlers while it runs.
         const auto data = this->handlers.data;
-        data(std::string_view(readBuffer.data(), size));
+        if (!this->loop.runGuarded([&data, size] { data(std::string_view(readBuffer.data(), size)); })) {
+            // The owner has handled a part of the bytes only, so that nothing that follows on this connection can be trusted.
+            this->handleEnd(StreamEnd::ConnectionLost);
+            return;
+        }
     }
     this->waitReadable();
 }
@@ -240,7 +252,7 @@
         this->closeSocket();
     }
     if (ended) {
-        ended(how);
+        this->loop.runGuarded([&ended, how] { ended(how); });
     }
 }
 
--- a/src/TcpStream.h
+++ b/src/TcpStream.h
@@ -42,7 +42,7 @@
     TcpStream(const TcpStream &) = delete;
     TcpStream &operator=(const TcpStream &) = delete;
 
-    /** Opens a connection and passes it to @p done, or null if it can't be established within @p timeout. */
+    /** Opens a connection and passes it to @p done, or null if it can't be established within @p timeout or @p address is malformed. */
     static void connect(EventLoop &loop, const std::string &address, absl::Duration timeout, std::function<void(std::shared_ptr<TcpStream>)> done);
 
     /** Starts to read and reports to @p handlers. */
--- a/test/entry/HttpTest.cpp
+++ b/test/entry/HttpTest.cpp
@@ -116,6 +116,28 @@
     EXPECT_LT(client.received.find("one"), client.received.find("two"));
 }
 
+// Guards against a request without an answer, or a server that no longer serves, after an unexpected error in the handler.
+TEST_F(HttpServerTest, requestIsAnsweredWhenItsHandlerThrows)
+{
+    int errors = 0;
+    this->loop.setErrorHandler([&errors](const std::string &) { ++errors; });
+    HttpServer throwing(this->loop, "127.0.0.1:0", maxConnections, [](const std::shared_ptr<HttpExchange> &exchange) {
+        if (exchange->request().target == "/started") {
+            exchange->startBody({});
+        }
+        throw std::runtime_error("unexpected");
+    });
+    RawClient client(this->loop, throwing.address());
+    client.stream->write("GET / HTTP/1.1\r\nHost: a\r\n\r\nGET /again HTTP/1.1\r\nHost: a\r\n\r\n");
+    ASSERT_TRUE(runUntil(this->loop, [&errors] { return errors == 2; }));
+    ASSERT_TRUE(runUntil(this->loop, [&client] { return client.received.find("HTTP/1.1 500 ", 1) != std::string::npos; }));
+    EXPECT_NE(client.received.find("\"unknown\""), std::string::npos);
+    RawClient other(this->loop, throwing.address());
+    other.stream->write("GET /started HTTP/1.1\r\nHost: a\r\n\r\n");
+    EXPECT_TRUE(runUntil(this->loop, [&other] { return other.ended; })) << "a response that has begun must not look complete";
+    EXPECT_EQ(other.received.find("0\r\n\r\n"), std::string::npos);
+}
+
 /** Records the events of a call. */
 struct CallRecord {
     HttpHead head;
--- a/test/entry/RelayedStoreTest.cpp
+++ b/test/entry/RelayedStoreTest.cpp
@@ -114,6 +114,50 @@
     EXPECT_EQ(this->status, 424) << "the relay tells its followers that the store has failed";
 }
 
+// Guards against a host that ends because of a malformed answer of its relay, or uses it.
+TEST(RelayFollowerTest, malformedAnswersOfARelayAreNotUsed)
+{
+    EventLoop loop;
+    JsonLog log(loop, "follower", open("/dev/null", O_WRONLY));
+    PeerTable peers;
+    for (std::size_t number = 0; number <= PeerTable::maxFullMeshPeers; ++number) {
+        Peer peer;
+        peer.name = absl::StrCat("host-", number);
+        peer.dataCentre = "a";
+        peer.incarnation = 1;
+        peer.linkMbps = 1000;
+        peer.lastHeard = loop.now();
+        peers.update(peer);
+    }
+    const std::string deep(300'000, '[');
+    const std::string deepEnd(300'000, ']');
+    const std::vector<std::string> answers{"",
+                                           "text",
+                                           "null",
+                                           "{}",
+                                           "\xc3\x28\xff",
+                                           R"({"revision":"1","objects":[]})",
+                                           R"({"revision":-1,"objects":[]})",
+                                           R"({"revision":1,"objects":7})",
+                                           R"({"revision":1,"objects":[7]})",
+                                           R"({"revision":1,"objects":[{"name":7,"revision":1,"content":{}}]})",
+                                           R"({"revision":1,"objects":[{"name":"a","revision":-1,"content":{}}]})",
+                                           R"({"revision":1,"objects":)" + deep + deepEnd + "}"};
+    for (const std::string &answer : answers) {
+        WatchRelaySelector selector(peers, "follower", "a", 0);
+        PendingListStore store;
+        int asked = 0;
+        RelayedStore follower(loop, store, selector, {"things"}, log, [&](const Peer &, const HttpRequest &, absl::Duration, auto done) {
+            ++asked;
+            done(HttpResponse{.head = {}, .body = answer});
+        });
+        bool listed = false;
+        follower.list("things", [&listed](const ListReply &reply) { listed = reply.result == StoreResult::Done; });
+        EXPECT_GT(asked, 0) << answer.substr(0, 100);
+        EXPECT_FALSE(listed) << answer.substr(0, 100);
+    }
+}
+
 } // namespace
 
 } // namespace Bergamotramp
--- a/test/entry/RuntimeTest.cpp
+++ b/test/entry/RuntimeTest.cpp
@@ -6,6 +6,7 @@
 #include <gtest/gtest.h>
 #include <nlohmann/json.hpp>
 
+#include "Asio.h"
 #include "EntryMetrics.h"
 #include "EntrySettings.h"
 #include "JsonLog.h"
@@ -34,6 +35,22 @@
     EXPECT_FALSE(third.active());
 }
 
+// Guards against one unexpected error in a callback that ends the whole process, with everything else that runs in it.
+TEST(EventLoopTest, loopContinuesAfterACallbackHasThrown)
+{
+    EventLoop loop;
+    std::vector<std::string> errors;
+    loop.setErrorHandler([&errors](const std::string &error) { errors.push_back(error); });
+    const auto fail = [](const char *where) { throw std::runtime_error(where); };
+    loop.post([&fail] { fail("posted"); });
+    asio::post(loop.context(), [&fail] { fail("socket"); });
+    const LoopTimer first = loop.after(absl::Milliseconds(1), [&fail] { fail("timer"); });
+    const LoopTimer second = loop.after(absl::Milliseconds(1), [&fail] { fail("timer at the same time"); });
+    const LoopTimer last = loop.after(absl::Milliseconds(30), [&loop] { loop.stop(); });
+    loop.run();
+    EXPECT_EQ(errors, (std::vector<std::string>{"posted", "socket", "timer", "timer at the same time"}));
+}
+
 // Guards against a daemon that blocks while its log is not read, and against dropped lines that are not counted.
 TEST(JsonLogTest, unreadLogDropsAndCountsLines)
 {
@@ -92,6 +109,32 @@
     EXPECT_NE(errorText("{").find("file.json"), std::string::npos);
 }
 
+// Guards against a running daemon that ends because its settings are malformed when it reloads them: a reload only expects
+// EntrySettingsError.
+TEST(EntrySettingsTest, malformedSettingsAreRejectedWithOneTypeOfError)
+{
+    const std::vector<std::string> texts{"",
+                                         "null",
+                                         "7",
+                                         "[]",
+                                         "{}",
+                                         "\xc3\x28\xff",
+                                         std::string(100'000, '['),
+                                         diskSettings + R"(, "stopGraceS": 1e300})",
+                                         diskSettings + R"(, "stopGraceS": -1})",
+                                         diskSettings + R"(, "maxConnections": 99999999999999999999999})",
+                                         diskSettings + R"(, "maxConnections": 1.5})",
+                                         diskSettings + R"(, "linkMbps": {}})",
+                                         diskSettings + R"(, "regions": [1]})",
+                                         diskSettings + R"(, "regions": {"a": 1}})",
+                                         diskSettings + R"(, "role": 7})",
+                                         R"({"name": 7})",
+                                         R"({"name": "x", "region": "n", "dataCentre": "a", "storeAddress": "127.0.0.1:99999999999"})"};
+    for (const std::string &text : texts) {
+        EXPECT_THROW(EntrySettings::parse("file", text), EntrySettingsError) << text.substr(0, 200);
+    }
+}
+
 // Guards against counters that are missing from the metrics text.
 TEST(EntryMetricsTest, textShowsCountersAndHistograms)
 {
--- a/test/site/SiteFleet.cpp
+++ b/test/site/SiteFleet.cpp
@@ -69,7 +69,7 @@
     this->registerUpstream(*this->upstreams.back(), service, "ready");
 }
 
-SiteFleet::RunningHost &SiteFleet::startHost(const std::string &name)
+SiteFleet::RunningHost &SiteFleet::startHost(const std::string &name, const std::string &storeAddress)
 {
     auto running = std::make_unique<RunningHost>();
     running->metrics = std::make_unique<EntryMetrics>();
@@ -81,7 +81,7 @@
     settings.regionByDataCentre = {{"a", "north"}};
     settings.entryAddress = settings.readyAddress = settings.directoryAddress = settings.controlAddress = "127.0.0.1:0";
     settings.peerAddress = settings.metricsAddress = "127.0.0.1:0";
-    settings.storeAddress = this->store.address();
+    settings.storeAddress = storeAddress.empty() ? this->store.address() : storeAddress;
     running->host = std::make_unique<EntryHost>(
         this->loop, settings, connectPlatform(this->loop, settings.storeAddress, *running->metrics), *running->log, *running->metrics, [raw = running.get()] {
             raw->stopped = true;
--- a/test/site/SiteFleet.h
+++ b/test/site/SiteFleet.h
@@ -45,8 +45,8 @@
 
     SiteFleet();
 
-    /** Starts a host without waiting until it is ready. */
-    RunningHost &startHost(const std::string &name);
+    /** Starts a host without waiting until it is ready. An empty @p storeAddress stands for the fleet's store. */
+    RunningHost &startHost(const std::string &name, const std::string &storeAddress = "");
     /** Starts hosts and waits until each is ready and knows all others. */
     void startHosts(int count);
     /** Destroys a host without a planned stop, as in a crash. */
--- a/test/standin/RawSockets.cpp
+++ b/test/standin/RawSockets.cpp
@@ -32,11 +32,9 @@
     }
 }
 
-void FixedResponseServer::write(const std::string &bytes)
+void FixedResponseServer::writeTo(int connection, const std::string &bytes)
 {
-    for (const auto &stream : this->streams) {
-        stream->write(bytes);
-    }
+    this->streams.at(static_cast<std::size_t>(connection))->write(bytes);
 }
 
 void FixedResponseServer::accept()
