Answer every request that was read before a planned stop ends

What callers would see: at the end of the grace period connections were closed without an answer on which a head or a body had been read in part, on which a request still ran, or on which a read waited for results (X-Wait-Ms). Of several pipelined requests only the first was answered, and the others were dropped after they had been read.

Cause: a connection counted as idle when the bytes of a partly received body had been parsed; the first response after the stop always closed the connection; nothing answered what was left when the process ended.

Change: a stopping host announces the close only in the response to the last request that was received. 1.3 s before the end of the grace period waiting reads get the results that there are. 0.8 s before it, partly received requests get 503 "not_run" and running ones whose response has not begun 503 "unknown", and their attempts are cancelled. Streams that have begun are still cut at the end.

Failed before the change: PlannedStopTest.partlyReadRequestsAreAnsweredAsNotRun (no answer to any of five parts), pipelinedRequestsAreAllAnswered (one answer of three) and requestsThatOutlastTheGracePeriodAreAnswered (no answer to either call). connectionsOpenedBeforeTheStopAreServedOrClosedUnread passed before too, so connections between accept and the first byte are served or closed unread. All four pass now.

Not covered: item bodies and whole submissions at the moment of the stop, bytes that arrive after a response with "Connection: close" has begun, and calls of other hosts to the control address.

--- a/src/EntryHost.cpp
+++ b/src/EntryHost.cpp
@@ -49,6 +49,10 @@
 constexpr absl::Duration stopServeDuration = absl::Seconds(5);
 constexpr absl::Duration exitBeforeGraceEnd = absl::Milliseconds(500);
 constexpr absl::Duration closeIdleBeforeGraceEnd = absl::Milliseconds(1500);
+// Reads that wait for results are answered first, because their answers may need a call to the store.
+constexpr absl::Duration answerReadsBeforeGraceEnd = absl::Milliseconds(1300);
+// Requests that are not complete, or still run, are answered while there is time to send the answers.
+constexpr absl::Duration answerRequestsBeforeGraceEnd = absl::Milliseconds(800);
 constexpr absl::Duration startingRetryAfter = absl::Milliseconds(400);
 // A starting host has found the others when it has learned of no further one for this long, also from other regions.
 constexpr absl::Duration peerDiscoveryWait = absl::Milliseconds(150);
@@ -760,6 +764,13 @@
     if (elapsed >= this->settings.stopGrace - closeIdleBeforeGraceEnd) {
         this->entryServer->closeIdle();
     }
+    if (elapsed >= this->settings.stopGrace - answerReadsBeforeGraceEnd) {
+        this->jobCalls->answerWaitingReads();
+    }
+    if (elapsed >= this->settings.stopGrace - answerRequestsBeforeGraceEnd) {
+        this->entryServer->rejectPartlyReceived(notRunResponse("stopping", "this host is stopping", absl::ZeroDuration()));
+        this->entryServer->answerInProgress(failureResponse(503, "stopping", "this host stopped before the request was complete", "unknown"));
+    }
     const bool drained = elapsed >= stopAcceptDuration && this->entryServer->connections() == 0;
     if (drained || elapsed >= this->settings.stopGrace - exitBeforeGraceEnd) {
         this->log.write("stopped", {{"calls", static_cast<std::uint64_t>(this->onlineCalls.size())}, {"afterMs", elapsed}});
--- a/src/HttpServer.cpp
+++ b/src/HttpServer.cpp
@@ -147,6 +147,7 @@
         this->timer = this->server->loop.after(this->server->bounds.headTimeout, [this] { this->rejectRequest(408); });
     }
     this->unparsed.append(bytes);
+    this->requestBegun = this->requestBegun || !this->requestInProgress;
     if (this->requestInProgress) {
         if (this->unparsed.size() > maxPipelinedBytes) {
             this->stream->pauseReading();
@@ -193,6 +194,7 @@
 {
     this->timer.cancel();
     this->requestInProgress = true;
+    this->requestBegun = false;
     this->keepConnectionOpen = this->parser->keepAlive();
     const auto exchange = std::make_shared<HttpExchange>(this->shared_from_this(), this->parser->takeRequest(), this->server->loop.now());
     this->currentExchange = exchange;
@@ -208,7 +210,8 @@
 
 bool HttpServerConnection::shouldCloseAfterResponse() const
 {
-    return !this->keepConnectionOpen || this->server->closingAfterResponses;
+    // A request that was received behind this one is answered too. Its caller could not tell whether it has run.
+    return !this->keepConnectionOpen || (this->server->closingAfterResponses && this->unparsed.empty());
 }
 
 void HttpServerConnection::sendResponseHead(HttpHead head, std::optional<std::size_t> length)
@@ -235,7 +238,8 @@
     }
     this->waitForRequest();
     this->stream->resumeReading();
-    if (!this->unparsed.empty()) {
+    this->requestBegun = !this->unparsed.empty();
+    if (this->requestBegun) {
         this->server->loop.post([self = this->shared_from_this()] {
             if (!self->requestInProgress) {
                 self->parseRequest();
@@ -245,15 +249,41 @@
 }
 
 void HttpServerConnection::rejectRequest(int status)
+{
+    this->sendAndClose({.head = {.status = status, .fields = {}}, .body = {}});
+}
+
+void HttpServerConnection::sendAndClose(const HttpResponse &response)
 {
     this->keepConnectionOpen = false;
-    this->sendResponseHead({.status = status, .fields = {}}, 0);
+    this->sendResponseHead(response.head, response.body.size());
+    this->stream->write(response.body);
     this->close();
 }
 
+void HttpServerConnection::rejectIfPartlyReceived(const HttpResponse &response)
+{
+    if (!this->requestInProgress && this->requestBegun) {
+        this->sendAndClose(response);
+    }
+}
+
+void HttpServerConnection::answerIfInProgress(const HttpResponse &response)
+{
+    const auto exchange = this->currentExchange.lock();
+    if (!this->requestInProgress || !exchange || exchange->started()) {
+        return;
+    }
+    const auto stopWork = std::move(exchange->disconnectHandler);
+    exchange->respond(response);
+    if (stopWork) {
+        stopWork();
+    }
+}
+
 void HttpServerConnection::closeIfIdle()
 {
-    if (!this->requestInProgress && this->unparsed.empty()) {
+    if (!this->requestInProgress && !this->requestBegun) {
         this->close();
     }
 }
@@ -359,6 +389,22 @@
     }
 }
 
+void HttpServer::rejectPartlyReceived(const HttpResponse &response)
+{
+    const auto connections = this->openConnections;
+    for (const auto &connection : connections) {
+        connection->rejectIfPartlyReceived(response);
+    }
+}
+
+void HttpServer::answerInProgress(const HttpResponse &response)
+{
+    const auto connections = this->openConnections;
+    for (const auto &connection : connections) {
+        connection->answerIfInProgress(response);
+    }
+}
+
 std::size_t HttpServer::connections() const
 {
     return this->openConnections.size();
--- a/src/HttpServer.h
+++ b/src/HttpServer.h
@@ -81,12 +81,19 @@
     [[nodiscard]] std::string address() const;
     /** Sets limits and timeouts. The request that an open connection waits for or reads keeps the old size limits. */
     void setBounds(const HttpServerBounds &bounds);
-    /** Sends "Connection: close" in each response from now on and closes the connection after it. */
+    /**
+     * From now on closes each connection after the response to the last request received on it, and says so in that response with
+     * "Connection: close".
+     */
     void closeAfterResponses();
     /** Stops accepting connections; open ones stay open. */
     void stopAccepting();
     /** Closes the connections on which no request is in progress or partly received. */
     void closeIdle();
+    /** Answers each request that has been received in part with @p response and closes its connection. */
+    void rejectPartlyReceived(const HttpResponse &response);
+    /** Answers each request in progress whose response has not begun with @p response, and reports its caller as disconnected. */
+    void answerInProgress(const HttpResponse &response);
     /** Number of open connections. */
     [[nodiscard]] std::size_t connections() const;
 
--- a/src/HttpServerConnection.h
+++ b/src/HttpServerConnection.h
@@ -19,6 +19,8 @@
     void start();
     /** Closes the connection if no request is in progress or partly received. */
     void closeIfIdle();
+    void rejectIfPartlyReceived(const HttpResponse &response);
+    void answerIfInProgress(const HttpResponse &response);
 
 private:
     friend class HttpExchange;
@@ -29,6 +31,7 @@
     void parseRequest();
     /** Responds with @p status and closes the connection. */
     void rejectRequest(int status);
+    void sendAndClose(const HttpResponse &response);
     /** Restarts the idle timeout for the body and, once per request, sends "100 Continue" if the caller expects it. */
     void onBodyPending();
     void dispatchRequest();
@@ -45,6 +48,8 @@
     std::weak_ptr<HttpExchange> currentExchange;
     /** Whether a complete request was received whose response is not complete yet. */
     bool requestInProgress = false;
+    /** Whether bytes of the next request have been received. */
+    bool requestBegun = false;
     bool keepConnectionOpen = true;
     bool continueHandled = false;
     LoopTimer timer;
--- a/src/JobCallHandler.cpp
+++ b/src/JobCallHandler.cpp
@@ -29,6 +29,11 @@
     }
 }
 
+bool hasEnded(const std::shared_ptr<HttpExchange> &exchange)
+{
+    return exchange == nullptr || exchange->ended();
+}
+
 } // namespace
 
 JobCallHandler::JobCallHandler(JobCallContext context) : context(std::move(context))
@@ -84,6 +89,7 @@
 
 void JobCallHandler::handle(const std::shared_ptr<HttpExchange> &request, const CallerCall &call, bool forwarded)
 {
+    this->rememberRead(request, call);
     if (forwarded || call.kind == CallKind::CancelJob) {
         this->answerLocally(request, call);
         return;
@@ -100,6 +106,24 @@
     });
 }
 
+void JobCallHandler::rememberRead(const std::shared_ptr<HttpExchange> &request, const CallerCall &call)
+{
+    std::erase_if(this->waitingReads, [](const WaitingRead &read) { return hasEnded(read.exchange.lock()); });
+    if (call.kind == CallKind::ReadJob && call.wait > absl::ZeroDuration()) {
+        this->waitingReads.push_back({.exchange = request, .call = call});
+    }
+}
+
+void JobCallHandler::answerWaitingReads()
+{
+    for (WaitingRead &read : std::exchange(this->waitingReads, {})) {
+        if (const auto exchange = read.exchange.lock(); !hasEnded(exchange)) {
+            read.call.wait = absl::ZeroDuration();
+            this->answerLocally(exchange, read.call);
+        }
+    }
+}
+
 void JobCallHandler::forward(const std::shared_ptr<HttpExchange> &request, const CallerCall &call, const Peer &owner)
 {
     HttpRequest copy = request->request();
--- a/src/JobCallHandler.h
+++ b/src/JobCallHandler.h
@@ -3,6 +3,7 @@
 #include <functional>
 #include <memory>
 #include <string>
+#include <vector>
 
 #include "EntryMetrics.h"
 #include "EventLoop.h"
@@ -44,7 +45,17 @@
     /** Handles such a report. */
     void handleChangeNotice(const std::shared_ptr<HttpExchange> &exchange);
 
+    /** Answers the reads that wait for results with the results that there are. */
+    void answerWaitingReads();
+
 private:
+    /** A read that may wait for results. */
+    struct WaitingRead {
+        std::weak_ptr<HttpExchange> exchange;
+        CallerCall call;
+    };
+
+    void rememberRead(const std::shared_ptr<HttpExchange> &exchange, const CallerCall &call);
     void answerLocally(const std::shared_ptr<HttpExchange> &exchange, const CallerCall &call);
     void forward(const std::shared_ptr<HttpExchange> &exchange, const CallerCall &call, const Peer &owner);
     void cancel(const std::shared_ptr<HttpExchange> &exchange, const CallerCall &call);
@@ -52,6 +63,7 @@
     void notifyRunningHost(const std::string &jobId);
 
     JobCallContext context;
+    std::vector<WaitingRead> waitingReads;
 };
 
 } // namespace Bergamotramp
--- /dev/null
+++ b/test/site/PlannedStopTest.cpp
@@ -0,0 +1,131 @@
+#include <absl/strings/str_cat.h>
+
+#include "RawSockets.h"
+#include "SiteFleet.h"
+
+namespace Bergamotramp {
+
+namespace {
+
+constexpr absl::Duration graceInTest = absl::Milliseconds(4500);
+constexpr const char *fields = " HTTP/1.1\r\nHost: site.example\r\nX-Deadline-Ms: 20000\r\nX-Request-Id: ";
+
+std::string onlineRequest(const std::string &id, const std::string &path = "/plain/x")
+{
+    return absl::StrCat("GET ", path, fields, id, "\r\n\r\n");
+}
+
+std::size_t count(const std::string &text, const std::string &part)
+{
+    std::size_t found = 0;
+    for (std::size_t position = text.find(part); position != std::string::npos; position = text.find(part, position + 1)) {
+        ++found;
+    }
+    return found;
+}
+
+/** A host that has been told to stop while callers are at different points of their requests. */
+class PlannedStopTest : public SiteFleet
+{
+protected:
+    PlannedStopTest()
+    {
+        this->writeConfig(1, 20'000);
+        this->addUpstream("model", 2);
+        this->addUpstream("plain", 0, absl::Milliseconds(100));
+        this->startHosts(1);
+        EntrySettings settings = this->hosts[0]->host->currentSettings();
+        settings.stopGrace = graceInTest;
+        this->hosts[0]->host->reload(settings);
+    }
+
+    std::unique_ptr<RawClient> connect()
+    {
+        auto caller = std::make_unique<RawClient>(this->loop, this->hosts[0]->host->currentSettings().entryAddress);
+        runFor(this->loop, absl::Milliseconds(20));
+        return caller;
+    }
+
+    /** Stops the host and ends it as its process does. */
+    void stopAndEnd(const std::function<void()> &duringStop = {})
+    {
+        this->hosts[0]->host->stop();
+        if (duringStop) {
+            duringStop();
+        }
+        ASSERT_TRUE(runUntil(this->loop, [this] { return this->hosts[0]->stopped; }));
+        this->crashHost(*this->hosts[0]);
+        runFor(this->loop, absl::Milliseconds(100));
+    }
+};
+
+// Guards against a request of which a part was read when the host stopped, and whose connection is closed without an answer.
+TEST_F(PlannedStopTest, partlyReadRequestsAreAnsweredAsNotRun)
+{
+    const std::vector<std::string> parts{"P",
+                                         "POST /plain/x HTTP/1.1\r\nHost: site",
+                                         "POST /plain/x HTTP/1.1\r\nHost: site.example\r\nX-Request-Id: a\r\nContent-Length: 10\r\n\r\n",
+                                         "POST /plain/x HTTP/1.1\r\nHost: site.example\r\nX-Request-Id: b\r\nContent-Length: 10\r\n\r\nhalf",
+                                         "POST /batch/x HTTP/1.1\r\nHost: site.example\r\nX-Request-Id: c\r\nContent-Length: 99\r\n\r\n{\"items\":["};
+    std::vector<std::unique_ptr<RawClient>> callers;
+    for (std::size_t number = 0; number < parts.size(); ++number) {
+        callers.push_back(this->connect());
+    }
+    this->stopAndEnd([&] {
+        // Within the time limit of a head, and before the idle connections are closed.
+        runFor(this->loop, graceInTest - absl::Milliseconds(1600));
+        for (std::size_t number = 0; number < parts.size(); ++number) {
+            callers[number]->stream->write(parts[number]);
+        }
+    });
+    for (std::size_t number = 0; number < parts.size(); ++number) {
+        EXPECT_TRUE(callers[number]->ended) << parts[number];
+        EXPECT_TRUE(callers[number]->received.starts_with("HTTP/1.1 503 ")) << parts[number] << ": " << callers[number]->received;
+        EXPECT_NE(callers[number]->received.find("\"not_run\""), std::string::npos) << parts[number];
+    }
+}
+
+// Guards against connections that are cut, although nothing was read on them, before a caller that has just opened them can use
+// them: requests right after the start of the stop are served, and unused connections are closed in the end.
+TEST_F(PlannedStopTest, connectionsOpenedBeforeTheStopAreServedOrClosedUnread)
+{
+    const auto used = this->connect();
+    const auto unused = this->connect();
+    this->stopAndEnd([&] { used->stream->write(onlineRequest("id-1")); });
+    EXPECT_TRUE(used->received.starts_with("HTTP/1.1 200 ")) << used->received;
+    EXPECT_TRUE(unused->ended);
+    EXPECT_EQ(unused->received, "");
+}
+
+// Guards against a pipelined request that was read behind another one and is dropped when the connection closes after the first.
+TEST_F(PlannedStopTest, pipelinedRequestsAreAllAnswered)
+{
+    const auto caller = this->connect();
+    caller->stream->write(onlineRequest("id-1") + onlineRequest("id-2") + onlineRequest("id-3"));
+    runFor(this->loop, absl::Milliseconds(30));
+    this->stopAndEnd();
+    EXPECT_EQ(count(caller->received, "HTTP/1.1 200 "), 3U) << caller->received;
+    EXPECT_EQ(count(caller->received, "Connection: close"), 1U) << "only the last response closes the connection";
+}
+
+// Guards against running requests, and reads that wait for results, that are cut off without an answer at the end of the grace
+// period.
+TEST_F(PlannedStopTest, requestsThatOutlastTheGracePeriodAreAnswered)
+{
+    this->upstreams[0]->setMode(UpstreamMode::Silent);
+    this->upstreams[1]->setMode(UpstreamMode::Silent);
+    ASSERT_EQ(this->submit(*this->hosts[0], "job-1", 1), 202);
+    const auto online = this->connect();
+    online->stream->write(onlineRequest("id-1", "/once/x"));
+    const auto read = this->connect();
+    read->stream->write("GET /bergamotramp/lots/job-1?after=0 HTTP/1.1\r\nHost: site.example\r\nX-Wait-Ms: 30000\r\n\r\n");
+    runFor(this->loop, absl::Milliseconds(200));
+    this->stopAndEnd();
+    EXPECT_TRUE(online->received.starts_with("HTTP/1.1 503 ")) << online->received;
+    EXPECT_NE(online->received.find("\"unknown\""), std::string::npos) << "the request was sent to an upstream";
+    EXPECT_TRUE(read->received.starts_with("HTTP/1.1 200 ")) << read->received;
+}
+
+} // namespace
+
+} // namespace Bergamotramp
