Reuse a connection only after an answer that can be told apart

What callers would see: after a server sent a second copy of an answer, late, on a connection that was in use again, the next call got it. A request that may run once was sent a second time, because the copy of an earlier refusal without an id said that it had not run. Answers of other hosts went to other calls. The store's copy of "not found" made another object missing, an object was taken for another one, and a conditional write counted as done although it had met a conflict.

Cause: successes of upstreams are matched by their id, but refusals without one, answers of other hosts and of the store were accepted as they came.

Change: HttpCallEvents::isDistinguishable tells whether a further copy of an answer could be told from the next answer; if not, the connection carries no other request. Upstreams: the answer names its request. Hosts: the caller sends X-Call-Id, the server repeats it, and answers with another id are skipped; hosts of an earlier version don't repeat it, and their connections are not reused.

An extra answer right behind the first was handled before (HttpClientTest.connectionWithExtraBytesIsNotReused).

--- a/src/HttpClient.cpp
+++ b/src/HttpClient.cpp
@@ -200,7 +200,9 @@
         this->resetParser();
         return;
     }
-    const bool reusable = this->parser->keepAlive() && this->parser->hasExplicitLength() && this->unparsed.empty() && this->stream->unsentBytes() == 0;
+    const bool distinguishable = !this->events.isDistinguishable || this->events.isDistinguishable();
+    const bool reusable =
+        distinguishable && this->parser->keepAlive() && this->parser->hasExplicitLength() && this->unparsed.empty() && this->stream->unsentBytes() == 0;
     const auto completed = std::move(this->events.completed);
     this->events = {};
     this->callInProgress = false;
--- a/src/HttpClient.h
+++ b/src/HttpClient.h
@@ -34,6 +34,12 @@
     std::function<void(std::string_view)> body;
     std::function<void()> completed;
     std::function<void(HttpCallError)> failed;
+    /**
+     * Returns, when the response is complete, whether a further copy of it could be told from the response to another request. If
+     * not, the connection carries no other request, because a late copy would be taken for the response to that one. Empty
+     * stands for true.
+     */
+    std::function<bool()> isDistinguishable = {};
 };
 
 class HttpClient;
--- a/src/HttpServer.cpp
+++ b/src/HttpServer.cpp
@@ -61,18 +61,26 @@
         return;
     }
     this->responseStarted = true;
-    this->connection->sendResponseHead(response.head, response.body.size());
+    this->connection->sendResponseHead(this->withCallId(response.head), response.body.size());
     this->connection->stream->write(response.body);
     this->finishResponse();
 }
 
+HttpHead HttpExchange::withCallId(HttpHead head) const
+{
+    if (const auto callId = this->callerRequest.fields.find(callIdField)) {
+        head.fields.set(callIdField, std::string(*callId));
+    }
+    return head;
+}
+
 void HttpExchange::startBody(const HttpHead &head)
 {
     if (this->ended() || this->responseStarted) {
         return;
     }
     this->responseStarted = true;
-    this->connection->sendResponseHead(head, std::nullopt);
+    this->connection->sendResponseHead(this->withCallId(head), std::nullopt);
 }
 
 void HttpExchange::sendBody(std::string_view bytes)
--- a/src/HttpServer.h
+++ b/src/HttpServer.h
@@ -17,6 +17,9 @@
 
 class HttpServerConnection;
 
+/** Identifies a call between two hosts. The server repeats it in the response. */
+constexpr const char *callIdField = "X-Call-Id";
+
 /** One request from a caller and the response to it. */
 class HttpExchange
 {
@@ -47,6 +50,7 @@
     friend class HttpServerConnection;
 
     void finishResponse();
+    [[nodiscard]] HttpHead withCallId(HttpHead head) const;
 
     std::shared_ptr<HttpServerConnection> connection;
     HttpRequest callerRequest;
--- a/src/PeerClient.cpp
+++ b/src/PeerClient.cpp
@@ -2,6 +2,8 @@
 
 #include <utility>
 
+#include "HttpServer.h"
+
 namespace Bergamotramp {
 
 namespace {
@@ -28,6 +30,7 @@
     const auto call = std::make_shared<Call>();
     const auto response = std::make_shared<HttpResponse>();
     this->calls.insert(call);
+    const auto echoed = std::make_shared<bool>(false);
     const auto finish = [this, call, done = std::move(done)](const std::optional<HttpResponse> &result) {
         if (this->calls.erase(call) > 0) {
             call->timer.cancel();
@@ -36,13 +39,26 @@
         }
     };
     call->timer = this->loop.after(timeout, [finish] { finish(std::nullopt); });
+    HttpRequest identified = request;
+    const std::string callId = std::to_string(++this->callNumber);
+    identified.fields.set(callIdField, callId);
     call->call = this->client.send(address,
-                                   request,
-                                   {.matchesRequest = {},
-                                    .head = [response](const HttpHead &head) { response->head = head; },
+                                   identified,
+                                   {.matchesRequest =
+                                        [callId](const HttpHead &head) {
+                                            // Hosts of an earlier version do not repeat the id.
+                                            return head.fields.find(callIdField).value_or(callId) == callId;
+                                        },
+                                    .head =
+                                        [response, echoed](const HttpHead &head) {
+                                            *echoed = head.fields.find(callIdField).has_value();
+                                            response->head = head;
+                                            response->head.fields.remove(callIdField);
+                                        },
                                     .body = [response](std::string_view bytes) { response->body.append(bytes); },
                                     .completed = [finish, response] { finish(*response); },
-                                    .failed = [finish](HttpCallError) { finish(std::nullopt); }});
+                                    .failed = [finish](HttpCallError) { finish(std::nullopt); },
+                                    .isDistinguishable = [echoed] { return *echoed; }});
 }
 
 } // namespace Bergamotramp
--- a/src/PeerClient.h
+++ b/src/PeerClient.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <cstdint>
 #include <functional>
 #include <memory>
 #include <optional>
@@ -37,6 +38,7 @@
 
     EventLoop &loop;
     HttpClient client;
+    std::uint64_t callNumber = 0;
     /** Requests in progress; each removes itself when it ends. */
     std::set<std::shared_ptr<Call>> calls;
 };
--- a/src/ServingProtocol.h
+++ b/src/ServingProtocol.h
@@ -67,6 +67,8 @@
     std::function<HttpRequest(const BatchItem &, const std::string &host)> itemRequest;
     /** Whether the response belongs to the request with this id. */
     std::function<bool(const HttpHead &, const std::string &id)> matchesRequest;
+    /** Whether the response names the request that it belongs to. */
+    std::function<bool(const HttpHead &)> namesRequest;
     /** Whether the response states that the request has not run. */
     std::function<bool(const HttpHead &)> statesNotRun;
     /** Whether the response states that another upstream has the address now. */
--- a/src/UpstreamAttempt.cpp
+++ b/src/UpstreamAttempt.cpp
@@ -58,7 +58,8 @@
                                             .head = [this](const HttpHead &received) { this->onHead(received); },
                                             .body = [this](std::string_view bytes) { this->onBody(bytes); },
                                             .completed = [this] { this->onCompleted(); },
-                                            .failed = [this](HttpCallError error) { this->onFailed(error); }},
+                                            .failed = [this](HttpCallError error) { this->onFailed(error); },
+                                            .isDistinguishable = [this] { return this->context.protocol.namesRequest(this->head); }},
                                            repeatable ? absl::InfiniteDuration() : maxIdleForNonRepeatable);
 }
 
