Wait for leases after every fence and deny no results by old answers

What callers could see: results that were read and are missing at another host (LOST), in two ways that the review of the lease found: - a host that restarts under its name may not know that another one has taken its job over: it fenced and stored results at once, because it waited only if the header named a next runner. The other host still answered from memory, under its lease, that there were none; - an answer of the store "no further object" was used whenever it arrived, up to 1.5 s after it was true, or later if the host had stood still meanwhile.

Change: every fence is followed by the wait. An answer without results is given only if the call that showed the end of the results was sent at most 0.8 s before; otherwise the answer is unknown (503).

A restarted owner stores its first results up to 2.2 s later than before.

--- a/src/JobService.cpp
+++ b/src/JobService.cpp
@@ -12,6 +12,8 @@
 constexpr absl::Duration takeoverDelay = absl::Seconds(3);
 // Every host checks all open jobs of the fleet, so it does not do so with each tick.
 constexpr absl::Duration takeoverCheckPeriod = absl::Milliseconds(400);
+// An answer of the store that took longer, or that was read late because the host stood still, no longer shows that there are no results.
+constexpr absl::Duration maxAgeOfNoResults = absl::Milliseconds(800);
 constexpr absl::Duration storeRetryDelay = absl::Milliseconds(300);
 // A malformed object is read again after this time, because an operator may repair it.
 constexpr absl::Duration malformedRetryDelay = absl::Seconds(10);
@@ -330,6 +332,7 @@
         }
         if (result == StoreResult::NotFound) {
             loaded->lease.renew(sent);
+            loaded->endSeenAt = sent;
             this->finishLoading(jobId, StoreResult::Done);
             return;
         }
@@ -420,8 +423,10 @@
 
 void JobService::serveLoadedRead(JobEntry &entry, const std::shared_ptr<ResultRead> &read)
 {
-    if (hasResultsFor(entry, *read) || !this->mayWait(entry, *read)) {
+    if (hasResultsFor(entry, *read)) {
         this->sendPage(entry, read->position, ReadSource::Store, read->done);
+    } else if (!this->mayWait(entry, *read)) {
+        this->denyLoadedResults(entry, *read);
     } else if (this->runsWithResults(entry)) {
         this->holdRead(entry, read);
     } else {
@@ -431,6 +436,15 @@
     }
 }
 
+void JobService::denyLoadedResults(JobEntry &entry, const ResultRead &read)
+{
+    if (this->context.attempts.loop.nowIncludingSuspend() - entry.endSeenAt > maxAgeOfNoResults) {
+        read.done(JobLookup::Unknown, {});
+    } else {
+        this->sendPage(entry, read.position, ReadSource::Store, read.done);
+    }
+}
+
 void JobService::holdRead(JobEntry &entry, const std::shared_ptr<ResultRead> &read)
 {
     entry.pendingReads.push_back(read);
@@ -714,9 +728,8 @@
             return;
         }
         target.fenced = true;
-        if (!target.progress.runner.empty()) {
-            target.appendNotBefore = this->context.attempts.loop.now() + ResultLease::successorDelay;
-        }
+        // A host that has just started may not know yet that another one has taken the job over.
+        target.appendNotBefore = this->context.attempts.loop.now() + ResultLease::successorDelay;
     });
 }
 
--- a/src/JobService.h
+++ b/src/JobService.h
@@ -157,10 +157,12 @@
         std::optional<std::uint64_t> unansweredObject;
         bool loading = false;
         absl::Time loadStartedAt = absl::InfinitePast();
+        /** When the call was sent that last found the end of the results; includes the time for which the host was suspended. */
+        absl::Time endSeenAt = absl::InfinitePast();
         bool appending = false;
         bool writingProgress = false;
         absl::Time retryAt = absl::InfinitePast();
-        /** A host that has taken the job over stores no results before this time. */
+        /** After a fence no results are stored before this time: another host may have a lease. */
         absl::Time appendNotBefore = absl::InfinitePast();
         absl::Time progressWrittenAt = absl::InfinitePast();
         absl::Time unstoredSince = absl::InfiniteFuture();
@@ -193,6 +195,8 @@
     void serveReadAsRunner(JobEntry &entry, const std::shared_ptr<ResultRead> &read);
     void loadForRead(JobEntry &entry, const std::shared_ptr<ResultRead> &read);
     void serveLoadedRead(JobEntry &entry, const std::shared_ptr<ResultRead> &read);
+    /** Answers that there are no results, unless the look at the store that showed it has become old. */
+    void denyLoadedResults(JobEntry &entry, const ResultRead &read);
     /** Keeps a read of a job that runs here until there are results or its wait is over. */
     void holdRead(JobEntry &entry, const std::shared_ptr<ResultRead> &read);
     [[nodiscard]] static bool hasResultsFor(const JobEntry &entry, const ResultRead &read);
--- a/test/entry/JobReadTest.cpp
+++ b/test/entry/JobReadTest.cpp
@@ -21,8 +21,8 @@
 constexpr const char *otherHost = "host-b";
 constexpr const char *resultsKind = "job-results";
 constexpr absl::Duration tickPeriod = absl::Milliseconds(40);
-// The next runner of a job stores no results until this long after its takeover.
-constexpr absl::Duration takeoverPropagationTime = absl::Milliseconds(2200);
+// The next runner of a job stores no results until this long after its fence.
+constexpr absl::Duration successorDelay = ResultLease::successorDelay;
 
 /** One host that answers reads of a job; the test writes to the store what another host writes. */
 class JobReadTest : public testing::Test
@@ -197,7 +197,7 @@
     this->submitJob();
     EXPECT_TRUE(this->readResults().page.results.empty());
     this->writeProgress({.runner = otherHost});
-    runFor(this->loop, takeoverPropagationTime);
+    runFor(this->loop, successorDelay);
     this->writeResultsOfOtherHost();
     EXPECT_EQ(this->readResults().page.results.size(), 1U);
 }
@@ -206,8 +206,8 @@
 TEST_F(JobReadTest, readThatWaitsAtAFormerRunnerFindsTheResultsOfTheNextOne)
 {
     this->submitJob();
-    const LoopTimer stored = this->loop.after(takeoverPropagationTime, [this] { this->writeResultsOfOtherHost(); });
-    EXPECT_EQ(this->readResults(takeoverPropagationTime + absl::Milliseconds(300)).page.results.size(), 1U);
+    const LoopTimer stored = this->loop.after(successorDelay, [this] { this->writeResultsOfOtherHost(); });
+    EXPECT_EQ(this->readResults(successorDelay + absl::Milliseconds(300)).page.results.size(), 1U);
 }
 
 // Guards against results that every host shows but the one that runs the job: the answer to their storing was lost, and the job was
@@ -238,6 +238,32 @@
     EXPECT_EQ(this->readResults().page.results.size(), 1U);
 }
 
+// Guards against a host that restarts, does not know yet that another one has taken its job over, and stores results while that one still
+// answers from memory that there are none.
+TEST_F(JobReadTest, restartedOwnerWaitsForTheLeaseOfAnUnknownRunner)
+{
+    this->writeJobOfOtherHost();
+    nlohmann::json content = this->store.object(JobArchive::headerKind, jobId).content;
+    content["owner"] = thisHost;
+    this->jobs.changeHeader({.removed = false, .object = this->store.write(JobArchive::headerKind, jobId, content)});
+    this->giveUpItems();
+    this->runTicks(absl::Milliseconds(200));
+    ASSERT_EQ(this->store.count(resultsKind), 1U) << "the fence";
+    this->runTicks(ResultLease::length - absl::Milliseconds(200));
+    EXPECT_EQ(this->store.count(resultsKind), 1U) << "the other host may have renewed its lease right before the fence";
+    this->runTicks(absl::Milliseconds(500));
+    EXPECT_EQ(this->store.count(resultsKind), 2U);
+}
+
+// Guards against an answer without results from a look at the store that has become old: results may have been stored and shown since.
+TEST_F(JobReadTest, oldAnswerOfTheStoreDoesNotDenyResults)
+{
+    this->writeJobOfOtherHost();
+    this->store.setReplies(InMemoryObjectStore::Replies::Held);
+    const LoopTimer released = this->loop.after(absl::Milliseconds(1100), [this] { this->store.releaseReplies(); });
+    EXPECT_EQ(this->readResults().lookup, JobLookup::Unknown);
+}
+
 // Guards against a caller that gets no answer because the job is removed from the store, by an operator or as malformed, while its read
 // waits for results.
 TEST_F(JobReadTest, waitingReadIsAnsweredWhenTheJobIsRemoved)
@@ -271,7 +297,7 @@
 TEST_F(JobReadTest, hostThatCanNotAskTheStoreDoesNotDenyResults)
 {
     this->submitJob();
-    runFor(this->loop, takeoverPropagationTime);
+    runFor(this->loop, successorDelay);
     this->store.setReplies(InMemoryObjectStore::Replies::Lost);
     EXPECT_EQ(this->readResults().lookup, JobLookup::Unknown);
 }
