Ignore the answers to a load that a later one has replaced

What callers could see: a read without results although there are some, or a truncated output, after the header of a job was malformed for a moment and was repaired (found by the review of the lease).

Cause: an answer to a load was applied to whatever load was in progress, so "no such object" for a high number ended a load that had just begun. The runs of a job whose header became malformed went on and gave their events to the items that were loaded anew.

Change: loads are numbered. A malformed header stops the runs as a removed one does.

The stopped runs have no test.

--- a/src/JobService.cpp
+++ b/src/JobService.cpp
@@ -55,6 +55,7 @@
         entry.header = JobRecord::fromJson(object.name, object.content);
     } catch (const JobFormatError &error) {
         this->context.log.write("job_unreadable", {{"job", object.name}, {"error", error.what()}});
+        this->stopRuns(object.name);
         this->removeEntry(object.name);
         return nullptr;
     }
@@ -108,10 +109,10 @@
     }
 }
 
-JobService::JobEntry *JobService::findLoading(const std::string &jobId)
+JobService::JobEntry *JobService::findLoading(const std::string &jobId, std::uint64_t loadNumber)
 {
     const auto found = this->entries.find(jobId);
-    return found != this->entries.end() && found->second.loading ? &found->second : nullptr;
+    return found != this->entries.end() && found->second.loading && found->second.loadNumber == loadNumber ? &found->second : nullptr;
 }
 
 void JobService::lookUp(const std::string &jobId, LookupHandler done)
@@ -293,6 +294,7 @@
         return;
     }
     entry.loading = true;
+    entry.loadNumber = ++this->loads;
     entry.loadStartedAt = this->context.attempts.loop.now();
     if (entry.job && (entry.itemsLoaded || !withItems)) {
         this->loadResults(jobId);
@@ -303,8 +305,8 @@
         this->loadResults(jobId);
         return;
     }
-    this->archive.readItems(entry.header, [this, jobId](StoreResult result, std::vector<BatchItem> items) {
-        JobEntry *const loaded = this->findLoading(jobId);
+    this->archive.readItems(entry.header, [this, jobId, loadNumber = entry.loadNumber](StoreResult result, std::vector<BatchItem> items) {
+        JobEntry *const loaded = this->findLoading(jobId, loadNumber);
         if (loaded == nullptr) {
             return;
         }
@@ -323,11 +325,12 @@
 
 void JobService::loadResults(const std::string &jobId)
 {
-    const std::uint64_t number = this->entries.at(jobId).job->nextResultObject();
+    const JobEntry &entry = this->entries.at(jobId);
+    const std::uint64_t number = entry.job->nextResultObject();
     const absl::Time sent = this->context.attempts.loop.nowIncludingSuspend();
-    this->archive.readResults(jobId, number, [this, jobId, number, sent](StoreResult result, const ResultObject &content) {
-        JobEntry *const loaded = this->findLoading(jobId);
-        if (loaded == nullptr || !loaded->job) {
+    this->archive.readResults(jobId, number, [this, jobId, number, sent, loadNumber = entry.loadNumber](StoreResult result, const ResultObject &content) {
+        JobEntry *const loaded = this->findLoading(jobId, loadNumber);
+        if (loaded == nullptr) {
             return;
         }
         if (result == StoreResult::NotFound) {
--- a/src/JobService.h
+++ b/src/JobService.h
@@ -156,6 +156,7 @@
         /** Number of the result object whose create call got no answer. While it is the next number, the object may exist. */
         std::optional<std::uint64_t> unansweredObject;
         bool loading = false;
+        std::uint64_t loadNumber = 0;
         absl::Time loadStartedAt = absl::InfinitePast();
         /** When the call was sent that last found the end of the results; includes the time for which the host was suspended. */
         absl::Time endSeenAt = absl::InfinitePast();
@@ -178,8 +179,8 @@
     JobEntry *applyHeader(const ObjectRecord &object);
     /** Forgets a job that was removed from the store or is malformed there, and answers the calls that wait for it. */
     void removeEntry(const std::string &jobId);
-    /** The job if its items or results are being loaded, otherwise null: it may have been removed and added again meanwhile. */
-    [[nodiscard]] JobEntry *findLoading(const std::string &jobId);
+    /** The job while this load of its items and results is in progress, otherwise null: it may have been removed and added again. */
+    [[nodiscard]] JobEntry *findLoading(const std::string &jobId, std::uint64_t loadNumber);
     /** Finds a job in memory, or else reads its header from the store. */
     void lookUp(const std::string &jobId, LookupHandler done);
     [[nodiscard]] std::int64_t waitingTokens(const std::string &host, const std::string &pathPrefix) const;
@@ -255,6 +256,8 @@
     std::map<std::string, JobEntry> entries;
     std::list<std::shared_ptr<ItemRun>> runs;
     absl::Time startedAt;
+    /** Number of loads that have begun. */
+    std::uint64_t loads = 0;
     absl::Time nextStartRound = absl::InfinitePast();
     absl::Time nextTakeoverCheck = absl::InfinitePast();
     RunTimeEstimate itemRunTime;
--- a/test/entry/JobReadTest.cpp
+++ b/test/entry/JobReadTest.cpp
@@ -255,6 +255,24 @@
     EXPECT_EQ(this->store.count(resultsKind), 2U);
 }
 
+// Guards against the late answer to an older load that ends a newer one before it has found the results.
+TEST_F(JobReadTest, answerToAnOlderLoadDoesNotEndANewerOne)
+{
+    this->writeJobOfOtherHost();
+    this->writeResultsOfOtherHost();
+    ASSERT_EQ(this->readResults().page.results.size(), 1U);
+    this->store.setReplies(InMemoryObjectStore::Replies::Held);
+    this->jobs.read(jobId, 1, absl::ZeroDuration(), [](JobLookup, const JobPage &) {});
+    const ObjectRecord header = this->store.object(JobArchive::headerKind, jobId);
+    this->jobs.changeHeader({.removed = true, .object = header});
+    this->jobs.changeHeader({.removed = false, .object = header});
+    const LoopTimer released = this->loop.after(absl::Milliseconds(10), [this] {
+        this->store.setReplies(InMemoryObjectStore::Replies::Delivered);
+        this->store.releaseReplies();
+    });
+    EXPECT_EQ(this->readResults().page.results.size(), 1U);
+}
+
 // Guards against an answer without results from a look at the store that has become old: results may have been stored and shown since.
 TEST_F(JobReadTest, oldAnswerOfTheStoreDoesNotDenyResults)
 {
