Keep the runner of a job when it is cancelled

Cause: after a conflict, the cancellation was repeated under the new revision but with the old progress. A host that had not learned of a takeover so wrote the former runner back; that one was notified, and the present runner went on until its watch reported the change.

Change: after a conflict the progress in the store is taken.

--- a/src/JobService.cpp
+++ b/src/JobService.cpp
@@ -602,8 +602,12 @@
             done(JobLookup::Unknown);
             return;
         }
-        const std::uint64_t next = reply.result == StoreResult::Conflict && reply.object ? reply.object->revision : revision;
-        this->writeCancel(jobId, next, progress, retryUntil, done);
+        if (reply.result == StoreResult::Conflict && reply.object && found != this->entries.end()) {
+            // Another host has changed the progress, for example by taking the job over.
+            this->writeCancel(jobId, reply.object->revision, found->second.progress, retryUntil, done);
+        } else {
+            this->writeCancel(jobId, revision, progress, retryUntil, done);
+        }
     });
 }
 
--- a/test/entry/JobReadTest.cpp
+++ b/test/entry/JobReadTest.cpp
@@ -255,6 +255,19 @@
     EXPECT_EQ(this->store.count(resultsKind), 2U);
 }
 
+// Guards against a cancellation by a host that has not learned of a takeover and writes the former runner back, so that the present runner
+// is not notified and runs items of the cancelled job for seconds.
+TEST_F(JobReadTest, cancellationKeepsTheRunnerThatItFindsInTheStore)
+{
+    this->writeJobOfOtherHost();
+    this->writeProgress({.runner = "host-c"});
+    std::optional<JobLookup> lookup;
+    this->jobs.cancel(jobId, this->loop.now() + absl::Seconds(1), [&lookup](JobLookup result) { lookup = result; });
+    ASSERT_TRUE(runUntil(this->loop, [&lookup] { return lookup.has_value(); }));
+    const JobProgress stored = JobProgress::fromJson(this->store.object(JobArchive::headerKind, jobId).status);
+    EXPECT_EQ(stored, (JobProgress{.cancelled = true, .runner = "host-c"}));
+}
+
 // Guards against the late answer to an older load that ends a newer one before it has found the results.
 TEST_F(JobReadTest, answerToAnOlderLoadDoesNotEndANewerOne)
 {
