Add up the crash counts that entry hosts announce

Cause: the entry hosts announced a total for each request and merged it by the maximum, so of the crashes that two hosts count at the same time one is lost.

Change: the announcements carry the crashes by upstream, which CrashQuarantine merges for each upstream and adds over the upstreams, as the hosts with slots already do.

--- a/src/OnlineCall.cpp
+++ b/src/OnlineCall.cpp
@@ -305,10 +305,10 @@
         if (const auto crashes = this->context.suspects.recordCrash(this->fingerprint, upstream, this->attemptStarted, now)) {
             this->context.log.write("request_suspected",
                                     {{"request", this->call.id}, {"upstream", upstream}, {"crashes", static_cast<std::uint64_t>(*crashes)}});
-            this->context.announceCrashes({{this->fingerprint, *crashes}});
+            this->context.announceCrashes({this->context.suspects.count(this->fingerprint)});
         }
     } else if (result.outcome == AttemptOutcome::Completed && this->context.suspects.recordCompletion(this->fingerprint, now)) {
-        this->context.announceCrashes({{this->fingerprint, 0}});
+        this->context.announceCrashes({CrashCount{this->fingerprint}});
     }
 }
 
--- a/src/OnlineCall.h
+++ b/src/OnlineCall.h
@@ -28,7 +28,7 @@
     JsonLog &log;
     EntryMetrics &metrics;
     /** Announces changed crash counts of request fingerprints to the other hosts; 0 when the request has completed. */
-    std::function<void(const std::vector<std::pair<std::uint64_t, std::uint32_t>> &)> announceCrashes;
+    std::function<void(const std::vector<CrashCount> &)> announceCrashes;
     /** Announces the changed state of these parts of prompts to the other hosts. */
     std::function<void(const std::vector<std::uint64_t> &)> announcePromptParts;
     /** How long after the time at which a trial of this part is due the host may start it. */
--- a/src/PeerExchange.cpp
+++ b/src/PeerExchange.cpp
@@ -92,6 +92,26 @@
     return {endpoint.address(), endpoint.port()};
 }
 
+void encodeCrashCount(const CrashCount &count, peer::CrashCount &message)
+{
+    message.set_fingerprint(count.fingerprint);
+    message.set_crashes(count.crashes);
+    for (const UpstreamCrashes &upstream : count.upstreams) {
+        peer::CrashedUpstream *entry = message.add_upstreams();
+        entry->set_upstream(upstream.upstream);
+        entry->set_crashes(upstream.crashes);
+    }
+}
+
+CrashCount decodeCrashCount(const peer::CrashCount &message)
+{
+    CrashCount count{.fingerprint = message.fingerprint(), .crashes = message.crashes()};
+    for (const peer::CrashedUpstream &upstream : message.upstreams()) {
+        count.upstreams.push_back({.upstream = upstream.upstream(), .crashes = upstream.crashes()});
+    }
+    return count;
+}
+
 } // namespace
 
 struct PeerExchange::Socket {
@@ -211,7 +231,7 @@
 
 bool PeerExchange::announcesUrgentCrash(absl::Time now) const
 {
-    return now <= this->announceCrashesUntil && std::ranges::any_of(this->crashCounts, [](const auto &entry) { return entry.second >= urgentCrashes; });
+    return now <= this->announceCrashesUntil && std::ranges::any_of(this->crashCounts, [](const auto &entry) { return entry.crashes >= urgentCrashes; });
 }
 
 bool PeerExchange::announcesUrgentPart(absl::Time now) const
@@ -258,7 +278,7 @@
     }
 }
 
-void PeerExchange::announceCrashes(const std::vector<std::pair<std::uint64_t, std::uint32_t>> &counts)
+void PeerExchange::announceCrashes(const std::vector<CrashCount> &counts)
 {
     if (this->loop.now() > this->announceCrashesUntil) {
         this->crashCounts.clear();
@@ -364,10 +384,8 @@
     message.set_upstream_revision(state.upstreamRevision);
     message.set_watches_store(state.watchesStore);
     if (this->loop.now() <= this->announceCrashesUntil) {
-        for (const auto &[fingerprint, count] : this->crashCounts) {
-            peer::CrashCount *entry = message.add_crashes();
-            entry->set_fingerprint(fingerprint);
-            entry->set_crashes(count);
+        for (const CrashCount &count : this->crashCounts) {
+            encodeCrashCount(count, *message.add_crashes());
         }
     }
     this->addLeavingUpstreams(message);
@@ -529,7 +547,7 @@
         if (crash.crashes() == 0) {
             this->crashQuarantine.recordCompletion(crash.fingerprint(), this->loop.now());
         } else {
-            this->crashQuarantine.merge(crash.fingerprint(), crash.crashes(), this->loop.now());
+            this->crashQuarantine.merge(decodeCrashCount(crash), this->loop.now());
         }
     }
 }
--- a/src/PeerExchange.h
+++ b/src/PeerExchange.h
@@ -76,7 +76,7 @@
     /** Announces the current state to all hosts immediately, for example before a stop. */
     void announceNow();
     /** Adds the crash counts of these request fingerprints to the announcements of the next seconds. */
-    void announceCrashes(const std::vector<std::pair<std::uint64_t, std::uint32_t>> &counts);
+    void announceCrashes(const std::vector<CrashCount> &counts);
     /** Adds the state of these parts of prompts to the announcements of the next seconds. */
     void announcePromptParts(const std::vector<std::uint64_t> &parts);
     /** Adds a run of an upstream that has stated that it leaves to the announcements of the next seconds. */
@@ -136,7 +136,7 @@
     absl::Time peerFoundAt = absl::InfinitePast();
     /** Host names by the hash that identifies the sender of a datagram without an identity. */
     std::map<std::uint32_t, std::string> namesByKey;
-    std::vector<std::pair<std::uint64_t, std::uint32_t>> crashCounts;
+    std::vector<CrashCount> crashCounts;
     absl::Time announceCrashesUntil = absl::InfinitePast();
     /** Parts of prompts whose state is announced, with the end of that; the newest last. */
     std::deque<std::pair<std::uint64_t, absl::Time>> announcedParts;
