Bound the crash counts that a host announces

Cause: each lost request added an entry to the announced crash counts, which were cleared only after a pause of 3 s. By calculation some 4,600 entries exceed the size of a datagram, and such a datagram is not sent.

Change: one entry for each request, the newest 128. Not measured; no test plays thousands of crashes.

--- a/src/PeerExchange.cpp
+++ b/src/PeerExchange.cpp
@@ -26,6 +26,8 @@
 // only the newest ones are.
 constexpr absl::Duration leavingAnnouncementDuration = absl::Seconds(2);
 constexpr std::size_t maxAnnouncedLeavingUpstreams = 64;
+// While upstreams keep crashing, each lost request adds a count. The newest ones fit into a datagram beside everything else.
+constexpr std::size_t maxAnnouncedCrashCounts = 128;
 constexpr std::size_t maxDatagramBytes = 60'000;
 constexpr std::size_t maxCachedEndpoints = 4000;
 constexpr std::int64_t receivesPerTick = 4;
@@ -283,7 +285,13 @@
     if (this->loop.now() > this->announceCrashesUntil) {
         this->crashCounts.clear();
     }
-    this->crashCounts.insert(this->crashCounts.end(), counts.begin(), counts.end());
+    for (const CrashCount &count : counts) {
+        std::erase_if(this->crashCounts, [&count](const CrashCount &announced) { return announced.fingerprint == count.fingerprint; });
+        this->crashCounts.push_back(count);
+    }
+    if (this->crashCounts.size() > maxAnnouncedCrashCounts) {
+        this->crashCounts.erase(this->crashCounts.begin(), this->crashCounts.end() - static_cast<std::ptrdiff_t>(maxAnnouncedCrashCounts));
+    }
     this->announceCrashesUntil = this->loop.now() + crashAnnouncementDuration;
 }
 
