Keep the crashes of a prompt part that count

Cause: only the newest 12 crashes of a part were kept, and for such a part only crashes 500 ms apart count; three a second removed the older ones. A quarantine could end the same way. A loss that an answer had cleared kept standing for its run of an upstream, so a later crash of that run was ignored. Hosts also reported crashes that they knew to be cleared, which a host that starts would count.

Change: the crash that counts least is dropped. A crash after a clear replaces a cleared loss of the same run. Cleared crashes are not reported, and an answer also clears crashes that have become too old.

--- a/src/PromptPartQuarantine.cpp
+++ b/src/PromptPartQuarantine.cpp
@@ -34,7 +34,7 @@
     const bool quarantined = this->isQuarantined(part, now);
     this->addProven(part, now);
     const auto found = this->records.find(part);
-    if (found == this->records.end() || before == 0) {
+    if (found == this->records.end() || newestCrash(found->second) <= found->second.clearedAt) {
         return PartChange::None;
     }
     found->second.clearedAt = std::max(found->second.clearedAt, now);
@@ -143,8 +143,10 @@
     // Hosts compute times from ages, which adds the delay of a datagram. Only the host's own times are reported, so that a time does not
     // grow with each host that passes it on; the time of a crash is the smallest one that any host has computed.
     const Record &record = found->second;
+    std::vector<PartCrash> uncleared;
+    std::ranges::copy_if(record.crashes, std::back_inserter(uncleared), [&record](const PartCrash &crash) { return crash.lost > record.clearedAt; });
     return PartReport{
-        .part = part, .crashes = record.crashes, .clearedAt = record.ownClearedAt, .trialAt = record.ownTrialAt, .requestedAt = record.requestedAt};
+        .part = part, .crashes = std::move(uncleared), .clearedAt = record.ownClearedAt, .trialAt = record.ownTrialAt, .requestedAt = record.requestedAt};
 }
 
 std::vector<std::uint64_t> PromptPartQuarantine::quarantinedParts(std::size_t maximum, absl::Time now) const
@@ -233,13 +235,30 @@
     const auto known = std::ranges::find(record.crashes, crash.upstreamStart, &PartCrash::upstreamStart);
     if (known == record.crashes.end()) {
         record.crashes.push_back(crash);
-    } else {
+    } else if ((known->lost > record.clearedAt) == (crash.lost > record.clearedAt)) {
         *known = std::min(*known, crash);
+    } else {
+        // A loss that an answer has cleared was no crash, so it does not stand for the one that does count.
+        *known = std::max(*known, crash);
     }
     std::sort(record.crashes.begin(), record.crashes.end());
     if (record.crashes.size() > maxCrashesPerPart) {
-        record.crashes.erase(record.crashes.begin());
+        record.crashes.erase(leastInformative(record));
+    }
+}
+
+// Dropping the oldest crash would let crashes in quick succession remove the ones that are far enough apart to count.
+std::vector<PartCrash>::iterator PromptPartQuarantine::leastInformative(Record &record)
+{
+    absl::Time previous = absl::InfinitePast();
+    for (auto crash = record.crashes.begin(); crash != record.crashes.end(); ++crash) {
+        const bool counts = crash->lost > record.clearedAt && std::min(crash->sent, crash->lost) >= previous + minCrashDistanceProven;
+        if (!counts) {
+            return crash;
+        }
+        previous = crash->lost;
     }
+    return record.crashes.begin();
 }
 
 PromptPartQuarantine::Record &PromptPartQuarantine::recordOf(std::uint64_t part, absl::Time now)
--- a/src/PromptPartQuarantine.h
+++ b/src/PromptPartQuarantine.h
@@ -92,7 +92,7 @@
     static constexpr absl::Duration minRetryAfter = absl::Seconds(5);
     /** Parts that are charged or were cleared lately. */
     static constexpr std::size_t maxParts = 4096;
-    /** Crashes that are kept for a part, the newest ones. */
+    /** Crashes that are kept for a part: those that count for a proven part, and of the others the newest ones. */
     static constexpr std::size_t maxCrashesPerPart = 12;
     static constexpr std::size_t maxProvenParts = 8192;
 
@@ -142,6 +142,8 @@
     [[nodiscard]] PartChange changeSince(std::size_t countBefore, bool quarantinedBefore, std::uint64_t part, absl::Time now) const;
     void addProven(std::uint64_t part, absl::Time now);
     static void insert(Record &record, const PartCrash &crash);
+    /** The crash to drop when there are too many. */
+    [[nodiscard]] static std::vector<PartCrash>::iterator leastInformative(Record &record);
     static void noteRefusal(Record &record, std::size_t together, absl::Time now);
     Record &recordOf(std::uint64_t part, absl::Time now);
     /** Makes room: drops the parts with the fewest crashes that count, of these the ones with the oldest crashes. */
--- a/test/core/PromptPartQuarantineTest.cpp
+++ b/test/core/PromptPartQuarantineTest.cpp
@@ -102,6 +102,49 @@
     EXPECT_TRUE(quarantine.isQuarantined(part, now + absl::Seconds(1)));
 }
 
+// Guards against a part with which answers have begun before and that then crashes upstreams in quick succession: the newest crashes must
+// not replace those that are far enough apart to count.
+TEST(PromptPartQuarantineTest, quickCrashesQuarantineAProvenPart)
+{
+    PromptPartQuarantine quarantine;
+    quarantine.recordAnswer(part, start);
+    absl::Time now = start + absl::Seconds(1);
+    for (std::uint64_t number = 1; number <= 40; ++number, now += absl::Milliseconds(100)) {
+        quarantine.recordCrash(part, {.lost = now + absl::Milliseconds(50), .sent = now, .upstreamStart = number}, now + absl::Milliseconds(50));
+    }
+    EXPECT_TRUE(quarantine.isQuarantined(part, now));
+}
+
+// Guards against upstreams whose crashes are ignored because a connection to the same run was lost earlier, which an answer has cleared.
+TEST(PromptPartQuarantineTest, clearedLossDoesNotStandForALaterCrash)
+{
+    PromptPartQuarantine quarantine;
+    for (std::uint64_t run = 1; run <= PromptPartQuarantine::crashesToQuarantine; ++run) {
+        quarantine.recordCrash(part, {.lost = start, .sent = start - absl::Milliseconds(50), .upstreamStart = run}, start);
+    }
+    PromptPartQuarantine other;
+    other.merge(quarantine.report(part).value(), start);
+    quarantine.recordAnswer(part, start + absl::Milliseconds(100));
+    other.merge(quarantine.report(part).value(), start + absl::Milliseconds(100));
+    absl::Time now = start + absl::Seconds(1);
+    for (std::uint64_t run = 1; run <= PromptPartQuarantine::crashesToQuarantine; ++run, now += absl::Seconds(1)) {
+        other.recordCrash(part, {.lost = now, .sent = now - absl::Milliseconds(50), .upstreamStart = run}, now);
+    }
+    EXPECT_TRUE(other.isQuarantined(part, now));
+}
+
+// Guards against a host that starts and counts crashes which the reporting host knows to be cleared.
+TEST(PromptPartQuarantineTest, clearedCrashesAreNotReported)
+{
+    PromptPartQuarantine quarantine;
+    absl::Time now = start;
+    for (std::uint64_t run = 1; run < PromptPartQuarantine::crashesToQuarantine; ++run, now += absl::Seconds(1)) {
+        quarantine.recordCrash(part, {.lost = now, .sent = now - absl::Milliseconds(50), .upstreamStart = run}, now);
+    }
+    quarantine.recordAnswer(part, now);
+    EXPECT_TRUE(quarantine.report(part).value().crashes.empty());
+}
+
 // Guards against a quarantine that never ends, trials that crash too many upstreams, and two trials at once.
 TEST(PromptPartQuarantineTest, trialsAreRare)
 {
