Make trials of quarantined prompt parts when they can succeed

Cause: the delay before a trial grew with the crashes above the threshold, so many crashes before the quarantine counted as failed trials. A trial was used up by a request for which there was no free upstream, and by a retry, which can not be a trial.

Change: the trials themselves are counted. A request is admitted once its upstream is chosen, and a retry does not take the trial.

Open: requests of callers that leave, and answers that state that the request has not run, still use a trial up.

--- a/src/OnlineCall.cpp
+++ b/src/OnlineCall.cpp
@@ -79,9 +79,6 @@
 
 void OnlineCall::startNextAttempt()
 {
-    if (!this->admitPromptParts()) {
-        return;
-    }
     const absl::Time now = this->context.attempts.loop.now();
     const UpstreamInfo *upstream = this->context.choice.chooseForOnline(this->service, this->triedUpstreams, now);
     if (upstream == nullptr && !this->triedUpstreams.empty()) {
@@ -92,7 +89,10 @@
         this->giveUp(this->context.upstreams.available(this->service).empty() ? "no_upstream" : "no_room");
         return;
     }
-    this->startAttempt(*upstream);
+    // Only a request that has an upstream may be a trial.
+    if (this->admitPromptParts()) {
+        this->startAttempt(*upstream);
+    }
 }
 
 void OnlineCall::startAttempt(const UpstreamInfo &upstream)
@@ -208,12 +208,14 @@
     if (!this->trialParts.empty()) {
         return true;
     }
-    const PartAdmission admission = this->context.promptParts.admit(this->call.sharedPromptParts, this->context.trialDelay, this->context.attempts.loop.now());
+    // The trial is the only attempt of its request, so that it costs one upstream at most.
+    const bool mayBeTrial = this->retryPolicy.state() == CallState::NotRun;
+    const PartAdmission admission =
+        this->context.promptParts.admit(this->call.sharedPromptParts, mayBeTrial, this->context.trialDelay, this->context.attempts.loop.now());
     if (admission.verdict == PartVerdict::Admitted) {
         return true;
     }
-    // The trial is the only attempt of its request, so that it costs one upstream at most.
-    if (admission.verdict == PartVerdict::Trial && this->retryPolicy.state() == CallState::NotRun) {
+    if (admission.verdict == PartVerdict::Trial) {
         this->startTrial(admission);
         return true;
     }
--- a/src/PromptPartQuarantine.cpp
+++ b/src/PromptPartQuarantine.cpp
@@ -9,9 +9,11 @@
 
 namespace {
 
-// Time from the newest crash to the next trial, by the number of crashes above the threshold. Each trial of a part that really crashes
-// upstreams costs one of them.
+// Time from the newest crash or trial to the next trial, by the number of trials made. Each trial of a part that really crashes upstreams
+// costs one of them.
 constexpr std::array trialDelays{absl::Seconds(10), absl::Minutes(1), absl::Minutes(5), absl::Minutes(10), absl::Minutes(20), absl::Minutes(30)};
+// Reports of one trial differ by less than this, and two trials are further apart.
+constexpr absl::Duration minTrialDistance = absl::Seconds(5);
 // Within this time the requests of the host show whether a part also comes with fewer quarantined parts beside it.
 constexpr absl::Duration fewestTogetherPeriod = absl::Minutes(1);
 
@@ -54,7 +56,7 @@
         insert(record, crash);
     }
     record.clearedAt = std::max(record.clearedAt, report.clearedAt);
-    record.trialAt = std::max(record.trialAt, report.trialAt);
+    recordTrial(record, report.trialAt);
     record.requestedAt = std::max(record.requestedAt, report.requestedAt);
     return this->changeSince(before, quarantined, report.part, now);
 }
@@ -73,6 +75,7 @@
 }
 
 PartAdmission PromptPartQuarantine::admit(const std::vector<std::uint64_t> &parts,
+                                          bool mayBeTrial,
                                           const std::function<absl::Duration(std::uint64_t)> &trialDelay,
                                           absl::Time now)
 {
@@ -89,15 +92,16 @@
     for (const std::uint64_t part : admission.quarantined) {
         Record &record = this->records[part];
         noteRefusal(record, together, now);
-        due = std::max(due, this->nextTrial(part, record, now));
+        due = std::max(due, nextTrial(record));
         fewest = fewest && together <= record.fewestTogether;
     }
     // A request with a deadly part beside wrongly suspected ones would fail the trial of all, so the requests with the fewest
     // quarantined parts go first.
-    if (fewest && now >= due + trialDelay(admission.quarantined.front())) {
+    if (mayBeTrial && fewest && now >= due + trialDelay(admission.quarantined.front())) {
         for (const std::uint64_t part : admission.quarantined) {
             Record &record = this->records[part];
-            record.trialAt = record.ownTrialAt = now;
+            recordTrial(record, now);
+            record.ownTrialAt = now;
         }
         admission.verdict = PartVerdict::Trial;
         return admission;
@@ -222,12 +226,22 @@
     return record.crashes.empty() ? absl::InfinitePast() : record.crashes.back().lost;
 }
 
-absl::Time PromptPartQuarantine::nextTrial(std::uint64_t part, const Record &record, absl::Time now) const
+absl::Time PromptPartQuarantine::nextTrial(const Record &record)
 {
-    const std::size_t failed = std::min(this->count(part, record, now) - this->threshold(part, now), trialDelays.size() - 1);
-    const absl::Time next = newestCrash(record) + trialDelays[failed];
-    const bool undecided = record.trialAt > newestCrash(record);
-    return undecided ? std::max(next, record.trialAt + trialDelays[std::min(failed + 1, trialDelays.size() - 1)]) : next;
+    const absl::Duration delay = trialDelays[std::min(record.trials, trialDelays.size() - 1)];
+    return std::max(newestCrash(record), record.trialAt) + delay;
+}
+
+void PromptPartQuarantine::recordTrial(Record &record, absl::Time trialAt)
+{
+    if (record.trialAt <= record.clearedAt) {
+        record.trials = 0;
+    }
+    // The age in an announcement has the delay of the datagram, so the same trial is seen at slightly different times.
+    if (trialAt > record.clearedAt && trialAt > record.trialAt + minTrialDistance) {
+        ++record.trials;
+        record.trialAt = trialAt;
+    }
 }
 
 void PromptPartQuarantine::insert(Record &record, const PartCrash &crash)
--- a/src/PromptPartQuarantine.h
+++ b/src/PromptPartQuarantine.h
@@ -103,10 +103,14 @@
     /** Merges what another host reports. */
     PartChange merge(const PartReport &report, absl::Time now);
     /**
-     * Decides on a request with these parts. @p trialDelay returns how long after the time at which a trial of the part is due this host
-     * may start it; it differs between the hosts, so that one of them makes the trial. A trial has to be announced.
+     * Decides on a request with these parts, which is about to be sent. @p mayBeTrial tells whether it may be a trial. @p trialDelay returns
+     * how long after the time at which a trial of the part is due this host may start it; it differs between the hosts, so that one of
+     * them makes the trial. A trial has to be announced.
      */
-    PartAdmission admit(const std::vector<std::uint64_t> &parts, const std::function<absl::Duration(std::uint64_t)> &trialDelay, absl::Time now);
+    PartAdmission admit(const std::vector<std::uint64_t> &parts,
+                        bool mayBeTrial,
+                        const std::function<absl::Duration(std::uint64_t)> &trialDelay,
+                        absl::Time now);
 
     /** Crashes of the part that count. */
     [[nodiscard]] std::size_t crashes(std::uint64_t part, absl::Time now) const;
@@ -128,6 +132,8 @@
         absl::Time ownClearedAt = absl::InfinitePast();
         absl::Time trialAt = absl::InfinitePast();
         absl::Time ownTrialAt = absl::InfinitePast();
+        /** Number of trials since the last clear that this host has made or learned of. */
+        std::size_t trials = 0;
         absl::Time requestedAt = absl::InfinitePast();
         /** Fewest quarantined parts of one refused request with this part since fewestSince. */
         std::size_t fewestTogether = 0;
@@ -137,7 +143,8 @@
     [[nodiscard]] bool isProven(std::uint64_t part, absl::Time now) const;
     [[nodiscard]] std::size_t threshold(std::uint64_t part, absl::Time now) const;
     [[nodiscard]] std::size_t count(std::uint64_t part, const Record &record, absl::Time now) const;
-    [[nodiscard]] absl::Time nextTrial(std::uint64_t part, const Record &record, absl::Time now) const;
+    [[nodiscard]] static absl::Time nextTrial(const Record &record);
+    static void recordTrial(Record &record, absl::Time trialAt);
     [[nodiscard]] static absl::Time newestCrash(const Record &record);
     [[nodiscard]] PartChange changeSince(std::size_t countBefore, bool quarantinedBefore, std::uint64_t part, absl::Time now) const;
     void addProven(std::uint64_t part, absl::Time now);
--- a/test/core/PromptPartQuarantineTest.cpp
+++ b/test/core/PromptPartQuarantineTest.cpp
@@ -36,7 +36,7 @@
 
 PartVerdict verdict(Quarantine &quarantine, const std::vector<std::uint64_t> &parts, absl::Time now)
 {
-    return quarantine.admit(parts, atOnce, now).verdict;
+    return quarantine.admit(parts, true, atOnce, now).verdict;
 }
 
 // Guards against requests that are sent on after three crashes, and a refusal that invites its caller back before the next trial.
@@ -47,7 +47,7 @@
     EXPECT_EQ(verdict(quarantine, {part}, before), PartVerdict::Admitted);
     const absl::Time now = before + absl::Seconds(1);
     EXPECT_EQ(quarantine.recordCrash(part, crashAt(now, 1), now), PartChange::Quarantined);
-    const PartAdmission refusal = quarantine.admit({sharedPart, part}, atOnce, now);
+    const PartAdmission refusal = quarantine.admit({sharedPart, part}, true, atOnce, now);
     EXPECT_EQ(refusal.verdict, PartVerdict::Refused);
     EXPECT_EQ(refusal.quarantined, std::vector<std::uint64_t>{part});
     EXPECT_EQ(refusal.retryAfter, absl::Seconds(10));
@@ -162,6 +162,20 @@
     EXPECT_EQ(trials, 2);
 }
 
+// Guards against a part that stays refused for half an hour because many crashes had come before the quarantine, or because a retry that
+// can not be a trial used the trial up.
+TEST(PromptPartQuarantineTest, firstTrialComesSoonAfterManyCrashes)
+{
+    PromptPartQuarantine quarantine;
+    absl::Time now = start;
+    for (std::uint64_t run = 1; run <= 12; ++run, now += absl::Milliseconds(200)) {
+        quarantine.recordCrash(part, {.lost = now, .sent = now - absl::Milliseconds(50), .upstreamStart = run}, now);
+    }
+    now += absl::Seconds(10);
+    EXPECT_EQ(quarantine.admit({part}, false, atOnce, now).verdict, PartVerdict::Refused);
+    EXPECT_EQ(verdict(quarantine, {part}, now), PartVerdict::Trial);
+}
+
 // Guards against a trial whose end nobody has seen and that is repeated as if it had not been made.
 TEST(PromptPartQuarantineTest, undecidedTrialIsNotRepeatedSoon)
 {
