Join the two copies of the test server with fixed responses

One class has both now; the raw client keeps a file of its own, and the protocol of UpstreamAttemptTest names the new hook. Without this the tests do not compile; no check is changed.

--- a/test/entry/HttpTest.cpp
+++ b/test/entry/HttpTest.cpp
@@ -5,7 +5,8 @@
 #include "HttpClient.h"
 #include "HttpServer.h"
 #include "LoopRunner.h"
-#include "RawSockets.h"
+#include "RawClient.h"
+#include "TcpSocket.h"
 
 namespace Bergamotramp {
 
--- a/test/entry/UpstreamAttemptTest.cpp
+++ b/test/entry/UpstreamAttemptTest.cpp
@@ -63,6 +63,7 @@
                              .prepareAttempt = {},
                              .itemRequest = {},
                              .matchesRequest = [](const HttpHead &head, const std::string &id) { return head.fields.find("x-for").value_or(id) == id; },
+                             .namesRequest = [](const HttpHead &head) { return head.fields.find("x-for").has_value(); },
                              .statesNotRun = [](const HttpHead &head) { return head.status == 503; },
                              .misdirected = [](const HttpHead &) { return false; },
                              .statesLeaving = [](const HttpHead &head) { return head.fields.find("x-leaves").has_value(); },
--- a/test/site/LateAnswerTest.cpp
+++ b/test/site/LateAnswerTest.cpp
@@ -1,7 +1,8 @@
 #include <absl/strings/str_cat.h>
 
+#include "FixedResponseServer.h"
 #include "PeerClient.h"
-#include "RawSockets.h"
+#include "RawClient.h"
 #include "SiteFleet.h"
 
 namespace Bergamotramp {
--- a/test/site/MalformedInputTest.cpp
+++ b/test/site/MalformedInputTest.cpp
@@ -2,7 +2,8 @@
 
 #include <absl/strings/str_cat.h>
 
-#include "RawSockets.h"
+#include "FixedResponseServer.h"
+#include "RawClient.h"
 #include "SiteFleet.h"
 #include "TcpSocket.h"
 #include "peer.pb.h"
@@ -186,7 +187,7 @@
     FixedResponseServer upstream(this->loop, "");
     this->store.write("servers", "up-0", {{"service", "model"}, {"address", upstream.address()}, {"zone", "a"}, {"slots", 8}, {"state", "ready"}, {"born", 2}});
     runFor(this->loop, absl::Seconds(1));
-    upstream.closeAfterResponse = true;
+    upstream.connectionEnd = ConnectionEnd::Close;
     for (const Input &input : inputs) {
         upstream.response = input.bytes;
         for (const char *path : {"/stream/x", "/resumable/x"}) {
--- a/test/site/PlannedStopTest.cpp
+++ b/test/site/PlannedStopTest.cpp
@@ -1,6 +1,6 @@
 #include <absl/strings/str_cat.h>
 
-#include "RawSockets.h"
+#include "RawClient.h"
 #include "SiteFleet.h"
 
 namespace Bergamotramp {
--- a/test/standin/FixedResponseServer.cpp
+++ b/test/standin/FixedResponseServer.cpp
@@ -28,6 +28,11 @@
     }
 }
 
+void FixedResponseServer::writeTo(int connection, const std::string &bytes)
+{
+    this->streams.at(static_cast<std::size_t>(connection))->write(bytes);
+}
+
 void FixedResponseServer::accept()
 {
     this->acceptor.async_accept([this](const boost::system::error_code &error, asio::ip::tcp::socket socket) {
--- a/test/standin/FixedResponseServer.h
+++ b/test/standin/FixedResponseServer.h
@@ -28,6 +28,8 @@
     [[nodiscard]] std::string address() const;
     /** Closes all connections. */
     void closeConnections();
+    /** Sends @p bytes on the connection with this number, in the order of their acceptance; does nothing if it is closed. */
+    void writeTo(int connection, const std::string &bytes);
 
     EventLoop &loop;
     std::string response;
