--- a/src/PromptPartQuarantine.cpp
+++ b/src/PromptPartQuarantine.cpp
@@ -249,11 +249,8 @@
     const auto known = std::ranges::find(record.crashes, crash.upstreamStart, &PartCrash::upstreamStart);
     if (known == record.crashes.end()) {
         record.crashes.push_back(crash);
-    } else if ((known->lost > record.clearedAt) == (crash.lost > record.clearedAt)) {
-        *known = std::min(*known, crash);
     } else {
-        // A loss that an answer has cleared was no crash, so it does not stand for the one that does count.
-        *known = std::max(*known, crash);
+        *known = std::min(*known, crash);
     }
     std::sort(record.crashes.begin(), record.crashes.end());
     if (record.crashes.size() > maxCrashesPerPart) {
