--- a/test/entry/RelayedStoreTest.cpp
+++ b/test/entry/RelayedStoreTest.cpp
@@ -1,5 +1,7 @@
 #include "RelayedStore.h"
 
+#include <optional>
+
 #include <fcntl.h>
 
 #include <gtest/gtest.h>
@@ -158,6 +160,101 @@
     }
 }
 
+/** A host that follows one of two relays; the test answers its calls to them. */
+class RelayedFollowerTest : public testing::Test
+{
+protected:
+    struct RelayCall {
+        std::string relay;
+        std::function<void(const std::optional<HttpResponse> &)> done;
+    };
+
+    RelayedFollowerTest()
+    {
+        for (std::size_t number = 0; number <= PeerTable::maxFullMeshPeers; ++number) {
+            Peer peer;
+            peer.name = absl::StrCat("host-", number);
+            peer.dataCentre = "a";
+            peer.incarnation = 1;
+            peer.lastHeard = this->loop.now();
+            peer.livenessTimeout = absl::Hours(1);
+            peer.linkMbps = number < WatchRelaySelector::relaysPerDataCentre ? 1000 : 100;
+            this->peers.update(peer);
+        }
+    }
+
+    void answer(std::size_t call, int status)
+    {
+        this->relayCalls.at(call).done(HttpResponse{.head = {.status = status, .fields = {}}, .body = "{}"});
+    }
+
+    EventLoop loop;
+    JsonLog log{this->loop, "follower", open("/dev/null", O_WRONLY)};
+    PeerTable peers;
+    // The narrowest link: this host is the last of its data centre to go to the store.
+    WatchRelaySelector relaySelector{this->peers, "follower", "a", 1};
+    PendingListStore store;
+    std::vector<RelayCall> relayCalls;
+    RelayedStore relayedStore{
+        this->loop, this->store, this->relaySelector, {"things"}, this->log, [this](const Peer &peer, const HttpRequest &, absl::Duration, auto done) {
+            this->relayCalls.push_back({.relay = peer.name, .done = std::move(done)});
+        }};
+    HttpServer server{this->loop, "127.0.0.1:0", maxConnections, [this](const std::shared_ptr<HttpExchange> &exchange) { this->relayedStore.serve(exchange); }};
+    HttpClient client{this->loop, {}};
+};
+
+// Guards against followers that do not learn of a failure of the store, so that they drop the upstreams whose registrations lapse
+// meanwhile, and against all of them asking a store that their relays can not use.
+TEST_F(RelayedFollowerTest, failureOfTheStoreIsReportedByTheRelays)
+{
+    std::optional<StoreResult> result;
+    this->relayedStore.list("things", [&result](const ListReply &reply) { result = reply.result; });
+    ASSERT_EQ(this->relayCalls.size(), 1U);
+    this->answer(0, 424);
+    ASSERT_EQ(this->relayCalls.size(), 2U);
+    EXPECT_NE(this->relayCalls[1].relay, this->relayCalls[0].relay);
+    EXPECT_FALSE(result.has_value()) << "the other relay may be able to use the store";
+    this->answer(1, 424);
+    EXPECT_EQ(result, StoreResult::Unavailable);
+    EXPECT_TRUE(this->store.pendingLists.empty());
+}
+
+// Guards against followers that all go to the store at once when their relays refuse them, as they do when a fleet starts, and
+// against a follower that never tries again.
+TEST_F(RelayedFollowerTest, refusedFollowerWaitsBeforeItGoesToTheStore)
+{
+    this->relayedStore.list("things", [](const ListReply &) {});
+    this->answer(0, 503);
+    this->answer(1, 503);
+    this->relayedStore.tick();
+    EXPECT_TRUE(this->store.pendingLists.empty());
+    ASSERT_TRUE(runUntil(this->loop, [this] {
+        this->relayedStore.tick();
+        return !this->store.pendingLists.empty();
+    }));
+}
+
+// Guards against followers that are refused by a host which is no relay but will have the list soon, and against followers that wait
+// for ever for such a host.
+TEST_F(RelayedFollowerTest, hostThatIsNoRelayHoldsListRequestsForAWhile)
+{
+    int status = 0;
+    const absl::Time sent = this->loop.now();
+    const HttpCall call = this->client.send(this->server.address(),
+                                            {.method = "GET", .target = "/peer/objects?kind=things&least=0", .fields = {}, .body = {}},
+                                            {.matchesRequest = {},
+                                             .head = [&status](const HttpHead &head) { status = head.status; },
+                                             .body = [](std::string_view) {},
+                                             .completed = [] {},
+                                             .failed = [](HttpCallError) {}});
+    ASSERT_TRUE(runUntil(this->loop, [this, &status] {
+        this->relayedStore.tick();
+        return status != 0;
+    }));
+    EXPECT_EQ(status, 503);
+    EXPECT_GE(this->loop.now() - sent, absl::Milliseconds(500)) << "the host may get the list from its own relay meanwhile";
+}
+
 } // namespace
 
 } // namespace Bergamotramp
