--- a/src/EventLoop.h
+++ b/src/EventLoop.h
@@ -57,7 +57,7 @@
     /** Queues @p callback; the loop calls it after the current callback has returned. */
     void post(std::function<void()> callback);
     /**
-     * Sets the function that is told of the exceptions of callbacks; the loop then continues with the next callback. Without it,
+     * Sets the function that receives the exceptions of callbacks; the loop then continues with the next callback. Without it,
      * run() throws them.
      */
     void setErrorHandler(std::function<void(const std::string &error)> handler);
--- a/src/JobService.cpp
+++ b/src/JobService.cpp
@@ -12,7 +12,7 @@
 constexpr absl::Duration takeoverDelay = absl::Seconds(3);
 // Every host checks all open jobs of the fleet, so it does not do so with each tick.
 constexpr absl::Duration takeoverCheckPeriod = absl::Milliseconds(400);
-// An answer of the store that took longer, or that was read late because the host stood still, no longer shows that there are no results.
+// An answer of the store that took longer, or that was read late because the host was paused, no longer shows that there are no results.
 constexpr absl::Duration maxAgeOfNoResults = absl::Milliseconds(800);
 constexpr absl::Duration storeRetryDelay = absl::Milliseconds(300);
 // A malformed object is read again after this time, because an operator may repair it.
--- a/src/JobService.h
+++ b/src/JobService.h
@@ -210,7 +210,7 @@
     void sendPage(JobEntry &entry, std::size_t position, ReadSource source, const std::function<void(JobLookup, const JobPage &)> &done);
     /** Logs an answered read unless it shows the same as the last logged one of the job. */
     void logRead(JobEntry &entry, std::size_t position, const JobPage &page, ReadSource source);
-    /** Serves the waiting reads whose wait is over, that have results now, or that this host can not answer alone any more. */
+    /** Serves the waiting reads whose wait is over, that have results now, or that this host can not answer alone. */
     void resumeReads(JobEntry &entry);
     void writeCancel(const std::string &jobId, std::uint64_t revision, JobProgress progress, absl::Time retryUntil, std::function<void(JobLookup)> done);
     [[nodiscard]] static const std::string &runnerOf(const JobEntry &entry);
--- a/src/JournalIndex.cpp
+++ b/src/JournalIndex.cpp
@@ -110,7 +110,7 @@
     const wire::JournalState state = !entry.has_value() ? wire::JOURNAL_STATE_NOT_FOUND : entry->stateAt(now);
     const bool sameCall = entry.has_value() && isOfCall(*entry, intent.host, intent.callNumber);
     const bool withdrawn = intent.callNumber != 0 && this->contains(withdrawnCallKey(intent.key, journalCallHash(intent.host, intent.callNumber)), now);
-    // The attempt of this call has ended, and its host waits for no answer any more. Another attempt would only block the key.
+    // The attempt of this call has ended, and its host does not wait for an answer. Another attempt would only block the key.
     if (withdrawn || (sameCall && state != wire::JOURNAL_STATE_IN_PROGRESS)) {
         return {wire::JOURNAL_STATE_UNAVAILABLE, 0, std::nullopt};
     }
--- a/src/JournalService.cpp
+++ b/src/JournalService.cpp
@@ -324,7 +324,7 @@
         }
     }
 
-    // The intent may be recorded now or later although its request won't run, because its caller is told so. The call is never used again.
+    // The intent may be recorded now or later although its request won't run, because its caller receives that answer. The call is never used again.
     void withdraw(const wire::JournalBegin &begin)
     {
         this->retryInBackground({begin.key(), 0, {}, true, "", absl::Now() + backgroundRetryTime, false, begin.request()});
--- a/src/UpstreamTable.h
+++ b/src/UpstreamTable.h
@@ -51,7 +51,7 @@
     void replaceAll(const std::vector<UpstreamInfo> &upstreams, absl::Time now);
     /**
      * Records that a run of an upstream has stated itself that it leaves; returns whether that was not known. The run gets no new
-     * requests any more, whatever its registration says, and neither as a last resort. If its start is not known, that holds until the
+     * requests, whatever its registration says, and neither as a last resort. If its start is not known, that holds until the
      * registration has vanished and the id is registered again.
      */
     bool recordStatedLeaving(const UpstreamRun &run);
--- a/test/core/JournalSimulation.h
+++ b/test/core/JournalSimulation.h
@@ -324,7 +324,7 @@
         this->withdrawnCalls += static_cast<int>(std::erase_if(this->lostCalls, [call](const LostCall &lost) { return lost.call == call; }));
     }
 
-    // After a restart nobody knows that the calls sent nothing, so their keys may stay blocked.
+    // After a restart no host knows that the calls sent nothing, so their keys may stay blocked.
     void forgetLostCalls()
     {
         for (const LostCall &lost : this->lostCalls) {
--- a/test/core/PromptPartQuarantineTest.cpp
+++ b/test/core/PromptPartQuarantineTest.cpp
@@ -176,7 +176,7 @@
     EXPECT_EQ(verdict(quarantine, {part}, now), PartVerdict::Trial);
 }
 
-// Guards against a trial whose end nobody has seen and that is repeated as if it had not been made.
+// Guards against a trial without a known outcome that is repeated at once.
 TEST(PromptPartQuarantineTest, undecidedTrialIsNotRepeatedSoon)
 {
     Quarantine quarantine;
--- a/test/host/JournalServiceTest.cpp
+++ b/test/host/JournalServiceTest.cpp
@@ -267,7 +267,7 @@
     EXPECT_EQ(this->beginAt(this->requester, absl::Seconds(30)), wire::JOURNAL_STATE_IN_PROGRESS);
 }
 
-// Guards against running a request again when its host was restarted, since nobody knows any more whether that host had sent it.
+// Guards against running a request again when its host was restarted, since no host knows whether that host had sent it.
 TEST_F(JournalLostAnswerTest, outcomeStaysUnknownAfterARestartOfTheHost)
 {
     this->beginWithoutAnswer();
--- a/test/host/SlotServiceTest.cpp
+++ b/test/host/SlotServiceTest.cpp
@@ -349,7 +349,7 @@
     }
 }
 
-// Guards against a crash that nobody counts: the host granted the slot from its share while the holder was silent, so the holder does not
+// Guards against a crash that no host counts: the host granted the slot from its share while the holder was silent, so the holder does not
 // know the grant, and when the upstream crashes the holder answers again.
 TEST_F(SlotServiceTest, crashOfASlotFromTheShareIsCounted)
 {
