Log the request limits that upstreams state

The log named each attempt and item with its upstream, but not what the upstream states, so it could not show which requests exceed a limit: those of one class, repeats, or the sum over hosts. upstream_states_limit is written when the statement of an upstream changes. No logic reads it.

--- a/src/EntryHost.cpp
+++ b/src/EntryHost.cpp
@@ -421,7 +421,8 @@
             .load = this->load,
             .health = this->health,
             .protocol = this->platform.serving,
-            .statedLeaving = [this](const LeavingStatement &statement) { this->onStatedLeaving(statement); }};
+            .statedLeaving = [this](const LeavingStatement &statement) { this->onStatedLeaving(statement); },
+            .statedLimit = [this](const LimitStatement &statement) { this->onStatedLimit(statement); }};
 }
 
 void EntryHost::onStatedLeaving(const LeavingStatement &statement)
@@ -451,6 +452,20 @@
     return true;
 }
 
+void EntryHost::onStatedLimit(const LimitStatement &statement)
+{
+    std::optional<double> &known = this->statedLimits[statement.upstream.id];
+    if (known == statement.requestsPerSecond) {
+        return;
+    }
+    known = statement.requestsPerSecond;
+    this->log.write("upstream_states_limit",
+                    {{"upstream", statement.upstream.id},
+                     {"startedAtMs", statement.upstream.startedAtMs},
+                     {"limited", known.has_value()},
+                     {"requestsPerSecond", known.value_or(0)}});
+}
+
 void EntryHost::onPeerAnnouncement(const Peer &peer)
 {
     const std::uint64_t own = this->config ? this->config->revision : 0;
--- a/src/EntryHost.h
+++ b/src/EntryHost.h
@@ -77,6 +77,7 @@
     void onStatedLeaving(const LeavingStatement &statement);
     /** Takes the run of an upstream out of the choice for new requests; @p source is what this host learned it from. Returns whether it was new. */
     bool recordStatedLeaving(const UpstreamRun &run, const std::string &source);
+    void onStatedLimit(const LimitStatement &statement);
     [[nodiscard]] AttemptContext attemptContext();
     void onPeerAnnouncement(const Peer &peer);
     void adjustWatchTimings();
@@ -115,6 +116,8 @@
 
     UpstreamTable upstreams;
     FleetLoad load;
+    /** Requests per second that each upstream last stated as its limit, for the log. */
+    std::map<std::string, std::optional<double>> statedLimits;
     UpstreamHealth health;
     UpstreamSelector upstreamSelector;
     CrashQuarantine crashQuarantine;
--- a/src/JsonLog.cpp
+++ b/src/JsonLog.cpp
@@ -62,6 +62,10 @@
 {
 }
 
+LogField::LogField(std::string_view name, double value) : name(name), text(absl::StrCat(value))
+{
+}
+
 LogField::LogField(std::string_view name, absl::Duration value) : name(name), text(absl::StrCat(absl::ToInt64Milliseconds(value)))
 {
 }
--- a/src/JsonLog.h
+++ b/src/JsonLog.h
@@ -24,6 +24,7 @@
     LogField(std::string_view name, std::uint64_t value);
     LogField(std::string_view name, int value);
     LogField(std::string_view name, bool value);
+    LogField(std::string_view name, double value);
     /** Logs @p value as a whole number of milliseconds. */
     LogField(std::string_view name, absl::Duration value);
 
--- a/src/ServingProtocol.h
+++ b/src/ServingProtocol.h
@@ -75,6 +75,8 @@
     std::function<bool(const HttpHead &)> misdirected;
     /** Whether the upstream that sent the response states that it leaves. */
     std::function<bool(const HttpHead &)> statesLeaving;
+    /** Requests per second that the upstream takes from all hosts together, if it states such a limit. */
+    std::function<std::optional<double>(const HttpHead &)> statedLimit;
     /** Id of the upstream that sent the response, if the response names it; misdirected ones do. */
     std::function<std::optional<std::string>(const HttpHead &)> respondingUpstream;
 };
--- a/src/UpstreamAttempt.cpp
+++ b/src/UpstreamAttempt.cpp
@@ -79,6 +79,7 @@
     this->context.health.recordActivity(this->target.id, this->lastActivityAt);
     this->head = received;
     this->reportIfLeaving(received);
+    this->reportLimit(received);
     this->streaming = this->stream && received.status >= firstSuccessStatus && received.status < firstRedirectStatus;
     if (this->streaming && this->hooks.streamStarted) {
         this->hooks.streamStarted(this->head);
@@ -92,6 +93,13 @@
     }
 }
 
+void UpstreamAttempt::reportLimit(const HttpHead &received) const
+{
+    if (this->context.statedLimit && !this->context.protocol.misdirected(received)) {
+        this->context.statedLimit({.upstream = this->target, .requestsPerSecond = this->context.protocol.statedLimit(received)});
+    }
+}
+
 void UpstreamAttempt::onBody(std::string_view bytes)
 {
     const absl::Time now = this->context.loop.now();
--- a/src/UpstreamAttempt.h
+++ b/src/UpstreamAttempt.h
@@ -24,6 +24,14 @@
     std::optional<std::string> sender;
 };
 
+/** What an answer of an upstream says of its limit for the requests of all hosts. */
+struct LimitStatement {
+    /** The upstream to which the request was sent and that answered it. */
+    const UpstreamInfo &upstream;
+    /** Requests per second; nothing when the upstream states no limit. */
+    std::optional<double> requestsPerSecond;
+};
+
 /** Services of the entry host that UpstreamAttempt uses. */
 struct AttemptContext {
     EventLoop &loop;
@@ -33,6 +41,8 @@
     const ServingProtocol &protocol;
     /** Called for each response that states that its upstream leaves. May be empty. */
     std::function<void(const LeavingStatement &)> statedLeaving{};
+    /** Called for each response of the expected upstream. May be empty. */
+    std::function<void(const LimitStatement &)> statedLimit{};
 };
 
 /** Outcome of an attempt and the response, if any. */
@@ -88,6 +98,7 @@
 private:
     void onHead(const HttpHead &head);
     void reportIfLeaving(const HttpHead &head) const;
+    void reportLimit(const HttpHead &head) const;
     void onBody(std::string_view bytes);
     void onCompleted();
     void onFailed(HttpCallError error);
--- a/test/entry/UpstreamAttemptTest.cpp
+++ b/test/entry/UpstreamAttemptTest.cpp
@@ -67,6 +67,7 @@
                              .statesNotRun = [](const HttpHead &head) { return head.status == 503; },
                              .misdirected = [](const HttpHead &) { return false; },
                              .statesLeaving = [](const HttpHead &head) { return head.fields.find("x-leaves").has_value(); },
+                             .statedLimit = [](const HttpHead &) { return std::nullopt; },
                              .respondingUpstream = [](const HttpHead &) { return std::nullopt; }};
     AttemptContext context{.loop = this->loop,
                            .client = this->client,
