--- a/test/standin/StandinUpstream.cpp
+++ b/test/standin/StandinUpstream.cpp
@@ -87,9 +87,19 @@
     this->leaving = nowLeaving;
 }
 
+void StandinUpstream::setLimit(std::optional<double> requestsPerSecond)
+{
+    this->limit = requestsPerSecond;
+}
+
 std::size_t StandinUpstream::received() const
 {
-    return this->receivedCount;
+    return this->arrivalTimes.size();
+}
+
+const std::vector<absl::Time> &StandinUpstream::arrivals() const
+{
+    return this->arrivalTimes;
 }
 
 const std::map<std::string, int> &StandinUpstream::runs() const
@@ -117,6 +127,9 @@
     if (this->leaving) {
         fields.add("Server-Leaving", "1");
     }
+    if (this->limit) {
+        fields.add("Server-Limit", absl::StrCat(*this->limit));
+    }
     return fields;
 }
 
@@ -137,7 +150,7 @@
 void StandinUpstream::handle(const std::shared_ptr<HttpExchange> &exchange)
 {
     const HttpRequest &request = exchange->request();
-    ++this->receivedCount;
+    this->arrivalTimes.push_back(this->loop.now());
     if (this->down()) {
         exchange->abort();
         return;
--- a/test/standin/StandinUpstream.h
+++ b/test/standin/StandinUpstream.h
@@ -4,6 +4,7 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <optional>
 #include <set>
 #include <string>
 #include <vector>
@@ -63,6 +64,8 @@
     void setMode(UpstreamMode mode);
     /** Whether each response states with Server-Leaving that the upstream leaves. Requests are still handled as the mode says. */
     void setLeaving(bool leaving);
+    /** The requests per second that each response states as the limit for all hosts together. The stand-in does not enforce it. */
+    void setLimit(std::optional<double> requestsPerSecond);
     /** Number of runs by request id. */
     [[nodiscard]] const std::map<std::string, int> &runs() const;
     /** Drops all connections and refuses new ones until it runs again after UpstreamOptions::restartDelay. */
@@ -75,6 +78,8 @@
     [[nodiscard]] int starts() const;
     /** Number of requests that have arrived, including those that were refused. */
     [[nodiscard]] std::size_t received() const;
+    /** When each of these requests arrived. */
+    [[nodiscard]] const std::vector<absl::Time> &arrivals() const;
     /** Number of requests that run now. */
     [[nodiscard]] std::size_t running() const;
     /** Bytes of all endless bodies. */
@@ -109,7 +114,8 @@
     UpstreamOptions options;
     UpstreamMode mode = UpstreamMode::Serving;
     bool leaving = false;
-    std::size_t receivedCount = 0;
+    std::optional<double> limit;
+    std::vector<absl::Time> arrivalTimes;
     std::map<std::string, int> runCounts;
     std::set<std::shared_ptr<Run>> activeRuns;
     std::size_t endlessBytesSent = 0;
