Divide the limits that upstreams state among hosts

Cause: nobody read the statement, and the core knew no rate of an upstream.

Change: StatedLimits keeps the latest statement of each run of an upstream, learned from answers and announcements. LimitShares divides each limit among a few hosts that all choose by the same rendezvous hash; a holder sends its part and saves up one and a half requests, the others send nothing. Silent hosts that may be cut off keep their part until they are forgotten, so both sides of a cut keep the limit together; a new holder waits for 2 s. Each request that goes out counts, at UpstreamAttempt. When all upstreams of a service are limited, Retry-After is the caller's place in the order of return. The codec of announcements moves to PeerMessages.

Ruled out: a part for each host (below one request in a window), tokens granted by an owner (a round trip, and nothing while it is away), counters in the store.

Result: RequestLimitTest failed in its three cases before (66 to 77 and 24 requests in 4 s, 17 allowed) and passes.

--- a/src/EntryHost.cpp
+++ b/src/EntryHost.cpp
@@ -116,6 +116,7 @@
     , onStopped(std::move(onStopped))
     , random(stableHash(this->settings.name) ^ startTimeMicros())
     , upstreamSelector(this->upstreams, this->load, this->health, locationOf(this->settings), [this] { return this->randomFraction(); })
+    , limiter({.name = this->settings.name, .dataCentre = this->settings.dataCentre, .region = this->settings.region}, this->upstreams, this->peers, loop.now())
     , upstreamClient(loop, {.connectTimeout = upstreamConnectTimeout})
     , peerClient(loop)
     , relaySelector(this->peers, this->settings.name, this->settings.dataCentre, static_cast<std::uint32_t>(this->settings.linkMbps))
@@ -128,6 +129,9 @@
                        this->peerClient.send(peer.controlAddress, request, timeout, std::move(done));
                    })
 {
+    this->upstreamSelector.setStartFilter([this](const UpstreamInfo &upstream, bool batch, absl::Time now) {
+        return this->limiter.mayStart(upstream, batch ? LimitedClass::Batch : LimitedClass::Online, now);
+    });
     this->startServers();
     const std::uint64_t incarnation = startTimeMicros();
     const Peer self{.name = this->settings.name,
@@ -160,7 +164,9 @@
                                     this->log.write(change == PartChange::Quarantined ? "prompt_part_quarantined" : "prompt_part_lifted",
                                                     {{"promptPart", absl::StrCat(absl::Hex(part))}, {"reported", true}});
                                 },
-                            .leavingUpstreamAnnounced = [this](const UpstreamRun &run) { this->recordStatedLeaving(run, "host"); }});
+                            .leavingUpstreamAnnounced = [this](const UpstreamRun &run) { this->recordStatedLeaving(run, "host"); },
+                            .limitReports = [this](bool recentOnly) { return this->limiter.reports(recentOnly, this->loop.now()); },
+                            .limitReported = [this](const LimitReport &report) { this->limiter.merge(report); }});
     this->jobs = std::make_unique<JobService>(
         JobContext{.attempts = this->attemptContext(),
                    .store = *this->platform.store,
@@ -422,7 +428,8 @@
             .health = this->health,
             .protocol = this->platform.serving,
             .statedLeaving = [this](const LeavingStatement &statement) { this->onStatedLeaving(statement); },
-            .statedLimit = [this](const LimitStatement &statement) { this->onStatedLimit(statement); }};
+            .statedLimit = [this](const LimitStatement &statement) { this->onStatedLimit(statement); },
+            .requestSent = [this](const UpstreamInfo &upstream) { this->limiter.recordStart(upstream, this->loop.now()); }};
 }
 
 void EntryHost::onStatedLeaving(const LeavingStatement &statement)
@@ -454,16 +461,14 @@
 
 void EntryHost::onStatedLimit(const LimitStatement &statement)
 {
-    std::optional<double> &known = this->statedLimits[statement.upstream.id];
-    if (known == statement.requestsPerSecond) {
+    if (!this->limiter.recordStatement(statement.upstream, statement.requestsPerSecond, this->loop.now())) {
         return;
     }
-    known = statement.requestsPerSecond;
     this->log.write("upstream_states_limit",
                     {{"upstream", statement.upstream.id},
                      {"startedAtMs", statement.upstream.startedAtMs},
-                     {"limited", known.has_value()},
-                     {"requestsPerSecond", known.value_or(0)}});
+                     {"limited", statement.requestsPerSecond.has_value()},
+                     {"requestsPerSecond", statement.requestsPerSecond.value_or(0)}});
 }
 
 void EntryHost::onPeerAnnouncement(const Peer &peer)
@@ -581,6 +586,8 @@
 {
     this->metrics.setGauge("prompt_parts_quarantined",
                            static_cast<double>(this->promptParts.quarantinedParts(PromptPartQuarantine::maxParts, this->loop.now()).size()));
+    this->metrics.setGauge("upstreams_limited", static_cast<double>(this->limiter.currentShares().limitedUpstreams()));
+    this->metrics.setGauge("upstream_limits_held", static_cast<double>(this->limiter.currentShares().heldUpstreams()));
     this->metrics.setGauge("calls", static_cast<double>(this->onlineCalls.size()));
     this->metrics.setGauge("items_running", static_cast<double>(this->jobs->runningItems()));
     this->metrics.setGauge("peers_live", static_cast<double>(this->peers.liveHosts(this->loop.now()).size()));
@@ -683,7 +690,8 @@
                                 .metrics = this->metrics,
                                 .announceCrashes = [this](const auto &counts) { this->peerExchange->announceCrashes(counts); },
                                 .announcePromptParts = [this](const auto &parts) { this->peerExchange->announcePromptParts(parts); },
-                                .trialDelay = [this](std::uint64_t part) { return this->trialDelay(part); }};
+                                .trialDelay = [this](std::uint64_t part) { return this->trialDelay(part); },
+                                .reserveReturn = [this](const std::string &service) { return this->limiter.reserveReturn(service, this->loop.now()); }};
     const std::string service = chooseTarget(route, this->randomFraction());
     const auto weakCall = std::make_shared<std::weak_ptr<OnlineCall>>();
     const auto online = std::make_shared<OnlineCall>(context, request, call, route, service, [this, weakCall] {
@@ -733,6 +741,7 @@
     this->lastTickAt = now;
     this->upstreams.expire(now);
     this->load.expire(now);
+    this->limiter.tick(now);
     if (now >= this->watchTimingsAdjustedAt + watchTimingPeriod) {
         this->watchTimingsAdjustedAt = now;
         this->adjustWatchTimings();
@@ -764,6 +773,7 @@
     this->log.write("stopping",
                     {{"calls", static_cast<std::uint64_t>(this->onlineCalls.size())}, {"items", static_cast<std::uint64_t>(this->jobs->runningItems())}});
     this->jobs->stop();
+    this->limiter.leave(this->loop.now());
     this->relayedStore.stopServingFollowers();
     this->peerExchange->announceNow();
     this->entryServer->closeAfterResponses();
--- a/src/EntryHost.h
+++ b/src/EntryHost.h
@@ -27,6 +27,7 @@
 #include "RelayedStore.h"
 #include "RevisionLag.h"
 #include "UpstreamHealth.h"
+#include "UpstreamLimiter.h"
 #include "UpstreamSelector.h"
 #include "UpstreamTable.h"
 
@@ -116,13 +117,12 @@
 
     UpstreamTable upstreams;
     FleetLoad load;
-    /** Requests per second that each upstream last stated as its limit, for the log. */
-    std::map<std::string, std::optional<double>> statedLimits;
     UpstreamHealth health;
     UpstreamSelector upstreamSelector;
     CrashQuarantine crashQuarantine;
     PromptPartQuarantine promptParts;
     PeerTable peers;
+    UpstreamLimiter limiter;
     std::shared_ptr<const RoutingConfig> config;
     nlohmann::json configObject;
     std::map<std::string, nlohmann::json> upstreamObjects;
--- a/src/LeavingRuns.h
+++ b/src/LeavingRuns.h
@@ -1,21 +1,12 @@
 #pragma once
 
 #include <cstddef>
-#include <cstdint>
 #include <deque>
 #include <set>
-#include <string>
 
-namespace Bergamotramp {
-
-/** One run of an upstream's process. */
-struct UpstreamRun {
-    std::string id;
-    /** Start of the process in milliseconds since the epoch; 0 if the registration does not tell it. */
-    std::int64_t startedAtMs = 0;
+#include "UpstreamRun.h"
 
-    auto operator<=>(const UpstreamRun &) const = default;
-};
+namespace Bergamotramp {
 
 /** The runs of upstreams, with known starts, that have stated themselves that they leave. Keeps the newest maxRuns of them. */
 class LeavingRuns
--- a/src/OnlineCall.cpp
+++ b/src/OnlineCall.cpp
@@ -370,9 +370,9 @@
     return std::max(minSilenceLimit, this->route.latencyObjective * (recentlyActive ? activeUpstreamShareOfObjective : silentUpstreamShareOfObjective));
 }
 
-absl::Duration OnlineCall::retryAfter() const
+absl::Duration OnlineCall::retryAfter()
 {
-    return overloadRetryAfter;
+    return std::max(overloadRetryAfter, this->context.reserveReturn(this->service).value_or(overloadRetryAfter));
 }
 
 void OnlineCall::giveUp(const std::string &reason)
--- a/src/OnlineCall.h
+++ b/src/OnlineCall.h
@@ -33,6 +33,8 @@
     std::function<void(const std::vector<std::uint64_t> &)> announcePromptParts;
     /** How long after the time at which a trial of this part is due the host may start it. */
     std::function<absl::Duration(std::uint64_t part)> trialDelay;
+    /** When a refused caller should come back, if the limits of all upstreams of the service are the reason for the refusal. */
+    std::function<std::optional<absl::Duration>(const std::string &service)> reserveReturn;
 };
 
 /** One online request, from its arrival to the end of its response, over all its attempts at upstreams. */
@@ -76,7 +78,7 @@
     void end(int status, const std::string &reason);
     /** How long the current upstream may be silent before it is replaced. */
     [[nodiscard]] absl::Duration silenceLimit(absl::Time now) const;
-    [[nodiscard]] absl::Duration retryAfter() const;
+    [[nodiscard]] absl::Duration retryAfter();
 
     OnlineContext context;
     std::shared_ptr<HttpExchange> exchange;
--- a/src/PeerExchange.cpp
+++ b/src/PeerExchange.cpp
@@ -1,12 +1,12 @@
 #include "PeerExchange.h"
 
 #include <algorithm>
-#include <limits>
 #include <set>
 #include <stdexcept>
 
 #include <absl/container/flat_hash_map.h>
 
+#include "PeerMessages.h"
 #include "RendezvousHash.h"
 #include "TcpSocket.h"
 
@@ -28,6 +28,8 @@
 constexpr std::size_t maxAnnouncedLeavingUpstreams = 64;
 // While upstreams keep crashing, each lost request adds a count. The newest ones fit into a datagram beside everything else.
 constexpr std::size_t maxAnnouncedCrashCounts = 128;
+// An upstream is reported by the few hosts that may send to it, so that only a host that starts in the middle reports more.
+constexpr std::size_t maxAnnouncedLimits = 256;
 constexpr std::size_t maxDatagramBytes = 60'000;
 constexpr std::size_t maxCachedEndpoints = 4000;
 constexpr std::int64_t receivesPerTick = 4;
@@ -46,74 +48,12 @@
 constexpr absl::Duration announcementDelay = absl::Milliseconds(100);
 constexpr absl::Duration defaultAnnouncementPeriod = absl::Milliseconds(500);
 
-std::uint32_t toMilliseconds(absl::Duration duration)
-{
-    const std::int64_t limit = std::numeric_limits<std::uint32_t>::max();
-    return static_cast<std::uint32_t>(std::clamp<std::int64_t>(absl::ToInt64Milliseconds(duration), 0, limit));
-}
-
-void encodePart(peer::PromptPart &entry, const PartReport &report, absl::Time now)
-{
-    entry.set_part(report.part);
-    for (const PartCrash &crash : report.crashes) {
-        peer::PromptPartCrash *encoded = entry.add_crashes();
-        encoded->set_upstream_start(crash.upstreamStart);
-        encoded->set_lost_ms(toMilliseconds(now - crash.lost));
-        encoded->set_ran_ms(toMilliseconds(crash.lost - crash.sent));
-    }
-    if (report.clearedAt > absl::InfinitePast()) {
-        entry.set_cleared_ms(toMilliseconds(now - report.clearedAt));
-    }
-    if (report.trialAt > absl::InfinitePast()) {
-        entry.set_trial_ms(toMilliseconds(now - report.trialAt));
-    }
-    entry.set_requested_ms(toMilliseconds(now - report.requestedAt));
-}
-
-PartReport decodePart(const peer::PromptPart &entry, absl::Time now)
-{
-    PartReport report;
-    report.part = entry.part();
-    for (const peer::PromptPartCrash &crash : entry.crashes()) {
-        const absl::Time lost = now - absl::Milliseconds(crash.lost_ms());
-        report.crashes.push_back({.lost = lost, .sent = lost - absl::Milliseconds(crash.ran_ms()), .upstreamStart = crash.upstream_start()});
-    }
-    if (entry.has_cleared_ms()) {
-        report.clearedAt = now - absl::Milliseconds(entry.cleared_ms());
-    }
-    if (entry.has_trial_ms()) {
-        report.trialAt = now - absl::Milliseconds(entry.trial_ms());
-    }
-    report.requestedAt = now - absl::Milliseconds(entry.requested_ms());
-    return report;
-}
-
 asio::ip::udp::endpoint udpEndpoint(const std::string &address)
 {
     const asio::ip::tcp::endpoint endpoint = parseEndpoint(address);
     return {endpoint.address(), endpoint.port()};
 }
 
-void encodeCrashCount(const CrashCount &count, peer::CrashCount &message)
-{
-    message.set_fingerprint(count.fingerprint);
-    message.set_crashes(count.crashes);
-    for (const UpstreamCrashes &upstream : count.upstreams) {
-        peer::CrashedUpstream *entry = message.add_upstreams();
-        entry->set_upstream(upstream.upstream);
-        entry->set_crashes(upstream.crashes);
-    }
-}
-
-CrashCount decodeCrashCount(const peer::CrashCount &message)
-{
-    CrashCount count{.fingerprint = message.fingerprint(), .crashes = message.crashes()};
-    for (const peer::CrashedUpstream &upstream : message.upstreams()) {
-        count.upstreams.push_back({.upstream = upstream.upstream(), .crashes = upstream.crashes()});
-    }
-    return count;
-}
-
 } // namespace
 
 struct PeerExchange::Socket {
@@ -268,7 +208,7 @@
     }
     for (const std::uint64_t part : parts) {
         if (const auto report = this->promptParts.report(part)) {
-            encodePart(*message.add_prompt_parts(), *report, now);
+            encodePart(*report, now, *message.add_prompt_parts());
         }
     }
 }
@@ -316,12 +256,35 @@
     }
 }
 
+void PeerExchange::addLimits(peer::HostState &message, bool recentOnly)
+{
+    if (!this->hooks.limitReports) {
+        return;
+    }
+    std::vector<LimitReport> reports = this->hooks.limitReports(recentOnly);
+    reports.resize(std::min(reports.size(), maxAnnouncedLimits));
+    for (const LimitReport &report : reports) {
+        encodeLimit(report, this->loop.now(), *message.add_limits());
+    }
+}
+
+void PeerExchange::applyLimits(const peer::HostState &message)
+{
+    if (!this->hooks.limitReported) {
+        return;
+    }
+    for (const peer::UpstreamLimit &limit : message.limits()) {
+        this->hooks.limitReported(decodeLimit(limit, this->loop.now()));
+    }
+}
+
 void PeerExchange::announce(const AnnouncementSchedule::Round &round)
 {
     const absl::Time now = this->loop.now();
     peer::HostState message = this->currentState();
     addLoad(message, round.distance == PeerDistance::Near ? this->load.nextAnnouncement(round.complete) : this->load.completeAnnouncement());
     this->addPromptParts(message, round.complete);
+    this->addLimits(message, !round.complete);
     message.set_next_within_ms(static_cast<std::uint32_t>(absl::ToInt64Milliseconds(round.nextWithin)));
     const std::string plainBytes = message.SerializeAsString();
     if (round.complete) {
@@ -355,6 +318,7 @@
     peer::HostState message = this->currentState();
     addLoad(message, {.complete = false, .uses = {}, .batchWaiting = this->load.ownBatchWaiting()});
     this->addPromptParts(message, true);
+    this->addLimits(message, false);
     this->addIdentity(message, maxNamedPeers);
     message.set_request(request);
     this->send(message.SerializeAsString(), peerAddress);
@@ -491,6 +455,7 @@
     this->applyCrashCounts(message);
     this->applyPromptParts(message);
     this->applyLeavingUpstreams(message);
+    this->applyLimits(message);
     this->hooks.announcementReceived(*sender);
 }
 
--- a/src/PeerExchange.h
+++ b/src/PeerExchange.h
@@ -20,6 +20,7 @@
 #include "LeavingRuns.h"
 #include "PeerTable.h"
 #include "PromptPartQuarantine.h"
+#include "StatedLimits.h"
 #include "peer.pb.h"
 
 namespace Bergamotramp {
@@ -51,6 +52,10 @@
         std::function<void(std::uint64_t part, PartChange)> promptPartChanged;
         /** Another host announces that a run of an upstream has stated that it leaves. May be empty. */
         std::function<void(const UpstreamRun &)> leavingUpstreamAnnounced{};
+        /** The limits of upstreams to announce: the recent changes, or all that this host has observed. May be empty. */
+        std::function<std::vector<LimitReport>(bool recentOnly)> limitReports{};
+        /** Another host announces what an upstream stated of its limit. May be empty. */
+        std::function<void(const LimitReport &)> limitReported{};
     };
 
     /** Binds @p self.peerAddress; throws std::runtime_error when that fails. */
@@ -120,6 +125,8 @@
     void applyPromptParts(const peer::HostState &message);
     void addLeavingUpstreams(peer::HostState &message);
     void applyLeavingUpstreams(const peer::HostState &message);
+    void addLimits(peer::HostState &message, bool recentOnly);
+    void applyLimits(const peer::HostState &message);
 
     EventLoop &loop;
     Peer self;
--- a/src/UpstreamAttempt.cpp
+++ b/src/UpstreamAttempt.cpp
@@ -51,6 +51,9 @@
 
 void UpstreamAttempt::send(const HttpRequest &request, const std::string &requestId, bool repeatable)
 {
+    if (this->context.requestSent) {
+        this->context.requestSent(this->target);
+    }
     this->call = this->context.client.send(this->target.address,
                                            request,
                                            {.matchesRequest = [matchesRequest = this->context.protocol.matchesRequest,
--- a/src/UpstreamAttempt.h
+++ b/src/UpstreamAttempt.h
@@ -43,6 +43,8 @@
     std::function<void(const LeavingStatement &)> statedLeaving{};
     /** Called for each response of the expected upstream. May be empty. */
     std::function<void(const LimitStatement &)> statedLimit{};
+    /** Called for each request that is sent to an upstream. May be empty. */
+    std::function<void(const UpstreamInfo &)> requestSent{};
 };
 
 /** Outcome of an attempt and the response, if any. */
--- a/src/UpstreamSelector.cpp
+++ b/src/UpstreamSelector.cpp
@@ -44,6 +44,11 @@
     this->farLoadAge = age;
 }
 
+void UpstreamSelector::setStartFilter(StartFilter filter)
+{
+    this->mayStart = std::move(filter);
+}
+
 double UpstreamSelector::distanceCost(const UpstreamInfo &upstream) const
 {
     if (upstream.dataCentre == this->location.dataCentre) {
@@ -101,8 +106,8 @@
             return drawn;
         }
     }
-    const auto isEligible = [&excluded](const UpstreamInfo &upstream, const RequestCounts &counts) {
-        return counts.online < upstream.slots + maxQueuedPerUpstream && !excluded.contains(upstream.id);
+    const auto isEligible = [&](const UpstreamInfo &upstream, const RequestCounts &counts) {
+        return counts.online < upstream.slots + maxQueuedPerUpstream && !excluded.contains(upstream.id) && this->mayStart(upstream, false, now);
     };
     return this->cheapest(this->table.available(service), isEligible, now);
 }
@@ -143,7 +148,7 @@
 
 double UpstreamSelector::spareOnlineSlots(const UpstreamInfo &upstream, absl::Time now) const
 {
-    if (this->health.inBackoff(upstream.id, now) || this->health.recentlyFull(upstream.id, now)) {
+    if (this->health.inBackoff(upstream.id, now) || this->health.recentlyFull(upstream.id, now) || !this->mayStart(upstream, false, now)) {
         return 0;
     }
     const RequestCounts counts = this->load.total(upstream.id, now);
@@ -152,7 +157,7 @@
 
 std::int64_t UpstreamSelector::freeBatchSlots(const UpstreamInfo &upstream, const RequestCounts &counts, absl::Time now) const
 {
-    if (this->health.inBackoff(upstream.id, now) || this->health.recentlyFull(upstream.id, now)) {
+    if (this->health.inBackoff(upstream.id, now) || this->health.recentlyFull(upstream.id, now) || !this->mayStart(upstream, true, now)) {
         return 0;
     }
     return std::max<std::int64_t>(1, upstream.slots - reservedOnlineSlots) - counts.total();
--- a/src/UpstreamSelector.h
+++ b/src/UpstreamSelector.h
@@ -44,6 +44,10 @@
      * The older it is, the higher is the cost of upstreams in other data centres.
      */
     void setFarLoadAge(absl::Duration age);
+    /** Whether a request, of batch work or online, may be sent to an upstream now. */
+    using StartFilter = std::function<bool(const UpstreamInfo &, bool batch, absl::Time now)>;
+    /** Chooses only upstreams that @p filter accepts. */
+    void setStartFilter(StartFilter filter);
     /** The upstream with the lowest cost for an online request, or null when none has room. Never one in @p excluded. */
     [[nodiscard]] const UpstreamInfo *chooseForOnline(std::string_view service, const std::set<std::string> &excluded, absl::Time now) const;
     /** An upstream with a free slot besides those reserved for online requests, or null. */
@@ -81,6 +85,7 @@
     const UpstreamHealth &health;
     HostLocation location;
     std::function<double()> randomFraction;
+    StartFilter mayStart = [](const UpstreamInfo &, bool, absl::Time) { return true; };
     absl::Duration farLoadAge = absl::ZeroDuration();
 };
 
--- a/test/site/RequestLimitTest.cpp
+++ b/test/site/RequestLimitTest.cpp
@@ -132,6 +132,76 @@
     EXPECT_GT(longest, 0.5);
 }
 
+// Guards against a limit that holds on after the upstream has stopped stating it.
+TEST_F(RequestLimitTest, limitEndsWithItsStatement)
+{
+    this->start(3, 2);
+    this->upstreams[0]->setLimit(2);
+    this->sendRequests(40, absl::Seconds(3));
+    this->upstreams[0]->setLimit(std::nullopt);
+    this->sendRequests(40, absl::Seconds(3));
+    const absl::Time from = absl::Now();
+    this->sendRequests(40, absl::Seconds(2));
+    EXPECT_GE(receivedSince(*this->upstreams[0], from), 20U);
+}
+
+// Guards against a limit that holds on for another start of the upstream under the same id.
+TEST_F(RequestLimitTest, anotherStartHasNoLimit)
+{
+    this->start(2, 2);
+    this->upstreams[0]->setLimit(1);
+    this->sendRequests(40, absl::Seconds(2));
+    this->upstreams[0]->setLimit(std::nullopt);
+    this->registerUpstream(*this->upstreams[0], "model", "ready", 2);
+    runFor(this->loop, absl::Seconds(1));
+    const absl::Time from = absl::Now();
+    this->sendRequests(40, absl::Seconds(2));
+    EXPECT_GE(receivedSince(*this->upstreams[0], from), 20U);
+}
+
+// Guards against hosts that start and send the usual share until an answer tells them the limit, and against a former and a new holder
+// of it that both send.
+TEST_F(RequestLimitTest, restartsOfHostsKeepTheLimit)
+{
+    constexpr double limit = 3;
+    this->start(4, 3);
+    this->upstreams[0]->setLimit(limit);
+    this->upstreams[1]->setLimit(limit);
+    const absl::Time stated = absl::Now();
+    this->sendRequests(60, absl::Seconds(2));
+    for (const std::size_t index : {1, 3, 2}) {
+        const std::string name = this->hosts[index]->host->currentSettings().name;
+        this->crashHost(*this->hosts[index]);
+        this->sendRequests(60, absl::Milliseconds(700));
+        RunningHost &started = this->startHost(name);
+        ASSERT_TRUE(runUntil(this->loop, [&started] { return started.host->ready(); }));
+        std::swap(this->hosts[index], this->hosts.back());
+        this->hosts.pop_back();
+        this->sendRequests(60, absl::Milliseconds(1500));
+    }
+    this->sendRequests(60, absl::Seconds(4));
+    for (const std::size_t index : {0, 1}) {
+        EXPECT_LE(mostWithinWindow(*this->upstreams[index], stated + noticeTime), allowed(limit));
+        EXPECT_GE(receivedSince(*this->upstreams[index], absl::Now() - window), limit);
+    }
+}
+
+// Guards against a host that learns of a limit only from an answer of its own.
+TEST_F(RequestLimitTest, otherHostsLearnOfTheLimit)
+{
+    this->start(3, 2);
+    this->upstreams[0]->setLimit(0);
+    for (int number = 0; number < 30 && this->upstreams[0]->received() == 0; ++number) {
+        this->request(*this->hosts[0], "/resumable/x", absl::StrCat("first-", number));
+    }
+    runFor(this->loop, absl::Seconds(1));
+    const std::size_t before = this->upstreams[0]->received();
+    for (int number = 0; number < 20; ++number) {
+        EXPECT_EQ(this->request(*this->hosts[1 + static_cast<std::size_t>(number % 2)], "/resumable/x", absl::StrCat("later-", number)).head.status, 200);
+    }
+    EXPECT_EQ(this->upstreams[0]->received(), before);
+}
+
 } // namespace
 
 } // namespace Bergamotramp
