Log the software version and the resumed event of each attempt

The registration of an upstream names the version of its software. attempt and item_started now hold it and the event after which the attempt goes on, so that a log tells streams that are joined within one answer, over the attempts of a caller and over the runs of an item apart. No logic reads the version.

--- a/src/JobService.cpp
+++ b/src/JobService.cpp
@@ -922,7 +922,11 @@
     this->runs.push_back(run);
     const BatchItem &item = entry.job->item(*index);
     this->context.log.write("item_started",
-                            {{"job", entry.header.id}, {"item", item.id}, {"upstream", upstream->id}, {"after", entry.job->lastEvent(*index).value_or(0)}});
+                            {{"job", entry.header.id},
+                             {"item", item.id},
+                             {"upstream", upstream->id},
+                             {"version", upstream->softwareVersion},
+                             {"after", entry.job->lastEvent(*index).value_or(0)}});
     const AttemptParameters parameters{.timeLeft = absl::InfiniteDuration(), .resumeAfter = entry.job->lastEvent(*index)};
     run->attempt->send(
         this->context.attempts.protocol.prepareAttempt(this->context.attempts.protocol.itemRequest(item, entry.header.virtualHost), *upstream, parameters),
--- a/src/OnlineCall.cpp
+++ b/src/OnlineCall.cpp
@@ -110,7 +110,9 @@
                             {{"request", this->call.id},
                              {"route", this->route.name},
                              {"upstream", upstream.id},
+                             {"version", upstream.softwareVersion},
                              {"number", this->attempts},
+                             {"resumesAfter", this->lastEventId.value_or(0)},
                              {"online", load.online},
                              {"batch", load.batch},
                              {"leftMs", this->deadline - now}});
--- a/src/UpstreamTable.h
+++ b/src/UpstreamTable.h
@@ -25,6 +25,8 @@
     bool leaving = false;
     /** Start of the process in milliseconds since the epoch; differs between runs of an upstream under the same id. */
     std::int64_t startedAtMs = 0;
+    /** Version of the software that this run executes; empty if the registration does not tell it. */
+    std::string softwareVersion{};
 
     bool operator==(const UpstreamInfo &) const = default;
 };
