--- a/test/standin/StandinUpstream.cpp
+++ b/test/standin/StandinUpstream.cpp
@@ -77,6 +77,16 @@
     return this->upstreamId;
 }
 
+const std::string &StandinUpstream::softwareVersion() const
+{
+    return this->options.softwareVersion;
+}
+
+void StandinUpstream::setSoftwareVersion(const std::string &version)
+{
+    this->options.softwareVersion = version;
+}
+
 void StandinUpstream::setMode(UpstreamMode newMode)
 {
     this->mode = newMode;
@@ -228,7 +238,8 @@
 
 std::string StandinUpstream::requestTag(const HttpRequest &request) const
 {
-    return this->options.tagsResponses ? absl::StrCat(" ", headerField(request, "X-Request-Id")) : std::string();
+    return absl::StrCat(this->options.tagsResponses ? absl::StrCat(" ", headerField(request, "X-Request-Id")) : std::string(),
+                        this->options.tagsVersion ? absl::StrCat(" ", this->options.softwareVersion) : std::string());
 }
 
 void StandinUpstream::sendNextEvent(const std::shared_ptr<Run> &run)
--- a/test/standin/StandinUpstream.h
+++ b/test/standin/StandinUpstream.h
@@ -42,6 +42,10 @@
     std::size_t slots = 0;
     /** Puts the request's id into each event or plain response, so that a test detects a response to another request. */
     bool tagsResponses = false;
+    /** Version of its software, which its registration names. */
+    std::string softwareVersion = "v1";
+    /** Puts the software version into each event. */
+    bool tagsVersion = false;
     /** Called for each request that runs, before any response is sent. May be empty. */
     std::function<void(const std::string &requestId)> onRun;
     /** Whether the upstream crashes when it would begin the answer to this request. May be empty. */
@@ -61,6 +65,9 @@
 
     [[nodiscard]] std::string address() const;
     [[nodiscard]] const std::string &id() const;
+    [[nodiscard]] const std::string &softwareVersion() const;
+    /** Takes effect at once; the test has to register the upstream again or crash it. */
+    void setSoftwareVersion(const std::string &version);
     void setMode(UpstreamMode mode);
     /** Whether each response states with Server-Leaving that the upstream leaves. Requests are still handled as the mode says. */
     void setLeaving(bool leaving);
