Let streams and outputs go on at the software version that began them

Cause: a continuation took any upstream of the service for equal to the one that began: within one answer, over the attempts of a caller at any host, and over the runs of an item. The version in the registrations and the caller's Resumes were not read.

Change: StreamOrigin, the service and version that wrote the first event, restricts the choice of an upstream. Three hosts that the rendezvous hash of the caller's attempt chooses keep it in memory; a host that gets a take-up asks them. Without a record, VersionHistory tells when a service has had only one version for long enough. What is not known is refused at once as not run. Items whose output no upstream can continue begin anew.

Ruled out: a record in the store or at the hosts with disks before each first event.

--- a/src/EntryHost.cpp
+++ b/src/EntryHost.cpp
@@ -66,6 +66,8 @@
 constexpr absl::Duration peerDiscoveryRetryDelay = absl::Seconds(2);
 // The hosts may start a due trial of a quarantined part of prompts one after another, this far apart.
 constexpr absl::Duration trialDelayPerHost = absl::Seconds(5);
+// Callers take a stream up for no longer than this many timeouts of its route.
+constexpr int takeUpTimeouts = 3;
 constexpr std::size_t controlConnections = 500;
 constexpr const char *snapshotPath = "/peer/snapshot";
 constexpr const char *hostKind = "hosts";
@@ -165,6 +167,7 @@
                                                     {{"promptPart", absl::StrCat(absl::Hex(part))}, {"reported", true}});
                                 },
                             .leavingUpstreamAnnounced = [this](const UpstreamRun &run) { this->recordStatedLeaving(run, "host"); },
+                            .messageReceived = [this](const Peer &sender, const peer::HostState &message) { this->streamOrigins->receive(sender, message); },
                             .limitReports = [this](bool recentOnly) { return this->limiter.reports(recentOnly, this->loop.now()); },
                             .limitReported = [this](const LimitReport &report) { this->limiter.merge(report); }});
     this->jobs = std::make_unique<JobService>(
@@ -188,6 +191,14 @@
                                                                      .metrics = this->metrics,
                                                                      .host = this->settings.name,
                                                                      .stopping = [this] { return this->stopping; }});
+    this->streamOrigins = std::make_unique<StreamOriginExchange>(
+        loop,
+        this->settings.name,
+        this->peers,
+        StreamOriginExchange::Hooks{
+            .send = [this](const Peer &peer, const auto &fill) { this->peerExchange->sendTo(peer, fill); },
+            .soleVersion = [this](const std::string &service) { return this->soleVersion(service); },
+            .hasOtherVersions = [this](const std::string &service, const std::string &version) { return this->versions.hasOther(service, version); }});
     this->settings.peerAddress = this->peerExchange->address();
     this->createWatchers();
     this->contactPeers();
@@ -325,6 +336,8 @@
     if (result == StoreResult::Unanswered) {
         this->storeUnansweredAt = this->loop.now();
     }
+    this->upstreamsCurrent = false;
+    this->versions.interrupt();
     if (this->storeAvailable) {
         this->storeAvailable = false;
         this->upstreams.registryLost(this->loop.now());
@@ -390,6 +403,8 @@
     }
     this->upstreamsKnown = true;
     this->upstreams.replaceAll(decoded, this->loop.now());
+    this->upstreamsCurrent = true;
+    this->observeVersions();
     this->log.write("upstreams_listed", {{"upstreams", static_cast<std::uint64_t>(decoded.size())}});
 }
 
@@ -417,6 +432,7 @@
         this->upstreamClient.closeIdleConnections(address);
     }
     this->upstreams.put(*upstream);
+    this->observeVersions();
     this->upstreamObjects[id] = change.object.toJson();
 }
 
@@ -459,6 +475,27 @@
     return true;
 }
 
+void EntryHost::observeVersions()
+{
+    if (this->upstreamsCurrent) {
+        this->versions.observe(this->upstreams.all(), this->loop.now());
+    }
+}
+
+std::optional<std::string> EntryHost::soleVersion(const std::string &service) const
+{
+    if (!this->config) {
+        return std::nullopt;
+    }
+    absl::Duration longest = absl::ZeroDuration();
+    for (const Route &route : this->config->routes) {
+        if (std::ranges::any_of(route.targets, [&service](const RouteTarget &target) { return target.service == service; })) {
+            longest = std::max(longest, route.timeout);
+        }
+    }
+    return this->versions.soleVersion(service, takeUpTimeouts * longest, this->loop.now());
+}
+
 void EntryHost::onStatedLimit(const LimitStatement &statement)
 {
     if (!this->limiter.recordStatement(statement.upstream, statement.requestsPerSecond, this->loop.now())) {
@@ -681,17 +718,20 @@
 
 void EntryHost::startOnline(const std::shared_ptr<HttpExchange> &request, const CallerCall &call, const Route &route)
 {
-    const OnlineContext context{.attempts = this->attemptContext(),
-                                .choice = this->upstreamSelector,
-                                .upstreams = this->upstreams,
-                                .suspects = this->crashQuarantine,
-                                .promptParts = this->promptParts,
-                                .log = this->log,
-                                .metrics = this->metrics,
-                                .announceCrashes = [this](const auto &counts) { this->peerExchange->announceCrashes(counts); },
-                                .announcePromptParts = [this](const auto &parts) { this->peerExchange->announcePromptParts(parts); },
-                                .trialDelay = [this](std::uint64_t part) { return this->trialDelay(part); },
-                                .reserveReturn = [this](const std::string &service) { return this->limiter.reserveReturn(service, this->loop.now()); }};
+    const OnlineContext context{
+        .attempts = this->attemptContext(),
+        .choice = this->upstreamSelector,
+        .upstreams = this->upstreams,
+        .suspects = this->crashQuarantine,
+        .promptParts = this->promptParts,
+        .log = this->log,
+        .metrics = this->metrics,
+        .announceCrashes = [this](const auto &counts) { this->peerExchange->announceCrashes(counts); },
+        .announcePromptParts = [this](const auto &parts) { this->peerExchange->announcePromptParts(parts); },
+        .trialDelay = [this](std::uint64_t part) { return this->trialDelay(part); },
+        .recordBegin = [this](const std::string &id, const StreamOrigin &origin) { this->streamOrigins->recordBegin(id, origin); },
+        .findOrigin = [this](const std::string &id, const std::string &service, auto done) { this->streamOrigins->lookUp(id, service, std::move(done)); },
+        .reserveReturn = [this](const std::string &service) { return this->limiter.reserveReturn(service, this->loop.now()); }};
     const std::string service = chooseTarget(route, this->randomFraction());
     const auto weakCall = std::make_shared<std::weak_ptr<OnlineCall>>();
     const auto online = std::make_shared<OnlineCall>(context, request, call, route, service, [this, weakCall] {
@@ -745,6 +785,7 @@
     if (now >= this->watchTimingsAdjustedAt + watchTimingPeriod) {
         this->watchTimingsAdjustedAt = now;
         this->adjustWatchTimings();
+        this->observeVersions();
     }
     this->relayedStore.tick();
     this->relistUpstreamsIfBehind(now);
--- a/src/EntryHost.h
+++ b/src/EntryHost.h
@@ -26,10 +26,12 @@
 #include "PromptPartQuarantine.h"
 #include "RelayedStore.h"
 #include "RevisionLag.h"
+#include "StreamOriginExchange.h"
 #include "UpstreamHealth.h"
 #include "UpstreamLimiter.h"
 #include "UpstreamSelector.h"
 #include "UpstreamTable.h"
+#include "VersionHistory.h"
 
 namespace Bergamotramp {
 
@@ -78,6 +80,9 @@
     void onStatedLeaving(const LeavingStatement &statement);
     /** Takes the run of an upstream out of the choice for new requests; @p source is what this host learned it from. Returns whether it was new. */
     bool recordStatedLeaving(const UpstreamRun &run, const std::string &source);
+    void observeVersions();
+    /** The only software version that can have begun a stream of the service which callers may still take up, if that is certain. */
+    [[nodiscard]] std::optional<std::string> soleVersion(const std::string &service) const;
     void onStatedLimit(const LimitStatement &statement);
     [[nodiscard]] AttemptContext attemptContext();
     void onPeerAnnouncement(const Peer &peer);
@@ -123,6 +128,9 @@
     PromptPartQuarantine promptParts;
     PeerTable peers;
     UpstreamLimiter limiter;
+    VersionHistory versions;
+    /** Whether the upstreams have been listed since the store was last lost. */
+    bool upstreamsCurrent = false;
     std::shared_ptr<const RoutingConfig> config;
     nlohmann::json configObject;
     std::map<std::string, nlohmann::json> upstreamObjects;
@@ -141,6 +149,7 @@
     HttpClient upstreamClient;
     PeerClient peerClient;
     std::unique_ptr<PeerExchange> peerExchange;
+    std::unique_ptr<StreamOriginExchange> streamOrigins;
     WatchRelaySelector relaySelector;
     RelayedStore relayedStore;
     std::unique_ptr<JobService> jobs;
--- a/src/Job.cpp
+++ b/src/Job.cpp
@@ -43,7 +43,7 @@
     return found == this->indexById.end() ? nullptr : &this->items[found->second];
 }
 
-std::optional<std::size_t> Job::nextItem(absl::Time now) const
+std::optional<std::size_t> Job::nextItem(absl::Time now, const OriginFilter &mayContinue) const
 {
     std::optional<std::size_t> newItem;
     for (std::size_t index = 0; index < this->states.size(); ++index) {
@@ -51,19 +51,44 @@
         if (state.running || state.hasResult || now < state.notBefore) {
             continue;
         }
-        if (state.lastEvent) {
+        if (state.lastEvent && mayContinue(state.origin)) {
             return index;
         }
-        if (!newItem) {
+        if (!state.lastEvent && !newItem) {
             newItem = index;
         }
     }
     return newItem;
 }
 
-void Job::markStarted(std::size_t index)
+void Job::markStarted(std::size_t index, const StreamOrigin &origin)
 {
-    this->states[index].running = true;
+    ItemState &state = this->states[index];
+    state.running = true;
+    if (!state.lastEvent) {
+        state.origin = origin;
+    }
+}
+
+const StreamOrigin &Job::outputOrigin(std::size_t index) const
+{
+    return this->states[index].origin;
+}
+
+std::size_t Job::discardOutputs(const std::function<bool(const StreamOrigin &, int)> &cannotContinue)
+{
+    std::size_t discarded = 0;
+    for (ItemState &state : this->states) {
+        if (state.running || state.hasResult || !state.lastEvent || !cannotContinue(state.origin, state.interruptions)) {
+            continue;
+        }
+        state.lastEvent.reset();
+        state.output.clear();
+        state.hasOutput = false;
+        state.origin = {};
+        ++discarded;
+    }
+    return discarded;
 }
 
 std::optional<std::uint64_t> Job::lastEvent(std::size_t index) const
--- a/src/Job.h
+++ b/src/Job.h
@@ -2,6 +2,7 @@
 
 #include <cstddef>
 #include <cstdint>
+#include <functional>
 #include <optional>
 #include <string>
 #include <string_view>
@@ -11,6 +12,7 @@
 #include <absl/time/time.h>
 
 #include "JobTypes.h"
+#include "StreamOrigins.h"
 
 namespace Bergamotramp {
 
@@ -40,9 +42,22 @@
     [[nodiscard]] const BatchItem &item(std::size_t index) const;
     [[nodiscard]] const BatchItem *findItem(std::string_view id) const;
 
-    /** Index of an item that may be started now, or nothing. Items with a partial output come before new ones. */
-    [[nodiscard]] std::optional<std::size_t> nextItem(absl::Time now) const;
-    void markStarted(std::size_t index);
+    using OriginFilter = std::function<bool(const StreamOrigin &)>;
+    /**
+     * Index of an item that may be started now, or nothing. Items with a partial output come before new ones, but only those whose
+     * output @p mayContinue accepts by its origin.
+     */
+    [[nodiscard]] std::optional<std::size_t> nextItem(
+        absl::Time now, const OriginFilter &mayContinue = [](const StreamOrigin &) { return true; }) const;
+    /** @p origin is what writes the output, if the item has none yet. */
+    void markStarted(std::size_t index, const StreamOrigin &origin = {});
+    /** What wrote the partial output of an item. */
+    [[nodiscard]] const StreamOrigin &outputOrigin(std::size_t index) const;
+    /**
+     * Discards the partial outputs for which @p cannotContinue returns true, so that their items begin anew; returns their number. It
+     * gets the origin of an output and the number of runs since its last event, all of which were interrupted.
+     */
+    std::size_t discardOutputs(const std::function<bool(const StreamOrigin &, int interruptions)> &cannotContinue);
     /** Id of the last event received for an item; the next run resumes after it. */
     [[nodiscard]] std::optional<std::uint64_t> lastEvent(std::size_t index) const;
     /**
@@ -88,6 +103,7 @@
         int interruptions = 0;
         std::optional<std::uint64_t> lastEvent;
         bool hasOutput = false;
+        StreamOrigin origin;
         std::string output;
         absl::Time notBefore = absl::InfinitePast();
     };
--- a/src/JobService.cpp
+++ b/src/JobService.cpp
@@ -35,6 +35,8 @@
 // Callers may read a job for two minutes after its submission, so it stays in memory for longer than that.
 constexpr absl::Duration memoryRetention = absl::Seconds(150);
 constexpr absl::Duration storeRetention = absl::Minutes(10);
+// After this many runs without an event a partial output is discarded, if upstreams of another software version can begin it anew.
+constexpr int maxInterruptionsOfOutput = 3;
 constexpr int permanentFailureStatus = 422;
 
 } // namespace
@@ -875,6 +877,24 @@
     return services;
 }
 
+void JobService::discardLostOutputs(JobEntry &entry, const Route &route)
+{
+    const auto isLost = [this, &route](const StreamOrigin &origin, int interruptions) {
+        const auto sameService = [&origin](const RouteTarget &target) { return target.service == origin.service; };
+        if (!origin.isKnown() || std::ranges::none_of(route.targets, sameService)) {
+            return true;
+        }
+        const std::vector<const UpstreamInfo *> upstreams = this->context.upstreams.available(origin.service);
+        const auto sameVersion = [&origin](const UpstreamInfo *upstream) { return upstream->softwareVersion == origin.softwareVersion; };
+        const auto count = std::ranges::count_if(upstreams, sameVersion);
+        // The upstreams of the version may all be failing; those of another one can't continue the output, but can write it anew.
+        return count == 0 || (interruptions >= maxInterruptionsOfOutput && count < std::ssize(upstreams));
+    };
+    if (const std::size_t discarded = entry.job->discardOutputs(isLost); discarded > 0) {
+        this->context.log.write("outputs_discarded", {{"job", entry.header.id}, {"items", static_cast<std::uint64_t>(discarded)}});
+    }
+}
+
 bool JobService::startItem(JobEntry &entry, const RoutingConfig &config, absl::Time now)
 {
     const Route *route = config.match(entry.header.virtualHost, entry.header.pathPrefix);
@@ -883,13 +903,19 @@
         entry.job->failRemainingItems();
         return false;
     }
-    const auto index = entry.job->nextItem(now);
+    this->discardLostOutputs(entry, *route);
+    const bool urgent = now > entry.header.submitted + route->jobDue * urgentShareOfDueTime;
+    const BatchScope scope = urgent ? BatchScope::All : BatchScope::Near;
+    const auto upstreamFor = [&](const StreamOrigin &origin) {
+        return this->context.choice.chooseForBatch(origin.service, scope, now, origin.softwareVersion);
+    };
+    const auto index = entry.job->nextItem(now, [&](const StreamOrigin &origin) { return upstreamFor(origin) != nullptr; });
     if (!index) {
         return false;
     }
-    const std::string service = chooseTarget(*route, static_cast<double>(*index % 100) / 100.0);
-    const bool urgent = now > entry.header.submitted + route->jobDue * urgentShareOfDueTime;
-    const UpstreamInfo *upstream = this->context.choice.chooseForBatch(service, urgent ? BatchScope::All : BatchScope::Near, now);
+    const bool resumed = entry.job->lastEvent(*index).has_value();
+    const std::string service = resumed ? entry.job->outputOrigin(*index).service : chooseTarget(*route, static_cast<double>(*index % 100) / 100.0);
+    const UpstreamInfo *upstream = resumed ? upstreamFor(entry.job->outputOrigin(*index)) : this->context.choice.chooseForBatch(service, scope, now);
     if (upstream == nullptr) {
         return false;
     }
@@ -899,7 +925,7 @@
     run->service = service;
     run->started = now;
     run->maxFailures = route->maxAttempts;
-    run->resumed = entry.job->lastEvent(*index).has_value();
+    run->resumed = resumed;
     const auto weak = std::weak_ptr<ItemRun>(run);
     run->attempt = std::make_unique<UpstreamAttempt>(this->context.attempts,
                                                      *upstream,
@@ -918,7 +944,7 @@
                                                                                         this->onItemEnded(target, result);
                                                                                     }
                                                                                 }});
-    entry.job->markStarted(*index);
+    entry.job->markStarted(*index, {.service = service, .softwareVersion = upstream->softwareVersion});
     this->runs.push_back(run);
     const BatchItem &item = entry.job->item(*index);
     this->context.log.write("item_started",
--- a/src/JobService.h
+++ b/src/JobService.h
@@ -241,6 +241,8 @@
     [[nodiscard]] absl::Duration loadPropagationTime() const;
     [[nodiscard]] static absl::Time dueTime(const JobEntry &entry, const RoutingConfig &config);
     [[nodiscard]] static std::set<std::string> servicesOf(const std::vector<JobEntry *> &candidates, const RoutingConfig &config);
+    /** Lets items begin anew whose partial output no upstream can continue, because all of its software version have left. */
+    void discardLostOutputs(JobEntry &entry, const Route &route);
     bool startItem(JobEntry &entry, const RoutingConfig &config, absl::Time now);
     void onItemEvent(const std::shared_ptr<ItemRun> &run, const StreamEvent &event);
     void onItemEnded(const std::shared_ptr<ItemRun> &run, const AttemptResult &result);
--- a/src/OnlineCall.cpp
+++ b/src/OnlineCall.cpp
@@ -74,19 +74,60 @@
         this->answer(notRunResponse("crashing_request", "this request has crashed each upstream that ran it", absl::Seconds(5)), "convicted");
         return;
     }
+    if (this->route.kind == RouteKind::Stream && this->lastEventId) {
+        this->context.findOrigin(this->call.resumedId, this->service, makeWeakCallback(this->weak_from_this(), &OnlineCall::takeUp));
+        return;
+    }
+    this->startNextAttempt();
+}
+
+void OnlineCall::takeUp(const std::optional<StreamOrigin> &found)
+{
+    if (this->finished) {
+        return;
+    }
+    const auto isTarget = [&found](const RouteTarget &target) { return target.service == found->service; };
+    const bool continues = found && std::ranges::any_of(this->route.targets, isTarget);
+    this->context.log.write("stream_taken_up",
+                            {{"request", this->call.id},
+                             {"resumes", this->call.resumedId},
+                             {"known", found.has_value()},
+                             {"version", found ? found->softwareVersion : std::string()}});
+    if (!continues) {
+        this->answer(notRunResponse("stream_unknown", "it is not known what wrote the events before; the request may be sent anew", absl::ZeroDuration()),
+                     "stream_unknown");
+        return;
+    }
+    this->origin = found;
+    this->service = found->service;
     this->startNextAttempt();
 }
 
+UpstreamSelector::VersionFilter OnlineCall::requiredVersion() const
+{
+    return this->origin ? UpstreamSelector::VersionFilter(this->origin->softwareVersion) : std::nullopt;
+}
+
+std::string OnlineCall::noUpstreamReason() const
+{
+    const std::vector<const UpstreamInfo *> available = this->context.upstreams.available(this->service);
+    if (available.empty()) {
+        return "no_upstream";
+    }
+    const auto fits = [this](const UpstreamInfo *upstream) { return !this->origin || upstream->softwareVersion == this->origin->softwareVersion; };
+    return std::ranges::any_of(available, fits) ? "no_room" : "version_gone";
+}
+
 void OnlineCall::startNextAttempt()
 {
     const absl::Time now = this->context.attempts.loop.now();
-    const UpstreamInfo *upstream = this->context.choice.chooseForOnline(this->service, this->triedUpstreams, now);
+    const UpstreamInfo *upstream = this->context.choice.chooseForOnline(this->service, this->triedUpstreams, now, this->requiredVersion());
     if (upstream == nullptr && !this->triedUpstreams.empty()) {
         // All upstreams have been tried; one that refused the request may have a free slot by now.
-        upstream = this->context.choice.chooseForOnline(this->service, {}, now);
+        upstream = this->context.choice.chooseForOnline(this->service, {}, now, this->requiredVersion());
     }
     if (upstream == nullptr) {
-        this->giveUp(this->context.upstreams.available(this->service).empty() ? "no_upstream" : "no_room");
+        this->giveUp(this->noUpstreamReason());
         return;
     }
     // Only a request that has an upstream may be a trial.
@@ -148,6 +189,10 @@
         }
         this->lastEventId = event.id;
     }
+    if (!this->origin && (event.id || !event.data.empty())) {
+        this->origin = StreamOrigin{.service = this->service, .softwareVersion = this->attempt->upstream().softwareVersion};
+        this->context.recordBegin(this->call.id, *this->origin);
+    }
     if (!this->exchange->started()) {
         this->exchange->startBody(this->streamHead);
         this->context.metrics.recordFirstEvent(this->route.name, this->context.attempts.loop.now() - this->exchange->received());
@@ -346,7 +391,7 @@
     if (silent < this->silenceLimit(now)) {
         return;
     }
-    const UpstreamInfo *replacement = this->context.choice.chooseForOnline(this->service, this->triedUpstreams, now);
+    const UpstreamInfo *replacement = this->context.choice.chooseForOnline(this->service, this->triedUpstreams, now, this->requiredVersion());
     if (replacement == nullptr) {
         return;
     }
--- a/src/OnlineCall.h
+++ b/src/OnlineCall.h
@@ -13,6 +13,7 @@
 #include "PromptPartQuarantine.h"
 #include "RetryPolicy.h"
 #include "ServingProtocol.h"
+#include "StreamOrigins.h"
 #include "UpstreamAttempt.h"
 #include "UpstreamSelector.h"
 
@@ -33,6 +34,10 @@
     std::function<void(const std::vector<std::uint64_t> &)> announcePromptParts;
     /** How long after the time at which a trial of this part is due the host may start it. */
     std::function<absl::Duration(std::uint64_t part)> trialDelay;
+    /** Remembers what began the stream of a caller's attempt, here and at other hosts. */
+    std::function<void(const std::string &requestId, const StreamOrigin &origin)> recordBegin;
+    /** Finds what began the stream of a caller's attempt; nothing if no host knows it. */
+    std::function<void(const std::string &requestId, const std::string &service, std::function<void(const std::optional<StreamOrigin> &)>)> findOrigin;
     /** When a refused caller should come back, if the limits of all upstreams of the service are the reason for the refusal. */
     std::function<std::optional<absl::Duration>(const std::string &service)> reserveReturn;
 };
@@ -50,7 +55,12 @@
     void checkProgress(absl::Time now);
 
 private:
+    /** Continues a stream that the caller takes up, or refuses it if that could join two software versions. */
+    void takeUp(const std::optional<StreamOrigin> &found);
     void startNextAttempt();
+    /** Why there is no upstream for the next attempt. */
+    [[nodiscard]] std::string noUpstreamReason() const;
+    [[nodiscard]] UpstreamSelector::VersionFilter requiredVersion() const;
     void startAttempt(const UpstreamInfo &upstream);
     void onStreamStarted(const HttpHead &head);
     void onEvent(const StreamEvent &event);
@@ -94,6 +104,8 @@
     std::unique_ptr<UpstreamAttempt> attempt;
     absl::Time attemptStarted = absl::InfinitePast();
     std::optional<std::uint64_t> lastEventId;
+    /** What wrote the events that the caller has. */
+    std::optional<StreamOrigin> origin;
     /** Response head of the stream, kept until its first event. */
     HttpHead streamHead;
     int attempts = 0;
--- a/src/PeerExchange.cpp
+++ b/src/PeerExchange.cpp
@@ -313,6 +313,15 @@
     }
 }
 
+void PeerExchange::sendTo(const Peer &peer, const std::function<void(peer::HostState &)> &fill)
+{
+    peer::HostState message = this->currentState();
+    addLoad(message, {.complete = false, .uses = {}, .batchWaiting = this->load.ownBatchWaiting()});
+    message.set_next_within_ms(static_cast<std::uint32_t>(absl::ToInt64Milliseconds(this->schedule.period(this->distanceOf(peer)))));
+    fill(message);
+    this->send(message.SerializeAsString(), peer.peerAddress);
+}
+
 void PeerExchange::sendIdentity(const std::string &peerAddress, peer::Request request, std::size_t maxNamedPeers)
 {
     peer::HostState message = this->currentState();
@@ -437,6 +446,9 @@
         this->introduceTo(senderAddress);
         return;
     }
+    if (this->hooks.messageReceived) {
+        this->hooks.messageReceived(*sender, message);
+    }
     if (message.has_identity()) {
         for (const std::string &address : message.identity().known_peers()) {
             this->introduceTo(address);
--- a/src/PeerExchange.h
+++ b/src/PeerExchange.h
@@ -52,6 +52,8 @@
         std::function<void(std::uint64_t part, PartChange)> promptPartChanged;
         /** Another host announces that a run of an upstream has stated that it leaves. May be empty. */
         std::function<void(const UpstreamRun &)> leavingUpstreamAnnounced{};
+        /** Called for each message of a known host, also when a newer one has arrived before. May be empty. */
+        std::function<void(const Peer &, const peer::HostState &)> messageReceived{};
         /** The limits of upstreams to announce: the recent changes, or all that this host has observed. May be empty. */
         std::function<std::vector<LimitReport>(bool recentOnly)> limitReports{};
         /** Another host announces what an upstream stated of its limit. May be empty. */
@@ -78,6 +80,8 @@
     void askForPeers(const std::string &peerAddress);
     /** When this host last learned of another host; infinite past when it knows none. */
     [[nodiscard]] absl::Time lastPeerFoundAt() const;
+    /** Sends the current state to one host, with what @p fill adds to it. */
+    void sendTo(const Peer &peer, const std::function<void(peer::HostState &)> &fill);
     /** Announces the current state to all hosts immediately, for example before a stop. */
     void announceNow();
     /** Adds the crash counts of these request fingerprints to the announcements of the next seconds. */
--- a/src/ServingProtocol.h
+++ b/src/ServingProtocol.h
@@ -34,6 +34,8 @@
     absl::Duration timeBudget = absl::InfiniteDuration();
     /** Id of the last event that the caller has received, when it resumes a stream. */
     std::optional<std::uint64_t> resumeAfter;
+    /** When it resumes a stream, the id of the caller's attempt that brought the first event; empty when the caller does not tell it. */
+    std::string resumedId;
     /** Ids of the parts of the prompt, in order, that other requests may share. The part that belongs to this request alone is left out. */
     std::vector<std::uint64_t> sharedPromptParts;
     /** For ReadItemBody: the item whose body the caller wants. */
--- /dev/null
+++ b/src/StreamOriginExchange.h
@@ -0,0 +1,81 @@
+#pragma once
+
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <optional>
+#include <set>
+#include <string>
+#include <vector>
+
+#include "EventLoop.h"
+#include "PeerTable.h"
+#include "StreamOrigins.h"
+#include "peer.pb.h"
+
+namespace Bergamotramp {
+
+/**
+ * Remembers which service and software version began each stream, so that any host can let a caller take the stream up again at an
+ * upstream of the same version. A few hosts keep the origin of each stream in memory. All hosts choose them by the same rendezvous
+ * hash, so that some of them are still known after the loss of the host that served the stream. Nothing is stored: when all of these
+ * hosts are lost, the origin is unknown.
+ */
+class StreamOriginExchange
+{
+public:
+    /** Hosts that keep the origin of a stream, this one included if it is among them. */
+    static constexpr std::size_t holdersPerStream = 3;
+    /** How long a host waits for the answers of the holders. */
+    static constexpr absl::Duration lookUpTimeout = absl::Milliseconds(400);
+    static constexpr std::size_t maxPendingLookUps = 10'000;
+
+    struct Hooks {
+        /** Sends a message to one host. */
+        std::function<void(const Peer &, const std::function<void(peer::HostState &)> &fill)> send;
+        /** The only version that can have begun a stream of the service, if the service has had no other one for long enough. */
+        std::function<std::optional<std::string>(const std::string &service)> soleVersion;
+        /** Whether this host knows another version of the service, current or earlier. */
+        std::function<bool(const std::string &service, const std::string &version)> hasOtherVersions;
+    };
+    using LookUpHandler = std::function<void(const std::optional<StreamOrigin> &)>;
+
+    StreamOriginExchange(EventLoop &loop, std::string self, const PeerTable &peers, Hooks hooks);
+
+    /** Records that this host passes on the first event of a stream, and tells the holders. */
+    void recordBegin(const std::string &requestId, const StreamOrigin &origin);
+    /**
+     * Finds the origin of a stream by the id of the caller's attempt that brought its first event; @p service is where the stream
+     * would be continued. @p done may be called before this function returns, and gets nothing when the origin is not known.
+     */
+    void lookUp(const std::string &requestId, const std::string &service, LookUpHandler done);
+    /** Applies what another host has sent. */
+    void receive(const Peer &sender, const peer::HostState &message);
+
+private:
+    struct LookUp {
+        std::string service;
+        std::size_t unanswered = 0;
+        /** The versions that this host and others take for the only one that the service has had. */
+        std::set<std::string> soleVersions;
+        std::vector<LookUpHandler> handlers;
+        LoopTimer timer;
+    };
+
+    [[nodiscard]] std::vector<Peer> otherHolders(std::uint64_t stream) const;
+    void answerQueries(const Peer &sender, const peer::HostState &message);
+    void answerQuery(const peer::StreamOriginQuery &query, peer::StreamOrigin &answer) const;
+    void receiveOrigin(const peer::StreamOrigin &entry);
+    /** Ends a look-up that got no record of the stream: the origin is known only if the service has had one version. */
+    void finishWithoutRecord(std::uint64_t stream);
+    void finishLookUp(std::uint64_t stream, const std::optional<StreamOrigin> &origin);
+
+    EventLoop &loop;
+    std::string self;
+    const PeerTable &peers;
+    Hooks hooks;
+    StreamOrigins origins;
+    std::map<std::uint64_t, LookUp> lookUps;
+};
+
+} // namespace Bergamotramp
--- a/src/UpstreamSelector.cpp
+++ b/src/UpstreamSelector.cpp
@@ -31,6 +31,14 @@
 // Weight of the free slots of other data centres. Their loads are known late, and the traffic to them is charged.
 constexpr double farBatchWeight = 0.05;
 
+std::vector<const UpstreamInfo *> withVersion(std::vector<const UpstreamInfo *> upstreams, const UpstreamSelector::VersionFilter &version)
+{
+    if (version) {
+        std::erase_if(upstreams, [&version](const UpstreamInfo *upstream) { return version->empty() || upstream->softwareVersion != *version; });
+    }
+    return upstreams;
+}
+
 } // namespace
 
 UpstreamSelector::UpstreamSelector(
@@ -95,21 +103,25 @@
     return best;
 }
 
-const UpstreamInfo *UpstreamSelector::chooseForOnline(std::string_view service, const std::set<std::string> &excluded, absl::Time now) const
+const UpstreamInfo *UpstreamSelector::chooseForOnline(std::string_view service,
+                                                      const std::set<std::string> &excluded,
+                                                      absl::Time now,
+                                                      const VersionFilter &version) const
 {
+    const std::vector<const UpstreamInfo *> candidates = withVersion(this->table.available(service), version);
     if (this->farLoadAge > absl::ZeroDuration()) {
         const auto spareSlots = [&](const UpstreamInfo &upstream) {
             const bool usable = upstream.dataCentre == this->location.dataCentre && !excluded.contains(upstream.id);
             return usable ? this->spareOnlineSlots(upstream, now) : 0.0;
         };
-        if (const UpstreamInfo *drawn = this->drawBySpareSlots(this->table.available(service), spareSlots)) {
+        if (const UpstreamInfo *drawn = this->drawBySpareSlots(candidates, spareSlots)) {
             return drawn;
         }
     }
     const auto isEligible = [&](const UpstreamInfo &upstream, const RequestCounts &counts) {
         return counts.online < upstream.slots + maxQueuedPerUpstream && !excluded.contains(upstream.id) && this->mayStart(upstream, false, now);
     };
-    return this->cheapest(this->table.available(service), isEligible, now);
+    return this->cheapest(candidates, isEligible, now);
 }
 
 // Dozens of hosts see the same loads until the next announcements. If each took the upstream with the lowest load, all requests of
@@ -195,9 +207,9 @@
     return nearby.empty() ? all : nearby;
 }
 
-const UpstreamInfo *UpstreamSelector::chooseForBatch(std::string_view service, BatchScope scope, absl::Time now) const
+const UpstreamInfo *UpstreamSelector::chooseForBatch(std::string_view service, BatchScope scope, absl::Time now, const VersionFilter &version) const
 {
-    const std::vector<const UpstreamInfo *> candidates = this->batchUpstreams(service, scope);
+    const std::vector<const UpstreamInfo *> candidates = withVersion(this->batchUpstreams(service, scope), version);
     if (this->farLoadAge > absl::ZeroDuration()) {
         return this->drawBySpareSlots(candidates, [this, now](const UpstreamInfo &upstream) {
             const auto free = static_cast<double>(this->freeBatchSlots(upstream, this->load.total(upstream.id, now), now));
--- a/src/UpstreamSelector.h
+++ b/src/UpstreamSelector.h
@@ -2,6 +2,7 @@
 
 #include <functional>
 #include <map>
+#include <optional>
 #include <set>
 #include <string>
 #include <string_view>
@@ -48,10 +49,15 @@
     using StartFilter = std::function<bool(const UpstreamInfo &, bool batch, absl::Time now)>;
     /** Chooses only upstreams that @p filter accepts. */
     void setStartFilter(StartFilter filter);
+    /** A software version that an upstream must have; any if there is none. */
+    using VersionFilter = std::optional<std::string>;
     /** The upstream with the lowest cost for an online request, or null when none has room. Never one in @p excluded. */
-    [[nodiscard]] const UpstreamInfo *chooseForOnline(std::string_view service, const std::set<std::string> &excluded, absl::Time now) const;
+    [[nodiscard]] const UpstreamInfo *chooseForOnline(std::string_view service,
+                                                      const std::set<std::string> &excluded,
+                                                      absl::Time now,
+                                                      const VersionFilter &version = {}) const;
     /** An upstream with a free slot besides those reserved for online requests, or null. */
-    [[nodiscard]] const UpstreamInfo *chooseForBatch(std::string_view service, BatchScope scope, absl::Time now) const;
+    [[nodiscard]] const UpstreamInfo *chooseForBatch(std::string_view service, BatchScope scope, absl::Time now, const VersionFilter &version = {}) const;
     /**
      * Number of batch requests that this host may start now. Its share of the free batch slots of @p services is its share of
      * the batch requests that wait at the hosts which share these upstreams.
--- a/test/core/JobTest.cpp
+++ b/test/core/JobTest.cpp
@@ -216,6 +216,30 @@
     }));
 }
 
+// Guards against an output that is joined from two software versions: the run after an interruption has to find the same one.
+TEST(JobTest, partialOutputGoesOnAtItsOriginOnly)
+{
+    const StreamOrigin first{.service = "model", .softwareVersion = "v1"};
+    const StreamOrigin second{.service = "model", .softwareVersion = "v2"};
+    Job job(header(2), items(2));
+    job.markStarted(0, first);
+    job.appendEvent(0, 1, "one");
+    job.finishRun(0, RunOutcome::Interrupted, maxFailures, start);
+    const absl::Time later = start + absl::Hours(1);
+    EXPECT_EQ(job.nextItem(later, [&](const StreamOrigin &origin) { return origin == first; }), 0U);
+    EXPECT_EQ(job.nextItem(later, [&](const StreamOrigin &origin) { return origin == second; }), 1U);
+    job.markStarted(0, second);
+    EXPECT_EQ(job.outputOrigin(0), first);
+    job.finishRun(0, RunOutcome::Interrupted, maxFailures, start);
+    EXPECT_EQ(job.discardOutputs([&](const StreamOrigin &origin, int interruptions) { return origin == second || interruptions != 2; }), 0U);
+    EXPECT_EQ(job.discardOutputs([&](const StreamOrigin &origin, int) { return origin == first; }), 1U);
+    EXPECT_EQ(job.lastEvent(0), std::nullopt);
+    job.markStarted(0, second);
+    job.appendEvent(0, 1, "anew");
+    job.finishRun(0, RunOutcome::Completed, maxFailures, start);
+    EXPECT_EQ(job.unstoredState(unlimitedBytes).results.at(0).output, "anew");
+}
+
 } // namespace
 
 } // namespace Bergamotramp
