Use a connection no more after a refusal or an error

A faulty upstream wrote an earlier refusal once more on a kept connection. Callers were told that a request had not run which had, or it ran at a second upstream.

Cause: an answer that names its request was taken to be distinguishable from every later one. After a refusal, a misdirected answer or a server error the same request, with the same id, may be sent to the upstream again: a retry when all upstreams have been tried, or the next run of a batch item. The late copy then names the right request. The class of fault is that of an answer matched to the wrong request; refusals without an id were covered before.

Change: the connection is closed after such an answer, as it is after one that names no request. Successes of other requests keep their connections.

Evidence: copyOfARefusalIsNotTheAnswerToTheNextAttempt and the same case with a misdirected answer failed before: the request was sent three times instead of twice, although the second one was answered.

--- a/src/UpstreamAttempt.cpp
+++ b/src/UpstreamAttempt.cpp
@@ -62,10 +62,17 @@
                                             .body = [this](std::string_view bytes) { this->onBody(bytes); },
                                             .completed = [this] { this->onCompleted(); },
                                             .failed = [this](HttpCallError error) { this->onFailed(error); },
-                                            .isDistinguishable = [this] { return this->context.protocol.namesRequest(this->head); }},
+                                            .isDistinguishable = [this] { return this->copyIsDistinguishable(); }},
                                            repeatable ? absl::InfiniteDuration() : maxIdleForNonRepeatable);
 }
 
+// After a refusal or an error the same request, with the same id, may be sent to the upstream again. The id then does not tell a late
+// copy of the earlier answer from the answer to the later request.
+bool UpstreamAttempt::copyIsDistinguishable() const
+{
+    return this->context.protocol.namesRequest(this->head) && !this->context.protocol.statesNotRun(this->head) && this->head.status < firstServerErrorStatus;
+}
+
 const UpstreamInfo &UpstreamAttempt::upstream() const
 {
     return this->target;
--- a/src/UpstreamAttempt.h
+++ b/src/UpstreamAttempt.h
@@ -101,6 +101,8 @@
     void onHead(const HttpHead &head);
     void reportIfLeaving(const HttpHead &head) const;
     void reportLimit(const HttpHead &head) const;
+    /** Whether a further copy of the answer could be told from the answer to any later request on its connection. */
+    [[nodiscard]] bool copyIsDistinguishable() const;
     void onBody(std::string_view bytes);
     void onCompleted();
     void onFailed(HttpCallError error);
--- a/test/site/LateAnswerTest.cpp
+++ b/test/site/LateAnswerTest.cpp
@@ -149,6 +149,39 @@
     EXPECT_EQ(this->server.requests, before + 1);
 }
 
+// Guards against a request that is reported as not run, or run again elsewhere, because its upstream repeated the refusal of the
+// same request's earlier attempt, which names it as well.
+TEST_F(LateAnswerTest, copyOfARefusalIsNotTheAnswerToTheNextAttempt)
+{
+    this->writeConfig(1);
+    this->store.write(
+        "servers", "up-0", {{"service", "plain"}, {"address", this->server.address()}, {"zone", "a"}, {"slots", 8}, {"state", "ready"}, {"born", 1}});
+    this->startHosts(1);
+    const std::string refusal = response("", "X-Request-Id: id-1\r\nX-Not-Executed: 1\r\n", "503 Service Unavailable");
+    const auto answer = this->send(*this->hosts[0], "POST", "/once/x", {{"X-Request-Id", "id-1"}, {"X-Deadline-Ms", "2000"}}, "a");
+    ASSERT_TRUE(runUntil(this->loop, [this] { return this->server.requests > 0; }));
+    this->server.writeTo(this->server.accepted - 1, refusal);
+    this->answerAfterCopy(1, refusal, response("done", "X-Request-Id: id-1\r\n"));
+    EXPECT_EQ(this->wait(answer).body, "done");
+    EXPECT_EQ(this->server.requests, 2);
+}
+
+// The same for a misdirected answer, which sends the request to another upstream.
+TEST_F(LateAnswerTest, copyOfAMisdirectedAnswerIsNotTheAnswerToTheNextAttempt)
+{
+    this->writeConfig(1);
+    this->store.write(
+        "servers", "up-0", {{"service", "plain"}, {"address", this->server.address()}, {"zone", "a"}, {"slots", 8}, {"state", "ready"}, {"born", 1}});
+    this->startHosts(1);
+    const std::string refusal = response("", "X-Request-Id: id-1\r\nX-Instance-Id: other\r\n", "421 Misdirected Request");
+    const auto answer = this->send(*this->hosts[0], "POST", "/once/x", {{"X-Request-Id", "id-1"}, {"X-Deadline-Ms", "2000"}}, "a");
+    ASSERT_TRUE(runUntil(this->loop, [this] { return this->server.requests > 0; }));
+    this->server.writeTo(this->server.accepted - 1, refusal);
+    this->answerAfterCopy(1, refusal, response("done", "X-Request-Id: id-1\r\n"));
+    EXPECT_EQ(this->wait(answer).body, "done");
+    EXPECT_EQ(this->server.requests, 2);
+}
+
 } // namespace
 
 } // namespace Bergamotramp
