Read the other entries of a list when one has a value that no number holds

Another writer left one odd entry among those of the upstreams. Hosts that read the list stopped following it: a number beyond the range of a double, or a string with bytes that are no text, makes the JSON library reject the whole text, so a host that started knew no upstream and a running one learned of no change. Nesting was bounded before.

Cause and class: a list of independent entries was valid only as a whole. Change: parseLimitedJson repairs such text and reads the value as null or as an empty string, so that only its entry names no upstream.

Evidence: oddEntryDoesNotHideTheOthers, which writes 12 odd values into each of 10 fields, failed before: 503 while the host ran, and a host that started was never ready. Ruled out: a port out of range, which was rejected before.

--- a/src/LimitedJson.h
+++ b/src/LimitedJson.h
@@ -9,7 +9,10 @@
 /** Objects and arrays that are nested deeper than this are left out of parsed JSON. */
 constexpr int maxJsonLevels = 64;
 
-/** Parses JSON from another process, without the values below maxJsonLevels. Throws nlohmann::json::parse_error. */
+/**
+ * Parses JSON from another process, without the values below maxJsonLevels. A number beyond the range of a double is read as null, a
+ * string with bytes that are no text as an empty one. Throws nlohmann::json::exception.
+ */
 nlohmann::json parseLimitedJson(std::string_view text);
 /** The same, with a discarded value in place of the exception. */
 nlohmann::json parseLimitedJsonOrDiscard(std::string_view text);
--- a/src/TcpStream.cpp
+++ b/src/TcpStream.cpp
@@ -54,6 +54,13 @@
     static_cast<void>(parseEndpoint(address));
 }
 
+void checkRemoteEndpoint(const std::string &address)
+{
+    if (parseEndpoint(address).port() == 0) {
+        throw std::invalid_argument("\"" + address + "\" has no port");
+    }
+}
+
 TcpStream::TcpStream(EventLoop &loop, TcpSocket socket) : loop(loop), socket(std::make_unique<TcpSocket>(std::move(socket)))
 {
     this->configureSocket();
--- a/src/TcpStream.h
+++ b/src/TcpStream.h
@@ -22,6 +22,8 @@
 
 struct TcpSocket;
 
+/** Throws std::invalid_argument unless @p address is an address of the form IP:port that can be connected to. */
+void checkRemoteEndpoint(const std::string &address);
 /** Checks that @p address has the form "IP:port"; throws std::invalid_argument otherwise. */
 void checkEndpoint(const std::string &address);
 
--- a/test/site/MalformedInputTest.cpp
+++ b/test/site/MalformedInputTest.cpp
@@ -302,6 +302,47 @@
     this->expectServing("after a start");
 }
 
+// Guards against one odd entry among the upstreams, or the hosts' own objects, that makes a host end, hides the other entries, or
+// keeps later changes from the host.
+TEST_F(MalformedInputTest, oddEntryDoesNotHideTheOthers)
+{
+    const nlohmann::json upstream{{"service", "plain"}, {"address", "127.0.0.1:1"}, {"zone", "a"}, {"slots", 8}, {"state", "ready"}};
+    const std::vector<std::pair<std::string, std::string>> values{{"number too large", "1e999"},
+                                                                  {"negative number too large", "-1e999"},
+                                                                  {"huge whole number", "99999999999999999999999999"},
+                                                                  {"bytes that are no text", "\"\xc3\x28\xff\""},
+                                                                  {"control character", "\"\x01\""},
+                                                                  {"deep array", deepArray()},
+                                                                  {"deep object", nested(R"({"a":)", "}", deepLevels)},
+                                                                  {"null", "null"},
+                                                                  {"fraction", "0.5"},
+                                                                  {"port out of range", "\"127.0.0.1:70000\""},
+                                                                  {"no port", "\"127.0.0.1:0\""},
+                                                                  {"negative port", "\"127.0.0.1:-1\""}};
+    for (const auto &[name, text] : values) {
+        this->store.substitute(name, text);
+    }
+    this->startHosts(1);
+    for (const char *key : {"service", "address", "zone", "version", "slots", "state", "born", "seq", "coldLeftMs", "models"}) {
+        for (const auto &[name, text] : values) {
+            nlohmann::json odd = upstream;
+            odd[key] = name;
+            this->store.write("servers", absl::StrCat("odd ", key, " ", name), odd);
+        }
+    }
+    runFor(this->loop, absl::Seconds(1));
+    this->expectServing("while the host runs");
+    // The host still follows the list, and one that starts reads it.
+    this->addUpstream("plain", 0);
+    this->store.erase("servers", this->upstreams.front()->id());
+    runFor(this->loop, absl::Seconds(3));
+    this->expectServing("after a later change");
+    this->crashHost(*this->hosts[0]);
+    this->hosts.clear();
+    this->startHosts(1);
+    this->expectServing("after a start");
+}
+
 // Guards against a host that ends because the status of a job in the store has fields of another type.
 TEST_F(MalformedInputTest, statusOfAJob)
 {
--- a/test/standin/StandinObjectStore.cpp
+++ b/test/standin/StandinObjectStore.cpp
@@ -1,5 +1,8 @@
 #include "StandinObjectStore.h"
 
+#include <absl/strings/str_cat.h>
+#include <absl/strings/str_replace.h>
+
 #include <absl/strings/numbers.h>
 #include <absl/strings/str_split.h>
 
@@ -145,6 +148,16 @@
     }
 }
 
+void StandinObjectStore::substitute(const std::string &placeholder, const std::string &text)
+{
+    this->substitutions.emplace_back(absl::StrCat("\"", placeholder, "\""), text);
+}
+
+std::string StandinObjectStore::textOf(const nlohmann::json &body) const
+{
+    return absl::StrReplaceAll(body.dump(), this->substitutions);
+}
+
 void StandinObjectStore::sendResponse(const std::shared_ptr<HttpExchange> &exchange, int status, const nlohmann::json &body, bool isWrite)
 {
     if (isWrite && this->mode == ObjectApiMode::AnswersLost) {
@@ -153,10 +166,10 @@
     }
     if (this->mode == ObjectApiMode::SlowLink) {
         exchange->startBody({.status = status, .fields = {{"Content-Type", "application/json"}}});
-        this->sendSlowly(exchange, body.dump(), 0);
+        this->sendSlowly(exchange, this->textOf(body), 0);
         return;
     }
-    exchange->respond(jsonResponse(status, body.dump()));
+    exchange->respond(jsonResponse(status, this->textOf(body)));
 }
 
 void StandinObjectStore::sendSlowly(const std::shared_ptr<HttpExchange> &exchange, const std::string &text, std::size_t offset)
--- a/test/standin/StandinObjectStore.h
+++ b/test/standin/StandinObjectStore.h
@@ -42,6 +42,8 @@
     /** Writes an object directly, as the platform or its operator does. */
     void write(const std::string &kind, const std::string &name, const nlohmann::json &spec);
     void erase(const std::string &kind, const std::string &name);
+    /** Sends @p text in place of each JSON string @p placeholder in a response, for values that no JSON library writes. */
+    void substitute(const std::string &placeholder, const std::string &text);
     /** The object with its metadata, or null if it doesn't exist. */
     [[nodiscard]] nlohmann::json read(const std::string &kind, const std::string &name) const;
     [[nodiscard]] std::vector<std::string> names(const std::string &kind) const;
@@ -68,6 +70,8 @@
     bool respondToWatch(const Watch &watch);
     void recordChange(const std::string &kind, bool removed, const nlohmann::json &object);
     void sendResponse(const std::shared_ptr<HttpExchange> &exchange, int status, const nlohmann::json &body, bool isWrite);
+    /** The JSON text of a response, with the substitutions. */
+    [[nodiscard]] std::string textOf(const nlohmann::json &body) const;
     void sendSlowly(const std::shared_ptr<HttpExchange> &exchange, const std::string &text, std::size_t offset);
 
     EventLoop &loop;
@@ -80,6 +84,7 @@
     std::uint64_t revision = 1;
     std::uint64_t compactedRevision = 0;
     std::uint64_t callCount = 0;
+    std::vector<std::pair<std::string, std::string>> substitutions;
     HttpServer server;
 };
 
