Refuse bodies that are nested too deeply in bergamotrampd

One caller, or one publication, could end the daemon: JSON is copied and printed by recursion, and a body of 400 KB holds 200,000 levels.

Change: request bodies, lines of job input and publications with more than 64 levels are refused as invalid; they are passed on or kept, so that nothing may be left out of them. Answers of the store are read like those of the entry host, without the deep or unreadable values.

Evidence: HostTest.deeplyNestedBodiesAreRefused ended with a stack overflow in a thread of the HTTP server before, and passes.

--- a/src/Host.cpp
+++ b/src/Host.cpp
@@ -5,6 +5,7 @@
 #include <glog/logging.h>
 
 #include "JsonReader.h"
+#include "LimitedJson.h"
 #include "MemberUpdate.h"
 
 namespace Bergamotramp {
@@ -274,7 +275,7 @@
 
 nlohmann::json Host::publish(const std::string &body)
 {
-    const nlohmann::json publication = nlohmann::json::parse(body, nullptr, false);
+    const nlohmann::json publication = parseShallowJsonOrDiscard(body);
     if (publication.is_discarded()) {
         throw CallerError({statusBadRequest, "invalid_body", "the body is not JSON", RunState::NotRun});
     }
--- a/src/JobInput.cpp
+++ b/src/JobInput.cpp
@@ -6,6 +6,7 @@
 #include <absl/strings/str_format.h>
 #include <nlohmann/json.hpp>
 
+#include "LimitedJson.h"
 #include "RendezvousHash.h"
 
 namespace Bergamotramp {
@@ -91,7 +92,7 @@
     if (line.size() > static_cast<std::size_t>(this->limits.itemBytes)) {
         this->throwItemTooLarge();
     }
-    const nlohmann::json json = nlohmann::json::parse(line, nullptr, false);
+    const nlohmann::json json = parseShallowJsonOrDiscard(line);
     if (!json.is_object() || !json.contains("custom_id") || !json["custom_id"].is_string() || !json.contains("body")) {
         throw JobInputError("invalid_line", absl::StrCat("line ", this->lineNumber, ": must be a JSON object with custom_id (string) and body"));
     }
--- a/src/LimitedJson.cpp
+++ b/src/LimitedJson.cpp
@@ -121,6 +121,18 @@
     }
 }
 
+nlohmann::json parseShallowJsonOrDiscard(std::string_view text)
+{
+    bool tooDeep = false;
+    const auto checkLevels = [&tooDeep](int depth, nlohmann::json::parse_event_t event, nlohmann::json &value) {
+        const bool within = isWithinLevels(depth, event, value);
+        tooDeep = tooDeep || !within;
+        return within;
+    };
+    nlohmann::json json = nlohmann::json::parse(text, checkLevels, false);
+    return tooDeep ? nlohmann::json(nlohmann::json::value_t::discarded) : json;
+}
+
 nlohmann::json parseLimitedJsonOrDiscard(std::string_view text)
 {
     try {
--- a/src/LimitedJson.h
+++ b/src/LimitedJson.h
@@ -14,7 +14,12 @@
  * string with bytes that are no text as an empty one. Throws nlohmann::json::exception.
  */
 nlohmann::json parseLimitedJson(std::string_view text);
-/** The same, with a discarded value in place of the exception. */
+/**
+ * Parses JSON that is passed on or kept as it is: text with values below maxJsonLevels or out of range is rejected as a whole. Returns a
+ * discarded value if the text is rejected.
+ */
+nlohmann::json parseShallowJsonOrDiscard(std::string_view text);
+/** The same as parseLimitedJson(), with a discarded value in place of the exception. */
 nlohmann::json parseLimitedJsonOrDiscard(std::string_view text);
 
 } // namespace Bergamotramp
--- a/src/RequestHandler.cpp
+++ b/src/RequestHandler.cpp
@@ -6,6 +6,7 @@
 
 #include "EventLog.h"
 #include "ItemFailure.h"
+#include "LimitedJson.h"
 #include "Metrics.h"
 #include "RendezvousHash.h"
 #include "SseReader.h"
@@ -30,7 +31,7 @@
 
 nlohmann::json parseModelBody(const std::string &body)
 {
-    nlohmann::json json = nlohmann::json::parse(body, nullptr, false);
+    nlohmann::json json = parseShallowJsonOrDiscard(body);
     if (!json.is_object()) {
         throw badRequest("invalid_body", "the body must be a JSON object");
     }
@@ -326,7 +327,7 @@
 
 ItemResult RequestHandler::runModelItem(const JobHeader &job, const ServiceSpec &service, const std::string &body, CallCancellation &cancellation)
 {
-    nlohmann::json json = nlohmann::json::parse(body, nullptr, false);
+    nlohmann::json json = parseShallowJsonOrDiscard(body);
     if (!json.is_object()) {
         return {false, false, "", "invalid_body: the body must be a JSON object"};
     }
@@ -361,7 +362,7 @@
 ItemResult RequestHandler::runPlainItem(
     const JobHeader &job, const ServiceSpec &service, const std::string &customId, const std::string &body, CallCancellation &cancellation)
 {
-    const nlohmann::json json = nlohmann::json::parse(body, nullptr, false);
+    const nlohmann::json json = parseShallowJsonOrDiscard(body);
     if (!json.is_object() || !json.contains("path") || !json["path"].is_string() || !json["path"].get_ref<const std::string &>().starts_with("/")) {
         return {false, false, "", "invalid_body: an item for a plain service needs a path that starts with '/'"};
     }
--- a/src/StoreClient.cpp
+++ b/src/StoreClient.cpp
@@ -7,6 +7,8 @@
 #include <absl/strings/str_split.h>
 #include <nlohmann/json.hpp>
 
+#include "LimitedJson.h"
+
 namespace Bergamotramp {
 
 namespace {
@@ -60,7 +62,7 @@
     if (result->status != statusOk) {
         throw StoreError(absl::StrCat(call, ": status ", result->status));
     }
-    nlohmann::json body = nlohmann::json::parse(result->body, nullptr, false);
+    nlohmann::json body = parseLimitedJsonOrDiscard(result->body);
     if (body.is_discarded()) {
         throw StoreError(absl::StrCat(call, ": the response is not JSON"));
     }
--- a/test/core/LimitedJsonTest.cpp
+++ b/test/core/LimitedJsonTest.cpp
@@ -33,6 +33,17 @@
     EXPECT_LT(json.dump().size(), 1000U);
 }
 
+// Guards against a text that is passed on or kept with values left out.
+TEST(LimitedJsonTest, shallowTextIsKeptWholeOrRejected)
+{
+    const nlohmann::json expected{{"a", {1, {{"b", "c"}}}}};
+    EXPECT_EQ(parseShallowJsonOrDiscard(expected.dump()), expected);
+    const std::string deep = std::string(maxJsonLevels + 1, '[') + std::string(maxJsonLevels + 1, ']');
+    for (const std::string &text : {R"({"a":)" + deep + "}", std::string("[1e999]"), std::string("[\"\xff\"]"), std::string("text")}) {
+        EXPECT_TRUE(parseShallowJsonOrDiscard(text).is_discarded()) << text;
+    }
+}
+
 } // namespace
 
 } // namespace Bergamotramp
--- a/test/host/HostTest.cpp
+++ b/test/host/HostTest.cpp
@@ -210,6 +210,24 @@
     EXPECT_EQ(nlohmann::json::parse(result->body).at("error").at("code"), "missing_key");
 }
 
+// Guards against a daemon that ends because one caller sends a body that is nested very deeply: JSON is copied and printed by recursion.
+TEST_F(HostTest, deeplyNestedBodiesAreRefused)
+{
+    constexpr std::size_t levels = 200'000;
+    const std::string deep = std::string(levels, '[') + std::string(levels, ']');
+    const httplib::Result request = this->client(0).Post("/v1/completions", R"({"model":"modelo","prompt":"x","extra":)" + deep + "}", jsonType);
+    ASSERT_TRUE(request);
+    EXPECT_EQ(request->status, 400);
+    const std::string item = R"({"custom_id":"a","body":{"prompt":"x","extra":)" + deep + "}}\n";
+    const httplib::Result job = this->client(0).Post("/v1/batches?service=modelo", {{"Idempotency-Key", "deep"}}, item, "application/x-ndjson");
+    ASSERT_TRUE(job);
+    EXPECT_EQ(job->status, 400);
+    httplib::Client admin("http://" + this->hosts[0]->adminAddress());
+    const httplib::Result publication = admin.Post("/admin/publish", R"({"base_generation":1,"services":)" + deep + "}", jsonType);
+    ASSERT_TRUE(publication);
+    EXPECT_EQ(publication->status, 400);
+}
+
 // Guards against job items that are lost or get the result of another item.
 TEST_F(HostTest, batchJobCompletesWithEveryItemOnce)
 {
