--- a/src/JournalIndex.cpp
+++ b/src/JournalIndex.cpp
@@ -89,6 +89,12 @@
     return state;
 }
 
+// Stands in place of the hash of a call, in a record that is written only to prove that its writer is the holder.
+std::uint64_t unknownAttemptHash(std::uint32_t attempt)
+{
+    return journalCallHash("", attempt);
+}
+
 bool isOfCall(const JournalKeyState &state, const std::string &host, std::uint64_t callNumber)
 {
     return callNumber != 0 && !state.finished && state.reference == journalCallHash(host, callNumber);
@@ -136,7 +142,8 @@
 {
     const std::optional<JournalKeyState> entry = applyWithdrawal(*this, completion.key, this->find(completion.key), now);
     if (!entry.has_value() || completion.attempt == 0 || completion.attempt > entry->attempt) {
-        return {wire::JOURNAL_STATE_NOT_FOUND, 0, std::nullopt};
+        // The attempt may be known to a later holder that this one has not noticed. The append of the record fails then.
+        return {wire::JOURNAL_STATE_NOT_FOUND, 0, withdrawnCallRecord(withdrawnCallKey(completion.key, unknownAttemptHash(completion.attempt)), now)};
     }
     const bool current = completion.attempt == entry->attempt;
     const bool withoutResult = completion.notRun || completion.endedWithoutResult;
