--- a/test/soak/SoakCallers.cpp
+++ b/test/soak/SoakCallers.cpp
@@ -1,6 +1,8 @@
 #include "SoakCallers.h"
 
+#include <absl/strings/match.h>
 #include <absl/strings/str_cat.h>
+#include <absl/strings/str_split.h>
 #include <nlohmann/json.hpp>
 
 #include "StandinUpstream.h"
@@ -18,18 +20,6 @@
 constexpr int ok = 200;
 constexpr int notFound = 404;
 
-std::string expectedBody(bool stream, const std::string &id)
-{
-    if (!stream) {
-        return "plain answer " + id;
-    }
-    std::string text;
-    for (int number = 1; number <= SoakBounds::eventsPerResponse; ++number) {
-        absl::StrAppend(&text, "id: ", number, "\ndata: ", StandinUpstream::eventData(number), " ", id, "\n\n");
-    }
-    return text;
-}
-
 bool meansNotRun(int status)
 {
     return status == 429 || status == 503 || status == 408 || status == 421;
@@ -117,13 +107,15 @@
             this->handleTimeout(late);
         }
     });
+    HttpFields fields{{"Host", SoakFleet::virtualHost},
+                      {"X-Request-Id", request->id},
+                      {"X-Deadline-Ms", absl::StrCat(absl::ToInt64Milliseconds(SoakBounds::requestTimeout))}};
+    if (request->eventsBefore > 0) {
+        fields.add("Last-Event-Id", absl::StrCat(request->eventsBefore));
+        fields.add("Resumes", request->firstId);
+    }
     request->call = this->client.send(request->address,
-                                      {.method = "POST",
-                                       .target = request->path,
-                                       .fields = {{"Host", SoakFleet::virtualHost},
-                                                  {"X-Request-Id", request->id},
-                                                  {"X-Deadline-Ms", absl::StrCat(absl::ToInt64Milliseconds(SoakBounds::requestTimeout))}},
-                                       .body = "question"},
+                                      {.method = "POST", .target = request->path, .fields = fields, .body = "question"},
                                       {.matchesRequest = {},
                                        .head =
                                            [this, raw = request.get()](const HttpHead &head) {
@@ -181,13 +173,62 @@
     this->finishRequest(request, status == ok);
 }
 
-void SoakCallers::checkSuccess(const Request &request)
+int SoakCallers::checkEvents(Request &request)
+{
+    int last = request.eventsBefore;
+    for (const absl::string_view frame : absl::StrSplit(request.body, "\n\n", absl::SkipEmpty())) {
+        const std::string prefix = absl::StrCat("id: ", last + 1, "\ndata: ", StandinUpstream::eventData(last + 1), " ", request.id, " ");
+        if (!absl::StartsWith(frame, prefix)) {
+            // The rest of a stream that broke off may be the beginning of an event.
+            return last;
+        }
+        const std::string version(frame.substr(prefix.size()));
+        if (!request.version.empty() && version != request.version) {
+            this->state.report.recordViolation("a stream holds events of one software version", absl::StrCat(this->describe(request), ": ", request.body));
+        }
+        request.version = version;
+        ++last;
+    }
+    return last;
+}
+
+bool SoakCallers::takeUp(Request &broken)
+{
+    if (broken.kind != Kind::ResumableStream || !this->state.accepting || broken.head.status != ok) {
+        return false;
+    }
+    // The last frame may be incomplete, and its end can look like the end of an event.
+    broken.body.resize(broken.body.rfind("\n\n") == std::string::npos ? 0 : broken.body.rfind("\n\n") + 2);
+    const int last = this->checkEvents(broken);
+    if (last == 0 || last == SoakBounds::eventsPerResponse) {
+        return false;
+    }
+    const auto next = std::make_shared<Request>();
+    next->kind = broken.kind;
+    next->id = absl::StrCat("call-", ++this->sentCount);
+    next->path = broken.path;
+    next->configVersion = broken.configVersion;
+    next->firstId = broken.firstId.empty() ? broken.id : broken.firstId;
+    next->eventsBefore = last;
+    next->version = broken.version;
+    this->state.retryableRequests.insert(next->id);
+    this->state.report.increment("streams taken up");
+    this->send(next);
+    return true;
+}
+
+void SoakCallers::checkSuccess(Request &request)
 {
     const bool stream = request.kind == Kind::ResumableStream || request.kind == Kind::Stream;
     if (!request.head.fields.find("X-Response-Signature")) {
         this->state.report.recordViolation("a success response comes from an upstream", this->describe(request));
     }
-    if (request.body != expectedBody(stream, request.id)) {
+    if (request.eventsBefore > 0) {
+        this->state.report.increment("streams continued");
+    }
+    const bool whole =
+        stream ? this->checkEvents(request) == SoakBounds::eventsPerResponse : absl::StartsWith(request.body, absl::StrCat("plain answer ", request.id, " v"));
+    if (!whole) {
         this->state.report.recordViolation("each caller gets the whole answer to its own request", absl::StrCat(this->describe(request), ": ", request.body));
     }
 }
@@ -212,7 +253,12 @@
     if (error == HttpCallError::BadResponse) {
         this->state.report.recordViolation("a host sends valid HTTP responses", this->describe(*request));
     }
-    this->finishRequest(request, false);
+    if (error == HttpCallError::NotSent || !this->takeUp(*request)) {
+        this->finishRequest(request, false);
+        return;
+    }
+    request->deadline.cancel();
+    this->openRequests.erase(request);
 }
 
 void SoakCallers::handleTimeout(const std::shared_ptr<Request> &request)
--- a/test/soak/SoakCallers.h
+++ b/test/soak/SoakCallers.h
@@ -47,6 +47,10 @@
         std::string body;
         HttpCall call;
         LoopTimer deadline;
+        /** For a stream that the caller takes up: the id of the attempt that brought the first event, and the events so far. */
+        std::string firstId;
+        int eventsBefore = 0;
+        std::string version;
     };
 
     void resolveHosts();
@@ -57,8 +61,12 @@
     void handleResponse(const std::shared_ptr<Request> &request);
     void handleFailure(const std::shared_ptr<Request> &request, HttpCallError error);
     void handleTimeout(const std::shared_ptr<Request> &request);
-    void checkSuccess(const Request &request);
+    void checkSuccess(Request &request);
     void checkNotRun(const Request &request);
+    /** Checks the complete events of a stream, also of one that broke off; returns the number of the last one. */
+    int checkEvents(Request &request);
+    /** Takes up a stream that broke off after some events. */
+    bool takeUp(Request &broken);
     void finishRequest(const std::shared_ptr<Request> &request, bool served);
     [[nodiscard]] std::string describe(const Request &request) const;
 
--- a/test/soak/SoakFaults.cpp
+++ b/test/soak/SoakFaults.cpp
@@ -14,6 +14,8 @@
 const absl::Duration faultFreeDuration = SoakBounds::recoveryTime + absl::Seconds(4);
 // In a fault-free phase, maintenance starts when the hosts are expected to be connected again.
 const absl::Duration maintenanceDelay = SoakBounds::reconnectTime + absl::Milliseconds(500);
+// A limit ends this long before the next faults begin.
+constexpr absl::Duration limitEndMargin = absl::Seconds(1);
 constexpr absl::Duration maintenanceInterval = absl::Milliseconds(1500);
 
 } // namespace
@@ -97,10 +99,13 @@
     if (this->loop.now() > this->state.faultFreeSince + faultFreeDuration - maintenanceDelay) {
         return;
     }
-    switch (this->randomBelow(4)) {
+    switch (this->randomBelow(5)) {
     case 0:
         this->drainRandomUpstream();
         break;
+    case 4:
+        this->limitRandomUpstream();
+        break;
     case 1:
         this->fleet.stopHost(this->randomBelow(this->fleet.hostCount()));
         break;
@@ -120,6 +125,18 @@
                               [this](const std::string &id) { this->state.drainAcknowledgedAt[id] = this->loop.now(); });
 }
 
+void SoakFaults::limitRandomUpstream()
+{
+    const std::size_t upstream = this->randomBelow(this->fleet.upstreamCount());
+    const double limit = 1.0 + static_cast<double>(this->randomBelow(40)) / 10.0;
+    const std::string id = this->fleet.setUpstreamLimit(upstream, limit);
+    this->state.statedLimits[id] = {.requestsPerSecond = limit, .from = this->loop.now()};
+    this->timers.push_back(this->loop.after(this->state.faultFreeSince + faultFreeDuration - this->loop.now() - limitEndMargin, [this, upstream, id] {
+        this->state.statedLimits[id].until = this->loop.now();
+        this->fleet.setUpstreamLimit(upstream, 0);
+    }));
+}
+
 void SoakFaults::writeNewConfig()
 {
     this->fleet.writeConfig([this](int version) {
--- a/test/soak/SoakFaults.h
+++ b/test/soak/SoakFaults.h
@@ -43,6 +43,8 @@
     void endFaultPhase();
     void runMaintenance();
     void drainRandomUpstream();
+    /** An upstream states a limit until the fault-free phase ends. */
+    void limitRandomUpstream();
     void writeNewConfig();
     [[nodiscard]] Fault drawFault();
     [[nodiscard]] Fault drawHostFault();
--- a/test/soak/SoakFleet.cpp
+++ b/test/soak/SoakFleet.cpp
@@ -10,6 +10,9 @@
 
 namespace {
 
+// Versions change with each few starts of any upstream, as in a release.
+constexpr int softwareVersions = 3;
+constexpr int startsPerVersion = 2;
 constexpr absl::Duration startTimeout = absl::Seconds(30);
 // Upstream registrations of the platform expire after three missed heartbeats. The soak erases that of a killed upstream after this time.
 constexpr absl::Duration registrationExpiry = absl::Milliseconds(3600);
@@ -98,6 +101,7 @@
 {
     const bool model = upstream.service == "model";
     upstream.id = absl::StrCat(upstream.name, ".", ++upstream.startCount);
+    upstream.softwareVersion = absl::StrCat("v", 1 + (this->upstreamStarts++ / startsPerVersion) % softwareVersions);
     upstream.down = false;
     upstream.draining = false;
     upstream.process = std::make_unique<ChildProcess>(std::vector<std::string>{this->setup.standinFolder + "/standin-stream",
@@ -113,6 +117,8 @@
                                                                                absl::StrCat(model ? SoakBounds::eventsPerResponse : 0),
                                                                                "--interval-us",
                                                                                absl::StrCat(eventIntervalUs),
+                                                                               "--software-version",
+                                                                               upstream.softwareVersion,
                                                                                "--slots",
                                                                                absl::StrCat(model ? modelSlots : plainSlots)},
                                                       absl::StrCat(this->setup.folder, "/", upstream.name, ".log"));
@@ -129,7 +135,7 @@
                            {{"service", upstream.service},
                             {"address", upstream.proxyAddress},
                             {"zone", "a"},
-                            {"version", "v1"},
+                            {"version", upstream.softwareVersion},
                             {"slots", upstream.service == "model" ? modelSlots : plainSlots},
                             {"state", state},
                             {"born", upstream.startCount}},
@@ -399,6 +405,15 @@
     this->postToUpstream(upstream, "/mode?value=" + mode);
 }
 
+std::string SoakFleet::setUpstreamLimit(std::size_t upstream, double requestsPerSecond)
+{
+    const Upstream &target = *this->upstreams[upstream];
+    const std::string value = requestsPerSecond > 0 ? absl::StrCat(requestsPerSecond) : "none";
+    this->report.log(absl::StrCat(target.id, " limit ", value));
+    this->postToUpstream(upstream, "/limit?value=" + value);
+    return target.id;
+}
+
 void SoakFleet::postToUpstream(std::size_t upstream, const std::string &target)
 {
     this->modeCalls[upstream] =
--- a/test/soak/SoakFleet.h
+++ b/test/soak/SoakFleet.h
@@ -49,6 +49,11 @@
     static constexpr absl::Duration jobVisibilityTime = absl::Seconds(1);
     /** From the acknowledgement of a job's cancellation until none of its items starts any more. */
     static constexpr absl::Duration cancelTime = absl::Seconds(3);
+    /** From the first response with a limit until no window has more than one and a half times the limit and limitExtra requests. */
+    static constexpr absl::Duration limitNoticeTime = absl::Seconds(4);
+    static constexpr absl::Duration limitWindow = absl::Seconds(4);
+    static constexpr double limitShare = 1.5;
+    static constexpr double limitExtra = 5;
     static constexpr absl::Duration stopGrace = absl::Seconds(8);
     static constexpr absl::Duration requestTimeout = absl::Seconds(5);
     static constexpr int maxAttempts = 3;
@@ -98,6 +103,8 @@
      */
     void drainUpstream(std::size_t upstream, std::function<void(const std::string &id)> acknowledged);
     void setUpstreamMode(std::size_t upstream, const std::string &mode);
+    /** Lets the upstream state a limit of requests per second in its responses, none if it is 0. Returns the id of the upstream. */
+    std::string setUpstreamLimit(std::size_t upstream, double requestsPerSecond);
     void setUpstreamLinkFaults(std::size_t upstream, const RouteFaults &faults, RouteFreeze freeze);
 
     void pauseStore();
@@ -130,6 +137,8 @@
         ReservedPort port;
         ReservedPort controlPort;
         int startCount = 0;
+        /** Version of the software of the current start. Versions alternate, so that two of them serve side by side. */
+        std::string softwareVersion;
         bool draining = false;
         bool down = false;
         std::unique_ptr<ChildProcess> process;
@@ -173,6 +182,7 @@
     std::map<std::size_t, HttpCall> modeCalls;
     std::vector<LoopTimer> timers;
     int lastConfigVersion = 0;
+    int upstreamStarts = 0;
 };
 
 } // namespace Bergamotramp
--- a/test/soak/SoakJobs.cpp
+++ b/test/soak/SoakJobs.cpp
@@ -17,11 +17,17 @@
 constexpr std::uint64_t jobsPerCancellation = 6;
 constexpr int itemTokens = 20;
 
-std::string expectedOutput(const std::string &item)
+/** The software version that the output names last. */
+std::string versionOf(const std::string &output)
+{
+    return output.substr(output.rfind(' ') + 1);
+}
+
+std::string expectedOutput(const std::string &item, const std::string &version)
 {
     std::string text;
     for (int number = 1; number <= SoakBounds::eventsPerResponse; ++number) {
-        absl::StrAppend(&text, number == 1 ? "" : "\n", StandinUpstream::eventData(number), " ", item);
+        absl::StrAppend(&text, number == 1 ? "" : "\n", StandinUpstream::eventData(number), " ", item, " ", version);
     }
     return text;
 }
@@ -142,7 +148,8 @@
         if (!added && known->second != result) {
             this->state.report.recordViolation("the result at a position of a job does not change", absl::StrCat(job->id, " position ", position - 1));
         }
-        if (entry.at("state") != "completed" || result.output != expectedOutput(result.item) || !result.item.starts_with(job->id + "-item-")) {
+        if (entry.at("state") != "completed" || result.output != expectedOutput(result.item, versionOf(result.output))
+            || !result.item.starts_with(job->id + "-item-")) {
             this->state.report.recordViolation("a result contains the complete output of its item", absl::StrCat(job->id, ": ", entry.dump()));
         }
     }
--- a/test/soak/SoakMain.cpp
+++ b/test/soak/SoakMain.cpp
@@ -85,12 +85,36 @@
             this->report.recordViolation("no new request for an upstream that leaves", detail);
         }
         this->checkLeavingUpstream(run, detail);
+        this->checkLimit(run, detail);
         const auto cancelled = this->state.cancelledItems.find(run.requestId);
         if (cancelled != this->state.cancelledItems.end() && run.time > cancelled->second + SoakBounds::cancelTime && this->state.isSettledAt(run.time)) {
             this->report.recordViolation("the items of an ended job do not run", detail);
         }
     }
 
+    /** In calm times; planned stops of hosts and the maintenance of upstreams go on meanwhile. */
+    void checkLimit(const RecordedRun &run, const std::string &detail)
+    {
+        const auto found = this->state.statedLimits.find(run.upstream);
+        if (found == this->state.statedLimits.end()) {
+            return;
+        }
+        SoakState::StatedLimit &limit = found->second;
+        if (run.time < limit.from + SoakBounds::limitNoticeTime || run.time > limit.until || !this->state.isSettledAt(limit.from)) {
+            return;
+        }
+        limit.runs.push_back(run.time);
+        while (limit.runs.front() < run.time - SoakBounds::limitWindow) {
+            limit.runs.pop_front();
+        }
+        const double allowed = SoakBounds::limitShare * limit.requestsPerSecond * absl::ToDoubleSeconds(SoakBounds::limitWindow) + SoakBounds::limitExtra;
+        this->report.increment("runs at limited upstreams");
+        if (static_cast<double>(limit.runs.size()) > allowed) {
+            this->report.recordViolation("all hosts together keep the limit of an upstream",
+                                         absl::StrCat(detail, ": ", limit.runs.size(), " runs, limit ", limit.requestsPerSecond));
+        }
+    }
+
     /** A restart or a pause of the host excuses it, because its state is lost or it may have handled its input late. Faults do not. */
     void checkLeavingUpstream(const RecordedRun &run, const std::string &detail)
     {
--- a/test/soak/SoakState.h
+++ b/test/soak/SoakState.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <deque>
 #include <map>
 #include <set>
 #include <string>
@@ -32,6 +33,16 @@
     std::map<std::string, std::pair<std::string, absl::Time>> sentRequests{};
     /** When a host first passed on a response in which an upstream states that it leaves, by the upstream's id and the host's entry address. */
     std::map<std::pair<std::string, std::string>, absl::Time> leavingPassedOnAt{};
+    /** What an upstream states as its limit. */
+    struct StatedLimit {
+        double requestsPerSecond = 0;
+        absl::Time from;
+        absl::Time until = absl::InfiniteFuture();
+        /** The runs of the last SoakBounds::limitWindow. */
+        std::deque<absl::Time> runs{};
+    };
+    /** The limits that upstreams have stated, by the upstream's id. */
+    std::map<std::string, StatedLimit> statedLimits{};
     /** When the cancellation of a job was acknowledged, by the ids of its items. */
     std::map<std::string, absl::Time> cancelledItems{};
     /** The newest configuration that the store has acknowledged, and when. */
--- a/test/standin/StandinUpstreamMain.cpp
+++ b/test/standin/StandinUpstreamMain.cpp
@@ -5,6 +5,7 @@
 #include <unistd.h>
 
 #include <CLI/CLI.hpp>
+#include <absl/strings/numbers.h>
 #include <absl/strings/str_cat.h>
 #include <absl/time/clock.h>
 
@@ -41,9 +42,17 @@
     int descriptor;
 };
 
-/** Control interface: POST /mode?value= and POST /leave, after which each response states that the upstream leaves. Returns the response's status. */
+/**
+ * Control interface: POST /mode?value=, POST /leave, after which each response states that the upstream leaves, and POST /limit?value= with
+ * the requests per second that each response states as the limit, or "none". Returns the response's status.
+ */
 int handleControl(StandinUpstream &upstream, const HttpRequest &request)
 {
+    if (request.path() == "/limit") {
+        double limit = 0;
+        upstream.setLimit(absl::SimpleAtod(request.query("value"), &limit) ? std::optional<double>(limit) : std::nullopt);
+        return 200;
+    }
     if (request.path() == "/leave") {
         upstream.setLeaving(true);
         return 200;
@@ -72,12 +81,14 @@
     int intervalUs = 5000;
     UpstreamOptions options;
     options.tagsResponses = true;
+    options.tagsVersion = true;
     app.add_option("--id", id, "Instance id of the upstream, which requests name in X-Expect-Instance")->required();
     app.add_option("--runs", runLogFile, "File that gets a line for each request that runs")->required();
     app.add_option("--address", options.address, "Address for requests");
     app.add_option("--control", controlAddress, "Address of the control interface");
     app.add_option("--events", events, "Number of events in a response; 0 for a plain service");
     app.add_option("--interval-us", intervalUs, "Time between events, microseconds");
+    app.add_option("--software-version", options.softwareVersion, "Version of the upstream's software, which each event names");
     app.add_option("--slots", options.slots, "Number of requests that run at once, 0 for no limit");
     CLI11_PARSE(app, argc, argv);
     try {
