Move the discovery of hosts out of EntryHost and join what stood twice

UpstreamInfo::run() takes the place of the run that three files built. The two tests of repeated refusals share their steps. Only streams of resumable routes are recorded at other hosts, and origins with names of over 512 bytes are not kept.

--- a/src/EntryHost.cpp
+++ b/src/EntryHost.cpp
@@ -1,8 +1,6 @@
 #include "EntryHost.h"
 
-#include <stdexcept>
-
-#include <unistd.h>
+#include <algorithm>
 
 #include <absl/strings/str_cat.h>
 #include <absl/time/clock.h>
@@ -11,7 +9,6 @@
 #include "LimitedJson.h"
 #include "RendezvousHash.h"
 #include "TakeoverCandidates.h"
-#include "TcpStream.h"
 
 namespace Bergamotramp {
 
@@ -59,48 +56,18 @@
 // How long it waits at most, when it has found some hosts and when it has found none.
 constexpr absl::Duration maxPeerDiscoveryWait = absl::Milliseconds(1500);
 constexpr absl::Duration maxFirstPeerWait = absl::Milliseconds(600);
-// The list of all stored hosts is read at a random time within this interval times the number of known hosts, so that hosts that
-// start together do not read it at once.
-constexpr absl::Duration storedHostsDelayPerPeer = absl::Milliseconds(20);
-// Delay before a host that could not reach the store tries again to find the other hosts there.
-constexpr absl::Duration peerDiscoveryRetryDelay = absl::Seconds(2);
 // The hosts may start a due trial of a quarantined part of prompts one after another, this far apart.
 constexpr absl::Duration trialDelayPerHost = absl::Seconds(5);
 // Callers take a stream up for no longer than this many timeouts of its route.
 constexpr int takeUpTimeouts = 3;
 constexpr std::size_t controlConnections = 500;
 constexpr const char *snapshotPath = "/peer/snapshot";
-constexpr const char *hostKind = "hosts";
 
 std::uint64_t startTimeMicros()
 {
     return static_cast<std::uint64_t>(absl::ToUnixMicros(absl::Now()));
 }
 
-std::string portOf(const std::string &address)
-{
-    return address.substr(address.rfind(':') + 1);
-}
-
-std::string ipOf(const std::string &address)
-{
-    return address.substr(0, address.rfind(':'));
-}
-
-/** The address that a host has left in the store, or nothing if the object is malformed. */
-std::optional<std::string> storedPeerAddress(const ObjectRecord &object)
-{
-    try {
-        std::string address = object.content.at("peerAddress").get<std::string>();
-        checkEndpoint(address);
-        return address;
-    } catch (const nlohmann::json::exception &) {
-        return std::nullopt;
-    } catch (const std::invalid_argument &) {
-        return std::nullopt;
-    }
-}
-
 HostLocation locationOf(const EntrySettings &settings)
 {
     return {.dataCentre = settings.dataCentre, .region = settings.region, .regionByDataCentre = settings.regionByDataCentre};
@@ -201,7 +168,15 @@
             .hasOtherVersions = [this](const std::string &service, const std::string &version) { return this->versions.hasOther(service, version); }});
     this->settings.peerAddress = this->peerExchange->address();
     this->createWatchers();
-    this->contactPeers();
+    this->peerDiscovery = std::make_unique<PeerDiscovery>(PeerDiscovery::Context{.loop = this->loop,
+                                                                                 .store = *this->platform.store,
+                                                                                 .exchange = *this->peerExchange,
+                                                                                 .peers = this->peers,
+                                                                                 .log = this->log,
+                                                                                 .randomFraction = [this] { return this->randomFraction(); }},
+                                                          this->settings.name,
+                                                          this->settings.peerAddress);
+    this->peerDiscovery->start(this->settings.seeds);
     this->startWatchers(this->loop.now());
     this->tickTimer = this->loop.after(tickPeriod, [this] { this->tick(); });
 }
@@ -291,46 +266,6 @@
     this->jobWatcher->start();
 }
 
-void EntryHost::contactPeers()
-{
-    for (const std::string &seed : this->settings.seeds) {
-        this->peerExchange->askForPeers(absl::StrCat(ipOf(seed), ":", portOf(this->settings.peerAddress)));
-    }
-    this->publishOwnAddress();
-}
-
-void EntryHost::publishOwnAddress()
-{
-    // Seeds may be outdated, so each host also registers its address in the store when it starts.
-    const std::string name = absl::StrCat(ipOf(this->settings.peerAddress), "-", portOf(this->settings.peerAddress));
-    const nlohmann::json content{{"name", this->settings.name}, {"peerAddress", this->settings.peerAddress}};
-    this->platform.store->create(hostKind, name, content, [this](const ObjectReply &reply) {
-        if (reply.result == StoreResult::Done || reply.result == StoreResult::Conflict) {
-            const absl::Duration delay = this->randomFraction() * storedHostsDelayPerPeer * static_cast<std::int64_t>(this->peers.size());
-            this->discoveryTimer = this->loop.after(delay, [this] { this->contactStoredHosts(); });
-        } else {
-            this->discoveryTimer = this->loop.after(peerDiscoveryRetryDelay, [this] { this->publishOwnAddress(); });
-        }
-    });
-}
-
-void EntryHost::contactStoredHosts()
-{
-    this->platform.store->list(hostKind, [this](const ListReply &reply) {
-        this->log.write("hosts_listed", {{"ok", reply.result == StoreResult::Done}, {"hosts", static_cast<std::uint64_t>(reply.objects.size())}});
-        if (reply.result != StoreResult::Done) {
-            this->discoveryTimer = this->loop.after(peerDiscoveryRetryDelay, [this] { this->contactStoredHosts(); });
-        }
-        for (const ObjectRecord &object : reply.objects) {
-            if (const auto address = storedPeerAddress(object)) {
-                this->peerExchange->introduceTo(*address);
-            } else {
-                this->log.write("host_unreadable", {{"object", object.name}, {"revision", object.revision}});
-            }
-        }
-    });
-}
-
 void EntryHost::onStoreFailed(const std::string &kind, StoreResult result)
 {
     if (result == StoreResult::Unanswered) {
@@ -451,10 +386,10 @@
 void EntryHost::onStatedLeaving(const LeavingStatement &statement)
 {
     // When another upstream has the address and leaves, requests for the expected one would reach it, too.
-    std::vector<UpstreamRun> leaving{{.id = statement.expected.id, .startedAtMs = statement.expected.startedAtMs}};
+    std::vector<UpstreamRun> leaving{statement.expected.run()};
     const UpstreamInfo *sender = statement.sender ? this->upstreams.find(*statement.sender) : nullptr;
     if (sender != nullptr && sender->address == statement.expected.address) {
-        leaving.push_back({.id = sender->id, .startedAtMs = sender->startedAtMs});
+        leaving.push_back(sender->run());
     }
     for (const UpstreamRun &run : leaving) {
         // What another host has announced is not announced again, and an announcement without a start could come too late and then
--- a/src/EntryHost.h
+++ b/src/EntryHost.h
@@ -20,6 +20,7 @@
 #include "KindWatcher.h"
 #include "OnlineCall.h"
 #include "PeerClient.h"
+#include "PeerDiscovery.h"
 #include "PeerExchange.h"
 #include "PeerTable.h"
 #include "PlatformAdapter.h"
@@ -62,10 +63,6 @@
     void createWatchers();
     /** Starts the watchers when this host knows other hosts, or when it has waited long enough for them since @p waitingSince. */
     void startWatchers(absl::Time waitingSince);
-    /** Announces this host to the seeds, then to the hosts that are listed in the store. */
-    void contactPeers();
-    void publishOwnAddress();
-    void contactStoredHosts();
     /** The hooks that all watchers share: those for failure and recovery of the store. */
     KindWatcher::Hooks failureHooks(const std::string &kind);
     void onStoreFailed(const std::string &kind, StoreResult result);
@@ -149,6 +146,7 @@
     HttpClient upstreamClient;
     PeerClient peerClient;
     std::unique_ptr<PeerExchange> peerExchange;
+    std::unique_ptr<PeerDiscovery> peerDiscovery;
     std::unique_ptr<StreamOriginExchange> streamOrigins;
     WatchRelaySelector relaySelector;
     RelayedStore relayedStore;
@@ -170,7 +168,6 @@
     absl::Time lastTickAt = absl::InfiniteFuture();
     absl::Time watchTimingsAdjustedAt = absl::InfinitePast();
     LoopTimer startTimer;
-    LoopTimer discoveryTimer;
     LoopTimer tickTimer;
     LoopTimer stopTimer;
 };
--- a/src/LimitShares.cpp
+++ b/src/LimitShares.cpp
@@ -11,11 +11,6 @@
 
 namespace {
 
-std::uint32_t keyOf(const UpstreamInfo &upstream)
-{
-    return upstreamRunKey({.id = upstream.id, .startedAtMs = upstream.startedAtMs});
-}
-
 struct Candidates {
     std::vector<std::string> live;
     /** Number of live and silent hosts. */
@@ -103,7 +98,7 @@
     }
     const absl::flat_hash_map<std::uint32_t, Share> formerShares = std::exchange(this->shares, {});
     for (const UpstreamInfo &upstream : upstreams) {
-        const std::uint32_t key = keyOf(upstream);
+        const std::uint32_t key = upstreamRunKey(upstream.run());
         const auto limit = limitByRun.find(key);
         if (limit == limitByRun.end()) {
             continue;
@@ -126,7 +121,7 @@
     if (this->shares.empty()) {
         return nullptr;
     }
-    const auto found = this->shares.find(keyOf(upstream));
+    const auto found = this->shares.find(upstreamRunKey(upstream.run()));
     return found == this->shares.end() ? nullptr : &found->second;
 }
 
@@ -144,7 +139,7 @@
     if (this->shares.empty()) {
         return;
     }
-    const auto found = this->shares.find(keyOf(upstream));
+    const auto found = this->shares.find(upstreamRunKey(upstream.run()));
     if (found != this->shares.end()) {
         Share &share = found->second;
         share.saved = savedBy(share, now) - 1.0;
--- a/src/OnlineCall.cpp
+++ b/src/OnlineCall.cpp
@@ -191,7 +191,9 @@
     }
     if (!this->origin && (event.id || !event.data.empty())) {
         this->origin = StreamOrigin{.service = this->service, .softwareVersion = this->attempt->upstream().softwareVersion};
-        this->context.recordBegin(this->call.id, *this->origin);
+        if (this->route.resumable) {
+            this->context.recordBegin(this->call.id, *this->origin);
+        }
     }
     if (!this->exchange->started()) {
         this->exchange->startBody(this->streamHead);
--- a/src/StreamOriginExchange.cpp
+++ b/src/StreamOriginExchange.cpp
@@ -1,5 +1,6 @@
 #include "StreamOriginExchange.h"
 
+#include <algorithm>
 #include <utility>
 
 #include <absl/strings/str_cat.h>
@@ -8,6 +9,13 @@
 
 namespace Bergamotramp {
 
+namespace {
+
+// Origins with longer names, which only a faulty host sends, are not kept.
+constexpr std::size_t maxNameBytes = 512;
+
+} // namespace
+
 StreamOriginExchange::StreamOriginExchange(EventLoop &loop, std::string self, const PeerTable &peers, Hooks hooks)
     : loop(loop), self(std::move(self)), peers(peers), hooks(std::move(hooks))
 {
@@ -119,6 +127,9 @@
 void StreamOriginExchange::receiveOrigin(const peer::StreamOrigin &entry)
 {
     const StreamOrigin origin{.service = entry.service(), .softwareVersion = entry.software_version()};
+    if (origin.service.size() > maxNameBytes || origin.softwareVersion.size() > maxNameBytes) {
+        return;
+    }
     const bool recorded = origin.isKnown() && !entry.inferred();
     if (recorded) {
         this->origins.add(entry.stream(), origin, this->loop.now());
--- a/src/UpstreamLimiter.cpp
+++ b/src/UpstreamLimiter.cpp
@@ -7,15 +7,6 @@
 
 namespace Bergamotramp {
 
-namespace {
-
-std::uint32_t keyOf(const UpstreamInfo &upstream)
-{
-    return upstreamRunKey({.id = upstream.id, .startedAtMs = upstream.startedAtMs});
-}
-
-} // namespace
-
 UpstreamLimiter::UpstreamLimiter(LimitMember self, const UpstreamTable &upstreams, const PeerTable &peers, absl::Time startedAt)
     : self(std::move(self)), upstreams(upstreams), peers(peers), shares(this->self.name, startedAt)
 {
@@ -23,7 +14,7 @@
 
 bool UpstreamLimiter::recordStatement(const UpstreamInfo &upstream, std::optional<double> requestsPerSecond, absl::Time now)
 {
-    const bool changed = this->limits.record({.run = keyOf(upstream), .requestsPerSecond = requestsPerSecond, .observed = now});
+    const bool changed = this->limits.record({.run = upstreamRunKey(upstream.run()), .requestsPerSecond = requestsPerSecond, .observed = now});
     this->limitsChanged = this->limitsChanged || changed;
     return changed;
 }
@@ -97,7 +88,7 @@
     double whole = 0;
     for (const UpstreamInfo *upstream : limited) {
         held += this->shares.rate(*upstream);
-        whole += this->limits.find(keyOf(*upstream)).value_or(0);
+        whole += this->limits.find(upstreamRunKey(upstream->run())).value_or(0);
     }
     return std::max(held, whole / static_cast<double>(std::max<std::size_t>(1, this->knownMembers.size())));
 }
--- a/src/UpstreamTable.cpp
+++ b/src/UpstreamTable.cpp
@@ -5,6 +5,11 @@
 
 namespace Bergamotramp {
 
+UpstreamRun UpstreamInfo::run() const
+{
+    return {.id = this->id, .startedAtMs = this->startedAtMs};
+}
+
 void UpstreamTable::put(const UpstreamInfo &upstream)
 {
     const bool statedLeaving = this->hasStatedLeaving(upstream);
@@ -14,7 +19,7 @@
 bool UpstreamTable::hasStatedLeaving(const UpstreamInfo &upstream) const
 {
     if (upstream.startedAtMs != 0) {
-        return this->leavingRuns.contains({.id = upstream.id, .startedAtMs = upstream.startedAtMs});
+        return this->leavingRuns.contains(upstream.run());
     }
     // Nothing in the registration tells another run from the one that leaves. A registration that was removed and is back counts as
     // another run: an upstream that is kept out wrongly would stay out for ever, one that is let in wrongly states again that it leaves.
--- a/src/UpstreamTable.h
+++ b/src/UpstreamTable.h
@@ -28,6 +28,7 @@
     /** Version of the software that this run executes; empty if the registration does not tell it. */
     std::string softwareVersion{};
 
+    [[nodiscard]] UpstreamRun run() const;
     bool operator==(const UpstreamInfo &) const = default;
 };
 
--- a/test/site/LateAnswerTest.cpp
+++ b/test/site/LateAnswerTest.cpp
@@ -55,6 +55,21 @@
         return *reply;
     }
 
+    /** Refuses request id-1 with @p refusal, repeats that after the next attempt, and answers the attempt. */
+    void expectOneFurtherAttempt(const std::string &refusal)
+    {
+        this->writeConfig(1);
+        this->store.write(
+            "servers", "up-0", {{"service", "plain"}, {"address", this->server.address()}, {"zone", "a"}, {"slots", 8}, {"state", "ready"}, {"born", 1}});
+        this->startHosts(1);
+        const auto answer = this->send(*this->hosts[0], "POST", "/once/x", {{"X-Request-Id", "id-1"}, {"X-Deadline-Ms", "2000"}}, "a");
+        ASSERT_TRUE(runUntil(this->loop, [this] { return this->server.requests > 0; }));
+        this->server.writeTo(this->server.accepted - 1, refusal);
+        this->answerAfterCopy(1, refusal, response("done", "X-Request-Id: id-1\r\n"));
+        EXPECT_EQ(this->wait(answer).body, "done");
+        EXPECT_EQ(this->server.requests, 2);
+    }
+
     FixedResponseServer server{this->loop, ""};
     PeerClient peerClient{this->loop};
     EntryMetrics metrics;
@@ -153,33 +168,13 @@
 // same request's earlier attempt, which names it as well.
 TEST_F(LateAnswerTest, copyOfARefusalIsNotTheAnswerToTheNextAttempt)
 {
-    this->writeConfig(1);
-    this->store.write(
-        "servers", "up-0", {{"service", "plain"}, {"address", this->server.address()}, {"zone", "a"}, {"slots", 8}, {"state", "ready"}, {"born", 1}});
-    this->startHosts(1);
-    const std::string refusal = response("", "X-Request-Id: id-1\r\nX-Not-Executed: 1\r\n", "503 Service Unavailable");
-    const auto answer = this->send(*this->hosts[0], "POST", "/once/x", {{"X-Request-Id", "id-1"}, {"X-Deadline-Ms", "2000"}}, "a");
-    ASSERT_TRUE(runUntil(this->loop, [this] { return this->server.requests > 0; }));
-    this->server.writeTo(this->server.accepted - 1, refusal);
-    this->answerAfterCopy(1, refusal, response("done", "X-Request-Id: id-1\r\n"));
-    EXPECT_EQ(this->wait(answer).body, "done");
-    EXPECT_EQ(this->server.requests, 2);
+    this->expectOneFurtherAttempt(response("", "X-Request-Id: id-1\r\nX-Not-Executed: 1\r\n", "503 Service Unavailable"));
 }
 
 // The same for a misdirected answer, which sends the request to another upstream.
 TEST_F(LateAnswerTest, copyOfAMisdirectedAnswerIsNotTheAnswerToTheNextAttempt)
 {
-    this->writeConfig(1);
-    this->store.write(
-        "servers", "up-0", {{"service", "plain"}, {"address", this->server.address()}, {"zone", "a"}, {"slots", 8}, {"state", "ready"}, {"born", 1}});
-    this->startHosts(1);
-    const std::string refusal = response("", "X-Request-Id: id-1\r\nX-Instance-Id: other\r\n", "421 Misdirected Request");
-    const auto answer = this->send(*this->hosts[0], "POST", "/once/x", {{"X-Request-Id", "id-1"}, {"X-Deadline-Ms", "2000"}}, "a");
-    ASSERT_TRUE(runUntil(this->loop, [this] { return this->server.requests > 0; }));
-    this->server.writeTo(this->server.accepted - 1, refusal);
-    this->answerAfterCopy(1, refusal, response("done", "X-Request-Id: id-1\r\n"));
-    EXPECT_EQ(this->wait(answer).body, "done");
-    EXPECT_EQ(this->server.requests, 2);
+    this->expectOneFurtherAttempt(response("", "X-Request-Id: id-1\r\nX-Instance-Id: other\r\n", "421 Misdirected Request"));
 }
 
 } // namespace
