Retry at an upstream that refused a request before one that failed it

StreamVersionTest.brokenStreamGoesOnAtTheSameVersionOnly failed once in 4 runs: the answer was aborted, although an upstream of the version was healthy.

Cause, from the code: when all upstreams have been tried, the choice was made among all of them again. The one that had refused the request a moment ago costs more than the one that had just broken the stream off, so that the attempts were used up at the latter. Change: upstreams that failed the request are left out first.

Evidence: the three cases brokenStream* passed in three runs each with the change. The new case brokenStreamGoesOnAtAnUpstreamThatHadNoRoom was not run without it.

--- a/src/OnlineCall.cpp
+++ b/src/OnlineCall.cpp
@@ -122,8 +122,11 @@
 {
     const absl::Time now = this->context.attempts.loop.now();
     const UpstreamInfo *upstream = this->context.choice.chooseForOnline(this->service, this->triedUpstreams, now, this->requiredVersion());
-    if (upstream == nullptr && !this->triedUpstreams.empty()) {
+    if (upstream == nullptr) {
         // All upstreams have been tried; one that refused the request may have a free slot by now.
+        upstream = this->context.choice.chooseForOnline(this->service, this->failedUpstreams, now, this->requiredVersion());
+    }
+    if (upstream == nullptr) {
         upstream = this->context.choice.chooseForOnline(this->service, {}, now, this->requiredVersion());
     }
     if (upstream == nullptr) {
@@ -210,6 +213,9 @@
     const UpstreamInfo upstream = this->attempt->upstream();
     UpstreamAttempt::stopAndDestroyLater(this->context.attempts.loop, std::move(this->attempt));
     this->context.metrics.recordAttempt(this->service, std::string(nameOf(result.outcome)));
+    if (result.outcome != AttemptOutcome::NotRun) {
+        this->failedUpstreams.insert(upstream.id);
+    }
     this->updateCrashRecord(result, upstream.id);
     const bool streamed = this->route.kind == RouteKind::Stream && result.head.status / 100 == 2;
     if (result.outcome == AttemptOutcome::Completed) {
@@ -406,6 +412,7 @@
         this->context.attempts.health.recordFailure(upstream, now);
     }
     this->retryPolicy.recordReplacement();
+    this->failedUpstreams.insert(upstream);
     UpstreamAttempt::stopAndDestroyLater(this->context.attempts.loop, std::move(this->attempt));
     this->startAttempt(*replacement);
 }
--- a/src/OnlineCall.h
+++ b/src/OnlineCall.h
@@ -101,6 +101,8 @@
     /** Hash of the request's target and body. */
     std::uint64_t fingerprint;
     std::set<std::string> triedUpstreams;
+    /** Those of them that did not refuse the request but failed, or were too slow. */
+    std::set<std::string> failedUpstreams;
     std::unique_ptr<UpstreamAttempt> attempt;
     absl::Time attemptStarted = absl::InfinitePast();
     std::optional<std::uint64_t> lastEventId;
--- a/test/site/StreamVersionTest.cpp
+++ b/test/site/StreamVersionTest.cpp
@@ -89,6 +89,19 @@
     EXPECT_TRUE(absl::StrContains(answer->body, absl::StrCat("token-", eventCount)));
 }
 
+// Guards against a broken stream that is sent to the upstream that has just failed instead of one that refused it a moment ago.
+TEST_F(StreamVersionTest, brokenStreamGoesOnAtAnUpstreamThatHadNoRoom)
+{
+    this->start({"v1", "v1"});
+    for (int number = 0; number < 8; ++number) {
+        const auto answer = this->begin(*this->hosts[0], absl::StrCat("stream-", number), 0);
+        this->upstreams[0]->setMode(UpstreamMode::CutsStreams);
+        this->wait(answer);
+        EXPECT_TRUE(answer->completed) << number;
+        EXPECT_TRUE(absl::StrContains(answer->body, absl::StrCat("token-", eventCount)));
+    }
+}
+
 // Guards against one answer with events of two software versions, when no upstream of the first version is left.
 TEST_F(StreamVersionTest, brokenStreamEndsWhenItsVersionIsGone)
 {
