Compare whole bodies in the soak again

Since the soak's events name a version, the check of a successful body was weaker than before: an event after the last one, a missing end of the last event, and any text after the id passed.

Cause: the body was only read event by event, because its version is not known in advance. Change: the version that the body names has to be one of the soak's, and the whole body, also of a stream that was taken up, is compared with what an upstream of that version sends. Outputs of items are held to the same versions.

--- a/test/soak/SoakCallers.cpp
+++ b/test/soak/SoakCallers.cpp
@@ -20,6 +20,25 @@
 constexpr int ok = 200;
 constexpr int notFound = 404;
 
+/** The whole body of a successful response, which begins after event @p eventsBefore if it is a stream. */
+std::string expectedBody(bool stream, const std::string &id, int eventsBefore, const std::string &version)
+{
+    if (!stream) {
+        return absl::StrCat("plain answer ", id, " ", version);
+    }
+    std::string text;
+    for (int number = eventsBefore + 1; number <= SoakBounds::eventsPerResponse; ++number) {
+        absl::StrAppend(&text, "id: ", number, "\ndata: ", StandinUpstream::eventData(number), " ", id, " ", version, "\n\n");
+    }
+    return text;
+}
+
+/** The software version that a plain response names, which is its last word. */
+std::string versionOfPlainBody(const std::string &body)
+{
+    return body.substr(body.rfind(' ') + 1);
+}
+
 bool meansNotRun(int status)
 {
     return status == 429 || status == 503 || status == 408 || status == 421;
@@ -226,8 +245,12 @@
     if (request.eventsBefore > 0) {
         this->state.report.increment("streams continued");
     }
-    const bool whole =
-        stream ? this->checkEvents(request) == SoakBounds::eventsPerResponse : absl::StartsWith(request.body, absl::StrCat("plain answer ", request.id, " v"));
+    if (stream) {
+        this->checkEvents(request);
+    } else {
+        request.version = versionOfPlainBody(request.body);
+    }
+    const bool whole = SoakFleet::isSoftwareVersion(request.version) && request.body == expectedBody(stream, request.id, request.eventsBefore, request.version);
     if (!whole) {
         this->state.report.recordViolation("each caller gets the whole answer to its own request", absl::StrCat(this->describe(request), ": ", request.body));
     }
--- a/test/soak/SoakFleet.cpp
+++ b/test/soak/SoakFleet.cpp
@@ -405,6 +405,16 @@
     this->postToUpstream(upstream, "/mode?value=" + mode);
 }
 
+bool SoakFleet::isSoftwareVersion(const std::string &version)
+{
+    for (int number = 1; number <= softwareVersions; ++number) {
+        if (version == absl::StrCat("v", number)) {
+            return true;
+        }
+    }
+    return false;
+}
+
 std::string SoakFleet::setUpstreamLimit(std::size_t upstream, double requestsPerSecond)
 {
     const Upstream &target = *this->upstreams[upstream];
--- a/test/soak/SoakFleet.h
+++ b/test/soak/SoakFleet.h
@@ -115,6 +115,8 @@
     void writeConfig(std::function<void(int version)> acknowledged);
     [[nodiscard]] int configVersion() const;
     static std::string versionPath(int version);
+    /** Whether upstreams of the soak may have this software version. */
+    static bool isSoftwareVersion(const std::string &version);
 
 private:
     struct Host {
--- a/test/soak/SoakJobs.cpp
+++ b/test/soak/SoakJobs.cpp
@@ -148,8 +148,8 @@
         if (!added && known->second != result) {
             this->state.report.recordViolation("the result at a position of a job does not change", absl::StrCat(job->id, " position ", position - 1));
         }
-        if (entry.at("state") != "completed" || result.output != expectedOutput(result.item, versionOf(result.output))
-            || !result.item.starts_with(job->id + "-item-")) {
+        if (entry.at("state") != "completed" || !SoakFleet::isSoftwareVersion(versionOf(result.output))
+            || result.output != expectedOutput(result.item, versionOf(result.output)) || !result.item.starts_with(job->id + "-item-")) {
             this->state.report.recordViolation("a result contains the complete output of its item", absl::StrCat(job->id, ": ", entry.dump()));
         }
     }
