--- a/review/standin/ObjectStore.h
+++ b/review/standin/ObjectStore.h
@@ -51,6 +51,8 @@
     std::function<void(const std::string &method, const std::string &kind, const std::string &name)> beforeCall;
 
 private:
+    static constexpr std::size_t pageItems = 500;
+
     struct Change {
         std::uint64_t revision;
         std::string kind;
@@ -96,11 +98,7 @@
             return object.is_null() ? std::pair<int, std::string>(404, "{}") : std::pair<int, std::string>(200, object.dump());
         }
         if (request.query("watch").empty()) {
-            nlohmann::json items = nlohmann::json::array();
-            for (const auto &[key, object] : this->kinds[parts[0]]) {
-                items.push_back(object);
-            }
-            return {200, nlohmann::json{{"items", items}, {"more", false}, {"at", this->revision}}.dump()};
+            return {200, this->page(parts[0], request.query("after"))};
         }
         return {200, this->watch(lock, parts[0], std::stoull(request.query("watch")), std::atoi(request.query("waitMs").c_str()))};
     }
@@ -130,6 +128,17 @@
         return {200, this->record(parts[0], std::move(object), false).dump()};
     }
 
+    std::string page(const std::string &kind, const std::string &after)
+    {
+        nlohmann::json items = nlohmann::json::array();
+        const auto &objects = this->kinds[kind];
+        auto next = objects.upper_bound(after);
+        for (; next != objects.end() && items.size() < pageItems; ++next) {
+            items.push_back(next->second);
+        }
+        return nlohmann::json{{"items", items}, {"more", next != objects.end()}, {"at", this->revision}}.dump();
+    }
+
     std::string watch(std::unique_lock<std::mutex> &lock, const std::string &kind, std::uint64_t since, int waitMs)
     {
         const auto until = Clock::now() + Milliseconds(waitMs);
