Remove the temporary folders of the review's scripts

Cause: the programs end without running destructors, so that each run left its folder with settings and logs behind.

--- a/review/standin/Fleet.h
+++ b/review/standin/Fleet.h
@@ -301,19 +301,21 @@
     Run()
     {
         std::string pattern = (std::filesystem::temp_directory_path() / "bergamotramp-review-XXXXXX").string();
-        this->folderPath = ::mkdtemp(pattern.data());
+        folderPath = ::mkdtemp(pattern.data());
         std::signal(SIGPIPE, SIG_IGN);
     }
-    ~Run()
+    /** Removes the folder, unless KEEP_LOGS is set. */
+    static void removeFolder()
     {
-        if (std::getenv("KEEP_LOGS") == nullptr) {
-            std::filesystem::remove_all(this->folderPath);
+        if (std::getenv("KEEP_LOGS") == nullptr && !folderPath.empty()) {
+            std::error_code ignored;
+            std::filesystem::remove_all(folderPath, ignored);
         }
     }
 
-    [[nodiscard]] const std::string &folder() const
+    [[nodiscard]] static const std::string &folder()
     {
-        return this->folderPath;
+        return folderPath;
     }
     /** An IP that no other run uses at the same time, because ports are the same on all hosts of a deployment. */
     [[nodiscard]] std::string ip(int number) const
@@ -328,7 +330,7 @@
     }
 
 private:
-    std::string folderPath;
+    inline static std::string folderPath;
 };
 
 /** The operator's configuration with these routes, and the limits of the users' sheets. */
@@ -352,9 +354,10 @@
            + "Content-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body;
 }
 
-/** An end with _exit, because threads of stand-ins still run. */
+/** Ends with _exit, because threads of stand-ins still run; no destructor runs then. */
 [[noreturn]] inline void finish(int result)
 {
+    Run::removeFolder();
     std::fflush(nullptr);
     ::_exit(result);
 }
