Let any live host take over a job that its successor leaves lying

Cause: each host computed alone which one host takes a job over, from what it remembers of the lost host and of the size of the fleet. A host that has just started remembers less than the others, so that it and they could each wait for the other. Change: the choice is an order. The preferred successor acts at once, each further host after a wait that grows with the logarithm of its position; the takeover was a conditional write before, so that one wins. Ruled out: hosts that don't notice the loss, and takeovers that fail at the store; the log has neither for these jobs.

--- a/src/EntryHost.cpp
+++ b/src/EntryHost.cpp
@@ -148,6 +148,7 @@
                    .writerId = absl::StrCat(this->settings.name, ".", incarnation),
                    .config = [this] { return this->config; },
                    .selectRunningHost = [this](const std::string &jobId, const std::string &owner) { return this->runningHost(jobId, owner); },
+                   .takeoverRank = [this](const std::string &jobId, const std::string &runner) { return this->takeoverRankOf(jobId, runner); },
                    .reportUnansweredCall = [this] { this->onStoreFailed("job call", StoreResult::Unanswered); },
                    .loadAge = [this] { return this->peerExchange->nearLoadAge(); }});
     this->jobCalls = std::make_unique<JobCallHandler>(JobCallContext{.loop = this->loop,
@@ -687,6 +688,15 @@
     return rendezvousPick(jobId, takeoverCandidates(this->peers, this->settings.name, this->settings.dataCentre, owner, this->loop.now()));
 }
 
+std::optional<std::size_t> EntryHost::takeoverRankOf(const std::string &jobId, const std::string &runner) const
+{
+    const absl::Time now = this->loop.now();
+    if (runner == this->settings.name || this->peers.isLive(runner, now)) {
+        return std::nullopt;
+    }
+    return takeoverRank(this->peers, jobId, this->settings.name, this->settings.dataCentre, runner, now);
+}
+
 absl::Duration EntryHost::trialDelay(std::uint64_t part) const
 {
     std::vector<std::string> names{this->settings.name};
--- a/src/EntryHost.h
+++ b/src/EntryHost.h
@@ -104,6 +104,8 @@
     [[nodiscard]] std::vector<EntryEndpoint> readyEndpoints() const;
     /** The host that is to run a job: @p owner while it is live, else a live host chosen by rendezvous hashing. */
     [[nodiscard]] std::string runningHost(const std::string &jobId, const std::string &owner) const;
+    /** Position of this host among the successors of a lost runner of a job; nothing while @p runner is live. */
+    [[nodiscard]] std::optional<std::size_t> takeoverRankOf(const std::string &jobId, const std::string &runner) const;
     /** How long after the time at which a trial of a quarantined part of prompts is due this host may start it. */
     [[nodiscard]] absl::Duration trialDelay(std::uint64_t part) const;
     [[nodiscard]] nlohmann::json snapshot() const;
--- a/src/JobService.cpp
+++ b/src/JobService.cpp
@@ -3,6 +3,8 @@
 #include <algorithm>
 #include <utility>
 
+#include "TakeoverCandidates.h"
+
 namespace Bergamotramp {
 
 namespace {
@@ -64,7 +66,11 @@
     entry.revision = object.revision;
     const bool ranHere = this->runsHere(entry);
     const bool wasOpen = entry.progress.isOpen();
+    const std::string formerRunner = runnerOf(entry);
     entry.progress = JobProgress::fromJson(object.status);
+    if (runnerOf(entry) != formerRunner) {
+        entry.runnerLostSince = absl::InfiniteFuture();
+    }
     if (ranHere && !this->runsHere(entry)) {
         this->context.log.write("job_handed_over", {{"job", object.name}, {"to", runnerOf(entry)}, {"revision", object.revision}});
         entry.fenced = false;
@@ -251,11 +257,21 @@
     return !this->stopping && runnerOf(entry) == this->context.host;
 }
 
-void JobService::takeOverIfAssigned(JobEntry &entry, absl::Time now)
+bool JobService::takeoverIsDue(JobEntry &entry, absl::Time now) const
+{
+    const std::optional<std::size_t> rank = this->context.takeoverRank(entry.header.id, runnerOf(entry));
+    if (!rank) {
+        entry.runnerLostSince = absl::InfiniteFuture();
+        return false;
+    }
+    entry.runnerLostSince = std::min(entry.runnerLostSince, now);
+    return now >= entry.runnerLostSince + takeoverWait(*rank);
+}
+
+void JobService::takeOverWhenDue(JobEntry &entry, absl::Time now)
 {
     const bool otherHostsKnown = now > this->startedAt + takeoverDelay;
-    if (this->stopping || !otherHostsKnown || entry.writingProgress || now < entry.retryAt
-        || this->context.selectRunningHost(entry.header.id, runnerOf(entry)) != this->context.host) {
+    if (this->stopping || !otherHostsKnown || !this->takeoverIsDue(entry, now) || entry.writingProgress || now < entry.retryAt) {
         return;
     }
     entry.writingProgress = true;
@@ -634,7 +650,7 @@
     for (auto &[id, entry] : this->entries) {
         if (entry.progress.isOpen() && !this->runsHere(entry)) {
             this->stopRuns(id);
-            this->takeOverIfAssigned(entry, now);
+            this->takeOverWhenDue(entry, now);
         }
     }
     this->evictOldJobs(now);
--- a/src/JobService.h
+++ b/src/JobService.h
@@ -56,6 +56,8 @@
     std::function<std::shared_ptr<const RoutingConfig>()> config;
     /** Selects the host that runs a job: @p runner while it is live, otherwise one of the live hosts. */
     std::function<std::string(const std::string &jobId, const std::string &runner)> selectRunningHost;
+    /** How many hosts come before this one as successors of a lost runner; nothing while @p runner is live. */
+    std::function<std::optional<std::size_t>(const std::string &jobId, const std::string &runner)> takeoverRank;
     /** Reports that a call to the store got no answer, so the store may be down. */
     std::function<void()> reportUnansweredCall;
     /** Time until this host knows of the requests that near hosts have just started or ended. */
@@ -163,6 +165,8 @@
         bool appending = false;
         bool writingProgress = false;
         absl::Time retryAt = absl::InfinitePast();
+        /** Since when this host has known that the runner is lost; infinite future while it is live. */
+        absl::Time runnerLostSince = absl::InfiniteFuture();
         /** After a fence no results are stored before this time: another host may have a lease. */
         absl::Time appendNotBefore = absl::InfinitePast();
         absl::Time progressWrittenAt = absl::InfinitePast();
@@ -215,7 +219,9 @@
     void writeCancel(const std::string &jobId, std::uint64_t revision, JobProgress progress, absl::Time retryUntil, std::function<void(JobLookup)> done);
     [[nodiscard]] static const std::string &runnerOf(const JobEntry &entry);
     [[nodiscard]] bool runsHere(const JobEntry &entry) const;
-    void takeOverIfAssigned(JobEntry &entry, absl::Time now);
+    /** Whether the runner is lost and the hosts that come before this one as its successors have had time to take the job over. */
+    [[nodiscard]] bool takeoverIsDue(JobEntry &entry, absl::Time now) const;
+    void takeOverWhenDue(JobEntry &entry, absl::Time now);
     void handleStoreFailure(JobEntry &entry, StoreResult result);
     void tickEntry(JobEntry &entry, absl::Time now);
     /** Takes over the open jobs whose runner is no longer live. */
--- a/src/RendezvousHash.cpp
+++ b/src/RendezvousHash.cpp
@@ -20,6 +20,14 @@
     return hash;
 }
 
+/** Whether @p left comes before @p right in the order for the key with this hash. */
+bool precedes(std::uint64_t seed, std::string_view left, std::string_view right)
+{
+    const std::uint64_t leftScore = stableHash(seed, left);
+    const std::uint64_t rightScore = stableHash(seed, right);
+    return leftScore != rightScore ? leftScore > rightScore : left < right;
+}
+
 } // namespace
 
 // absl::Hash is seeded per process, so it can't be used for decisions that all hosts have to make alike.
@@ -53,14 +61,16 @@
     return best;
 }
 
+std::size_t rendezvousRank(std::string_view key, const std::vector<std::string> &members, std::string_view member)
+{
+    const std::uint64_t seed = stableHash(key);
+    return static_cast<std::size_t>(std::ranges::count_if(members, [seed, member](const std::string &other) { return precedes(seed, other, member); }));
+}
+
 std::vector<std::string> rendezvousOrder(std::string_view key, std::vector<std::string> members)
 {
     const std::uint64_t seed = stableHash(key);
-    std::sort(members.begin(), members.end(), [seed](const std::string &left, const std::string &right) {
-        const std::uint64_t leftScore = stableHash(seed, left);
-        const std::uint64_t rightScore = stableHash(seed, right);
-        return leftScore != rightScore ? leftScore > rightScore : left < right;
-    });
+    std::ranges::sort(members, [seed](const std::string &left, const std::string &right) { return precedes(seed, left, right); });
     return members;
 }
 
--- a/src/RendezvousHash.h
+++ b/src/RendezvousHash.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <cstddef>
 #include <cstdint>
 #include <string>
 #include <string_view>
@@ -16,6 +17,9 @@
 /** The member with the highest score for @p key, or an empty string when there are no members. */
 std::string rendezvousPick(std::string_view key, const std::vector<std::string> &members);
 
+/** Number of @p members that come before @p member in the order of rendezvousOrder(). */
+std::size_t rendezvousRank(std::string_view key, const std::vector<std::string> &members, std::string_view member);
+
 /** All members in descending order of their score for @p key. */
 std::vector<std::string> rendezvousOrder(std::string_view key, std::vector<std::string> members);
 
--- a/src/TakeoverCandidates.h
+++ b/src/TakeoverCandidates.h
@@ -19,4 +19,14 @@
 std::vector<std::string> takeoverCandidates(
     const PeerTable &peers, std::string_view self, std::string_view ownDataCentre, std::string_view runner, absl::Time now);
 
+/**
+ * Position of this host among the live hosts that may take over a job of the lost host @p runner: 0 for the preferred successor. First
+ * come the candidates, then the other live hosts. Hosts with different knowledge of the fleet may compute different orders.
+ */
+std::size_t takeoverRank(
+    const PeerTable &peers, std::string_view jobId, std::string_view self, std::string_view ownDataCentre, std::string_view runner, absl::Time now);
+
+/** How long after it noticed the loss of the runner a host leaves a job to the hosts that come before it. */
+absl::Duration takeoverWait(std::size_t rank);
+
 } // namespace Bergamotramp
--- a/test/core/TakeoverCandidatesTest.cpp
+++ b/test/core/TakeoverCandidatesTest.cpp
@@ -69,6 +69,44 @@
     EXPECT_EQ(takeoverCandidates(peers, "self", "a", "unknown", start).size(), 9U);
 }
 
+// Guards against a job that nobody runs, because a host that has never known the lost runner and the other hosts each wait for one another.
+TEST(TakeoverCandidatesTest, hostsThatRememberDifferentHostsTakeEachJobOverSoon)
+{
+    constexpr int hostsOfEachDataCentre = 7;
+    for (int job = 0; job < 200; ++job) {
+        absl::Duration shortestWait = absl::InfiniteDuration();
+        for (const std::string dataCentre : {"a", "b"}) {
+            for (int number = 1; number < hostsOfEachDataCentre; ++number) {
+                PeerTable peers = fleet(hostsOfEachDataCentre);
+                lose(peers, "b-0");
+                const std::string self = dataCentre + "-" + std::to_string(number);
+                // "b-1" has just started and has never heard of the lost host.
+                const std::string runner = self == "b-1" ? "never-heard-of" : "b-0";
+                shortestWait = std::min(shortestWait, takeoverWait(takeoverRank(peers, "job" + std::to_string(job), self, dataCentre, runner, start)));
+            }
+        }
+        EXPECT_LE(shortestWait, absl::Seconds(3)) << job;
+    }
+}
+
+// Guards against far hosts of a large fleet that wait for minutes when all hosts that come before them fail to take a job over.
+TEST(TakeoverCandidatesTest, waitOfTheLastHostOfALargeFleetIsBounded)
+{
+    EXPECT_EQ(takeoverWait(0), absl::ZeroDuration());
+    EXPECT_LT(takeoverWait(1), takeoverWait(2));
+    EXPECT_LE(takeoverWait(399), absl::Seconds(18));
+}
+
+// Guards against two hosts with the same knowledge that both come first: near hosts come before far ones, each at a position of its own.
+TEST(TakeoverCandidatesTest, nearHostsComeFirst)
+{
+    PeerTable peers = fleet(8);
+    lose(peers, "b-0");
+    const std::size_t rankOfSelf = takeoverRank(peers, "job", "self", "a", "b-0", start);
+    EXPECT_GE(rankOfSelf, 7U) << "seven hosts of data centre b are live";
+    EXPECT_LT(rankOfSelf, 16U);
+}
+
 } // namespace
 
 } // namespace Bergamotramp
--- a/test/entry/JobReadTest.cpp
+++ b/test/entry/JobReadTest.cpp
@@ -148,6 +148,7 @@
                                .writerId = absl::StrCat(thisHost, ".1"),
                                .config = [this] { return this->config; },
                                .selectRunningHost = [](const std::string &, const std::string &runner) { return runner; },
+                               .takeoverRank = [](const std::string &, const std::string &) { return std::nullopt; },
                                .reportUnansweredCall = [] {},
                                .loadAge = [] { return absl::ZeroDuration(); }}};
 };
--- a/test/site/SiteFleet.cpp
+++ b/test/site/SiteFleet.cpp
@@ -70,7 +70,7 @@
     this->registerUpstream(*this->upstreams.back(), service, "ready");
 }
 
-SiteFleet::RunningHost &SiteFleet::startHost(const std::string &name, const std::string &storeAddress)
+SiteFleet::RunningHost &SiteFleet::startHost(const std::string &name, const std::string &storeAddress, const std::string &dataCentre)
 {
     auto running = std::make_unique<RunningHost>();
     running->metrics = std::make_unique<EntryMetrics>();
@@ -78,8 +78,8 @@
     EntrySettings settings;
     settings.name = name;
     settings.region = "north";
-    settings.dataCentre = "a";
-    settings.regionByDataCentre = {{"a", "north"}};
+    settings.dataCentre = dataCentre;
+    settings.regionByDataCentre = {{"a", "north"}, {"b", "north"}, {"c", "north"}};
     settings.entryAddress = settings.readyAddress = settings.directoryAddress = settings.controlAddress = "127.0.0.1:0";
     settings.peerAddress = settings.metricsAddress = "127.0.0.1:0";
     settings.storeAddress = storeAddress.empty() ? this->store.address() : storeAddress;
@@ -96,10 +96,16 @@
     for (int number = 0; number < count; ++number) {
         this->startHost(absl::StrCat("host-", number));
     }
+    this->waitUntilHostsKnowEachOther();
+}
+
+void SiteFleet::waitUntilHostsKnowEachOther()
+{
     ASSERT_TRUE(runUntil(this->loop, [this] { return std::ranges::all_of(this->hosts, [](const auto &each) { return each->host->ready(); }); }));
-    const auto knowsAll = [this, count](const RunningHost &host) {
-        const Answer &answer = this->wait(this->send(host, "GET", "/bergamotramp/resolve?name=x&region=north&zone=a", {}));
-        return answer.head.status == 200 && nlohmann::json::parse(answer.body).at("addresses").size() == static_cast<std::size_t>(count);
+    const auto knowsAll = [this](const RunningHost &host) {
+        // With the name of a data centre that has no host, the answer lists the hosts of the whole region.
+        const Answer &answer = this->wait(this->send(host, "GET", "/bergamotramp/resolve?name=x&region=north&zone=none", {}));
+        return answer.head.status == 200 && nlohmann::json::parse(answer.body).at("addresses").size() == this->hosts.size();
     };
     for (const auto &host : this->hosts) {
         while (!knowsAll(*host)) {
--- a/test/site/SiteFleet.h
+++ b/test/site/SiteFleet.h
@@ -46,9 +46,11 @@
     SiteFleet();
 
     /** Starts a host without waiting until it is ready. An empty @p storeAddress stands for the fleet's store. */
-    RunningHost &startHost(const std::string &name, const std::string &storeAddress = "");
+    RunningHost &startHost(const std::string &name, const std::string &storeAddress = "", const std::string &dataCentre = "a");
     /** Starts hosts and waits until each is ready and knows all others. */
     void startHosts(int count);
+    /** Waits until each host that was started is ready and knows all others. */
+    void waitUntilHostsKnowEachOther();
     /** Destroys a host without a planned stop, as in a crash. */
     void crashHost(RunningHost &host);
     void addUpstream(const std::string &service, int events, absl::Duration eventInterval = absl::Milliseconds(5), UpstreamOptions options = {});
