Answer requests that may run with 504 at the end of a stop

Cause: EntryHost answered all requests in progress alike. Whether an attempt was sent is known to OnlineCall, which wasn't asked. Change: each call answers for itself, as at its deadline: 504 if an upstream may have the request, 503 if none can. All others in progress get 504: a submission may have been accepted by the store. The expectation of 503 in requestsThatOutlastTheGracePeriodAreAnswered was the fault itself; it is 504 now, the rest of the test is unchanged. Ruled out: a 503 without Retry-After; callers go by the status.

--- a/src/EntryHost.cpp
+++ b/src/EntryHost.cpp
@@ -61,6 +61,7 @@
 // Callers take a stream up for no longer than this many timeouts of its route.
 constexpr int takeUpTimeouts = 3;
 constexpr std::size_t controlConnections = 500;
+constexpr int gatewayTimeout = 504;
 constexpr const char *snapshotPath = "/peer/snapshot";
 
 std::uint64_t startTimeMicros()
@@ -779,8 +780,7 @@
         this->jobCalls->answerWaitingReads();
     }
     if (elapsed >= this->settings.stopGrace - answerRequestsBeforeGraceEnd) {
-        this->entryServer->rejectPartlyReceived(notRunResponse("stopping", "this host is stopping", absl::ZeroDuration()));
-        this->entryServer->answerInProgress(failureResponse(503, "stopping", "this host stopped before the request was complete", "unknown"));
+        this->answerRequestsBeforeStop();
     }
     const bool drained = elapsed >= stopAcceptDuration && this->entryServer->connections() == 0;
     if (drained || elapsed >= this->settings.stopGrace - exitBeforeGraceEnd) {
@@ -792,4 +792,15 @@
     this->stopTimer = this->loop.after(tickPeriod, [this] { this->checkStopProgress(); });
 }
 
+void EntryHost::answerRequestsBeforeStop()
+{
+    this->entryServer->rejectPartlyReceived(notRunResponse("stopping", "this host is stopping", absl::ZeroDuration()));
+    const std::set<std::shared_ptr<OnlineCall>> current = this->onlineCalls;
+    for (const auto &call : current) {
+        call->answerBeforeStop();
+    }
+    // The others are calls about jobs, some of which wait for the store or for another host and may have taken effect.
+    this->entryServer->answerInProgress(failureResponse(gatewayTimeout, "stopping", "this host stopped before the request was complete", "unknown"));
+}
+
 } // namespace Bergamotramp
--- a/src/EntryHost.h
+++ b/src/EntryHost.h
@@ -101,6 +101,8 @@
 
     void tick();
     void checkStopProgress();
+    /** Answers all requests whose response has not begun, shortly before the host ends. */
+    void answerRequestsBeforeStop();
     [[nodiscard]] std::vector<EntryEndpoint> readyEndpoints() const;
     /** The host that is to run a job: @p owner while it is live, else a live host chosen by rendezvous hashing. */
     [[nodiscard]] std::string runningHost(const std::string &jobId, const std::string &owner) const;
--- a/src/OnlineCall.cpp
+++ b/src/OnlineCall.cpp
@@ -444,16 +444,28 @@
 }
 
 void OnlineCall::onDeadline()
+{
+    this->cutShort("timeout", "no answer within the time-out");
+}
+
+void OnlineCall::answerBeforeStop()
+{
+    if (!this->finished && !this->exchange->started()) {
+        this->cutShort("stopping", "this host stopped before the request was complete");
+    }
+}
+
+void OnlineCall::cutShort(const std::string &reason, const std::string &message)
 {
     const bool mayHaveRun = this->attempt != nullptr || this->retryPolicy.state() == CallState::MayHaveRun;
     UpstreamAttempt::stopAndDestroyLater(this->context.attempts.loop, std::move(this->attempt));
     if (this->exchange->started()) {
         this->exchange->abort();
-        this->end(0, "timeout");
+        this->end(0, reason);
     } else if (mayHaveRun) {
-        this->answer(failureResponse(gatewayTimeout, "timeout", "no answer within the time-out", "unknown"), "timeout");
+        this->answer(failureResponse(gatewayTimeout, reason, message, "unknown"), reason);
     } else {
-        this->answer(notRunResponse("timeout", "no upstream took the request within the time-out", this->retryAfter()), "timeout");
+        this->answer(notRunResponse(reason, message, this->retryAfter()), reason);
     }
 }
 
--- a/src/OnlineCall.h
+++ b/src/OnlineCall.h
@@ -53,6 +53,8 @@
     void start();
     /** Sends the request to another upstream if the current one has been silent for too long. Called periodically. */
     void checkProgress(absl::Time now);
+    /** Answers a call whose response has not begun, because the host ends. */
+    void answerBeforeStop();
 
 private:
     /** Continues a stream that the caller takes up, or refuses it if that could join two software versions. */
@@ -83,6 +85,8 @@
     /** Ends the call without an upstream's response: aborts a started response, else answers with an error of this host. */
     void giveUp(const std::string &reason);
     void onDeadline();
+    /** Ends the call now. The answer says "not run" only if no upstream can have the request. */
+    void cutShort(const std::string &reason, const std::string &message);
     void onCallerDisconnected();
     void answer(const HttpResponse &response, const std::string &reason);
     void end(int status, const std::string &reason);
--- a/test/site/PlannedStopTest.cpp
+++ b/test/site/PlannedStopTest.cpp
@@ -121,11 +121,25 @@
     read->stream->write("GET /bergamotramp/lots/job-1?after=0 HTTP/1.1\r\nHost: site.example\r\nX-Wait-Ms: 30000\r\n\r\n");
     runFor(this->loop, absl::Milliseconds(200));
     this->stopAndEnd();
-    EXPECT_TRUE(online->received.starts_with("HTTP/1.1 503 ")) << online->received;
+    EXPECT_TRUE(online->received.starts_with("HTTP/1.1 504 ")) << online->received;
     EXPECT_NE(online->received.find("\"unknown\""), std::string::npos) << "the request was sent to an upstream";
     EXPECT_TRUE(read->received.starts_with("HTTP/1.1 200 ")) << read->received;
 }
 
+// Guards against a 503, which promises that a request has not run, for a job that the store may have accepted.
+TEST_F(PlannedStopTest, submissionWithoutAnAnswerOfTheStoreIsNotRefusedAsNotRun)
+{
+    const auto caller = this->connect();
+    // The answers about the job's items and about its header take longer together than the host has.
+    this->store.setMode(ObjectApiMode::SlowLink);
+    const std::string job = R"({"items":[{"id":"i","path":"/batch/x","headers":{"X-Model":"m"},"body":"YQ==","tokens":10}]})";
+    caller->stream->write(absl::StrCat("POST /batch/x", fields, "job-1\r\nContent-Length: ", job.size(), "\r\n\r\n", job));
+    runFor(this->loop, absl::Milliseconds(50));
+    this->stopAndEnd();
+    EXPECT_TRUE(caller->received.starts_with("HTTP/1.1 504 ")) << caller->received;
+    EXPECT_NE(caller->received.find("\"unknown\""), std::string::npos) << caller->received;
+}
+
 } // namespace
 
 } // namespace Bergamotramp
