Take late requests during a stop only if they end before it

Cause: a stopping host took every request for 5 s, whatever its time limit, and had as little as 2.5 s left for it. Change: StopPlan fixes the times of a stop at the signal. Any request is taken while callers may hold the directory's answer, later ones only if their time limit ends before the host answers what is left. The others are refused as not run, before anything is sent. A reload during the stop no longer moves its end. Ruled out: to refuse from the signal on what may outlast the stop, as most requests end long before their limit; to go by usual durations, as the slow requests are those that would be cut.

--- a/src/EntryHost.cpp
+++ b/src/EntryHost.cpp
@@ -40,16 +40,6 @@
 constexpr absl::Duration storeNoticeInterval = absl::Seconds(6);
 constexpr absl::Duration upstreamConnectTimeout = absl::Milliseconds(300);
 constexpr absl::Duration snapshotResponseTimeout = absl::Milliseconds(600);
-// Clients cache an address for a few seconds, so a host accepts connections for this long after it has begun to stop.
-constexpr absl::Duration stopAcceptDuration = absl::Milliseconds(3500);
-// Requests that arrive later than this after the signal to stop are refused, because they could not finish within the grace period.
-constexpr absl::Duration stopServeDuration = absl::Seconds(5);
-constexpr absl::Duration exitBeforeGraceEnd = absl::Milliseconds(500);
-constexpr absl::Duration closeIdleBeforeGraceEnd = absl::Milliseconds(1500);
-// Reads that wait for results are answered first, because their answers may need a call to the store.
-constexpr absl::Duration answerReadsBeforeGraceEnd = absl::Milliseconds(1300);
-// Requests that are not complete, or still run, are answered while there is time to send the answers.
-constexpr absl::Duration answerRequestsBeforeGraceEnd = absl::Milliseconds(800);
 constexpr absl::Duration startingRetryAfter = absl::Milliseconds(400);
 // A starting host has found the others when it has learned of no further one for this long, also from other regions.
 constexpr absl::Duration peerDiscoveryWait = absl::Milliseconds(150);
@@ -122,7 +112,7 @@
         PeerExchange::Hooks{.announcedState =
                                 [this] {
                                     return AnnouncedState{.ready = this->ready(),
-                                                          .leaving = this->stopping,
+                                                          .leaving = this->stopping(),
                                                           .configRevision = this->config ? this->config->revision : 0,
                                                           .upstreamRevision = this->upstreamRevision,
                                                           .storeSilent = this->loop.now() < this->storeUnansweredAt + storeSilenceAnnounceDuration,
@@ -159,7 +149,7 @@
                                                                      .protocol = this->platform.serving,
                                                                      .metrics = this->metrics,
                                                                      .host = this->settings.name,
-                                                                     .stopping = [this] { return this->stopping; }});
+                                                                     .stopping = [this] { return this->stopping(); }});
     this->streamOrigins = std::make_unique<StreamOriginExchange>(
         loop,
         this->settings.name,
@@ -642,7 +632,8 @@
         request->respond(failureResponse(400, "no_request_id", "the request has no id", "not_run"));
         return;
     }
-    if (this->stopping && this->loop.now() > this->stopStartedAt + stopServeDuration) {
+    const absl::Time deadline = request->received() + std::min(call.timeBudget, route->timeout);
+    if (this->stopPlan && !this->stopPlan->mayTake(this->loop.now(), deadline)) {
         request->respond(notRunResponse("stopping", "this host is stopping", absl::ZeroDuration()));
         return;
     }
@@ -711,7 +702,7 @@
 
 bool EntryHost::ready() const
 {
-    return this->config != nullptr && this->upstreamsKnown && !this->stopping;
+    return this->config != nullptr && this->upstreamsKnown && !this->stopping();
 }
 
 void EntryHost::tick()
@@ -750,13 +741,17 @@
     this->log.write("settings_reloaded", {{"addressTimeToLiveMs", changed.addressTimeToLive}, {"stopGraceMs", changed.stopGrace}});
 }
 
+bool EntryHost::stopping() const
+{
+    return this->stopPlan.has_value();
+}
+
 void EntryHost::stop()
 {
-    if (this->stopping) {
+    if (this->stopPlan) {
         return;
     }
-    this->stopping = true;
-    this->stopStartedAt = this->loop.now();
+    this->stopPlan.emplace(this->loop.now(), this->settings.stopGrace, this->settings.addressTimeToLive);
     this->log.write("stopping",
                     {{"calls", static_cast<std::uint64_t>(this->onlineCalls.size())}, {"items", static_cast<std::uint64_t>(this->jobs->runningItems())}});
     this->jobs->stop();
@@ -769,22 +764,22 @@
 
 void EntryHost::checkStopProgress()
 {
-    const absl::Duration elapsed = this->loop.now() - this->stopStartedAt;
-    if (elapsed >= stopAcceptDuration) {
+    const absl::Time now = this->loop.now();
+    if (now >= this->stopPlan->stopAcceptingAt()) {
         this->entryServer->stopAccepting();
     }
-    if (elapsed >= this->settings.stopGrace - closeIdleBeforeGraceEnd) {
+    if (now >= this->stopPlan->closeIdleAt()) {
         this->entryServer->closeIdle();
     }
-    if (elapsed >= this->settings.stopGrace - answerReadsBeforeGraceEnd) {
+    if (now >= this->stopPlan->answerReadsAt()) {
         this->jobCalls->answerWaitingReads();
     }
-    if (elapsed >= this->settings.stopGrace - answerRequestsBeforeGraceEnd) {
+    if (now >= this->stopPlan->answerRequestsAt()) {
         this->answerRequestsBeforeStop();
     }
-    const bool drained = elapsed >= stopAcceptDuration && this->entryServer->connections() == 0;
-    if (drained || elapsed >= this->settings.stopGrace - exitBeforeGraceEnd) {
-        this->log.write("stopped", {{"calls", static_cast<std::uint64_t>(this->onlineCalls.size())}, {"afterMs", elapsed}});
+    const bool drained = now >= this->stopPlan->stopAcceptingAt() && this->entryServer->connections() == 0;
+    if (drained || now >= this->stopPlan->endAt()) {
+        this->log.write("stopped", {{"calls", static_cast<std::uint64_t>(this->onlineCalls.size())}, {"afterMs", now - this->stopPlan->started()}});
         this->log.flush();
         this->onStopped();
         return;
--- a/src/EntryHost.h
+++ b/src/EntryHost.h
@@ -27,6 +27,7 @@
 #include "PromptPartQuarantine.h"
 #include "RelayedStore.h"
 #include "RevisionLag.h"
+#include "StopPlan.h"
 #include "StreamOriginExchange.h"
 #include "UpstreamHealth.h"
 #include "UpstreamLimiter.h"
@@ -100,6 +101,7 @@
     void startOnline(const std::shared_ptr<HttpExchange> &exchange, const CallerCall &call, const Route &route);
 
     void tick();
+    [[nodiscard]] bool stopping() const;
     void checkStopProgress();
     /** Answers all requests whose response has not begun, shortly before the host ends. */
     void answerRequestsBeforeStop();
@@ -167,8 +169,8 @@
 
     std::set<std::shared_ptr<OnlineCall>> onlineCalls;
     bool configRequestPending = false;
-    bool stopping = false;
-    absl::Time stopStartedAt = absl::InfinitePast();
+    /** Set while the host stops. */
+    std::optional<StopPlan> stopPlan;
     absl::Time lastTickAt = absl::InfiniteFuture();
     absl::Time watchTimingsAdjustedAt = absl::InfinitePast();
     LoopTimer startTimer;
--- a/test/site/PlannedStopTest.cpp
+++ b/test/site/PlannedStopTest.cpp
@@ -8,6 +8,8 @@
 namespace {
 
 constexpr absl::Duration graceInTest = absl::Milliseconds(4500);
+// Less time is left then than a stream of PlannedStopOfStreamsTest takes.
+constexpr absl::Duration lateInStop = absl::Milliseconds(2300);
 constexpr const char *fields = " HTTP/1.1\r\nHost: site.example\r\nX-Deadline-Ms: 20000\r\nX-Request-Id: ";
 
 std::string onlineRequest(const std::string &id, const std::string &path = "/plain/x")
@@ -28,10 +30,10 @@
 class PlannedStopTest : public SiteFleet
 {
 protected:
-    PlannedStopTest()
+    explicit PlannedStopTest(int events = 2, absl::Duration eventInterval = absl::Milliseconds(5))
     {
         this->writeConfig(1, 20'000);
-        this->addUpstream("model", 2);
+        this->addUpstream("model", events, eventInterval);
         this->addUpstream("plain", 0, absl::Milliseconds(100));
         this->startHosts(1);
         EntrySettings settings = this->hosts[0]->host->currentSettings();
@@ -140,6 +142,70 @@
     EXPECT_NE(caller->received.find("\"unknown\""), std::string::npos) << caller->received;
 }
 
+// Guards against a request that a stopping host takes late although its time limit ends after the host, and that is cut off then.
+TEST_F(PlannedStopTest, lateRequestsAreTakenOnlyIfTheirTimeLimitEndsBeforeTheStop)
+{
+    const auto patient = this->connect();
+    const auto brief = this->connect();
+    this->stopAndEnd([&] {
+        runFor(this->loop, lateInStop);
+        patient->stream->write(onlineRequest("id-long"));
+        brief->stream->write("GET /plain/x HTTP/1.1\r\nHost: site.example\r\nX-Deadline-Ms: 800\r\nX-Request-Id: id-short\r\n\r\n");
+    });
+    EXPECT_TRUE(patient->received.starts_with("HTTP/1.1 503 ")) << patient->received;
+    EXPECT_NE(patient->received.find("\"not_run\""), std::string::npos) << patient->received;
+    EXPECT_TRUE(brief->received.starts_with("HTTP/1.1 200 ")) << brief->received;
+    EXPECT_EQ(this->upstreams[1]->runs().size(), 1U) << "only the request with the short time limit may have been sent";
+}
+
+// Guards against a shorter grace period in changed settings that makes a stopping host cut off the requests that it has taken.
+TEST_F(PlannedStopTest, settingsThatChangeDuringTheStopDoNotShortenIt)
+{
+    this->upstreams[1]->setMode(UpstreamMode::Silent);
+    const auto caller = this->connect();
+    this->stopAndEnd([&] {
+        caller->stream->write(onlineRequest("id-1"));
+        runFor(this->loop, absl::Milliseconds(100));
+        EntrySettings settings = this->hosts[0]->host->currentSettings();
+        settings.stopGrace = absl::Milliseconds(200);
+        this->hosts[0]->host->reload(settings);
+        this->hosts[0]->host->stop();
+        runFor(this->loop, lateInStop);
+        EXPECT_FALSE(this->hosts[0]->stopped);
+    });
+    EXPECT_TRUE(caller->received.starts_with("HTTP/1.1 504 ")) << caller->received;
+}
+
+class PlannedStopOfStreamsTest : public PlannedStopTest
+{
+protected:
+    static constexpr int events = 20;
+
+    PlannedStopOfStreamsTest() : PlannedStopTest(events, absl::Milliseconds(100))
+    {
+    }
+};
+
+// Guards against a stream that begins late in the grace period and is cut in the middle when the host ends.
+TEST_F(PlannedStopOfStreamsTest, lateStreamsAreRefusedRatherThanCut)
+{
+    std::vector<std::unique_ptr<RawClient>> callers;
+    for (int number = 0; number < 3; ++number) {
+        callers.push_back(this->connect());
+    }
+    this->stopAndEnd([&] {
+        runFor(this->loop, lateInStop);
+        for (std::size_t number = 0; number < callers.size(); ++number) {
+            callers[number]->stream->write(onlineRequest(absl::StrCat("id-", number), "/stream/x"));
+        }
+    });
+    for (const auto &caller : callers) {
+        EXPECT_TRUE(caller->received.starts_with("HTTP/1.1 503 ")) << caller->received;
+        EXPECT_NE(caller->received.find("\"not_run\""), std::string::npos) << caller->received;
+    }
+    EXPECT_TRUE(this->upstreams[0]->runs().empty());
+}
+
 } // namespace
 
 } // namespace Bergamotramp
