Bound what a connection holds that the parser can't consume

Cause: the parser consumes the framing of a chunked body only when it is complete, and the limits of heads and bodies don't cover it. The buffer of the connection grew. The server side had the same gap. Change: HttpParser refuses what it can't consume yet once it is larger than the limit of heads, in every state and on both sides. A client gives up an answer after 64 skipped ones. Ruled out: a limit in HttpClientConnection, which would leave out the server; limits for each state, of which one would be forgotten again. Result: HttpClientTest.endlessPartOfAChunkedBodyIsABadResponse failed before.

--- a/src/HttpClient.cpp
+++ b/src/HttpClient.cpp
@@ -13,6 +13,8 @@
 // A connection is not reused in this last part of the time for which the peer keeps it open, because the peer could close it
 // while the request is on its way.
 constexpr absl::Duration idleReuseMargin = absl::Milliseconds(700);
+// A peer may send an informational response or a late copy of an earlier one now and then; one that sends more of them is faulty.
+constexpr int maxSkippedResponses = 64;
 constexpr int firstFinalStatus = 200;
 
 } // namespace
@@ -55,6 +57,7 @@
     this->serializedRequest = serializeRequest(request, this->address);
     this->callInProgress = true;
     this->requestSent = false;
+    this->skippedResponses = 0;
     this->keepAliveDuration = this->client->options.idleTimeout;
     if (this->stream) {
         this->client->loop.post([self = this->shared_from_this(), reusedStream = this->stream] {
@@ -197,7 +200,11 @@
 void HttpClientConnection::complete()
 {
     if (this->skippingResponse) {
-        this->resetParser();
+        if (++this->skippedResponses > maxSkippedResponses) {
+            this->fail(HttpCallError::BadResponse);
+        } else {
+            this->resetParser();
+        }
         return;
     }
     const bool distinguishable = !this->events.isDistinguishable || this->events.isDistinguishable();
--- a/src/HttpClientConnection.h
+++ b/src/HttpClientConnection.h
@@ -58,6 +58,8 @@
     bool headProcessed = false;
     /** Whether the response being read is an informational (1xx) one or belongs to another call. */
     bool skippingResponse = false;
+    /** Responses that were skipped since the current call began. */
+    int skippedResponses = 0;
     absl::Duration keepAliveDuration;
     absl::Time idleSince;
     absl::Time reusableUntil;
--- a/src/HttpParser.cpp
+++ b/src/HttpParser.cpp
@@ -34,7 +34,7 @@
 class MessageParser : public http::basic_parser<isRequest>
 {
 public:
-    explicit MessageParser(const HttpBounds &bounds)
+    explicit MessageParser(const HttpBounds &bounds) : maxUnconsumedBytes(bounds.headerBytes)
     {
         this->header_limit(bounds.headerBytes);
         this->body_limit(bounds.bodyBytes);
@@ -52,6 +52,7 @@
             if (error == http::error::need_more) {
                 error = {};
                 if (parsed == 0) {
+                    this->checkUnconsumed(bytes.size() - progress.consumed, progress);
                     break;
                 }
                 continue;
@@ -73,6 +74,17 @@
     std::function<void(std::string_view)> bodyHandler;
 
 private:
+    // The bytes that the parser can't consume yet stay in the buffer of its caller. They are a part of the head or of the framing of a
+    // chunked body, which the limits of the library cover only in part.
+    void checkUnconsumed(std::size_t bytes, HttpProgress &progress) const
+    {
+        if (bytes > this->maxUnconsumedBytes) {
+            progress.error = HttpParseError::HeaderTooLarge;
+        }
+    }
+
+    std::size_t maxUnconsumedBytes;
+
     void on_request_impl(http::verb, BeastView method, BeastView target, int, BeastError &) override
     {
         this->method = toString(method);
--- a/src/HttpParser.h
+++ b/src/HttpParser.h
@@ -14,6 +14,7 @@
 /** Why a message was rejected. */
 enum class HttpParseError {
     Malformed,
+    /** The head, the line with the size of a chunk, or the fields behind the last chunk are over the limit. */
     HeaderTooLarge,
     BodyTooLarge,
 };
--- a/test/entry/HttpTest.cpp
+++ b/test/entry/HttpTest.cpp
@@ -74,6 +74,21 @@
     EXPECT_TRUE(body.received.starts_with("HTTP/1.1 413 "));
 }
 
+// Guards against memory that grows with bytes of a caller that never complete the size of a chunk or the fields behind the last one.
+TEST_F(HttpServerTest, rejectsEndlessPartsOfAChunkedBody)
+{
+    HttpServerBounds bounds;
+    bounds.message.headerBytes = 200;
+    this->server.setBounds(bounds);
+    for (const std::string &start : {std::string("0"), std::string("4;extension="), std::string("0\r\nX-Field: ")}) {
+        RawClient client(this->loop, this->server.address());
+        client.stream->write("POST / HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: chunked\r\n\r\n" + start + std::string(400, '0'));
+        ASSERT_TRUE(runUntil(this->loop, [&client] { return client.ended; })) << start;
+        EXPECT_TRUE(client.received.starts_with("HTTP/1.1 431 ")) << client.received;
+        EXPECT_TRUE(this->exchanges.empty());
+    }
+}
+
 // Guards against upstream work that continues after its caller has disconnected. The disconnection must be noticed before the first
 // byte of the response, too.
 TEST_F(HttpServerTest, reportsThatTheCallerDisconnects)
@@ -243,6 +258,38 @@
     }
 }
 
+// Guards against memory that grows with bytes that never complete a part of a response: the size of a chunk, its extension, the fields
+// behind the last chunk.
+TEST_F(HttpClientTest, endlessPartOfAChunkedBodyIsABadResponse)
+{
+    const std::string head = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n";
+    for (const std::string &start : {std::string("0"), std::string("4;extension="), std::string("4\r\nabcd\r\n0"), std::string("0\r\nX-Field: ")}) {
+        FixedResponseServer server(this->loop, head + start + std::string(4 * std::size_t{HttpClientOptions().bounds.headerBytes}, '0'));
+        CallRecord record;
+        this->call(server.address(), record, record.events());
+        EXPECT_EQ(record.error, HttpCallError::BadResponse) << start;
+        EXPECT_TRUE(runUntil(this->loop, [&server] { return server.lastEnd.has_value(); })) << "the connection must be closed";
+    }
+}
+
+// Guards against a call that never ends because its upstream sends informational responses, or responses to other requests, without end.
+TEST_F(HttpClientTest, endlessSkippedResponsesAreABadResponse)
+{
+    for (const std::string &skipped :
+         {std::string("HTTP/1.1 100 Continue\r\n\r\n"), std::string("HTTP/1.1 200 OK\r\nX-For: other\r\nContent-Length: 4\r\n\r\nlate")}) {
+        std::string bytes;
+        for (int number = 0; number < 1000; ++number) {
+            bytes += skipped;
+        }
+        FixedResponseServer server(this->loop, bytes);
+        CallRecord record;
+        HttpCallEvents events = record.events();
+        events.matchesRequest = [](const HttpHead &received) { return received.fields.find("x-for") == "me"; };
+        this->call(server.address(), record, events);
+        EXPECT_EQ(record.error, HttpCallError::BadResponse) << skipped;
+    }
+}
+
 // Guards against a failure reported as not sent although the request may have run, and the reverse.
 TEST_F(HttpClientTest, failuresTellWhetherTheRequestWasSent)
 {
