Bound the bodies that a host collects over all answers

Cause: a body that is no stream was bounded to 8 MB, but not all bodies together, so that a faulty upstream with a dozen requests could fill a host's memory with bytes that never end. Ruled out: a smaller limit for each body, which would refuse sound large answers on an idle host.

--- a/src/EntryHost.cpp
+++ b/src/EntryHost.cpp
@@ -370,6 +370,7 @@
             .load = this->load,
             .health = this->health,
             .protocol = this->platform.serving,
+            .collectedBytes = this->collectedBytes,
             .statedLeaving = [this](const LeavingStatement &statement) { this->onStatedLeaving(statement); },
             .statedLimit = [this](const LimitStatement &statement) { this->onStatedLimit(statement); },
             .requestSent = [this](const UpstreamInfo &upstream) { this->limiter.recordStart(upstream, this->loop.now()); }};
--- a/src/EntryHost.h
+++ b/src/EntryHost.h
@@ -7,6 +7,7 @@
 #include <set>
 #include <string>
 
+#include "CollectedBytes.h"
 #include "CrashQuarantine.h"
 #include "EntryMetrics.h"
 #include "EntrySettings.h"
@@ -149,6 +150,7 @@
     /** When the watches were last restarted because another host announced that the store does not answer. */
     absl::Time peerStoreNoticeAt = absl::InfinitePast();
 
+    CollectedBytes collectedBytes;
     HttpClient upstreamClient;
     PeerClient peerClient;
     std::unique_ptr<PeerExchange> peerExchange;
--- a/src/UpstreamAttempt.cpp
+++ b/src/UpstreamAttempt.cpp
@@ -36,6 +36,7 @@
 {
     this->hooks = {};
     this->call.cancel();
+    this->takeBody();
     if (std::exchange(this->countedInLoad, false)) {
         this->context.load.removeRequest(this->target.id, this->batch);
     }
@@ -120,10 +121,7 @@
     } else {
         this->lastActivityAt = now;
         this->answerBegun = true;
-        accepted = this->body.size() + bytes.size() <= maxCollectedBytes;
-        if (accepted) {
-            this->body.append(bytes);
-        }
+        accepted = this->collect(bytes);
     }
     if (!accepted) {
         this->call.cancel();
@@ -131,6 +129,21 @@
     }
 }
 
+bool UpstreamAttempt::collect(std::string_view bytes)
+{
+    if (this->body.size() + bytes.size() > maxCollectedBytes || !this->context.collectedBytes.add(this->body.size(), bytes.size())) {
+        return false;
+    }
+    this->body.append(bytes);
+    return true;
+}
+
+std::string UpstreamAttempt::takeBody()
+{
+    this->context.collectedBytes.remove(this->body.size());
+    return std::exchange(this->body, {});
+}
+
 void UpstreamAttempt::onEvent(const StreamEvent &event)
 {
     if (event.id || !event.data.empty()) {
@@ -145,7 +158,7 @@
 
 void UpstreamAttempt::onCompleted()
 {
-    AttemptResult result{.outcome = AttemptOutcome::Completed, .head = this->head, .body = std::move(this->body)};
+    AttemptResult result{.outcome = AttemptOutcome::Completed, .head = this->head, .body = this->takeBody()};
     if (this->context.protocol.statesNotRun(this->head)) {
         result.outcome = AttemptOutcome::NotRun;
         result.misdirected = this->context.protocol.misdirected(this->head);
@@ -176,6 +189,7 @@
 void UpstreamAttempt::finish(AttemptResult result)
 {
     result.answerBegun = this->answerBegun;
+    this->takeBody();
     if (std::exchange(this->countedInLoad, false)) {
         this->context.load.removeRequest(this->target.id, this->batch);
     }
--- a/src/UpstreamAttempt.h
+++ b/src/UpstreamAttempt.h
@@ -7,6 +7,7 @@
 
 #include <absl/time/time.h>
 
+#include "CollectedBytes.h"
 #include "EventStreamParser.h"
 #include "FleetLoad.h"
 #include "HttpClient.h"
@@ -39,6 +40,8 @@
     FleetLoad &load;
     UpstreamHealth &health;
     const ServingProtocol &protocol;
+    /** Counts the bodies that are collected by all attempts. */
+    CollectedBytes &collectedBytes;
     /** Called for each response that states that its upstream leaves. May be empty. */
     std::function<void(const LeavingStatement &)> statedLeaving{};
     /** Called for each response of the expected upstream. May be empty. */
@@ -104,6 +107,10 @@
     /** Whether a further copy of the answer could be told from the answer to any later request on its connection. */
     [[nodiscard]] bool copyIsDistinguishable() const;
     void onBody(std::string_view bytes);
+    /** Adds a part of a body that is no stream; returns false if the body is too large. */
+    [[nodiscard]] bool collect(std::string_view bytes);
+    /** Takes the body out; the attempt holds nothing of it any more. */
+    std::string takeBody();
     void onCompleted();
     void onFailed(HttpCallError error);
     void onEvent(const StreamEvent &event);
--- a/test/entry/JobReadTest.cpp
+++ b/test/entry/JobReadTest.cpp
@@ -138,7 +138,13 @@
     ServingProtocol protocol;
     /** Null until giveUpItems(), so that no items are started. */
     std::shared_ptr<const RoutingConfig> config;
-    JobService jobs{JobContext{.attempts = {.loop = this->loop, .client = this->client, .load = this->load, .health = this->health, .protocol = this->protocol},
+    CollectedBytes collectedBytes;
+    JobService jobs{JobContext{.attempts = {.loop = this->loop,
+                                            .client = this->client,
+                                            .load = this->load,
+                                            .health = this->health,
+                                            .protocol = this->protocol,
+                                            .collectedBytes = this->collectedBytes},
                                .store = this->store,
                                .choice = this->selector,
                                .upstreams = this->upstreams,
--- a/test/entry/UpstreamAttemptTest.cpp
+++ b/test/entry/UpstreamAttemptTest.cpp
@@ -54,6 +54,7 @@
     EventLoop loop;
     HttpClient client{this->loop, {}};
     FleetLoad load;
+    CollectedBytes collectedBytes;
     UpstreamHealth health;
     std::vector<std::string> leaving;
     int events = 0;
@@ -74,6 +75,7 @@
                            .load = this->load,
                            .health = this->health,
                            .protocol = this->protocol,
+                           .collectedBytes = this->collectedBytes,
                            .statedLeaving = [this](const LeavingStatement &statement) { this->leaving.push_back(statement.expected.id); }};
 };
 
@@ -134,6 +136,30 @@
     EXPECT_TRUE(this->leaving.empty());
 }
 
+// Guards against memory that grows with the bodies of many answers that never end, each of them within the limit of one answer. Small
+// answers are collected all the while.
+TEST_F(UpstreamAttemptTest, bodiesCollectedAtOnceAreBounded)
+{
+    constexpr int endlessAnswers = 40;
+    std::size_t failed = 0;
+    FixedResponseServer endless(this->loop, "HTTP/1.1 200 OK\r\n\r\n" + std::string(4 * 1024 * 1024, 'x'));
+    std::vector<std::unique_ptr<UpstreamAttempt>> attempts;
+    for (int number = 0; number < endlessAnswers; ++number) {
+        attempts.push_back(std::make_unique<UpstreamAttempt>(
+            this->context,
+            UpstreamInfo{.id = "up", .service = "plain", .address = endless.address(), .dataCentre = "a", .slots = 1, .leaving = false, .startedAtMs = 7},
+            false,
+            false,
+            UpstreamAttempt::Hooks{.streamStarted = {}, .event = {}, .ended = [&failed](const AttemptResult &) { ++failed; }}));
+        attempts.back()->send({.method = "GET", .target = "/", .fields = {}, .body = {}}, absl::StrCat("id-", number), true);
+    }
+    ASSERT_TRUE(runUntil(this->loop, [&] { return failed > 0 && endless.requests == endlessAnswers; }));
+    EXPECT_LE(this->collectedBytes.total(), CollectedBytes::limit);
+    EXPECT_EQ(this->run(withLength("plain"), ConnectionEnd::KeepOpen, false).body, "plain");
+    attempts.clear();
+    EXPECT_EQ(this->collectedBytes.total(), 0U);
+}
+
 } // namespace
 
 } // namespace Bergamotramp
