Bound the output of a batch item

Cause: an upstream whose stream of events never ends made the output of its item, and the host that holds it, grow until the job's retention was over; items have no time limit. Change: an output over 512 KB, which the store could not hold, is discarded, and the item begins anew, at another upstream when there is one. Ruled out: to count it as a failed run: a dead letter needs failures that the upstream states. Result: JobTest.outputWithoutEndIsDiscarded is new.

--- a/src/Job.cpp
+++ b/src/Job.cpp
@@ -75,6 +75,14 @@
     return this->states[index].origin;
 }
 
+void Job::discardOutput(ItemState &state)
+{
+    state.lastEvent.reset();
+    state.output = {};
+    state.hasOutput = false;
+    state.origin = {};
+}
+
 std::size_t Job::discardOutputs(const std::function<bool(const StreamOrigin &, int)> &cannotContinue)
 {
     std::size_t discarded = 0;
@@ -82,10 +90,7 @@
         if (state.running || state.hasResult || !state.lastEvent || !cannotContinue(state.origin, state.interruptions)) {
             continue;
         }
-        state.lastEvent.reset();
-        state.output.clear();
-        state.hasOutput = false;
-        state.origin = {};
+        discardOutput(state);
         ++discarded;
     }
     return discarded;
@@ -108,6 +113,10 @@
     if (state.lastEvent && *id != *state.lastEvent + 1) {
         return false;
     }
+    if (state.output.size() + data.size() >= maxOutputBytes) {
+        discardOutput(state);
+        return false;
+    }
     state.lastEvent = id;
     state.interruptions = 0;
     if (state.hasOutput) {
--- a/src/Job.h
+++ b/src/Job.h
@@ -60,9 +60,11 @@
     std::size_t discardOutputs(const std::function<bool(const StreamOrigin &, int interruptions)> &cannotContinue);
     /** Id of the last event received for an item; the next run resumes after it. */
     [[nodiscard]] std::optional<std::uint64_t> lastEvent(std::size_t index) const;
+    /** Size limit of an item's output. The store could not hold a larger one. */
+    static constexpr std::size_t maxOutputBytes = 512 * 1024;
     /**
      * Appends the data of an event to the item's output and ignores an event that was received before. Returns false when the event has no id
-     * or doesn't follow the last one; the caller then has to end the run.
+     * or doesn't follow the last one, or when the output is too large; the caller then has to end the run. A too large output is discarded.
      */
     bool appendEvent(std::size_t index, std::optional<std::uint64_t> id, std::string_view data);
     /** Records the end of a run. After @p maxFailures failed runs the item gets a failed result. */
@@ -109,6 +111,7 @@
     };
 
     void addResult(std::size_t index, bool completed);
+    static void discardOutput(ItemState &state);
     [[nodiscard]] static bool hasUnstoredFailures(const ItemState &state);
 
     JobRecord jobHeader;
--- a/test/core/JobTest.cpp
+++ b/test/core/JobTest.cpp
@@ -240,6 +240,22 @@
     EXPECT_EQ(job.unstoredState(unlimitedBytes).results.at(0).output, "anew");
 }
 
+// Guards against memory that grows with the output of an item whose upstream never ends it. The item begins anew.
+TEST(JobTest, outputWithoutEndIsDiscarded)
+{
+    Job job(header(1), items(1));
+    job.markStarted(0);
+    const std::string data(4096, 'x');
+    std::uint64_t event = 0;
+    while (event < 1000 && job.appendEvent(0, event + 1, data)) {
+        ++event;
+    }
+    EXPECT_LT(event * data.size(), Job::maxOutputBytes);
+    EXPECT_EQ(job.lastEvent(0), std::nullopt);
+    job.finishRun(0, RunOutcome::Interrupted, maxFailures, start);
+    EXPECT_EQ(job.nextItem(start + absl::Seconds(10), [](const StreamOrigin &) { return true; }), 0U) << "the item is run again";
+}
+
 } // namespace
 
 } // namespace Bergamotramp
