Let hosts contradict one that has missed a software version

Callers saw, at other operators: a host out of step went on with streams at another version than the one that had begun them (ORDER). Cause: a host whose watch of the store hangs takes the version that it knows for the only one. The answer "not known" of a host that knows of several versions counted for nothing against that. Change: such a host says that there were several, and the take-up is refused as not run. Hosts of the former software ignore the answer. Ruled out: to forget the history after each standstill: the holders of a stream have its record or contradict, and take-ups would be refused for three time-outs after each.

--- a/src/EntryHost.cpp
+++ b/src/EntryHost.cpp
@@ -157,6 +157,7 @@
         StreamOriginExchange::Hooks{
             .send = [this](const Peer &peer, const auto &fill) { this->peerExchange->sendTo(peer, fill); },
             .soleVersion = [this](const std::string &service) { return this->soleVersion(service); },
+            .hasSeveralVersions = [this](const std::string &service) { return this->hasSeveralVersions(service); },
             .hasOtherVersions = [this](const std::string &service, const std::string &version) { return this->versions.hasOther(service, version); }});
     this->settings.peerAddress = this->peerExchange->address();
     this->createWatchers();
@@ -412,16 +413,23 @@
 
 std::optional<std::string> EntryHost::soleVersion(const std::string &service) const
 {
-    if (!this->config) {
-        return std::nullopt;
-    }
+    return this->config ? this->versions.soleVersion(service, this->takeUpPeriod(service), this->loop.now()) : std::nullopt;
+}
+
+bool EntryHost::hasSeveralVersions(const std::string &service) const
+{
+    return this->config && this->versions.hasSeveral(service, this->takeUpPeriod(service), this->loop.now());
+}
+
+absl::Duration EntryHost::takeUpPeriod(const std::string &service) const
+{
     absl::Duration longest = absl::ZeroDuration();
     for (const Route &route : this->config->routes) {
         if (std::ranges::any_of(route.targets, [&service](const RouteTarget &target) { return target.service == service; })) {
             longest = std::max(longest, route.timeout);
         }
     }
-    return this->versions.soleVersion(service, takeUpTimeouts * longest, this->loop.now());
+    return takeUpTimeouts * longest;
 }
 
 void EntryHost::onStatedLimit(const LimitStatement &statement)
--- a/src/EntryHost.h
+++ b/src/EntryHost.h
@@ -82,6 +82,9 @@
     void observeVersions();
     /** The only software version that can have begun a stream of the service which callers may still take up, if that is certain. */
     [[nodiscard]] std::optional<std::string> soleVersion(const std::string &service) const;
+    [[nodiscard]] bool hasSeveralVersions(const std::string &service) const;
+    /** How long after its first event callers may take up a stream of the service. Requires a configuration. */
+    [[nodiscard]] absl::Duration takeUpPeriod(const std::string &service) const;
     void onStatedLimit(const LimitStatement &statement);
     [[nodiscard]] AttemptContext attemptContext();
     void onPeerAnnouncement(const Peer &peer);
--- a/src/StreamOriginExchange.cpp
+++ b/src/StreamOriginExchange.cpp
@@ -121,6 +121,10 @@
         answer.set_service(query.service());
         answer.set_software_version(*version);
         answer.set_inferred(true);
+    } else if (this->hooks.hasSeveralVersions(query.service())) {
+        // Without a version, this contradicts a host that has missed a version and takes another for the only one.
+        answer.set_service(query.service());
+        answer.set_inferred(true);
     }
 }
 
@@ -144,6 +148,8 @@
     }
     if (origin.isKnown()) {
         found->second.soleVersions.insert(origin.softwareVersion);
+    } else if (entry.inferred()) {
+        found->second.severalVersions = true;
     }
     if (--found->second.unanswered == 0) {
         this->finishWithoutRecord(entry.stream());
@@ -153,7 +159,7 @@
 void StreamOriginExchange::finishWithoutRecord(std::uint64_t stream)
 {
     const LookUp &lookUp = this->lookUps.at(stream);
-    if (lookUp.soleVersions.size() != 1) {
+    if (lookUp.severalVersions || lookUp.soleVersions.size() != 1) {
         this->finishLookUp(stream, std::nullopt);
         return;
     }
--- a/src/StreamOriginExchange.h
+++ b/src/StreamOriginExchange.h
@@ -35,6 +35,8 @@
         std::function<void(const Peer &, const std::function<void(peer::HostState &)> &fill)> send;
         /** The only version that can have begun a stream of the service, if the service has had no other one for long enough. */
         std::function<std::optional<std::string>(const std::string &service)> soleVersion;
+        /** Whether the service has had several versions, any of which can have begun a stream. */
+        std::function<bool(const std::string &service)> hasSeveralVersions;
         /** Whether this host knows another version of the service, current or earlier. */
         std::function<bool(const std::string &service, const std::string &version)> hasOtherVersions;
     };
@@ -58,6 +60,8 @@
         std::size_t unanswered = 0;
         /** The versions that this host and others take for the only one that the service has had. */
         std::set<std::string> soleVersions;
+        /** Whether another host knows of several versions, which this host may have missed. */
+        bool severalVersions = false;
         std::vector<LookUpHandler> handlers;
         LoopTimer timer;
     };
--- a/src/VersionHistory.cpp
+++ b/src/VersionHistory.cpp
@@ -36,6 +36,13 @@
     return sole;
 }
 
+bool VersionHistory::hasSeveral(std::string_view service, absl::Duration period, absl::Time now) const
+{
+    const auto found = this->services.find(service);
+    const auto isRecent = [now, period](const auto &entry) { return now <= entry.second + period; };
+    return found != this->services.end() && std::ranges::count_if(found->second, isRecent) > 1;
+}
+
 bool VersionHistory::hasOther(std::string_view service, std::string_view version) const
 {
     const auto found = this->services.find(service);
--- a/src/VersionHistory.h
+++ b/src/VersionHistory.h
@@ -25,6 +25,8 @@
     void interrupt();
     /** The only software version that the service has had within @p period; nothing if there were several, or if it is not certain. */
     [[nodiscard]] std::optional<std::string> soleVersion(std::string_view service, absl::Duration period, absl::Time now) const;
+    /** Whether several versions of the service have been registered within @p period. */
+    [[nodiscard]] bool hasSeveral(std::string_view service, absl::Duration period, absl::Time now) const;
     /** Whether another version of the service has ever been registered. */
     [[nodiscard]] bool hasOther(std::string_view service, std::string_view version) const;
 
--- a/test/site/StreamVersionTest.cpp
+++ b/test/site/StreamVersionTest.cpp
@@ -215,6 +215,59 @@
     EXPECT_EQ(this->wait(this->takeUp(started, "take-up-2", "forgotten-2")).head.status, 200);
 }
 
+/** A service with one version for long, and a host with a store of its own, which can be cut off from the one that the others use. */
+class HostOutOfStepTest : public StreamVersionTest
+{
+protected:
+    void startWithCutHost(int otherHosts)
+    {
+        this->start({"v1"}, otherHosts);
+        // The host finds the others in its own store.
+        for (const char *kind : {"config", "servers", "hosts"}) {
+            for (const std::string &name : this->store.names(kind)) {
+                this->cutStore.write(kind, name, this->store.read(kind, name).at("spec"));
+            }
+        }
+        this->cutHost = &this->startHost("cut", this->cutStore.address());
+        this->waitUntilHostsKnowEachOther();
+        runFor(this->loop, absl::Milliseconds(3 * routeTimeoutMs + 500));
+        this->cutStore.setMode(ObjectApiMode::Silent);
+    }
+
+    /** Registers an upstream of another version, of which the host that is cut off does not learn. */
+    void addNewVersion()
+    {
+        UpstreamOptions options;
+        options.softwareVersion = "v2";
+        options.tagsVersion = true;
+        this->addUpstream("model", eventCount, eventInterval, options);
+        runFor(this->loop, absl::Milliseconds(200));
+    }
+
+    StandinObjectStore cutStore{this->loop};
+    RunningHost *cutHost = nullptr;
+};
+
+// Guards against a host that is cut off from the store and the other hosts, takes the version that it knows for the only one, and goes on
+// with a stream that another version may have begun meanwhile.
+TEST_F(HostOutOfStepTest, hostThatHearsNobodyRefusesAStreamThatItDoesNotKnow)
+{
+    this->startWithCutHost(1);
+    this->addNewVersion();
+    this->crashHost(*this->hosts[0]);
+    const std::size_t runs = this->runsOfAll();
+    this->expectRefusal(this->wait(this->takeUp(*this->cutHost, "take-up-1", "forgotten")), runs);
+}
+
+// Guards against the same while the other hosts answer that they don't know the stream, but know of the other version.
+TEST_F(HostOutOfStepTest, hostsThatKnowSeveralVersionsContradict)
+{
+    this->startWithCutHost(2);
+    this->addNewVersion();
+    const std::size_t runs = this->runsOfAll();
+    this->expectRefusal(this->wait(this->takeUp(*this->cutHost, "take-up-1", "forgotten")), runs);
+}
+
 } // namespace
 
 } // namespace Bergamotramp
