Don't use the count of collected bytes after its host has ended

Cause: an attempt that its host stops is destroyed by a later turn of the event loop, which may come after the host. Change: an attempt without a body leaves the count alone. Ruled out: to share the ownership of the count, which would hide that stopped attempts have nothing to give back.

--- a/src/UpstreamAttempt.cpp
+++ b/src/UpstreamAttempt.cpp
@@ -138,8 +138,12 @@
     return true;
 }
 
+// An attempt that was stopped may be destroyed after the host that counts the bytes, so it no longer uses the count.
 std::string UpstreamAttempt::takeBody()
 {
+    if (this->body.empty()) {
+        return {};
+    }
     this->context.collectedBytes.remove(this->body.size());
     return std::exchange(this->body, {});
 }
