Give two new tests a bound that fails without the mechanism

Cause: the bound of hostsThatRememberDifferentHostsTakeEachJobOverSoon was computed with the function under test, so that the test passed when only the first successor acts; VersionHistory::hasSeveral had a test on the level of hosts only. Done: the bound is the time for contact less the time to notice a loss; versionsOfThePeriodAreSeveral is new.

--- a/test/core/TakeoverCandidatesTest.cpp
+++ b/test/core/TakeoverCandidatesTest.cpp
@@ -10,6 +10,8 @@
 namespace {
 
 const absl::Time start = absl::FromUnixSeconds(1'000'000);
+// Within this time the hosts notice a loss, which takes up to defaultLivenessTimeout, and act on it.
+constexpr absl::Duration contactTime = absl::Seconds(4);
 const absl::Time longAgo = start - absl::Minutes(1);
 
 /** The peers of "self" in data centre "a": hosts "a-0", "b-0" and so on. */
@@ -86,7 +88,7 @@
                 shortestWait = std::min(shortestWait, takeoverWait(takeoverRank(peers, "job" + std::to_string(job), self, dataCentre, runner, start)));
             }
         }
-        EXPECT_LE(shortestWait, takeoverWait(1)) << "of two hosts that expect each other to act, the second one does; job " << job;
+        EXPECT_LE(shortestWait, contactTime - defaultLivenessTimeout) << job;
     }
 }
 
--- a/test/core/VersionHistoryTest.cpp
+++ b/test/core/VersionHistoryTest.cpp
@@ -45,6 +45,22 @@
     EXPECT_EQ(history.soleVersion("model", period, start + 3 * period - absl::Milliseconds(1)), std::nullopt);
 }
 
+// Guards against a host that does not contradict others although it has seen a second version lately, also when it has just started,
+// and against one that does so because of a version that left long ago.
+TEST(VersionHistoryTest, versionsOfThePeriodAreSeveral)
+{
+    VersionHistory history;
+    EXPECT_FALSE(history.hasSeveral("model", period, start));
+    history.observe(upstreams({"v1"}), start);
+    EXPECT_FALSE(history.hasSeveral("model", period, start));
+    history.observe(upstreams({"v1", "v2"}), start);
+    EXPECT_TRUE(history.hasSeveral("model", period, start));
+    history.observe(upstreams({"v2"}), start + period);
+    EXPECT_TRUE(history.hasSeveral("model", period, start + period));
+    EXPECT_FALSE(history.hasSeveral("model", period, start + period + absl::Milliseconds(1)));
+    EXPECT_FALSE(history.hasSeveral("other", period, start));
+}
+
 // Guards against a missing version that is taken for one that all upstreams share.
 TEST(VersionHistoryTest, upstreamWithoutAVersionMakesItUncertain)
 {
