Move the handling of callers' requests out of EntryHost

Authentication, quotas and hedging need a place between the route and the call, so CallerRequestHandler now owns that decision and the calls. No change in behaviour.

--- a/src/CallRefusal.h
+++ b/src/CallRefusal.h
@@ -8,6 +8,9 @@
 
 namespace Bergamotramp {
 
+/** Retry-After of a host that does not know the configuration or any ready host yet. */
+inline constexpr absl::Duration startingRetryAfter = absl::Milliseconds(400);
+
 /**
  * An error response that this host itself creates, with a JSON body. @p code is for programs, @p message for people.
  * @p state tells whether the request may have run: "not_run" or "unknown".
--- /dev/null
+++ b/src/CallerRequestHandler.cpp
@@ -0,0 +1,90 @@
+#include "CallerRequestHandler.h"
+
+#include <algorithm>
+#include <utility>
+
+#include "CallRefusal.h"
+
+namespace Bergamotramp {
+
+CallerRequestHandler::CallerRequestHandler(CallerRequestContext context) : context(std::move(context))
+{
+}
+
+CallerRequestHandler::~CallerRequestHandler() = default;
+
+void CallerRequestHandler::handle(const std::shared_ptr<HttpExchange> &exchange)
+{
+    const CallerCall call = this->context.protocol.decodeCall(exchange->request());
+    if (call.kind != CallKind::Request) {
+        this->context.jobCalls.handle(exchange, call, false);
+        return;
+    }
+    const std::shared_ptr<const RoutingConfig> config = this->context.config();
+    if (!config) {
+        exchange->respond(notRunResponse("starting", "this host does not know the configuration yet", startingRetryAfter));
+        return;
+    }
+    const Route *route = config->match(call.host, exchange->request().path());
+    if (route == nullptr) {
+        this->context.online.log.write("no_route", {{"request", call.id}, {"path", exchange->request().path()}, {"revision", config->revision}});
+        exchange->respond(failureResponse(404, "no_route", "no route begins this path", "not_run"));
+        return;
+    }
+    if (call.id.empty()) {
+        exchange->respond(failureResponse(400, "no_request_id", "the request has no id", "not_run"));
+        return;
+    }
+    this->handleRouted(exchange, call, *route);
+}
+
+void CallerRequestHandler::handleRouted(const std::shared_ptr<HttpExchange> &exchange, const CallerCall &call, const Route &route)
+{
+    const absl::Time deadline = exchange->received() + std::min(call.timeBudget, route.timeout);
+    if (!this->context.takesUntil(deadline)) {
+        exchange->respond(notRunResponse("stopping", "this host is stopping", absl::ZeroDuration()));
+        return;
+    }
+    if (route.kind == RouteKind::Batch) {
+        this->context.jobCalls.submit(exchange, call, route);
+    } else {
+        this->startOnline(exchange, call, route);
+    }
+}
+
+void CallerRequestHandler::startOnline(const std::shared_ptr<HttpExchange> &exchange, const CallerCall &call, const Route &route)
+{
+    const std::string service = chooseTarget(route, this->context.randomFraction());
+    const auto weakCall = std::make_shared<std::weak_ptr<OnlineCall>>();
+    const auto online = std::make_shared<OnlineCall>(this->context.online, exchange, call, route, service, [this, weakCall] {
+        if (const auto ended = weakCall->lock()) {
+            this->calls.erase(ended);
+        }
+    });
+    *weakCall = online;
+    this->calls.insert(online);
+    online->start();
+}
+
+void CallerRequestHandler::checkProgress(absl::Time now)
+{
+    const std::set<std::shared_ptr<OnlineCall>> current = this->calls;
+    for (const auto &call : current) {
+        call->checkProgress(now);
+    }
+}
+
+void CallerRequestHandler::answerBeforeStop()
+{
+    const std::set<std::shared_ptr<OnlineCall>> current = this->calls;
+    for (const auto &call : current) {
+        call->answerBeforeStop();
+    }
+}
+
+std::size_t CallerRequestHandler::onlineCalls() const
+{
+    return this->calls.size();
+}
+
+} // namespace Bergamotramp
--- a/src/EntryHost.cpp
+++ b/src/EntryHost.cpp
@@ -40,7 +40,6 @@
 constexpr absl::Duration storeNoticeInterval = absl::Seconds(6);
 constexpr absl::Duration upstreamConnectTimeout = absl::Milliseconds(300);
 constexpr absl::Duration snapshotResponseTimeout = absl::Milliseconds(600);
-constexpr absl::Duration startingRetryAfter = absl::Milliseconds(400);
 // A starting host has found the others when it has learned of no further one for this long, also from other regions.
 constexpr absl::Duration peerDiscoveryWait = absl::Milliseconds(150);
 // How long it waits at most, when it has found some hosts and when it has found none.
@@ -149,6 +148,13 @@
                                                                      .metrics = this->metrics,
                                                                      .host = this->settings.name,
                                                                      .stopping = [this] { return this->stopping(); }});
+    this->callerRequests = std::make_unique<CallerRequestHandler>(
+        CallerRequestContext{.protocol = this->platform.serving,
+                             .jobCalls = *this->jobCalls,
+                             .online = this->onlineContext(),
+                             .config = [this] { return this->config; },
+                             .takesUntil = [this](absl::Time deadline) { return !this->stopPlan || this->stopPlan->mayTake(this->loop.now(), deadline); },
+                             .randomFraction = [this] { return this->randomFraction(); }});
     this->streamOrigins = std::make_unique<StreamOriginExchange>(
         loop,
         this->settings.name,
@@ -179,7 +185,7 @@
 {
     const auto connections = static_cast<std::size_t>(this->settings.maxConnections);
     this->entryServer =
-        std::make_unique<HttpServer>(this->loop, this->settings.entryAddress, connections, [this](const auto &call) { this->onEntryRequest(call); });
+        std::make_unique<HttpServer>(this->loop, this->settings.entryAddress, connections, [this](const auto &call) { this->callerRequests->handle(call); });
     this->readyServer =
         std::make_unique<HttpServer>(this->loop, this->settings.readyAddress, controlConnections, [this](const auto &call) { this->onReadyRequest(call); });
     this->directoryServer =
@@ -560,7 +566,7 @@
                            static_cast<double>(this->promptParts.quarantinedParts(PromptPartQuarantine::maxParts, this->loop.now()).size()));
     this->metrics.setGauge("upstreams_limited", static_cast<double>(this->limiter.currentShares().limitedUpstreams()));
     this->metrics.setGauge("upstream_limits_held", static_cast<double>(this->limiter.currentShares().heldUpstreams()));
-    this->metrics.setGauge("calls", static_cast<double>(this->onlineCalls.size()));
+    this->metrics.setGauge("calls", static_cast<double>(this->callerRequests->onlineCalls()));
     this->metrics.setGauge("items_running", static_cast<double>(this->jobs->runningItems()));
     this->metrics.setGauge("peers_live", static_cast<double>(this->peers.liveHosts(this->loop.now()).size()));
     this->metrics.setGauge("log_lines_dropped", static_cast<double>(this->log.droppedLines()));
@@ -619,65 +625,21 @@
     this->jobCalls->handle(request, call, true);
 }
 
-void EntryHost::onEntryRequest(const std::shared_ptr<HttpExchange> &request)
+OnlineContext EntryHost::onlineContext()
 {
-    const CallerCall call = this->platform.serving.decodeCall(request->request());
-    if (call.kind != CallKind::Request) {
-        this->jobCalls->handle(request, call, false);
-        return;
-    }
-    if (!this->config) {
-        request->respond(notRunResponse("starting", "this host does not know the configuration yet", startingRetryAfter));
-        return;
-    }
-    const Route *route = this->config->match(call.host, request->request().path());
-    if (route == nullptr) {
-        this->log.write("no_route", {{"request", call.id}, {"path", request->request().path()}, {"revision", this->config->revision}});
-        request->respond(failureResponse(404, "no_route", "no route begins this path", "not_run"));
-        return;
-    }
-    if (call.id.empty()) {
-        request->respond(failureResponse(400, "no_request_id", "the request has no id", "not_run"));
-        return;
-    }
-    const absl::Time deadline = request->received() + std::min(call.timeBudget, route->timeout);
-    if (this->stopPlan && !this->stopPlan->mayTake(this->loop.now(), deadline)) {
-        request->respond(notRunResponse("stopping", "this host is stopping", absl::ZeroDuration()));
-        return;
-    }
-    if (route->kind == RouteKind::Batch) {
-        this->jobCalls->submit(request, call, *route);
-    } else {
-        this->startOnline(request, call, *route);
-    }
-}
-
-void EntryHost::startOnline(const std::shared_ptr<HttpExchange> &request, const CallerCall &call, const Route &route)
-{
-    const OnlineContext context{
-        .attempts = this->attemptContext(),
-        .choice = this->upstreamSelector,
-        .upstreams = this->upstreams,
-        .suspects = this->crashQuarantine,
-        .promptParts = this->promptParts,
-        .log = this->log,
-        .metrics = this->metrics,
-        .announceCrashes = [this](const auto &counts) { this->peerExchange->announceCrashes(counts); },
-        .announcePromptParts = [this](const auto &parts) { this->peerExchange->announcePromptParts(parts); },
-        .trialDelay = [this](std::uint64_t part) { return this->trialDelay(part); },
-        .recordBegin = [this](const std::string &id, const StreamOrigin &origin) { this->streamOrigins->recordBegin(id, origin); },
-        .findOrigin = [this](const std::string &id, const std::string &service, auto done) { this->streamOrigins->lookUp(id, service, std::move(done)); },
-        .reserveReturn = [this](const std::string &service) { return this->limiter.reserveReturn(service, this->loop.now()); }};
-    const std::string service = chooseTarget(route, this->randomFraction());
-    const auto weakCall = std::make_shared<std::weak_ptr<OnlineCall>>();
-    const auto online = std::make_shared<OnlineCall>(context, request, call, route, service, [this, weakCall] {
-        if (const auto ended = weakCall->lock()) {
-            this->onlineCalls.erase(ended);
-        }
-    });
-    *weakCall = online;
-    this->onlineCalls.insert(online);
-    online->start();
+    return {.attempts = this->attemptContext(),
+            .choice = this->upstreamSelector,
+            .upstreams = this->upstreams,
+            .suspects = this->crashQuarantine,
+            .promptParts = this->promptParts,
+            .log = this->log,
+            .metrics = this->metrics,
+            .announceCrashes = [this](const auto &counts) { this->peerExchange->announceCrashes(counts); },
+            .announcePromptParts = [this](const auto &parts) { this->peerExchange->announcePromptParts(parts); },
+            .trialDelay = [this](std::uint64_t part) { return this->trialDelay(part); },
+            .recordBegin = [this](const std::string &id, const StreamOrigin &origin) { this->streamOrigins->recordBegin(id, origin); },
+            .findOrigin = [this](const std::string &id, const std::string &service, auto done) { this->streamOrigins->lookUp(id, service, std::move(done)); },
+            .reserveReturn = [this](const std::string &service) { return this->limiter.reserveReturn(service, this->loop.now()); }};
 }
 
 std::string EntryHost::runningHost(const std::string &jobId, const std::string &owner) const
@@ -734,10 +696,7 @@
     }
     this->relayedStore.tick();
     this->relistUpstreamsIfBehind(now);
-    const std::set<std::shared_ptr<OnlineCall>> current = this->onlineCalls;
-    for (const auto &call : current) {
-        call->checkProgress(now);
-    }
+    this->callerRequests->checkProgress(now);
     this->jobs->tick();
 }
 
@@ -760,8 +719,9 @@
         return;
     }
     this->stopPlan.emplace(this->loop.now(), this->settings.stopGrace, this->settings.addressTimeToLive);
-    this->log.write("stopping",
-                    {{"calls", static_cast<std::uint64_t>(this->onlineCalls.size())}, {"items", static_cast<std::uint64_t>(this->jobs->runningItems())}});
+    this->log.write(
+        "stopping",
+        {{"calls", static_cast<std::uint64_t>(this->callerRequests->onlineCalls())}, {"items", static_cast<std::uint64_t>(this->jobs->runningItems())}});
     this->jobs->stop();
     this->limiter.leave(this->loop.now());
     this->relayedStore.stopServingFollowers();
@@ -787,7 +747,7 @@
     }
     const bool drained = now >= this->stopPlan->stopAcceptingAt() && this->entryServer->connections() == 0;
     if (drained || now >= this->stopPlan->endAt()) {
-        this->log.write("stopped", {{"calls", static_cast<std::uint64_t>(this->onlineCalls.size())}, {"afterMs", now - this->stopPlan->started()}});
+        this->log.write("stopped", {{"calls", static_cast<std::uint64_t>(this->callerRequests->onlineCalls())}, {"afterMs", now - this->stopPlan->started()}});
         this->log.flush();
         this->onStopped();
         return;
@@ -798,10 +758,7 @@
 void EntryHost::answerRequestsBeforeStop()
 {
     this->entryServer->rejectPartlyReceived(notRunResponse("stopping", "this host is stopping", absl::ZeroDuration()));
-    const std::set<std::shared_ptr<OnlineCall>> current = this->onlineCalls;
-    for (const auto &call : current) {
-        call->answerBeforeStop();
-    }
+    this->callerRequests->answerBeforeStop();
     // The others are calls about jobs, some of which wait for the store or for another host and may have taken effect.
     this->entryServer->answerInProgress(unknownOutcomeResponse("stopping", "this host stopped before the request was complete"));
 }
--- a/src/EntryHost.h
+++ b/src/EntryHost.h
@@ -4,9 +4,9 @@
 #include <memory>
 #include <optional>
 #include <random>
-#include <set>
 #include <string>
 
+#include "CallerRequestHandler.h"
 #include "CollectedBytes.h"
 #include "CrashQuarantine.h"
 #include "EntryMetrics.h"
@@ -19,7 +19,6 @@
 #include "JobService.h"
 #include "JsonLog.h"
 #include "KindWatcher.h"
-#include "OnlineCall.h"
 #include "PeerClient.h"
 #include "PeerDiscovery.h"
 #include "PeerExchange.h"
@@ -90,6 +89,7 @@
     [[nodiscard]] absl::Duration takeUpPeriod(const std::string &service) const;
     void onStatedLimit(const LimitStatement &statement);
     [[nodiscard]] AttemptContext attemptContext();
+    [[nodiscard]] OnlineContext onlineContext();
     void onPeerAnnouncement(const Peer &peer);
     void adjustWatchTimings();
     /** Fetches a newer configuration from @p peer when this host has lacked it for at least configRequestDelay(). */
@@ -100,12 +100,10 @@
     void relistUpstreamsIfBehind(absl::Time now);
     void applySnapshot(const std::string &body);
 
-    void onEntryRequest(const std::shared_ptr<HttpExchange> &exchange);
     void onControlRequest(const std::shared_ptr<HttpExchange> &exchange);
     void onDirectoryRequest(const std::shared_ptr<HttpExchange> &exchange);
     void onReadyRequest(const std::shared_ptr<HttpExchange> &exchange);
     void onMetricsRequest(const std::shared_ptr<HttpExchange> &exchange);
-    void startOnline(const std::shared_ptr<HttpExchange> &exchange, const CallerCall &call, const Route &route);
 
     void tick();
     [[nodiscard]] bool stopping() const;
@@ -175,7 +173,7 @@
     std::unique_ptr<HttpServer> controlServer;
     std::unique_ptr<HttpServer> metricsServer;
 
-    std::set<std::shared_ptr<OnlineCall>> onlineCalls;
+    std::unique_ptr<CallerRequestHandler> callerRequests;
     bool configRequestPending = false;
     /** Set while the host stops. */
     std::optional<StopPlan> stopPlan;
