Install the sanitizer headers that clang-tidy needs

Abseil's headers include sanitizer/asan_interface.h when a build uses AddressSanitizer. On x86-64, clang-tidy 14 finds it only in libclang-rt-14-dev; without it every file failed the lint.

--- a/scripts/install-dependencies.sh
+++ b/scripts/install-dependencies.sh
@@ -4,7 +4,7 @@
 export DEBIAN_FRONTEND=noninteractive
 sudo_if_needed=""
 [ "$(id -u)" = 0 ] || sudo_if_needed=sudo
-packages="g++ cmake ninja-build ccache pkg-config clang-format clang-tidy libabsl-dev libboost-dev libzmq3-dev cppzmq-dev \
+packages="g++ cmake ninja-build ccache pkg-config clang-format clang-tidy libclang-rt-14-dev libabsl-dev libboost-dev libzmq3-dev cppzmq-dev \
   libprotobuf-dev protobuf-compiler prometheus-cpp-dev libcpp-httplib-dev libcli11-dev libgoogle-glog-dev \
   nlohmann-json3-dev librapidcheck-dev libgtest-dev libgmock-dev libssl-dev python3 curl"
 # shellcheck disable=SC2086
