--- /dev/null
+++ b/src/Organisation.h
@@ -0,0 +1,21 @@
+#pragma once
+
+#include <optional>
+#include <string>
+
+namespace Bergamotramp {
+
+/** One organisation of the operator's configuration: the unit of access rights and quotas. */
+struct Organisation {
+    std::string name;
+    /** 0 is the most urgent; takes precedence over the priority of a route. */
+    std::optional<int> priority{};
+    /** Quota of requests per second over all hosts; 0 means no quota. */
+    double requestsPerSecond = 0;
+    /** Requests that may come at once in addition to the rate, over all hosts. */
+    double burst = 0;
+
+    bool operator==(const Organisation &) const = default;
+};
+
+} // namespace Bergamotramp
