List the routing data at once when a host of a known fleet restarts

Cause: a starting host waited until it had found no further host for 150 ms before it listed anything, and listed the headers of all jobs together with the configuration. Ruled out: slow answers after the start; their median was as before the loss.

Change: StartPlan. The jobs follow. Early requests wait for the routing data, and a starting host names itself when no host is ready.

--- a/src/CallerRequestHandler.cpp
+++ b/src/CallerRequestHandler.cpp
@@ -7,6 +7,15 @@
 
 namespace Bergamotramp {
 
+namespace {
+
+void refuseBeforeStart(const std::shared_ptr<HttpExchange> &exchange)
+{
+    exchange->respond(notRunResponse("starting", "this host does not know the configuration and the upstreams yet", startingRetryAfter));
+}
+
+} // namespace
+
 CallerRequestHandler::CallerRequestHandler(CallerRequestContext context) : context(std::move(context))
 {
 }
@@ -18,13 +27,40 @@
     const CallerCall call = this->context.protocol.decodeCall(exchange->request());
     if (call.kind != CallKind::Request) {
         this->context.jobCalls.handle(exchange, call, false);
+    } else if (this->context.routingKnown()) {
+        this->handleRequest(exchange, call);
+    } else {
+        this->waitForRouting(exchange);
+    }
+}
+
+void CallerRequestHandler::waitForRouting(const std::shared_ptr<HttpExchange> &exchange)
+{
+    std::erase_if(this->waiting, [](const WaitingRequest &request) { return request.exchange->ended(); });
+    if (!this->context.routingExpected() || this->waiting.size() >= maxWaitingRequests) {
+        refuseBeforeStart(exchange);
         return;
     }
-    const std::shared_ptr<const RoutingConfig> config = this->context.config();
-    if (!config) {
-        exchange->respond(notRunResponse("starting", "this host does not know the configuration yet", startingRetryAfter));
+    LoopTimer timer = this->context.online.attempts.loop.after(maxWaitForRouting, [exchange] { refuseBeforeStart(exchange); });
+    this->waiting.push_back({.exchange = exchange, .timer = std::move(timer)});
+}
+
+void CallerRequestHandler::handleWaiting()
+{
+    if (!this->context.routingKnown()) {
         return;
     }
+    for (const WaitingRequest &request : std::exchange(this->waiting, {})) {
+        if (!request.exchange->ended()) {
+            // An error in one request must not keep the others from being handled.
+            this->context.online.attempts.loop.runGuarded([this, &request] { this->handle(request.exchange); });
+        }
+    }
+}
+
+void CallerRequestHandler::handleRequest(const std::shared_ptr<HttpExchange> &exchange, const CallerCall &call)
+{
+    const std::shared_ptr<const RoutingConfig> config = this->context.config();
     const Route *route = config->match(call.host, exchange->request().path());
     if (route == nullptr) {
         this->context.online.log.write("no_route", {{"request", call.id}, {"path", exchange->request().path()}, {"revision", config->revision}});
--- a/src/CallerRequestHandler.h
+++ b/src/CallerRequestHandler.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <functional>
+#include <list>
 #include <memory>
 #include <set>
 
@@ -17,6 +18,10 @@
     OnlineContext online;
     /** The configuration in force, or null before the first one. */
     std::function<std::shared_ptr<const RoutingConfig>()> config;
+    /** Whether this host knows the configuration and the upstreams. */
+    std::function<bool()> routingKnown;
+    /** Whether it will know them within a moment, because it is starting and the store answers. */
+    std::function<bool()> routingExpected;
     /** Whether a request that may last until the deadline is taken now; false for most requests while the host stops. */
     std::function<bool(absl::Time deadline)> takesUntil;
     /** A uniformly distributed number from 0 to 1. */
@@ -32,7 +37,14 @@
     CallerRequestHandler(const CallerRequestHandler &) = delete;
     CallerRequestHandler &operator=(const CallerRequestHandler &) = delete;
 
+    /** Requests beyond this number do not wait for the configuration and the upstreams. */
+    static constexpr std::size_t maxWaitingRequests = 200;
+    /** How long a request waits for them at most. */
+    static constexpr absl::Duration maxWaitForRouting = absl::Milliseconds(300);
+
     void handle(const std::shared_ptr<HttpExchange> &exchange);
+    /** Handles the requests that wait, once the configuration and the upstreams are known. */
+    void handleWaiting();
     /** Lets each online call replace an upstream that has been silent for too long. Called periodically. */
     void checkProgress(absl::Time now);
     /** Answers the online calls whose response has not begun, because the host ends. */
@@ -41,11 +53,20 @@
     [[nodiscard]] std::size_t onlineCalls() const;
 
 private:
+    struct WaitingRequest {
+        std::shared_ptr<HttpExchange> exchange;
+        LoopTimer timer;
+    };
+
+    /** Keeps a request that arrived before the routing data, or refuses it when they are not expected. */
+    void waitForRouting(const std::shared_ptr<HttpExchange> &exchange);
+    void handleRequest(const std::shared_ptr<HttpExchange> &exchange, const CallerCall &call);
     void handleRouted(const std::shared_ptr<HttpExchange> &exchange, const CallerCall &call, const Route &route);
     void startOnline(const std::shared_ptr<HttpExchange> &exchange, const CallerCall &call, const Route &route);
 
     CallerRequestContext context;
     std::set<std::shared_ptr<OnlineCall>> calls;
+    std::list<WaitingRequest> waiting;
 };
 
 } // namespace Bergamotramp
--- a/src/EntryHost.cpp
+++ b/src/EntryHost.cpp
@@ -40,11 +40,7 @@
 constexpr absl::Duration storeNoticeInterval = absl::Seconds(6);
 constexpr absl::Duration upstreamConnectTimeout = absl::Milliseconds(300);
 constexpr absl::Duration snapshotResponseTimeout = absl::Milliseconds(600);
-// A starting host has found the others when it has learned of no further one for this long, also from other regions.
-constexpr absl::Duration peerDiscoveryWait = absl::Milliseconds(150);
-// How long it waits at most, when it has found some hosts and when it has found none.
-constexpr absl::Duration maxPeerDiscoveryWait = absl::Milliseconds(1500);
-constexpr absl::Duration maxFirstPeerWait = absl::Milliseconds(600);
+constexpr absl::Duration startCheckPeriod = absl::Milliseconds(50);
 // The hosts may start a due trial of a quarantined part of prompts one after another, this far apart.
 constexpr absl::Duration trialDelayPerHost = absl::Seconds(5);
 // Callers take a stream up for no longer than this many timeouts of its route.
@@ -86,6 +82,7 @@
                    [this](const Peer &peer, const HttpRequest &request, absl::Duration timeout, auto done) {
                        this->peerClient.send(peer.controlAddress, request, timeout, std::move(done));
                    })
+    , startPlan(loop.now(), !this->settings.seeds.empty())
 {
     this->upstreamSelector.setStartFilter([this](const UpstreamInfo &upstream, bool batch, absl::Time now) {
         return this->limiter.mayStart(upstream, batch ? LimitedClass::Batch : LimitedClass::Online, now);
@@ -153,6 +150,8 @@
                              .jobCalls = *this->jobCalls,
                              .online = this->onlineContext(),
                              .config = [this] { return this->config; },
+                             .routingKnown = [this] { return this->routingKnown(); },
+                             .routingExpected = [this] { return this->routingExpected(); },
                              .takesUntil = [this](absl::Time deadline) { return !this->stopPlan || this->stopPlan->mayTake(this->loop.now(), deadline); },
                              .randomFraction = [this] { return this->randomFraction(); }});
     this->streamOrigins = std::make_unique<StreamOriginExchange>(
@@ -171,11 +170,16 @@
                                                                                  .exchange = *this->peerExchange,
                                                                                  .peers = this->peers,
                                                                                  .log = this->log,
-                                                                                 .randomFraction = [this] { return this->randomFraction(); }},
+                                                                                 .randomFraction = [this] { return this->randomFraction(); },
+                                                                                 .hostsListed =
+                                                                                     [this](std::size_t hosts, bool includesThisHost) {
+                                                                                         this->startPlan.recordRegisteredHosts(hosts, includesThisHost);
+                                                                                         this->startWatchersWhenDue();
+                                                                                     }},
                                                           this->settings.name,
                                                           this->settings.peerAddress);
     this->peerDiscovery->start(this->settings.seeds);
-    this->startWatchers(this->loop.now());
+    this->startWatchersWhenDue();
     this->tickTimer = this->loop.after(tickPeriod, [this] { this->tick(); });
 }
 
@@ -248,20 +252,34 @@
     this->jobWatcher = std::make_unique<KindWatcher>(this->loop, this->relayedStore, JobArchive::headerKind, jobTiming, hooks);
 }
 
-void EntryHost::startWatchers(absl::Time waitingSince)
+void EntryHost::startWatchersWhenDue()
 {
-    // A host that knows the other hosts can list from a relay. If all hosts of a large fleet started and listed from the store, the
-    // lists would saturate the links. Hosts that start together choose the same relays only once they all know each other.
+    if (this->jobWatcherStarted) {
+        return;
+    }
     const absl::Time now = this->loop.now();
-    const bool peersFound = this->peers.size() > 0 && now > this->peerExchange->lastPeerFoundAt() + peerDiscoveryWait;
-    const absl::Duration maxWait = this->peers.size() > 0 ? maxPeerDiscoveryWait : maxFirstPeerWait;
-    if (!this->settings.seeds.empty() && !peersFound && now < waitingSince + maxWait) {
-        this->startTimer = this->loop.after(peerDiscoveryWait / 3, [this, waitingSince] { this->startWatchers(waitingSince); });
+    const KnownPeers known{.count = this->peers.size(), .lastFound = this->peerExchange->lastPeerFoundAt()};
+    if (!this->routingWatchersStarted && this->startPlan.mayListRouting(known, now)) {
+        this->routingWatchersStarted = true;
+        this->configWatcher->start();
+        this->upstreamWatcher->start();
+    }
+    if (this->startPlan.mayListJobs(known, this->routingKnown(), now)) {
+        this->jobWatcherStarted = true;
+        this->jobWatcher->start();
         return;
     }
-    this->configWatcher->start();
-    this->upstreamWatcher->start();
-    this->jobWatcher->start();
+    this->startTimer = this->loop.after(startCheckPeriod, [this] { this->startWatchersWhenDue(); });
+}
+
+bool EntryHost::routingKnown() const
+{
+    return this->config != nullptr && this->upstreamsKnown;
+}
+
+bool EntryHost::routingExpected() const
+{
+    return this->storeAvailable && !this->stopping() && this->startPlan.routingExpected(this->loop.now());
 }
 
 void EntryHost::onStoreFailed(const std::string &kind, StoreResult result)
@@ -317,6 +335,7 @@
     this->configBehindSince = absl::InfiniteFuture();
     this->configObject = object.toJson();
     this->entryServer->setBounds(this->config->callerBounds);
+    this->callerRequests->handleWaiting();
     this->log.write("config_in_force",
                     {{"revision", object.revision}, {"version", this->config->version}, {"routes", static_cast<std::uint64_t>(this->config->routes.size())}});
 }
@@ -338,6 +357,7 @@
     this->upstreams.replaceAll(decoded, this->loop.now());
     this->upstreamsCurrent = true;
     this->observeVersions();
+    this->callerRequests->handleWaiting();
     this->log.write("upstreams_listed", {{"upstreams", static_cast<std::uint64_t>(decoded.size())}});
 }
 
@@ -581,7 +601,11 @@
         request->respond(failureResponse(404, "no_such_call", "this address answers only which addresses to use", "not_run"));
         return;
     }
-    const std::vector<std::string> addresses = selectEntryAddresses(this->readyEndpoints(), query->region, query->dataCentre);
+    std::vector<std::string> addresses = selectEntryAddresses(this->readyEndpoints(), query->region, query->dataCentre);
+    if (addresses.empty() && !this->routingKnown() && this->routingExpected()) {
+        // When all hosts start at once, none is ready, and a caller without an address would give up before the first one is.
+        addresses.push_back(this->settings.entryAddress);
+    }
     if (addresses.empty()) {
         request->respond(notRunResponse("no_ready_host", "no host is ready", startingRetryAfter));
         return;
@@ -672,7 +696,7 @@
 
 bool EntryHost::ready() const
 {
-    return this->config != nullptr && this->upstreamsKnown && !this->stopping();
+    return this->routingKnown() && !this->stopping();
 }
 
 void EntryHost::tick()
--- a/src/EntryHost.h
+++ b/src/EntryHost.h
@@ -27,6 +27,7 @@
 #include "PromptPartQuarantine.h"
 #include "RelayedStore.h"
 #include "RevisionLag.h"
+#include "StartPlan.h"
 #include "StopPlan.h"
 #include "StreamOriginExchange.h"
 #include "UpstreamHealth.h"
@@ -65,8 +66,12 @@
 private:
     void startServers();
     void createWatchers();
-    /** Starts the watchers when this host knows other hosts, or when it has waited long enough for them since @p waitingSince. */
-    void startWatchers(absl::Time waitingSince);
+    /** Starts each watcher when the plan for the start allows it. */
+    void startWatchersWhenDue();
+    /** Whether the configuration and the upstreams are known. */
+    [[nodiscard]] bool routingKnown() const;
+    /** Whether requests may wait for the configuration and the upstreams, which are expected within a moment. */
+    [[nodiscard]] bool routingExpected() const;
     /** The hooks that all watchers share: those for failure and recovery of the store. */
     KindWatcher::Hooks failureHooks(const std::string &kind);
     void onStoreFailed(const std::string &kind, StoreResult result);
@@ -175,6 +180,9 @@
 
     std::unique_ptr<CallerRequestHandler> callerRequests;
     bool configRequestPending = false;
+    StartPlan startPlan;
+    bool routingWatchersStarted = false;
+    bool jobWatcherStarted = false;
     /** Set while the host stops. */
     std::optional<StopPlan> stopPlan;
     absl::Time lastTickAt = absl::InfiniteFuture();
--- a/src/PeerDiscovery.cpp
+++ b/src/PeerDiscovery.cpp
@@ -1,5 +1,6 @@
 #include "PeerDiscovery.h"
 
+#include <algorithm>
 #include <optional>
 #include <stdexcept>
 #include <utility>
@@ -55,38 +56,55 @@
     for (const std::string &seed : seeds) {
         this->context.exchange.askForPeers(absl::StrCat(ipOf(seed), ":", portOf(this->peerAddress)));
     }
-    this->registerAddress();
+    this->listHosts();
+}
+
+std::string PeerDiscovery::objectName() const
+{
+    return absl::StrCat(ipOf(this->peerAddress), "-", portOf(this->peerAddress));
 }
 
 void PeerDiscovery::registerAddress()
 {
-    const std::string name = absl::StrCat(ipOf(this->peerAddress), "-", portOf(this->peerAddress));
     const nlohmann::json content{{"name", this->host}, {"peerAddress", this->peerAddress}};
-    this->context.store.create(hostKind, name, content, [this](const ObjectReply &reply) {
+    this->context.store.create(hostKind, this->objectName(), content, [this](const ObjectReply &reply) {
         if (reply.result == StoreResult::Done || reply.result == StoreResult::Conflict) {
+            // Of two hosts that register at the same time, at least one finds the other in the list that it reads afterwards.
+            this->registered = true;
             const absl::Duration delay = this->context.randomFraction() * storedHostsDelayPerPeer * static_cast<std::int64_t>(this->context.peers.size());
-            this->timer = this->context.loop.after(delay, [this] { this->contactRegisteredHosts(); });
+            this->timer = this->context.loop.after(delay, [this] { this->listHosts(); });
         } else {
             this->timer = this->context.loop.after(peerDiscoveryRetryDelay, [this] { this->registerAddress(); });
         }
     });
 }
 
-void PeerDiscovery::contactRegisteredHosts()
+void PeerDiscovery::listHosts()
 {
     this->context.store.list(hostKind, [this](const ListReply &reply) {
         this->context.log.write("hosts_listed", {{"ok", reply.result == StoreResult::Done}, {"hosts", static_cast<std::uint64_t>(reply.objects.size())}});
         if (reply.result != StoreResult::Done) {
-            this->timer = this->context.loop.after(peerDiscoveryRetryDelay, [this] { this->contactRegisteredHosts(); });
+            this->timer = this->context.loop.after(peerDiscoveryRetryDelay, [this] { this->listHosts(); });
+            return;
+        }
+        std::ranges::for_each(reply.objects, [this](const ObjectRecord &object) { this->contact(object); });
+        const bool listed = std::ranges::any_of(reply.objects, [this](const ObjectRecord &object) { return object.name == this->objectName(); });
+        if (this->context.hostsListed) {
+            this->context.hostsListed(reply.objects.size(), listed && !this->registered);
         }
-        for (const ObjectRecord &object : reply.objects) {
-            if (const auto address = storedPeerAddress(object)) {
-                this->context.exchange.introduceTo(*address);
-            } else {
-                this->context.log.write("host_unreadable", {{"object", object.name}, {"revision", object.revision}});
-            }
+        if (!listed && !this->registered) {
+            this->registerAddress();
         }
     });
 }
 
+void PeerDiscovery::contact(const ObjectRecord &object)
+{
+    if (const auto address = storedPeerAddress(object)) {
+        this->context.exchange.introduceTo(*address);
+    } else {
+        this->context.log.write("host_unreadable", {{"object", object.name}, {"revision", object.revision}});
+    }
+}
+
 } // namespace Bergamotramp
--- a/test/standin/StandinObjectStore.cpp
+++ b/test/standin/StandinObjectStore.cpp
@@ -111,6 +111,11 @@
     return this->callCount;
 }
 
+const std::vector<std::string> &StandinObjectStore::readCalls() const
+{
+    return this->readCallLog;
+}
+
 void StandinObjectStore::recordChange(const std::string &kind, bool removed, const nlohmann::json &object)
 {
     ++this->revision;
@@ -142,6 +147,9 @@
     }
     const std::vector<std::string> parts = pathParts(request);
     if (request.method == "GET") {
+        if (parts.size() == 1) {
+            this->readCallLog.push_back((request.query("watch").empty() ? "list " : "watch ") + parts[0]);
+        }
         this->get(exchange, parts[0], parts.size() > 1 ? parts[1] : "");
     } else {
         this->write(exchange, parts[0], parts);
--- a/test/standin/StandinObjectStore.h
+++ b/test/standin/StandinObjectStore.h
@@ -48,6 +48,8 @@
     [[nodiscard]] nlohmann::json read(const std::string &kind, const std::string &name) const;
     [[nodiscard]] std::vector<std::string> names(const std::string &kind) const;
     [[nodiscard]] std::uint64_t calls() const;
+    /** The lists and watches in the order in which they arrived, as "list KIND" or "watch KIND". */
+    [[nodiscard]] const std::vector<std::string> &readCalls() const;
 
 private:
     struct Change {
@@ -84,6 +86,7 @@
     std::uint64_t revision = 1;
     std::uint64_t compactedRevision = 0;
     std::uint64_t callCount = 0;
+    std::vector<std::string> readCallLog;
     std::vector<std::pair<std::string, std::string>> substitutions;
     HttpServer server;
 };
