--- a/src/CallerRequestHandler.cpp
+++ b/src/CallerRequestHandler.cpp
@@ -23,7 +23,7 @@
         return;
     }
     if (call.kind != CallKind::Request) {
-        this->context.jobCalls.handle(exchange, call, false);
+        this->handleJobCall(exchange, call, *config);
         return;
     }
     const Route *route = config->match(call.host, exchange->request().path());
@@ -44,6 +44,16 @@
     this->admit({.exchange = exchange, .call = call, .config = config, .route = route, .authentication = authentication});
 }
 
+void CallerRequestHandler::handleJobCall(const std::shared_ptr<HttpExchange> &exchange, const CallerCall &call, const RoutingConfig &config)
+{
+    const Authentication authentication = authenticateJobCall(config, call);
+    if (authentication.refusal) {
+        this->refuse(exchange, call, *authentication.refusal);
+        return;
+    }
+    this->context.jobCalls.handle(exchange, call, authentication.callerOrganisation(config));
+}
+
 void CallerRequestHandler::refuse(const std::shared_ptr<HttpExchange> &exchange, const CallerCall &call, const KeyRefusal &refusal)
 {
     this->context.online.log.write("key_refused", {{"request", call.id}, {"code", refusal.code}});
@@ -64,7 +74,8 @@
 void CallerRequestHandler::serve(const AuthenticatedRequest &request)
 {
     if (request.route->kind == RouteKind::Batch) {
-        this->context.jobCalls.submit(request.exchange, request.call, *request.route);
+        const CallerOrganisation organisation = request.authentication.callerOrganisation(*request.config);
+        this->context.jobCalls.submit(request.exchange, request.call, *request.route, organisation);
     } else {
         this->startOnline(request);
     }
--- a/src/CallerRequestHandler.h
+++ b/src/CallerRequestHandler.h
@@ -55,6 +55,7 @@
     [[nodiscard]] std::size_t onlineCalls() const;
 
 private:
+    void handleJobCall(const std::shared_ptr<HttpExchange> &exchange, const CallerCall &call, const RoutingConfig &config);
     void refuse(const std::shared_ptr<HttpExchange> &exchange, const CallerCall &call, const KeyRefusal &refusal);
     /** Decides whether an authenticated request is served now. Checks of its configuration's age and of quotas belong here. */
     void admit(const AuthenticatedRequest &request);
--- a/src/EntryHost.cpp
+++ b/src/EntryHost.cpp
@@ -145,6 +145,7 @@
                                                                      .peers = this->peers,
                                                                      .peerClient = this->peerClient,
                                                                      .protocol = this->platform.serving,
+                                                                     .log = this->log,
                                                                      .metrics = this->metrics,
                                                                      .host = this->settings.name,
                                                                      .stopping = [this] { return this->stopping(); }});
@@ -639,7 +640,7 @@
         request->respond(failureResponse(404, "no_such_call", "hosts forward only calls about jobs", "not_run"));
         return;
     }
-    this->jobCalls->handle(request, call, true);
+    this->jobCalls->handleForwarded(request, call);
 }
 
 OnlineContext EntryHost::onlineContext()
--- a/src/JobCallHandler.cpp
+++ b/src/JobCallHandler.cpp
@@ -51,7 +51,7 @@
     request->respond(jsonResponse(200, "{}"));
 }
 
-void JobCallHandler::submit(const std::shared_ptr<HttpExchange> &request, const CallerCall &call, const Route &route)
+void JobCallHandler::submit(const std::shared_ptr<HttpExchange> &request, const CallerCall &call, const Route &route, const CallerOrganisation &organisation)
 {
     if (this->context.stopping()) {
         request->respond(notRunResponse("stopping", "this host is stopping", absl::ZeroDuration()));
@@ -64,8 +64,14 @@
         request->respond(failureResponse(400, "bad_job", error.what(), "not_run"));
         return;
     }
+    if (organisation) {
+        for (BatchItem &item : submission.items) {
+            this->context.protocol.removeIdentity(item.fields);
+        }
+    }
     const absl::Time giveUpAt = request->received() + std::min(maxStoreRetryTime, call.timeBudget - responseMargin);
-    this->context.jobs.submit(submission, route, call.host, giveUpAt, [this, request, name = route.name](SubmitResult result) {
+    const JobSubmitter submitter{.virtualHost = call.host, .organisation = organisation};
+    this->context.jobs.submit(submission, route, submitter, giveUpAt, [this, request, organisation, name = route.name](SubmitResult result) {
         switch (result) {
         case SubmitResult::Accepted:
             request->respond(jsonResponse(202, "{}"));
@@ -74,6 +80,7 @@
             HttpResponse refusal = notRunResponse("limit", "too many tokens wait on this route", limitRetryAfter);
             refusal.head.status = 429;
             request->respond(refusal);
+            this->context.metrics.recordRefusal("limit", organisation.value_or(""));
             break;
         }
         case SubmitResult::Unavailable:
@@ -82,23 +89,62 @@
         case SubmitResult::Unknown:
             request->respond(unknownOutcomeResponse("store_unanswered", "the store did not answer"));
             break;
+        case SubmitResult::Hidden:
+            respondLookupFailure(request, JobLookup::NotFound);
+            break;
         }
         this->context.metrics.recordResponse(name, result == SubmitResult::Accepted ? 202 : 503, this->context.loop.now() - request->received());
     });
 }
 
-void JobCallHandler::handle(const std::shared_ptr<HttpExchange> &request, const CallerCall &call, bool forwarded)
+void JobCallHandler::handle(const std::shared_ptr<HttpExchange> &request, const CallerCall &call, const CallerOrganisation &organisation)
+{
+    if (!organisation) {
+        this->answer(request, call);
+        return;
+    }
+    this->context.jobs.locate(call.id, [this, request, call, organisation](JobLookup result, const JobLocation &location) {
+        const JobAccess access = result == JobLookup::Found ? jobAccess(location.organisation, organisation) : JobAccess::Allowed;
+        if (result != JobLookup::Found) {
+            respondLookupFailure(request, result);
+        } else if (access == JobAccess::Allowed) {
+            this->answer(request, call);
+        } else {
+            this->refuseAccess(request, call, access, *organisation);
+        }
+    });
+}
+
+void JobCallHandler::refuseAccess(const std::shared_ptr<HttpExchange> &request, const CallerCall &call, JobAccess access, const std::string &organisation)
+{
+    const std::string code = access == JobAccess::KeyRequired ? "no_key" : "other_organisation";
+    this->context.log.write("job_access_refused", {{"job", call.id}, {"code", code}, {"organisation", organisation}});
+    this->context.metrics.recordRefusal(code, organisation);
+    if (access == JobAccess::KeyRequired) {
+        request->respond(failureResponse(401, code, "the call needs a key", "not_run"));
+    } else {
+        respondLookupFailure(request, JobLookup::NotFound);
+    }
+}
+
+void JobCallHandler::handleForwarded(const std::shared_ptr<HttpExchange> &request, const CallerCall &call)
+{
+    this->rememberRead(request, call);
+    this->answerLocally(request, call);
+}
+
+void JobCallHandler::answer(const std::shared_ptr<HttpExchange> &request, const CallerCall &call)
 {
     this->rememberRead(request, call);
-    if (forwarded || call.kind == CallKind::CancelJob) {
+    if (call.kind == CallKind::CancelJob) {
         this->answerLocally(request, call);
         return;
     }
-    this->context.jobs.locate(call.id, [this, request, call](JobLookup result, const std::string &host) {
-        const Peer *owner = result == JobLookup::Found && host != this->context.host ? this->context.peers.find(host) : nullptr;
+    this->context.jobs.locate(call.id, [this, request, call](JobLookup result, const JobLocation &location) {
+        const Peer *owner = result == JobLookup::Found && location.host != this->context.host ? this->context.peers.find(location.host) : nullptr;
         if (result != JobLookup::Found) {
             respondLookupFailure(request, result);
-        } else if (owner != nullptr && this->context.peers.isLive(host, this->context.loop.now())) {
+        } else if (owner != nullptr && this->context.peers.isLive(location.host, this->context.loop.now())) {
             this->forward(request, call, *owner);
         } else {
             this->answerLocally(request, call);
@@ -128,6 +174,7 @@
 {
     HttpRequest copy = request->request();
     copy.fields = copy.fields.endToEnd();
+    this->context.protocol.removeIdentity(copy.fields);
     this->context.peerClient.send(
         owner.controlAddress, copy, call.wait + peerResponseTimeout, [this, request, call](const std::optional<HttpResponse> &response) {
             if (!response || response->head.status >= 500) {
@@ -182,9 +229,9 @@
 
 void JobCallHandler::notifyRunningHost(const std::string &jobId)
 {
-    this->context.jobs.locate(jobId, [this, jobId](JobLookup result, const std::string &host) {
-        const Peer *runner = result == JobLookup::Found ? this->context.peers.find(host) : nullptr;
-        if (runner != nullptr && this->context.peers.isLive(host, this->context.loop.now())) {
+    this->context.jobs.locate(jobId, [this, jobId](JobLookup result, const JobLocation &location) {
+        const Peer *runner = result == JobLookup::Found ? this->context.peers.find(location.host) : nullptr;
+        if (runner != nullptr && this->context.peers.isLive(location.host, this->context.loop.now())) {
             const HttpRequest notice{.method = "POST", .target = absl::StrCat(jobChangedPath, "?job=", percentEncode(jobId)), .fields = {}, .body = {}};
             this->context.peerClient.send(runner->controlAddress, notice, peerResponseTimeout, [](const std::optional<HttpResponse> &) {});
         }
--- a/src/JobCallHandler.h
+++ b/src/JobCallHandler.h
@@ -8,7 +8,9 @@
 #include "EntryMetrics.h"
 #include "EventLoop.h"
 #include "HttpServer.h"
+#include "JobAccess.h"
 #include "JobService.h"
+#include "JsonLog.h"
 #include "PeerClient.h"
 #include "PeerTable.h"
 #include "RoutingConfig.h"
@@ -23,6 +25,7 @@
     const PeerTable &peers;
     PeerClient &peerClient;
     const ServingProtocol &protocol;
+    JsonLog &log;
     EntryMetrics &metrics;
     /** Name of this host. */
     std::string host;
@@ -37,9 +40,11 @@
     explicit JobCallHandler(JobCallContext context);
 
     /** Accepts or refuses a new job. */
-    void submit(const std::shared_ptr<HttpExchange> &exchange, const CallerCall &call, const Route &route);
-    /** Answers a call about an existing job. @p forwarded tells that another host has sent it, so it is answered here. */
-    void handle(const std::shared_ptr<HttpExchange> &exchange, const CallerCall &call, bool forwarded);
+    void submit(const std::shared_ptr<HttpExchange> &exchange, const CallerCall &call, const Route &route, const CallerOrganisation &organisation);
+    /** Answers a caller's call about an existing job, if the caller has access to it. */
+    void handle(const std::shared_ptr<HttpExchange> &exchange, const CallerCall &call, const CallerOrganisation &organisation);
+    /** Answers a call that another host has forwarded after it has checked the caller's access. */
+    void handleForwarded(const std::shared_ptr<HttpExchange> &exchange, const CallerCall &call);
     /** Whether another host sends @p request to report a changed job. */
     [[nodiscard]] static bool isChangeNotice(const HttpRequest &request);
     /** Handles such a report. */
@@ -55,7 +60,11 @@
         CallerCall call;
     };
 
+    /** Answers a call of a caller without access to the job. */
+    void refuseAccess(const std::shared_ptr<HttpExchange> &exchange, const CallerCall &call, JobAccess access, const std::string &organisation);
     void rememberRead(const std::shared_ptr<HttpExchange> &exchange, const CallerCall &call);
+    /** Answers a call whose caller has access to the job, here or at the host that runs the job. */
+    void answer(const std::shared_ptr<HttpExchange> &exchange, const CallerCall &call);
     void answerLocally(const std::shared_ptr<HttpExchange> &exchange, const CallerCall &call);
     void forward(const std::shared_ptr<HttpExchange> &exchange, const CallerCall &call, const Peer &owner);
     void cancel(const std::shared_ptr<HttpExchange> &exchange, const CallerCall &call);
--- a/src/JobService.cpp
+++ b/src/JobService.cpp
@@ -152,34 +152,52 @@
     return sum;
 }
 
-void JobService::submit(
-    const SubmittedJob &submission, const Route &route, const std::string &host, absl::Time retryUntil, std::function<void(SubmitResult)> done)
+SubmitResult JobService::resubmit(const JobEntry &entry, const CallerOrganisation &organisation)
 {
-    if (this->entries.contains(submission.id)) {
+    return jobAccess(entry.header.organisation, organisation) == JobAccess::Allowed ? SubmitResult::Accepted : SubmitResult::Hidden;
+}
+
+void JobService::resubmitStored(const std::string &jobId, const CallerOrganisation &organisation, const std::function<void(SubmitResult)> &done)
+{
+    this->context.log.write("job_known", {{"job", jobId}});
+    if (!organisation) {
         done(SubmitResult::Accepted);
         return;
     }
-    const std::int64_t waiting = this->waitingTokens(host, route.pathPrefix);
+    this->lookUp(jobId,
+                 [organisation, done](JobLookup, const JobEntry *entry) { done(entry == nullptr ? SubmitResult::Unknown : resubmit(*entry, organisation)); });
+}
+
+void JobService::submit(
+    const SubmittedJob &submission, const Route &route, const JobSubmitter &submitter, absl::Time retryUntil, std::function<void(SubmitResult)> done)
+{
+    if (const auto known = this->entries.find(submission.id); known != this->entries.end()) {
+        done(resubmit(known->second, submitter.organisation));
+        return;
+    }
+    const std::int64_t waiting = this->waitingTokens(submitter.virtualHost, route.pathPrefix);
     if (route.maxWaitingTokens > 0 && waiting + submission.tokens() > route.maxWaitingTokens) {
         // Another host may have accepted the job a moment ago. The submission is then a duplicate and is not refused.
-        this->archive.readHeader(submission.id, [this, waiting, id = submission.id, done = std::move(done)](const ObjectReply &reply) {
-            const bool accepted = reply.result == StoreResult::Done && this->applyHeader(*reply.object) != nullptr;
-            this->context.log.write("job_limit", {{"job", id}, {"waitingTokens", waiting}, {"accepted", accepted}});
-            if (accepted) {
-                done(SubmitResult::Accepted);
-            } else {
-                done(reply.result == StoreResult::NotFound ? SubmitResult::WaitingTokenLimitReached : SubmitResult::Unknown);
-            }
-        });
+        this->archive.readHeader(submission.id,
+                                 [this, waiting, id = submission.id, organisation = submitter.organisation, done = std::move(done)](const ObjectReply &reply) {
+                                     const JobEntry *accepted = reply.result == StoreResult::Done ? this->applyHeader(*reply.object) : nullptr;
+                                     this->context.log.write("job_limit", {{"job", id}, {"waitingTokens", waiting}, {"accepted", accepted != nullptr}});
+                                     if (accepted != nullptr) {
+                                         done(resubmit(*accepted, organisation));
+                                     } else {
+                                         done(reply.result == StoreResult::NotFound ? SubmitResult::WaitingTokenLimitReached : SubmitResult::Unknown);
+                                     }
+                                 });
         return;
     }
     const JobRecord header{.id = submission.id,
-                           .virtualHost = host,
+                           .virtualHost = submitter.virtualHost,
                            .pathPrefix = route.pathPrefix,
                            .owner = this->context.host,
                            .submitted = this->context.attempts.loop.now(),
                            .tokens = submission.tokens(),
-                           .items = submission.items.size()};
+                           .items = submission.items.size(),
+                           .organisation = submitter.organisation.value_or("")};
     this->writeItems(submission, header, retryUntil, std::move(done));
 }
 
@@ -217,16 +235,19 @@
                 entry.fenced = this->runsHere(entry);
                 entry.lease.renew(sent);
             }
-            this->context.log.write(
-                "job_accepted",
-                {{"job", header.id}, {"items", static_cast<std::uint64_t>(header.items)}, {"tokens", header.tokens}, {"revision", entry.revision}});
+            this->context.log.write("job_accepted",
+                                    {{"job", header.id},
+                                     {"items", static_cast<std::uint64_t>(header.items)},
+                                     {"tokens", header.tokens},
+                                     {"organisation", header.organisation},
+                                     {"revision", entry.revision}});
             done(SubmitResult::Accepted);
             this->tick();
             return;
         }
         if (reply.result == StoreResult::Conflict) {
-            this->context.log.write("job_known", {{"job", header.id}});
-            done(SubmitResult::Accepted);
+            const auto config = this->context.config();
+            this->resubmitStored(header.id, itemOrganisation(header.organisation, config && config->organisations), done);
             return;
         }
         const bool mayBeWritten = earlierUnanswered || reply.result == StoreResult::Unanswered;
@@ -240,10 +261,14 @@
     });
 }
 
-void JobService::locate(const std::string &jobId, std::function<void(JobLookup, const std::string &)> done)
+void JobService::locate(const std::string &jobId, std::function<void(JobLookup, const JobLocation &)> done)
 {
     this->lookUp(jobId, [this, done = std::move(done)](JobLookup result, JobEntry *entry) {
-        done(result, entry == nullptr ? std::string() : this->context.selectRunningHost(entry->header.id, runnerOf(*entry)));
+        if (entry == nullptr) {
+            done(result, {});
+        } else {
+            done(result, {.host = this->context.selectRunningHost(entry->header.id, runnerOf(*entry)), .organisation = entry->header.organisation});
+        }
     });
 }
 
@@ -966,10 +991,11 @@
     this->context.log.write("item_started",
                             {{"job", entry.header.id},
                              {"item", item.id},
+                             {"organisation", entry.header.organisation},
                              {"upstream", upstream->id},
                              {"version", upstream->softwareVersion},
                              {"after", entry.job->lastEvent(*index).value_or(0)}});
-    const CallerOrganisation organisation = config.organisations ? CallerOrganisation(std::string()) : std::nullopt;
+    const CallerOrganisation organisation = itemOrganisation(entry.header.organisation, config.organisations != nullptr);
     const AttemptParameters parameters{.timeLeft = absl::InfiniteDuration(), .resumeAfter = entry.job->lastEvent(*index), .organisation = organisation};
     const ServingProtocol &protocol = this->context.attempts.protocol;
     run->attempt->send(protocol.prepareAttempt(protocol.itemRequest(item, entry.header.virtualHost, organisation), *upstream, parameters), item.id, true);
--- a/src/JobService.h
+++ b/src/JobService.h
@@ -12,6 +12,7 @@
 #include "BatchOrder.h"
 #include "EntryMetrics.h"
 #include "Job.h"
+#include "JobAccess.h"
 #include "JobArchive.h"
 #include "JsonLog.h"
 #include "ResultLease.h"
@@ -30,6 +31,26 @@
     Unavailable,
     /** The store's answer was lost; the job may have been accepted. */
     Unknown,
+    /** Refused: the id is that of a job that the caller has no access to. */
+    Hidden,
+};
+
+/** For whom a job is submitted. */
+struct JobSubmitter {
+    /** The Host field of the caller's request, without the port. */
+    std::string virtualHost;
+    CallerOrganisation organisation{};
+
+    bool operator==(const JobSubmitter &) const = default;
+};
+
+/** Where a job runs and whom it belongs to. */
+struct JobLocation {
+    std::string host{};
+    /** Empty for a job without an organisation. */
+    std::string organisation{};
+
+    bool operator==(const JobLocation &) const = default;
 };
 
 /** Outcome of looking up a job or one of its items. */
@@ -74,9 +95,10 @@
     JobService &operator=(const JobService &) = delete;
 
     /** Stores and accepts a job. Repeats store calls that get no answer until @p retryUntil. */
-    void submit(const SubmittedJob &submission, const Route &route, const std::string &host, absl::Time retryUntil, std::function<void(SubmitResult)> done);
-    /** Reports the host that runs a job. */
-    void locate(const std::string &jobId, std::function<void(JobLookup, const std::string &host)> done);
+    void submit(
+        const SubmittedJob &submission, const Route &route, const JobSubmitter &submitter, absl::Time retryUntil, std::function<void(SubmitResult)> done);
+    /** Reports the host that runs a job and the organisation that it belongs to. */
+    void locate(const std::string &jobId, std::function<void(JobLookup, const JobLocation &)> done);
     /** Reads the results from @p position on. If there is none yet, waits up to @p wait for the first one. */
     void read(const std::string &jobId, std::size_t position, absl::Duration wait, std::function<void(JobLookup, const JobPage &)> done);
     /** Reads the request body of one item. */
@@ -188,6 +210,10 @@
     /** Finds a job in memory, or else reads its header from the store. */
     void lookUp(const std::string &jobId, LookupHandler done);
     [[nodiscard]] std::int64_t waitingTokens(const std::string &host, const std::string &pathPrefix) const;
+    /** Answers the submission of a job that this host knows. */
+    static SubmitResult resubmit(const JobEntry &entry, const CallerOrganisation &organisation);
+    /** Answers a submission whose id another host has accepted before. */
+    void resubmitStored(const std::string &jobId, const CallerOrganisation &organisation, const std::function<void(SubmitResult)> &done);
     void writeItems(const SubmittedJob &submission, JobRecord header, absl::Time retryUntil, std::function<void(SubmitResult)> done);
     void writeHeader(
         const SubmittedJob &submission, const JobRecord &header, bool earlierUnanswered, absl::Time retryUntil, std::function<void(SubmitResult)> done);
--- a/src/JobTypes.cpp
+++ b/src/JobTypes.cpp
@@ -98,26 +98,36 @@
 
 nlohmann::json JobRecord::toJson() const
 {
-    return {{"host", this->virtualHost},
-            {"pathPrefix", this->pathPrefix},
-            {"owner", this->owner},
-            {"submittedMs", absl::ToUnixMillis(this->submitted)},
-            {"tokens", this->tokens},
-            {"items", this->items},
-            {"inputParts", this->inputParts}};
+    nlohmann::json json{{"host", this->virtualHost},
+                        {"pathPrefix", this->pathPrefix},
+                        {"owner", this->owner},
+                        {"submittedMs", absl::ToUnixMillis(this->submitted)},
+                        {"tokens", this->tokens},
+                        {"items", this->items},
+                        {"inputParts", this->inputParts}};
+    if (!this->organisation.empty()) {
+        json["organisation"] = this->organisation;
+    }
+    return json;
 }
 
 JobRecord JobRecord::fromJson(const std::string &id, const nlohmann::json &json)
 {
     return convertJsonErrors<JobRecord>([&] {
-        return JobRecord{.id = id,
+        JobRecord record{.id = id,
                          .virtualHost = json.at("host"),
                          .pathPrefix = json.at("pathPrefix"),
                          .owner = json.at("owner"),
                          .submitted = absl::FromUnixMillis(json.at("submittedMs")),
                          .tokens = readCount(json.at("tokens"), "tokens", maxJobTokens),
                          .items = static_cast<std::size_t>(readCount(json.at("items"), "items", maxJobItems)),
-                         .inputParts = static_cast<std::size_t>(readCount(json.at("inputParts"), "inputParts", maxJobItems))};
+                         .inputParts = static_cast<std::size_t>(readCount(json.at("inputParts"), "inputParts", maxJobItems)),
+                         .organisation = json.value("organisation", std::string())};
+        // The name becomes a header field of the items.
+        if (std::ranges::any_of(record.organisation, isControl)) {
+            throw JobFormatError("the organisation has control characters");
+        }
+        return record;
     });
 }
 
--- a/src/JobTypes.h
+++ b/src/JobTypes.h
@@ -62,6 +62,8 @@
     std::size_t items = 0;
     /** Number of store objects that hold the items. */
     std::size_t inputParts = 0;
+    /** The organisation that the job belongs to; empty if none. */
+    std::string organisation{};
 
     [[nodiscard]] nlohmann::json toJson() const;
     /** Throws JobFormatError. */
--- a/src/OnlineCall.cpp
+++ b/src/OnlineCall.cpp
@@ -26,6 +26,7 @@
 // A request with a part that may crash upstreams is sent to at most this many that do.
 constexpr int maxLostAttemptsOfSuspects = 2;
 constexpr int gatewayError = 502;
+constexpr int refusalStatus = 503;
 
 std::string_view nameOf(AttemptOutcome outcome)
 {
@@ -158,6 +159,7 @@
     this->context.log.write("attempt",
                             {{"request", this->call.id},
                              {"route", this->route.name},
+                             {"organisation", this->organisation.value_or("")},
                              {"upstream", upstream.id},
                              {"version", upstream.softwareVersion},
                              {"number", this->attempts},
@@ -391,7 +393,8 @@
         return;
     }
     const HttpResponse response{.head = {.status = result.head.status, .fields = result.head.fields.endToEnd()}, .body = result.body};
-    this->answer(response, "upstream_answer");
+    this->exchange->respond(response);
+    this->end(response.head.status, "upstream_answer");
 }
 
 void OnlineCall::checkProgress(absl::Time now)
@@ -482,6 +485,9 @@
 
 void OnlineCall::answer(const HttpResponse &response, const std::string &reason)
 {
+    if (response.head.status == refusalStatus) {
+        this->context.metrics.recordRefusal(reason, this->organisation.value_or(""));
+    }
     this->exchange->respond(response);
     this->end(response.head.status, reason);
 }
@@ -495,6 +501,7 @@
     this->context.log.write("answered",
                             {{"request", this->call.id},
                              {"route", this->route.name},
+                             {"organisation", this->organisation.value_or("")},
                              {"service", this->service},
                              {"status", status},
                              {"reason", reason},
--- a/src/ServingProtocol.h
+++ b/src/ServingProtocol.h
@@ -69,6 +69,8 @@
     /** Parses the items of a job; throws JobFormatError. */
     std::function<SubmittedJob(const HttpRequest &)> decodeSubmission;
     std::function<HttpResponse(const JobPage &)> encodePage;
+    /** Removes the key and the organisation from the fields of a message that goes to another host or to the store. */
+    std::function<void(HttpFields &)> removeIdentity{};
     /** The request as it is sent to an upstream. */
     std::function<HttpRequest(const HttpRequest &, const UpstreamInfo &, const AttemptParameters &)> prepareAttempt;
     /** The request of an item, with the organisation of its job. */
--- a/test/entry/JobReadTest.cpp
+++ b/test/entry/JobReadTest.cpp
@@ -57,16 +57,18 @@
     void giveUpItems()
     {
         auto expiring = std::make_shared<RoutingConfig>();
-        expiring->routes.push_back(route());
-        expiring->routes.back().jobDue = absl::Seconds(18);
-        expiring->routes.back().jobRetention = absl::ZeroDuration();
+        Route batch = route();
+        batch.jobDue = absl::Seconds(18);
+        batch.jobRetention = absl::ZeroDuration();
+        expiring->routes.add(batch);
         this->config = expiring;
     }
 
     void submitJob()
     {
         std::optional<SubmitResult> result;
-        this->jobs.submit(submission(), route(), "site.example", this->loop.now() + absl::Seconds(3), [&result](SubmitResult value) { result = value; });
+        this->jobs.submit(
+            submission(), route(), {.virtualHost = "site.example"}, this->loop.now() + absl::Seconds(3), [&result](SubmitResult value) { result = value; });
         ASSERT_TRUE(runUntil(this->loop, [&result] { return result.has_value(); }));
         ASSERT_EQ(result, SubmitResult::Accepted);
     }
@@ -184,7 +186,7 @@
 TEST_F(JobReadTest, lateAcceptanceDoesNotHideResultsOfTheNextRunner)
 {
     this->store.setReplies(InMemoryObjectStore::Replies::Held);
-    this->jobs.submit(submission(), route(), "site.example", this->loop.now() + absl::Seconds(3), [](SubmitResult) {});
+    this->jobs.submit(submission(), route(), {.virtualHost = "site.example"}, this->loop.now() + absl::Seconds(3), [](SubmitResult) {});
     this->store.releaseReplies();
     ASSERT_TRUE(runUntil(this->loop, [this] { return this->store.contains(JobArchive::headerKind, jobId); }));
     this->changeProgress({.runner = otherHost});
--- a/test/site/SiteFleet.cpp
+++ b/test/site/SiteFleet.cpp
@@ -40,17 +40,21 @@
     batch["dueMs"] = 18'000;
     batch["retentionS"] = 60;
     batch["maxCount"] = waitingTokenLimit;
-    const nlohmann::json routes{resumable,
-                                batch,
-                                routeJson("stream", "/stream/", "streaming", "model", timeoutMs),
-                                routeJson("plain", "/plain/", "safe", "plain", timeoutMs),
-                                routeJson("once", "/once/", "unsafe", "plain", timeoutMs)};
-    this->store.write("config",
-                      "main",
-                      {{"version", version},
-                       {"routes", routes},
-                       {"services", {{{"name", "model"}}, {{"name", "plain"}}}},
-                       {"limits", {{"maxHeaderBytes", 16384}, {"maxBodyBytes", 4194304}, {"headerTimeoutMs", 3000}, {"idleTimeoutMs", 15000}}}});
+    nlohmann::json routes{resumable,
+                          batch,
+                          routeJson("stream", "/stream/", "streaming", "model", timeoutMs),
+                          routeJson("plain", "/plain/", "safe", "plain", timeoutMs),
+                          routeJson("once", "/once/", "unsafe", "plain", timeoutMs)};
+    nlohmann::json config{{"version", version},
+                          {"services", {{{"name", "model"}}, {{"name", "plain"}}}},
+                          {"limits", {{"maxHeaderBytes", 16384}, {"maxBodyBytes", 4194304}, {"headerTimeoutMs", 3000}, {"idleTimeoutMs", 15000}}}};
+    if (!this->organisations.is_null()) {
+        config["tenants"] = this->organisations;
+        routes.push_back(routeJson("public", "/public/", "safe", "plain", timeoutMs));
+        routes.back()["public"] = true;
+    }
+    config["routes"] = routes;
+    this->store.write("config", "main", config);
 }
 
 void SiteFleet::registerUpstream(const StandinUpstream &upstream, const std::string &service, const std::string &state, std::optional<std::int64_t> startedAtMs)
@@ -83,10 +87,15 @@
     settings.entryAddress = settings.readyAddress = settings.directoryAddress = settings.controlAddress = "127.0.0.1:0";
     settings.peerAddress = settings.metricsAddress = "127.0.0.1:0";
     settings.storeAddress = storeAddress.empty() ? this->store.address() : storeAddress;
+    PlatformAdapter platform = connectPlatform(this->loop, settings.storeAddress, *running->metrics);
+    platform.serving.decodeCall = [this, decode = platform.serving.decodeCall](const HttpRequest &request) {
+        if (request.fields.find(callIdField)) {
+            this->forwardedCalls.push_back(request);
+        }
+        return decode(request);
+    };
     running->host = std::make_unique<EntryHost>(
-        this->loop, settings, connectPlatform(this->loop, settings.storeAddress, *running->metrics), *running->log, *running->metrics, [raw = running.get()] {
-            raw->stopped = true;
-        });
+        this->loop, settings, std::move(platform), *running->log, *running->metrics, [raw = running.get()] { raw->stopped = true; });
     this->hosts.push_back(std::move(running));
     return *this->hosts.back();
 }
@@ -127,6 +136,9 @@
     const EntrySettings &settings = host.host->currentSettings();
     HttpRequest request{.method = method, .target = target, .fields = fields, .body = body};
     request.fields.set("Host", callerHost);
+    for (const HttpField &field : this->callerFields.all()) {
+        request.fields.add(field.name, field.value);
+    }
     answer->call = this->client.send(directory ? settings.directoryAddress : settings.entryAddress,
                                      request,
                                      {.matchesRequest = {},
--- a/test/site/SiteFleet.h
+++ b/test/site/SiteFleet.h
@@ -71,6 +71,12 @@
     /** The body of a stream with the events from @p first to @p events. */
     [[nodiscard]] static std::string wholeStream(int events, int first = 1);
 
+    /** Organisations of the next configuration; null for a configuration without any. It then has no public routes either. */
+    nlohmann::json organisations;
+    /** Added to each request of a caller. */
+    HttpFields callerFields;
+    /** The calls that hosts have got from other hosts. */
+    std::vector<HttpRequest> forwardedCalls;
     EventLoop loop;
     int nullDevice;
     StandinObjectStore store{this->loop};
--- a/test/standin/StandinUpstream.cpp
+++ b/test/standin/StandinUpstream.cpp
@@ -165,6 +165,9 @@
         exchange->abort();
         return;
     }
+    if (this->options.onRequest) {
+        this->options.onRequest(request);
+    }
     if (this->refuse(exchange)) {
         return;
     }
--- a/test/standin/StandinUpstream.h
+++ b/test/standin/StandinUpstream.h
@@ -48,6 +48,8 @@
     bool tagsVersion = false;
     /** Called for each request that runs, before any response is sent. May be empty. */
     std::function<void(const std::string &requestId)> onRun;
+    /** Called for each request that arrives. May be empty. */
+    std::function<void(const HttpRequest &)> onRequest{};
     /** Whether the upstream crashes when it would begin the answer to this request. May be empty. */
     std::function<bool(const HttpRequest &)> crashesOn{};
     /** Time from a crash until the upstream runs again, at another address and with a later start time. */
