--- a/src/CallerRequestHandler.cpp
+++ b/src/CallerRequestHandler.cpp
@@ -25,9 +25,10 @@
 void CallerRequestHandler::handle(const std::shared_ptr<HttpExchange> &exchange)
 {
     const CallerCall call = this->context.protocol.decodeCall(exchange->request());
+    const std::shared_ptr<const RoutingConfig> config = this->context.config();
     // Without a configuration it is not known whether the call needs a key.
-    if (call.kind != CallKind::Request && this->context.config()) {
-        this->context.jobCalls.handle(exchange, call, false);
+    if (call.kind != CallKind::Request && config) {
+        this->handleJobCall(exchange, call, *config);
     } else if (call.kind == CallKind::Request && this->context.routingKnown()) {
         this->handleRequest(exchange, call);
     } else {
@@ -80,6 +81,16 @@
     this->admit({.exchange = exchange, .call = call, .config = config, .route = route, .authentication = authentication});
 }
 
+void CallerRequestHandler::handleJobCall(const std::shared_ptr<HttpExchange> &exchange, const CallerCall &call, const RoutingConfig &config)
+{
+    const Authentication authentication = authenticateJobCall(config, call);
+    if (authentication.refusal) {
+        this->refuse(exchange, call, *authentication.refusal);
+        return;
+    }
+    this->context.jobCalls.handle(exchange, call, authentication.callerOrganisation(config));
+}
+
 void CallerRequestHandler::refuse(const std::shared_ptr<HttpExchange> &exchange, const CallerCall &call, const KeyRefusal &refusal)
 {
     this->context.online.log.write("key_refused", {{"request", call.id}, {"code", refusal.code}});
@@ -100,7 +111,8 @@
 void CallerRequestHandler::serve(const AuthenticatedRequest &request)
 {
     if (request.route->kind == RouteKind::Batch) {
-        this->context.jobCalls.submit(request.exchange, request.call, *request.route);
+        const CallerOrganisation organisation = request.authentication.callerOrganisation(*request.config);
+        this->context.jobCalls.submit(request.exchange, request.call, *request.route, organisation);
     } else {
         this->startOnline(request);
     }
--- a/src/CallerRequestHandler.h
+++ b/src/CallerRequestHandler.h
@@ -75,6 +75,7 @@
     /** Keeps a request that arrived before the routing data, or refuses it when they are not expected. */
     void waitForRouting(const std::shared_ptr<HttpExchange> &exchange);
     void handleRequest(const std::shared_ptr<HttpExchange> &exchange, const CallerCall &call);
+    void handleJobCall(const std::shared_ptr<HttpExchange> &exchange, const CallerCall &call, const RoutingConfig &config);
     void refuse(const std::shared_ptr<HttpExchange> &exchange, const CallerCall &call, const KeyRefusal &refusal);
     /** Decides whether an authenticated request is served now. Checks of its configuration's age and of quotas belong here. */
     void admit(const AuthenticatedRequest &request);
