Test that a rejected configuration is counted once when it is listed again

Without ConfigVersions::recordRejected the test passed, because the host got the invalid version only once.

--- a/test/site/ApiKeyTest.cpp
+++ b/test/site/ApiKeyTest.cpp
@@ -143,6 +143,12 @@
     this->waitUntilHostsKnowEachOther();
     EXPECT_EQ(this->statusWith(host, {{"Api-Key", firstKey}}, "/plain/x", "kept"), 200);
     EXPECT_EQ(this->statusWith(late, {{"Api-Key", firstKey}}, "/plain/x", "late"), 200);
+    // A failed watch makes the host list the configuration, and thereby the rejected version, again.
+    this->store.setMode(ObjectApiMode::Busy);
+    this->store.write("config", "unrelated", nlohmann::json::object());
+    runFor(this->loop, absl::Milliseconds(300));
+    this->store.setMode(ObjectApiMode::Serving);
+    runFor(this->loop, absl::Seconds(1));
     EXPECT_TRUE(absl::StrContains(host.metrics->text(), "bergamotramp_configs_rejected_total{cause=\"invalid\"} 1"));
     this->organisations = {{{"name", "acme"}, {"apiKeys", {secondKey}}}};
     this->publish(3, host, firstKey, 401);
