--- a/src/EntrySettings.cpp
+++ b/src/EntrySettings.cpp
@@ -13,6 +13,8 @@
 constexpr IntegerRange connectionRange{1, 100'000};
 constexpr IntegerRange timeRangeMs{100, 600'000};
 constexpr double maxLinkMbps = 1e6;
+constexpr IntegerRange memoryRangeMb{0, 1 << 20};
+constexpr IntegerRange descriptorRange{0, 1 << 20};
 
 std::string validatedAddress(std::string address, const std::string &path)
 {
@@ -69,6 +71,8 @@
     }
     settings.maxConnections = reader.optionalInteger("maxConnections", settings.maxConnections, connectionRange);
     settings.linkMbps = static_cast<std::int64_t>(reader.optionalNumber("linkMbps", 0.0, 0.0, maxLinkMbps));
+    settings.memoryMb = reader.optionalInteger("memoryMb", settings.memoryMb, memoryRangeMb);
+    settings.maxDescriptors = reader.optionalInteger("maxDescriptors", settings.maxDescriptors, descriptorRange);
     settings.addressTimeToLive =
         absl::Milliseconds(reader.optionalInteger("addressTimeToLiveMs", absl::ToInt64Milliseconds(settings.addressTimeToLive), timeRangeMs));
     settings.stopGrace = absl::Seconds(reader.optionalNumber("stopGraceS", absl::ToDoubleSeconds(settings.stopGrace), 0.1, 600.0));
--- a/src/EntrySettings.h
+++ b/src/EntrySettings.h
@@ -47,6 +47,10 @@
     std::int64_t maxConnections = 2000;
     /** Bandwidth of this host's network link, Mbit/s; 0 if unknown. */
     std::int64_t linkMbps = 0;
+    /** Memory that the process may use, MB; 0 if unknown. */
+    std::int64_t memoryMb = 0;
+    /** Descriptors that the process may open; 0 if unknown. */
+    std::int64_t maxDescriptors = 0;
     /** How long callers may cache the addresses that the directory returns. */
     absl::Duration addressTimeToLive = absl::Seconds(2);
     /** Time between the signal to stop and the kill of the process. */
--- a/test/scenario/ChildProcess.cpp
+++ b/test/scenario/ChildProcess.cpp
@@ -110,6 +110,11 @@
     return this->logPath;
 }
 
+pid_t ChildProcess::processId() const
+{
+    return this->pid;
+}
+
 void ChildProcess::reap(bool wait)
 {
     int status = 0;
--- a/test/scenario/ChildProcess.h
+++ b/test/scenario/ChildProcess.h
@@ -32,6 +32,7 @@
     /** Exit code, or 128 plus the number of the signal that ended the process; nothing while it runs. */
     [[nodiscard]] std::optional<int> exitCode();
     [[nodiscard]] const std::string &logFile() const;
+    [[nodiscard]] pid_t processId() const;
 
 private:
     void reap(bool wait);
