Bound what callers make an entry host hold

Callers that stop just short of the end of a body, send thousands of header fields or do not read answers made the host hold all that they sent, and any number of connections. CallerBudget bounds bytes and connections for all servers of a process, with parts for other hosts and readiness checks, closes the connection that holds most for the least progress, and refuses a stated body that does not fit as not run. The next pipelined request waits while its caller leaves 64 KB unread. Empty lines no longer begin the time of a head again.

Parsing JSON took time that grows with the square of the number of values, so that one job of 4 MB kept the host from answering for more than 20 s; it is linear now.

--- a/src/EntryHost.cpp
+++ b/src/EntryHost.cpp
@@ -199,6 +199,20 @@
     this->settings.directoryAddress = this->directoryServer->address();
     this->settings.controlAddress = this->controlServer->address();
     this->settings.metricsAddress = this->metricsServer->address();
+    this->limitCallers();
+}
+
+void EntryHost::limitCallers()
+{
+    this->callerBudget = std::make_shared<CallerBudget>(
+        this->settings.memoryMb, this->settings.maxDescriptors, [&log = this->log](CallerLimit limit, const std::string &address, std::uint64_t leftOut) {
+            log.write("caller_limited", {{"limit", callerLimitName(limit)}, {"address", address}, {"leftOut", leftOut}});
+        });
+    this->entryServer->useBudget(this->callerBudget, CallerClass::Caller);
+    this->directoryServer->useBudget(this->callerBudget, CallerClass::Caller);
+    this->metricsServer->useBudget(this->callerBudget, CallerClass::Caller);
+    this->controlServer->useBudget(this->callerBudget, CallerClass::Host);
+    this->readyServer->useBudget(this->callerBudget, CallerClass::Check);
 }
 
 const EntrySettings &EntryHost::currentSettings() const
@@ -569,6 +583,10 @@
     this->metrics.setGauge("calls", static_cast<double>(this->callerRequests->onlineCalls()));
     this->metrics.setGauge("items_running", static_cast<double>(this->jobs->runningItems()));
     this->metrics.setGauge("peers_live", static_cast<double>(this->peers.liveHosts(this->loop.now()).size()));
+    for (const CallerLimit limit : {CallerLimit::Connections, CallerLimit::BodyRefused, CallerLimit::Bytes, CallerLimit::Rate}) {
+        this->metrics.setGauge(absl::StrCat("callers_limited_", callerLimitName(limit)), static_cast<double>(this->callerBudget->count(limit)));
+    }
+    this->metrics.setGauge("caller_bytes_held", static_cast<double>(this->callerBudget->bytes(CallerClass::Caller)));
     this->metrics.setGauge("log_lines_dropped", static_cast<double>(this->log.droppedLines()));
     this->metrics.setGauge("upstream_connections_opened", static_cast<double>(this->upstreamClient.connectionsOpened()));
     request->respond({.head = {.status = 200, .fields = {{"Content-Type", "text/plain; version=0.0.4"}}}, .body = this->metrics.text()});
--- a/src/EntryHost.h
+++ b/src/EntryHost.h
@@ -64,6 +64,8 @@
 
 private:
     void startServers();
+    /** One budget for the callers of all servers. */
+    void limitCallers();
     void createWatchers();
     /** Starts the watchers when this host knows other hosts, or when it has waited long enough for them since @p waitingSince. */
     void startWatchers(absl::Time waitingSince);
@@ -167,6 +169,7 @@
     std::unique_ptr<KindWatcher> configWatcher;
     std::unique_ptr<KindWatcher> upstreamWatcher;
     std::unique_ptr<KindWatcher> jobWatcher;
+    std::shared_ptr<CallerBudget> callerBudget;
     std::unique_ptr<HttpServer> entryServer;
     std::unique_ptr<HttpServer> readyServer;
     std::unique_ptr<HttpServer> directoryServer;
--- a/src/HttpParser.cpp
+++ b/src/HttpParser.cpp
@@ -71,6 +71,7 @@
     std::string target;
     int status = 0;
     HttpFields fields;
+    std::size_t fieldBytes = 0;
     std::function<void(std::string_view)> bodyHandler;
 
 private:
@@ -94,6 +95,8 @@
     }
     void on_field_impl(http::field, BeastView name, BeastView value, BeastError &) override
     {
+        // A list that has grown has room for up to twice as many fields.
+        this->fieldBytes += 2 * sizeof(HttpField) + name.size() + value.size();
         this->fields.add(toString(name), toString(value));
     }
     void on_header_impl(BeastError &) override
@@ -144,9 +147,9 @@
     const bool headWasComplete = this->parser->is_header_done();
     const HttpProgress progress = this->parser->feed(bytes);
     if (!headWasComplete && progress.headComplete) {
-        this->parser->request.method = this->parser->method;
-        this->parser->request.target = this->parser->target;
-        this->parser->request.fields = this->parser->fields;
+        this->parser->request.method = std::move(this->parser->method);
+        this->parser->request.target = std::move(this->parser->target);
+        this->parser->request.fields = std::move(this->parser->fields);
     }
     return progress;
 }
@@ -161,9 +164,20 @@
     return this->parser->keep_alive();
 }
 
+std::optional<std::uint64_t> HttpRequestParser::statedLength() const
+{
+    const auto length = this->parser->content_length();
+    return length ? std::optional<std::uint64_t>(*length) : std::nullopt;
+}
+
+std::size_t HttpRequestParser::heldBytes() const
+{
+    return this->parser->fieldBytes + this->parser->request.body.capacity();
+}
+
 bool HttpRequestParser::expectsContinue() const
 {
-    const auto value = this->parser->fields.find("expect");
+    const auto value = this->parser->request.fields.find("expect");
     return value && absl::EqualsIgnoreCase(absl::string_view(value->data(), value->size()), "100-continue");
 }
 
--- a/src/HttpParser.h
+++ b/src/HttpParser.h
@@ -48,6 +48,10 @@
     /** Moves the complete request out of the parser. */
     [[nodiscard]] HttpRequest takeRequest();
     [[nodiscard]] bool keepAlive() const;
+    /** Length of the body if the head states it. */
+    [[nodiscard]] std::optional<std::uint64_t> statedLength() const;
+    /** Memory of what was parsed so far, approximately. */
+    [[nodiscard]] std::size_t heldBytes() const;
     /** Whether the sender waits for "100 Continue" before it sends the body. */
     [[nodiscard]] bool expectsContinue() const;
 
--- a/src/HttpServer.cpp
+++ b/src/HttpServer.cpp
@@ -19,6 +19,13 @@
 constexpr std::size_t maxPipelinedBytes = 64 * 1024;
 // A response is aborted when more bytes than this wait for a caller that does not read.
 constexpr std::size_t maxUnsentBytes = 8 * 1024 * 1024;
+// The next request of a connection is not handled while more bytes than this wait for the caller.
+constexpr std::size_t maxUnreadBytes = 64 * 1024;
+constexpr absl::Duration rateCheckPeriod = absl::Seconds(1);
+// When a caller that was refused for the budget should come back.
+constexpr absl::Duration overloadRetryAfter = absl::Seconds(1);
+// A request in progress is held once by its exchange and once by the attempt at an upstream.
+constexpr std::size_t copiesInProgress = 2;
 // Delay after a failed accept, for example when no file descriptor is free.
 constexpr absl::Duration acceptRetryDelay = absl::Milliseconds(50);
 constexpr int listenBacklog = 512;
@@ -63,6 +70,7 @@
     this->responseStarted = true;
     this->connection->sendResponseHead(this->withCallId(response.head), response.body.size());
     this->connection->stream->write(response.body);
+    this->connection->updateBudget();
     this->finishResponse();
 }
 
@@ -93,6 +101,7 @@
         return;
     }
     this->connection->stream->write(absl::StrCat(absl::Hex(bytes.size()), "\r\n", absl::string_view(bytes.data(), bytes.size()), "\r\n"));
+    this->connection->updateBudget();
 }
 
 void HttpExchange::finishBody()
@@ -139,7 +148,107 @@
 {
     this->waitForRequest();
     this->stream->start({.data = makeWeakCallback(this->weak_from_this(), &HttpServerConnection::onData),
-                         .ended = makeWeakCallback(this->weak_from_this(), &HttpServerConnection::onEnded)});
+                         .ended = makeWeakCallback(this->weak_from_this(), &HttpServerConnection::onEnded),
+                         .sent = makeWeakCallback(this->weak_from_this(), &HttpServerConnection::onSent)});
+}
+
+bool HttpServerConnection::registerWithBudget()
+{
+    const std::shared_ptr<CallerBudget> budget = this->server->budget;
+    if (budget == nullptr) {
+        return true;
+    }
+    // The connection is closed later, because the budget decides while another one, or this one, handles what it has received.
+    const auto close = [&loop = this->server->loop, weak = this->weak_from_this()](CallerLimit limit) {
+        loop.post([weak, limit] {
+            if (const auto self = weak.lock()) {
+                self->closeForLimit(limit);
+            }
+        });
+    };
+    this->budgetId = budget->open(this->server->callerClass, this->stream->remoteAddress(), this->server->loop.now(), close);
+    if (this->budgetId == 0) {
+        return false;
+    }
+    this->stream->keepUntilClosed(std::shared_ptr<void>(nullptr, [budget, id = this->budgetId](void *) { budget->closed(id); }));
+    return true;
+}
+
+void HttpServerConnection::updateBudget()
+{
+    const absl::Time now = this->server->loop.now();
+    const std::size_t unsent = this->stream->unsentBytes();
+    if (unsent == 0) {
+        this->answerRate.stop();
+    } else if (!this->answerRate.active()) {
+        this->answerRate.start(now);
+    }
+    if (this->server->budget == nullptr) {
+        return;
+    }
+    const std::size_t request = this->requestInProgress ? copiesInProgress * this->requestBytes : this->parser->heldBytes();
+    const bool closable = !this->requestInProgress || unsent > maxUnreadBytes;
+    this->server->budget->hold(this->budgetId, request + this->unparsed.capacity() + this->stream->bufferBytes(), closable, now);
+}
+
+void HttpServerConnection::onSent(std::size_t bytes)
+{
+    this->answerRate.add(bytes);
+    if (this->server->budget != nullptr) {
+        this->server->budget->moved(this->budgetId, bytes, this->server->loop.now());
+    }
+    this->updateBudget();
+    if (this->waitingForReader && this->stream->unsentBytes() <= maxUnreadBytes) {
+        this->waitingForReader = false;
+        this->continueAfterResponse();
+    }
+}
+
+void HttpServerConnection::checkRate()
+{
+    const absl::Time now = this->server->loop.now();
+    const bool bodyTooSlow = this->bodyRate.tooSlow(now);
+    const bool answerTooSlow = this->answerRate.tooSlow(now);
+    if (!bodyTooSlow && !answerTooSlow) {
+        return;
+    }
+    this->server->budget->reportSlow(this->budgetId, now);
+    if (answerTooSlow) {
+        this->dropResponse();
+    } else {
+        this->rejectRequest(408);
+    }
+}
+
+void HttpServerConnection::closeForLimit(CallerLimit)
+{
+    if (!this->stream->open()) {
+        return;
+    }
+    if (this->requestInProgress || this->stream->unsentBytes() > 0) {
+        this->dropResponse();
+    } else if (this->requestBegun) {
+        this->sendAndClose(notRunResponse("overloaded", "this host has no memory for the request", overloadRetryAfter));
+    } else {
+        this->close();
+    }
+}
+
+void HttpServerConnection::dropResponse()
+{
+    const auto self = this->shared_from_this();
+    this->stream->reset();
+    this->onEnded(StreamEnd::ConnectionLost);
+}
+
+bool HttpServerConnection::admitBody()
+{
+    const std::optional<std::uint64_t> length = this->parser->statedLength();
+    if (this->server->budget == nullptr || !length || this->server->budget->admitBody(this->budgetId, *length, this->server->loop.now())) {
+        return true;
+    }
+    this->sendAndClose(notRunResponse("overloaded", "this host has no memory for the body", overloadRetryAfter));
+    return false;
 }
 
 void HttpServerConnection::waitForRequest()
@@ -151,18 +260,26 @@
 
 void HttpServerConnection::onData(std::string_view bytes)
 {
-    if (!this->requestInProgress && this->unparsed.empty()) {
+    if (!this->requestInProgress && !this->waitingForReader && !this->requestBegun) {
         this->timer = this->server->loop.after(this->server->bounds.headTimeout, [this] { this->rejectRequest(408); });
     }
+    const auto self = this->shared_from_this();
     this->unparsed.append(bytes);
-    this->requestBegun = this->requestBegun || !this->requestInProgress;
-    if (this->requestInProgress) {
+    this->bodyRate.add(bytes.size());
+    if (this->server->budget != nullptr) {
+        this->server->budget->moved(this->budgetId, bytes.size(), this->server->loop.now());
+    }
+    if (this->requestInProgress || this->waitingForReader) {
         if (this->unparsed.size() > maxPipelinedBytes) {
             this->stream->pauseReading();
         }
-        return;
+    } else {
+        this->requestBegun = true;
+        this->parseRequest();
+    }
+    if (this->stream->open()) {
+        this->updateBudget();
     }
-    this->parseRequest();
 }
 
 void HttpServerConnection::parseRequest()
@@ -180,7 +297,9 @@
             return;
         }
         if (progress.headComplete) {
-            this->onBodyPending();
+            if (!this->onBodyPending()) {
+                return;
+            }
         }
         if (progress.consumed == 0) {
             return;
@@ -188,14 +307,21 @@
     }
 }
 
-void HttpServerConnection::onBodyPending()
+bool HttpServerConnection::onBodyPending()
 {
+    if (!this->continueHandled) {
+        if (!this->admitBody()) {
+            return false;
+        }
+        this->bodyRate.start(this->server->loop.now());
+    }
     // The head timeout does not cover the body; each piece of the body restarts the idle timeout.
     this->timer = this->server->loop.after(this->server->bounds.idleTimeout, [this] { this->rejectRequest(408); });
     if (!this->continueHandled && this->parser->expectsContinue()) {
         this->stream->write("HTTP/1.1 100 Continue\r\n\r\n");
     }
     this->continueHandled = true;
+    return true;
 }
 
 void HttpServerConnection::dispatchRequest()
@@ -203,6 +329,9 @@
     this->timer.cancel();
     this->requestInProgress = true;
     this->requestBegun = false;
+    this->bodyRate.stop();
+    this->requestBytes = this->parser->heldBytes();
+    this->updateBudget();
     this->keepConnectionOpen = this->parser->keepAlive();
     const auto exchange = std::make_shared<HttpExchange>(this->shared_from_this(), this->parser->takeRequest(), this->server->loop.now());
     this->currentExchange = exchange;
@@ -245,11 +374,24 @@
         return;
     }
     this->waitForRequest();
+    if (this->stream->unsentBytes() > maxUnreadBytes) {
+        this->timer.cancel();
+        this->waitingForReader = true;
+        return;
+    }
+    this->continueAfterResponse();
+}
+
+void HttpServerConnection::continueAfterResponse()
+{
+    if (!this->timer.active()) {
+        this->timer = this->server->loop.after(this->server->bounds.idleTimeout, [this] { this->close(); });
+    }
     this->stream->resumeReading();
     this->requestBegun = !this->unparsed.empty();
     if (this->requestBegun) {
         this->server->loop.post([self = this->shared_from_this()] {
-            if (!self->requestInProgress) {
+            if (!self->requestInProgress && self->stream->open()) {
                 self->parseRequest();
             }
         });
@@ -363,21 +505,45 @@
                 return;
             }
             if (error) {
+                // A descriptor of an idle connection serves the next caller better.
+                if (this->budget != nullptr) {
+                    this->budget->closeIdlest(this->callerClass, this->loop.now());
+                }
                 this->acceptRetryTimer = this->loop.after(acceptRetryDelay, [this] { this->accept(); });
                 return;
             }
-            const auto stream = std::make_shared<TcpStream>(this->loop, TcpSocket{std::move(socket)});
-            if (this->openConnections.size() >= this->maxConnections) {
-                stream->reset();
-            } else {
-                const auto connection = std::make_shared<HttpServerConnection>(*this, stream);
-                this->openConnections.insert(connection);
-                connection->start();
-            }
+            this->addConnection(std::make_shared<TcpStream>(this->loop, TcpSocket{std::move(socket)}));
             this->accept();
         });
 }
 
+void HttpServer::addConnection(const std::shared_ptr<TcpStream> &stream)
+{
+    const auto connection = std::make_shared<HttpServerConnection>(*this, stream);
+    if (this->openConnections.size() >= this->maxConnections || !connection->registerWithBudget()) {
+        stream->reset();
+        return;
+    }
+    this->openConnections.insert(connection);
+    connection->start();
+}
+
+void HttpServer::useBudget(std::shared_ptr<CallerBudget> callerBudget, CallerClass callers)
+{
+    this->budget = std::move(callerBudget);
+    this->callerClass = callers;
+    this->checkRates();
+}
+
+void HttpServer::checkRates()
+{
+    this->rateTimer = this->loop.after(rateCheckPeriod, [this] { this->checkRates(); });
+    const auto connections = this->openConnections;
+    for (const auto &connection : connections) {
+        connection->checkRate();
+    }
+}
+
 void HttpServer::closeAfterResponses()
 {
     this->closingAfterResponses = true;
--- a/src/HttpServer.h
+++ b/src/HttpServer.h
@@ -9,6 +9,7 @@
 
 #include <absl/time/time.h>
 
+#include "CallerBudget.h"
 #include "EventLoop.h"
 #include "HttpMessage.h"
 #include "HttpParser.h"
@@ -16,6 +17,7 @@
 namespace Bergamotramp {
 
 class HttpServerConnection;
+class TcpStream;
 
 /** Identifies a call between two hosts. The server repeats it in the response. */
 constexpr const char *callIdField = "X-Call-Id";
@@ -77,6 +79,8 @@
 
     /** Listens on @p address; throws std::runtime_error if that fails. Connections beyond @p maxConnections are reset. */
     HttpServer(EventLoop &loop, const std::string &address, std::size_t maxConnections, Handler handler);
+    /** Counts what callers make this server hold, as @p callerClass of @p budget, and refuses and closes connections as it decides. */
+    void useBudget(std::shared_ptr<CallerBudget> budget, CallerClass callerClass);
     ~HttpServer();
     HttpServer(const HttpServer &) = delete;
     HttpServer &operator=(const HttpServer &) = delete;
@@ -106,6 +110,9 @@
     struct Acceptor;
 
     void accept();
+    void addConnection(const std::shared_ptr<TcpStream> &stream);
+    /** Closes the connections that are slower than the least rate. */
+    void checkRates();
 
     EventLoop &loop;
     std::unique_ptr<Acceptor> acceptor;
@@ -114,7 +121,10 @@
     HttpServerBounds bounds;
     bool closingAfterResponses = false;
     std::set<std::shared_ptr<HttpServerConnection>> openConnections;
+    std::shared_ptr<CallerBudget> budget;
+    CallerClass callerClass = CallerClass::Caller;
     LoopTimer acceptRetryTimer;
+    LoopTimer rateTimer;
 };
 
 } // namespace Bergamotramp
--- a/src/LimitedJson.cpp
+++ b/src/LimitedJson.cpp
@@ -14,9 +14,94 @@
 
 // The JSON library copies, compares and prints nested values by recursion, so that some hundred thousand levels, which fit into one
 // object of the store, overflow the stack. Only the deep value is left out, because a list with one such object has to be usable.
-bool isWithinLevels(int depth, nlohmann::json::parse_event_t, nlohmann::json &)
+// The library's own filter for values takes time that grows with the square of their number: 4 MB of empty objects took minutes.
+class LimitedBuilder : public nlohmann::json_sax<nlohmann::json>
 {
-    return depth <= maxJsonLevels;
+public:
+    explicit LimitedBuilder(nlohmann::json &root) : builder(root)
+    {
+    }
+    bool null() override
+    {
+        return this->skips() || this->builder.null();
+    }
+    bool boolean(bool value) override
+    {
+        return this->skips() || this->builder.boolean(value);
+    }
+    bool number_integer(number_integer_t value) override
+    {
+        return this->skips() || this->builder.number_integer(value);
+    }
+    bool number_unsigned(number_unsigned_t value) override
+    {
+        return this->skips() || this->builder.number_unsigned(value);
+    }
+    bool number_float(number_float_t value, const string_t &text) override
+    {
+        return this->skips() || this->builder.number_float(value, text);
+    }
+    bool string(string_t &value) override
+    {
+        return this->skips() || this->builder.string(value);
+    }
+    bool binary(binary_t &value) override
+    {
+        return this->skips() || this->builder.binary(value);
+    }
+    bool start_object(std::size_t elements) override
+    {
+        const bool skipped = this->skips();
+        ++this->openLevels;
+        return skipped || this->builder.start_object(elements);
+    }
+    bool key(string_t &value) override
+    {
+        return this->skips() || this->builder.key(value);
+    }
+    bool end_object() override
+    {
+        --this->openLevels;
+        return this->openLevels > maxJsonLevels || this->builder.end_object();
+    }
+    bool start_array(std::size_t elements) override
+    {
+        const bool skipped = this->skips();
+        ++this->openLevels;
+        return skipped || this->builder.start_array(elements);
+    }
+    bool end_array() override
+    {
+        --this->openLevels;
+        return this->openLevels > maxJsonLevels || this->builder.end_array();
+    }
+    bool parse_error(std::size_t position, const std::string &token, const nlohmann::json::exception &error) override
+    {
+        return this->builder.parse_error(position, token, error);
+    }
+    /** Whether a value was left out. */
+    bool tooDeep = false;
+
+private:
+    bool skips()
+    {
+        const bool skipped = this->openLevels > maxJsonLevels;
+        this->tooDeep = this->tooDeep || skipped;
+        return skipped;
+    }
+
+    nlohmann::detail::json_sax_dom_parser<nlohmann::json> builder;
+    int openLevels = 0;
+};
+
+/** Parses @p text; sets @p tooDeep to whether values were left out. */
+nlohmann::json parseWithinLevels(std::string_view text, bool &tooDeep)
+{
+    nlohmann::json json;
+    LimitedBuilder builder(json);
+    nlohmann::json::sax_parse(text, &builder);
+    tooDeep = builder.tooDeep;
+    return json;
 }
 
 /** The length of the UTF-8 sequence that begins @p text, or 0 if it is malformed. */
@@ -114,23 +199,23 @@
 
 nlohmann::json parseLimitedJson(std::string_view text)
 {
+    bool tooDeep = false;
     try {
-        return nlohmann::json::parse(text, isWithinLevels);
+        return parseWithinLevels(text, tooDeep);
     } catch (const nlohmann::json::exception &) {
-        return nlohmann::json::parse(withoutUnreadableValues(text), isWithinLevels);
+        return parseWithinLevels(withoutUnreadableValues(text), tooDeep);
     }
 }
 
 nlohmann::json parseShallowJsonOrDiscard(std::string_view text)
 {
-    bool tooDeep = false;
-    const auto checkLevels = [&tooDeep](int depth, nlohmann::json::parse_event_t event, nlohmann::json &value) {
-        const bool within = isWithinLevels(depth, event, value);
-        tooDeep = tooDeep || !within;
-        return within;
-    };
-    nlohmann::json json = nlohmann::json::parse(text, checkLevels, false);
-    return tooDeep ? nlohmann::json(nlohmann::json::value_t::discarded) : json;
+    try {
+        bool tooDeep = false;
+        nlohmann::json json = parseWithinLevels(text, tooDeep);
+        return tooDeep ? nlohmann::json(nlohmann::json::value_t::discarded) : json;
+    } catch (const nlohmann::json::exception &) {
+        return nlohmann::json(nlohmann::json::value_t::discarded);
+    }
 }
 
 nlohmann::json parseLimitedJsonOrDiscard(std::string_view text)
--- a/src/TcpStream.cpp
+++ b/src/TcpStream.cpp
@@ -1,5 +1,6 @@
 #include "TcpStream.h"
 
+#include <algorithm>
 #include <array>
 #include <stdexcept>
 
@@ -15,6 +16,8 @@
 namespace {
 
 constexpr std::size_t readBufferBytes = 32 * 1024;
+// An emptied buffer of unsent bytes keeps at most this much memory; idle connections kept several MB each otherwise.
+constexpr std::size_t keptBufferBytes = 64 * 1024;
 // A peer that disappears without a reset is detected after about three seconds. That is within the time in which
 // configuration changes and upstreams that leave must become known.
 constexpr int keepAliveIdleSeconds = 1;
@@ -189,6 +192,9 @@
         this->unsent.erase(0, sent);
     }
     if (this->unsent.empty()) {
+        if (this->unsent.capacity() > keptBufferBytes) {
+            this->unsent = std::string();
+        }
         if (this->closing) {
             this->closeSocket();
         }
@@ -209,11 +215,43 @@
     this->socket->socket.async_wait(asio::ip::tcp::socket::wait_write, [self = this->shared_from_this()](const boost::system::error_code &waitError) {
         self->waitingWritable = false;
         if (!waitError && self->socket->socket.is_open()) {
-            self->flush();
+            self->onWritable();
         }
     });
 }
 
+void TcpStream::onWritable()
+{
+    const std::size_t waiting = this->unsent.size();
+    // A failed write clears the buffer and ends the stream, which removes the handler.
+    this->flush();
+    const std::size_t accepted = waiting - std::min(waiting, this->unsent.size());
+    if (accepted > 0 && this->handlers.sent) {
+        // Copied because the handler may destroy this->handlers while it runs.
+        const auto sent = this->handlers.sent;
+        if (!this->loop.runGuarded([&sent, accepted] { sent(accepted); })) {
+            this->handleEnd(StreamEnd::ConnectionLost);
+        }
+    }
+}
+
+std::size_t TcpStream::bufferBytes() const
+{
+    return this->unsent.capacity();
+}
+
+std::string TcpStream::remoteAddress() const
+{
+    boost::system::error_code error;
+    const auto endpoint = this->socket->socket.remote_endpoint(error);
+    return error ? std::string() : endpoint.address().to_string();
+}
+
+void TcpStream::keepUntilClosed(std::shared_ptr<void> object)
+{
+    this->kept = std::move(object);
+}
+
 void TcpStream::close()
 {
     this->handlers = {};
@@ -244,6 +282,7 @@
 
 void TcpStream::closeSocket()
 {
+    this->kept.reset();
     this->closeTimer.cancel();
     boost::system::error_code ignored;
     this->socket->socket.close(ignored);
--- a/src/TcpStream.h
+++ b/src/TcpStream.h
@@ -36,6 +36,8 @@
         std::function<void(std::string_view)> data;
         /** Called once when the peer ends the connection or it fails; not after close() or reset(). */
         std::function<void(StreamEnd)> ended;
+        /** Called with the number of bytes that the socket has accepted after they had to wait. May be empty. */
+        std::function<void(std::size_t)> sent{};
     };
 
     /** Takes ownership of a connected socket. */
@@ -59,12 +61,19 @@
     void reset();
     [[nodiscard]] bool open() const;
     [[nodiscard]] std::size_t unsentBytes() const;
+    /** Memory of the buffer for unsent bytes. */
+    [[nodiscard]] std::size_t bufferBytes() const;
+    /** IP address of the peer; empty if it has disconnected already. */
+    [[nodiscard]] std::string remoteAddress() const;
+    /** Keeps @p object until the socket is closed, which may be some time after close(). */
+    void keepUntilClosed(std::shared_ptr<void> object);
 
 private:
     void configureSocket();
     void waitReadable();
     void onReadable();
     void flush();
+    void onWritable();
     void handleEnd(StreamEnd how);
     void closeSocket();
 
@@ -72,6 +81,7 @@
     std::unique_ptr<TcpSocket> socket;
     Handlers handlers;
     std::string unsent;
+    std::shared_ptr<void> kept;
     bool reading = false;
     bool waitingReadable = false;
     bool waitingWritable = false;
