Make the budget's tests fail without progress and without the part for large bodies

Both passed when the mechanism was switched off: the stopped connection was also the first in the order of ids, and the body did not fit anyway.

--- a/test/core/CallerBudgetTest.cpp
+++ b/test/core/CallerBudgetTest.cpp
@@ -44,9 +44,11 @@
 // Guards against a budget that closes a caller who sends, for one who has stopped just short of the end.
 TEST_F(CallerBudgetTest, stoppedConnectionIsClosedBeforeOneThatSends)
 {
+    const auto sending = this->open();
     const auto stopped = this->receive(6 * megabyte);
     this->now += absl::Seconds(5);
-    const auto sending = this->receive(6 * megabyte);
+    this->budget.moved(sending, 6 * megabyte, this->now);
+    this->budget.hold(sending, 6 * megabyte, true, this->now);
     EXPECT_TRUE(this->closed.contains(stopped));
     EXPECT_FALSE(this->closed.contains(sending));
     EXPECT_LE(this->budget.bytes(CallerClass::Caller), this->limits.bytes);
@@ -66,11 +68,11 @@
 TEST_F(CallerBudgetTest, largeBodyIsRefusedWhileSmallOneFits)
 {
     const auto held = this->open();
-    this->budget.hold(held, 8 * megabyte, false, this->now);
+    this->budget.hold(held, 6 * megabyte, false, this->now);
     const auto id = this->open();
     EXPECT_FALSE(this->budget.admitBody(id, 4 * megabyte, this->now));
     EXPECT_TRUE(this->budget.admitBody(id, 1024, this->now));
-    this->budget.hold(held, 8 * megabyte, true, this->now);
+    this->budget.hold(held, 6 * megabyte, true, this->now);
     this->now += absl::Seconds(2);
     EXPECT_TRUE(this->budget.admitBody(id, 4 * megabyte, this->now));
     EXPECT_TRUE(this->closed.contains(held));
