--- a/src/EntryHost.h
+++ b/src/EntryHost.h
@@ -66,6 +66,8 @@
 
 private:
     void startServers();
+    /** One budget for the callers of all servers. */
+    void limitCallers();
     void createWatchers();
     /** Starts each watcher when the plan for the start allows it. */
     void startWatchersWhenDue();
@@ -176,6 +178,7 @@
     std::unique_ptr<KindWatcher> configWatcher;
     std::unique_ptr<KindWatcher> upstreamWatcher;
     std::unique_ptr<KindWatcher> jobWatcher;
+    std::shared_ptr<CallerBudget> callerBudget;
     std::unique_ptr<HttpServer> entryServer;
     std::unique_ptr<HttpServer> readyServer;
     std::unique_ptr<HttpServer> directoryServer;
