Decide in the core when an online request is hedged

A few slow answers degrade the latencies while most upstreams are fast. HedgePolicy measures latencies by class (route, size of the prompt, speed of the upstream), RetryBudget can hold its share over a sliding window instead of a token bucket, and UpstreamSelector::chooseForHedge returns only upstreams with clearly spare slots.

--- a/src/HedgePolicy.cpp
+++ b/src/HedgePolicy.cpp
@@ -1,6 +1,7 @@
 #include "HedgePolicy.h"
 
 #include <algorithm>
+#include <utility>
 
 namespace Bergamotramp {
 
@@ -16,7 +17,11 @@
 
 } // namespace
 
-HedgePolicy::HedgePolicy(const RepeatLimits &limits) : percentile(limits.hedgePercentile), budget(limits.hedgeBudgetShare, initialHedges)
+HedgePolicy::HedgePolicy(const RepeatLimits &limits) : HedgePolicy(limits.hedgePercentile, RetryBudget(limits.hedgeBudgetShare, initialHedges))
+{
+}
+
+HedgePolicy::HedgePolicy(double percentile, RetryBudget budget) : percentile(percentile), budget(std::move(budget))
 {
 }
 
@@ -25,9 +30,16 @@
     this->budget.onRequest(now);
 }
 
-void HedgePolicy::recordFirstToken(absl::Duration firstToken)
+void HedgePolicy::recordRetry(absl::Time now)
 {
-    this->firstTokens.record(firstToken);
+    this->budget.recordRepeat(now);
+}
+
+void HedgePolicy::recordFirstToken(absl::Duration firstToken, const LatencyClass &latencyClass)
+{
+    if (this->firstTokens.size() < maxClasses || this->firstTokens.contains(latencyClass)) {
+        this->firstTokens[latencyClass].record(firstToken);
+    }
 }
 
 void HedgePolicy::recordInterval(absl::Duration betweenTokens)
@@ -37,29 +49,40 @@
 
 // With the percentile alone, a fixed share of the requests would be hedged even when none is slow, and no budget would
 // be left for a slowdown.
-std::optional<absl::Duration> HedgePolicy::delay() const
+std::optional<absl::Duration> HedgePolicy::delay(const LatencyClass &latencyClass) const
 {
-    const std::optional<absl::Duration> median = this->firstTokens.percentile(medianPercentile);
-    const std::optional<absl::Duration> atPercentile = this->firstTokens.percentile(this->percentile);
+    const std::optional<absl::Duration> median = this->medianFirstToken(latencyClass);
+    const std::optional<absl::Duration> atPercentile = this->firstTokenAt(this->percentile, latencyClass);
     return median.has_value() && atPercentile.has_value() ? std::optional<absl::Duration>(std::max(*atPercentile, *median * slowRatio)) : std::nullopt;
 }
 
+std::optional<absl::Duration> HedgePolicy::medianFirstToken(const LatencyClass &latencyClass) const
+{
+    return this->firstTokenAt(medianPercentile, latencyClass);
+}
+
+std::optional<absl::Duration> HedgePolicy::firstTokenAt(double share, const LatencyClass &latencyClass) const
+{
+    const auto found = this->firstTokens.find(latencyClass);
+    return found == this->firstTokens.end() ? std::nullopt : found->second.percentile(share);
+}
+
 std::optional<absl::Duration> HedgePolicy::slowInterval() const
 {
     const std::optional<absl::Duration> median = this->intervals.percentile(medianPercentile);
     return median.has_value() ? std::optional<absl::Duration>(*median * slowRatio) : std::nullopt;
 }
 
-bool HedgePolicy::tryHedge(bool idempotent, absl::Duration waited, absl::Time now, absl::Time deadline)
+bool HedgePolicy::tryHedge(bool idempotent, absl::Duration waited, absl::Time now, absl::Time deadline, const LatencyClass &latencyClass)
 {
-    const std::optional<absl::Duration> hedgeDelay = this->delay();
+    const std::optional<absl::Duration> hedgeDelay = this->delay(latencyClass);
     return idempotent && hedgeDelay.has_value() && waited >= *hedgeDelay && this->budget.tryRepeat(now, deadline);
 }
 
 bool HedgePolicy::tryHedgeSlowStream(const StreamProgress &stream, absl::Time now, absl::Time deadline)
 {
     const std::optional<absl::Duration> median = this->intervals.percentile(medianPercentile);
-    const std::optional<absl::Duration> firstToken = this->firstTokens.percentile(medianPercentile);
+    const std::optional<absl::Duration> firstToken = this->medianFirstToken();
     if (!median.has_value() || !firstToken.has_value() || stream.tokenInterval < *median * slowRatio) {
         return false;
     }
--- a/src/RetryBudget.cpp
+++ b/src/RetryBudget.cpp
@@ -17,14 +17,33 @@
 {
 }
 
+RetryBudget RetryBudget::overWindow(double share)
+{
+    RetryBudget budget(share, 0.0);
+    budget.window.emplace();
+    return budget;
+}
+
 void RetryBudget::onRequest(absl::Time now)
 {
+    if (this->window) {
+        this->window->addRequest(now);
+        return;
+    }
     this->refill(now);
     this->tokens = std::min(maxTokens, this->tokens + this->share);
 }
 
 bool RetryBudget::tryRepeat(absl::Time now, absl::Time deadline)
 {
+    if (this->window) {
+        const auto allowed = this->share * static_cast<double>(this->window->requests(now));
+        if (now >= deadline || static_cast<double>(this->window->repeats(now) + 1) > allowed) {
+            return false;
+        }
+        this->window->addRepeat(now);
+        return true;
+    }
     this->refill(now);
     if (now >= deadline || this->tokens < 1.0) {
         return false;
@@ -33,6 +52,16 @@
     return true;
 }
 
+void RetryBudget::recordRepeat(absl::Time now)
+{
+    if (this->window) {
+        this->window->addRepeat(now);
+        return;
+    }
+    this->refill(now);
+    this->tokens = std::max(0.0, this->tokens - 1.0);
+}
+
 double RetryBudget::balance() const
 {
     return this->tokens;
--- a/src/RetryBudget.h
+++ b/src/RetryBudget.h
@@ -1,10 +1,17 @@
 #pragma once
 
+#include <optional>
+
 #include <absl/time/time.h>
 
+#include "RepeatWindow.h"
+
 namespace Bergamotramp {
 
-/** Token bucket that limits retries or hedges to a share of the requests of one service. Each of them takes one token. */
+/**
+ * Limits retries or hedges to a share of the requests of one service: as a token bucket, from which each of them takes one token, or over
+ * a sliding window, which allows no burst after a quiet time.
+ */
 class RetryBudget
 {
 public:
@@ -16,12 +23,16 @@
      * before the first request.
      */
     explicit RetryBudget(double share, double initialTokens = maxTokens);
+    /** A budget that allows a repeat only if the repeats of the last RepeatWindow::length are within the share of its requests. */
+    static RetryBudget overWindow(double share);
 
     /** Counts a first attempt, which adds the share to the budget. */
     void onRequest(absl::Time now);
     /** Takes one repeat out of the budget; false when there is none or @p deadline has passed. */
     bool tryRepeat(absl::Time now, absl::Time deadline);
-    /** Number of available repeats. */
+    /** Counts a repeat that is made whether or not the budget allows it. */
+    void recordRepeat(absl::Time now);
+    /** Number of available repeats of a token bucket. */
     [[nodiscard]] double balance() const;
 
 private:
@@ -30,6 +41,8 @@
     double share;
     double tokens;
     absl::Time lastRefill = absl::InfinitePast();
+    /** Null for a token bucket. */
+    std::optional<RepeatWindow> window;
 };
 
 } // namespace Bergamotramp
--- a/src/ServingProtocol.h
+++ b/src/ServingProtocol.h
@@ -38,6 +38,8 @@
     std::string resumedId;
     /** Ids of the parts of the prompt, in order, that other requests may share. The part that belongs to this request alone is left out. */
     std::vector<std::uint64_t> sharedPromptParts;
+    /** Tokens of all parts of the prompt; 0 if the caller does not list them. */
+    std::uint64_t promptTokens = 0;
     /** For ReadItemBody: the item whose body the caller wants. */
     std::string itemId;
     /** For ReadJob: position of the first result that the caller wants. */
--- a/src/UpstreamSelector.cpp
+++ b/src/UpstreamSelector.cpp
@@ -28,6 +28,12 @@
 constexpr std::int64_t reservedOnlineSlots = 1;
 // Share of a slot that a batch request takes from the spare slots for online requests, for which it can be preempted.
 constexpr double occupiedByBatch = 0.9;
+// Part of its slots, and number of them, that an upstream must have free to run a hedge. The hosts that see the same loads may send it
+// some requests more before they learn of each other's.
+constexpr double minFreeShareForHedge = 0.4;
+constexpr std::int64_t minFreeSlotsForHedge = 2;
+// Part of all slots of the service nearby that must be free for any hedge.
+constexpr double minFreeShareOfServiceForHedge = 0.3;
 // Weight of the free slots of other data centres. Their loads are known late, and the traffic to them is charged.
 constexpr double farBatchWeight = 0.05;
 
@@ -57,14 +63,18 @@
     this->mayStart = std::move(filter);
 }
 
+bool UpstreamSelector::inOwnRegion(const UpstreamInfo &upstream) const
+{
+    const auto region = this->location.regionByDataCentre.find(upstream.dataCentre);
+    return region != this->location.regionByDataCentre.end() && region->second == this->location.region;
+}
+
 double UpstreamSelector::distanceCost(const UpstreamInfo &upstream) const
 {
     if (upstream.dataCentre == this->location.dataCentre) {
         return 0.0;
     }
-    const auto region = this->location.regionByDataCentre.find(upstream.dataCentre);
-    const bool sameRegion = region != this->location.regionByDataCentre.end() && region->second == this->location.region;
-    return (sameRegion ? otherDataCentreCost : otherRegionCost) + costPerSecondOfAge * absl::ToDoubleSeconds(this->farLoadAge);
+    return (this->inOwnRegion(upstream) ? otherDataCentreCost : otherRegionCost) + costPerSecondOfAge * absl::ToDoubleSeconds(this->farLoadAge);
 }
 
 double UpstreamSelector::onlineCost(const UpstreamInfo &upstream, const RequestCounts &counts, absl::Time now) const
@@ -167,6 +177,46 @@
     return static_cast<double>(upstream.slots - counts.online) - occupiedByBatch * static_cast<double>(counts.batch);
 }
 
+// An upstream with a stated limit may run a hedge when it may run an item, because items leave a part of the limit to first attempts.
+double UpstreamSelector::spareHedgeSlots(const UpstreamInfo &upstream, absl::Time now) const
+{
+    if (this->health.inBackoff(upstream.id, now) || this->health.recentlyFull(upstream.id, now) || !this->mayStart(upstream, true, now)) {
+        return 0;
+    }
+    const std::int64_t free = upstream.slots - this->load.total(upstream.id, now).total();
+    const bool enough = free >= minFreeSlotsForHedge && static_cast<double>(free) >= minFreeShareForHedge * static_cast<double>(upstream.slots);
+    return enough ? static_cast<double>(free) : 0;
+}
+
+// When most upstreams are full, the next first attempts need the free slots of the others.
+bool UpstreamSelector::hasSlotsForHedges(const std::vector<const UpstreamInfo *> &upstreams, absl::Time now) const
+{
+    std::int64_t slots = 0;
+    std::int64_t free = 0;
+    for (const UpstreamInfo *upstream : upstreams) {
+        slots += upstream->slots;
+        free += std::max<std::int64_t>(0, upstream->slots - this->load.total(upstream->id, now).total());
+    }
+    return static_cast<double>(free) >= minFreeShareOfServiceForHedge * static_cast<double>(slots);
+}
+
+const UpstreamInfo *UpstreamSelector::chooseForHedge(std::string_view service,
+                                                     const std::set<std::string> &excluded,
+                                                     absl::Time now,
+                                                     const VersionFilter &version) const
+{
+    std::vector<const UpstreamInfo *> nearby = this->table.available(service);
+    std::erase_if(nearby, [this](const UpstreamInfo *upstream) {
+        const bool near = upstream->dataCentre == this->location.dataCentre || (this->farLoadAge == absl::ZeroDuration() && this->inOwnRegion(*upstream));
+        return !near;
+    });
+    if (!this->hasSlotsForHedges(nearby, now)) {
+        return nullptr;
+    }
+    return this->drawBySpareSlots(withVersion(std::move(nearby), version),
+                                  [&](const UpstreamInfo &upstream) { return excluded.contains(upstream.id) ? 0.0 : this->spareHedgeSlots(upstream, now); });
+}
+
 std::int64_t UpstreamSelector::freeBatchSlots(const UpstreamInfo &upstream, const RequestCounts &counts, absl::Time now) const
 {
     if (this->health.inBackoff(upstream.id, now) || this->health.recentlyFull(upstream.id, now) || !this->mayStart(upstream, true, now)) {
--- a/src/UpstreamSelector.h
+++ b/src/UpstreamSelector.h
@@ -56,6 +56,14 @@
                                                       const std::set<std::string> &excluded,
                                                       absl::Time now,
                                                       const VersionFilter &version = {}) const;
+    /**
+     * An upstream with clearly more free slots than first attempts are about to need, for a second attempt beside a running one, or null.
+     * Batch requests count as occupied slots, and upstreams of other regions are left out, in large fleets those of other data centres, too.
+     */
+    [[nodiscard]] const UpstreamInfo *chooseForHedge(std::string_view service,
+                                                     const std::set<std::string> &excluded,
+                                                     absl::Time now,
+                                                     const VersionFilter &version = {}) const;
     /** An upstream with a free slot besides those reserved for online requests, or null. */
     [[nodiscard]] const UpstreamInfo *chooseForBatch(std::string_view service, BatchScope scope, absl::Time now, const VersionFilter &version = {}) const;
     /**
@@ -83,6 +91,11 @@
     [[nodiscard]] std::vector<const UpstreamInfo *> batchUpstreams(std::string_view service, BatchScope scope) const;
     [[nodiscard]] std::int64_t roundRandomly(double share) const;
     [[nodiscard]] std::int64_t freeBatchSlots(const UpstreamInfo &upstream, const RequestCounts &counts, absl::Time now) const;
+    [[nodiscard]] bool inOwnRegion(const UpstreamInfo &upstream) const;
+    /** The free slots of an upstream that has enough of them for a hedge, otherwise 0. */
+    [[nodiscard]] double spareHedgeSlots(const UpstreamInfo &upstream, absl::Time now) const;
+    /** Whether enough of the slots of all @p upstreams together are free for hedges. */
+    [[nodiscard]] bool hasSlotsForHedges(const std::vector<const UpstreamInfo *> &upstreams, absl::Time now) const;
     [[nodiscard]] double distanceCost(const UpstreamInfo &upstream) const;
     [[nodiscard]] double onlineCost(const UpstreamInfo &upstream, const RequestCounts &counts, absl::Time now) const;
 
--- a/test/core/UpstreamSelectorTest.cpp
+++ b/test/core/UpstreamSelectorTest.cpp
@@ -140,6 +140,40 @@
     EXPECT_EQ(view.selector.chooseForOnline("modelo", {}, start + UpstreamHealth::initialBackoff)->id, "near");
 }
 
+// Guards against a hedge that takes a slot which a first attempt or a batch request would use, or that leaves the region.
+TEST(UpstreamSelectorTest, hedgeNeedsClearlySpareSlots)
+{
+    struct Case {
+        std::string dataCentre;
+        RequestCounts counts;
+        absl::Duration farLoadAge;
+        bool chosen;
+    };
+    const std::vector<Case> cases{{"a", {.online = 4, .batch = 0}, absl::ZeroDuration(), true},
+                                  {"a", {.online = 5, .batch = 0}, absl::ZeroDuration(), false},
+                                  {"a", {.online = 1, .batch = 4}, absl::ZeroDuration(), false},
+                                  {"b", {.online = 0, .batch = 0}, absl::ZeroDuration(), true},
+                                  {"b", {.online = 0, .batch = 0}, absl::Milliseconds(200), false},
+                                  {"c", {.online = 0, .batch = 0}, absl::ZeroDuration(), false}};
+    for (std::size_t number = 0; number < cases.size(); ++number) {
+        HostView view;
+        view.table.put(upstream("first", "a"));
+        view.table.put(upstream("second", cases[number].dataCentre));
+        view.selector.setFarLoadAge(cases[number].farLoadAge);
+        announceFromOtherHost(view, {{.upstream = upstreamKey("second"), .counts = cases[number].counts}});
+        EXPECT_EQ(view.selector.chooseForHedge("modelo", {"first"}, start) != nullptr, cases[number].chosen) << number;
+        EXPECT_EQ(view.selector.chooseForHedge("modelo", {"first"}, start, "v2"), nullptr) << number;
+        for (int other = 0; other < 14; ++other) {
+            view.load.addRequest("first", false);
+        }
+        EXPECT_EQ(view.selector.chooseForHedge("modelo", {"first"}, start) != nullptr, cases[number].chosen && cases[number].counts.total() == 0) << number;
+        view.health.recordFull("second", start);
+        EXPECT_EQ(view.selector.chooseForHedge("modelo", {"first"}, start), nullptr) << number;
+        view.selector.setStartFilter([](const UpstreamInfo &, bool batch, absl::Time) { return !batch; });
+        EXPECT_EQ(view.selector.chooseForHedge("modelo", {"second"}, start), nullptr) << "the rest of a stated limit is for first attempts";
+    }
+}
+
 // Guards against batch requests that take the last free slot of an upstream, which is reserved for online requests.
 TEST(UpstreamSelectorTest, batchLeavesASlotFree)
 {
