Let OnlineCall hold its running attempts in CallAttempts

OnlineCall had one attempt with its start and the head of its stream in members, and hooks that did not tell from which attempt they came. A second attempt beside the first needs both. CallAttempts holds the running attempts by number, and its hooks name the number. One attempt runs at a time as before; only the log line prompt_part_cleared now names the upstream also when the answer is complete at once.

--- a/src/OnlineCall.cpp
+++ b/src/OnlineCall.cpp
@@ -60,12 +60,16 @@
     , deadline(this->exchange->received() + std::min(this->call.timeBudget, this->route.timeout))
     , retryPolicy(this->route.repeatable(), this->route.maxAttempts, this->deadline)
     , fingerprint(stableHash(stableHash(this->exchange->request().target), this->exchange->request().body))
+    , attempts(this->context.attempts)
     , lastEventId(this->call.resumeAfter)
 {
 }
 
 void OnlineCall::start()
 {
+    this->attempts.setHooks({.streamStarted = makeWeakCallback(this->weak_from_this(), &OnlineCall::onStreamStarted),
+                             .event = makeWeakCallback(this->weak_from_this(), &OnlineCall::onEvent),
+                             .ended = makeWeakCallback(this->weak_from_this(), &OnlineCall::onAttemptEnded)});
     const absl::Time now = this->context.attempts.loop.now();
     this->deadlineTimer = this->context.attempts.loop.after(this->deadline - now, makeWeakCallback(this->weak_from_this(), &OnlineCall::onDeadline));
     this->exchange->onCallerDisconnected(makeWeakCallback(this->weak_from_this(), &OnlineCall::onCallerDisconnected));
@@ -140,89 +144,89 @@
 
 void OnlineCall::startAttempt(const UpstreamInfo &upstream)
 {
-    ++this->attempts;
     this->triedUpstreams.insert(upstream.id);
     const absl::Time now = this->context.attempts.loop.now();
-    this->attemptStarted = now;
-    const bool stream = this->route.kind == RouteKind::Stream;
-    UpstreamAttempt::Hooks hooks{.streamStarted = makeWeakCallback(this->weak_from_this(), &OnlineCall::onStreamStarted),
-                                 .event = makeWeakCallback(this->weak_from_this(), &OnlineCall::onEvent),
-                                 .ended = makeWeakCallback(this->weak_from_this(), &OnlineCall::onAttemptEnded)};
     const RequestCounts load = this->context.attempts.load.total(upstream.id, now);
     this->context.log.write("attempt",
                             {{"request", this->call.id},
                              {"route", this->route.name},
                              {"upstream", upstream.id},
                              {"version", upstream.softwareVersion},
-                             {"number", this->attempts},
+                             {"number", this->attempts.count() + 1},
                              {"resumesAfter", this->lastEventId.value_or(0)},
                              {"online", load.online},
                              {"batch", load.batch},
                              {"leftMs", this->deadline - now}});
-    this->attempt = std::make_unique<UpstreamAttempt>(this->context.attempts, upstream, false, stream, std::move(hooks));
+    const RunningAttempt &running = this->attempts.add(upstream, this->route.kind == RouteKind::Stream);
     const HttpRequest request = this->context.attempts.protocol.prepareAttempt(
         this->exchange->request(), upstream, {.timeLeft = this->deadline - now, .resumeAfter = this->lastEventId});
-    this->attempt->send(request, this->call.id, this->route.repeatable());
+    running.attempt->send(request, this->call.id, this->route.repeatable());
 }
 
-void OnlineCall::onStreamStarted(const HttpHead &head)
+void OnlineCall::onStreamStarted(int number, const HttpHead &head)
 {
-    if (!this->exchange->started()) {
+    if (RunningAttempt *running = this->attempts.find(number)) {
         // The head is sent with the first event, so that an upstream that fails earlier can still be replaced.
-        this->streamHead = {.status = head.status, .fields = head.fields.endToEnd()};
+        running->streamHead = {.status = head.status, .fields = head.fields.endToEnd()};
     }
 }
 
-void OnlineCall::onEvent(const StreamEvent &event)
+void OnlineCall::onEvent(int number, const StreamEvent &event)
 {
-    if (this->finished) {
+    const RunningAttempt *running = this->attempts.find(number);
+    if (this->finished || running == nullptr) {
         return;
     }
+    const UpstreamInfo &upstream = running->attempt->upstream();
     if (event.id || !event.data.empty()) {
-        this->onAnswerBegun();
+        this->onAnswerBegun(upstream.id);
     }
     if (event.id) {
         if (this->lastEventId && *event.id <= *this->lastEventId) {
             return;
         }
         if (this->lastEventId && *event.id != *this->lastEventId + 1) {
-            this->onAttemptEnded({.outcome = AttemptOutcome::MayHaveRun});
+            this->onAttemptEnded(number, {.outcome = AttemptOutcome::MayHaveRun});
             return;
         }
         this->lastEventId = event.id;
     }
     if (!this->origin && (event.id || !event.data.empty())) {
-        this->origin = StreamOrigin{.service = this->service, .softwareVersion = this->attempt->upstream().softwareVersion};
+        this->origin = StreamOrigin{.service = this->service, .softwareVersion = upstream.softwareVersion};
         if (this->route.resumable) {
             this->context.recordBegin(this->call.id, *this->origin);
         }
     }
     if (!this->exchange->started()) {
-        this->exchange->startBody(this->streamHead);
+        const HttpHead streamHead = running->streamHead;
+        this->exchange->startBody(streamHead);
         this->context.metrics.recordFirstEvent(this->route.name, this->context.attempts.loop.now() - this->exchange->received());
     }
     this->exchange->sendBody(event.frame);
 }
 
-void OnlineCall::onAttemptEnded(const AttemptResult &result)
+void OnlineCall::onAttemptEnded(int number, const AttemptResult &result)
 {
-    if (this->finished) {
+    const RunningAttempt *running = this->attempts.find(number);
+    if (this->finished || running == nullptr) {
         return;
     }
-    const UpstreamInfo upstream = this->attempt->upstream();
-    UpstreamAttempt::stopAndDestroyLater(this->context.attempts.loop, std::move(this->attempt));
+    const UpstreamInfo upstream = running->attempt->upstream();
+    const absl::Time started = running->started;
+    const HttpHead streamHead = running->streamHead;
+    this->attempts.stop(number);
     this->context.metrics.recordAttempt(this->service, std::string(nameOf(result.outcome)));
     if (result.outcome != AttemptOutcome::NotRun) {
         this->failedUpstreams.insert(upstream.id);
     }
-    this->updateCrashRecord(result, upstream.id);
+    this->updateCrashRecord(result, upstream.id, started);
     const bool streamed = this->route.kind == RouteKind::Stream && result.head.status / 100 == 2;
     if (result.outcome == AttemptOutcome::Completed) {
         if (result.answerBegun && result.head.status / 100 == 2) {
-            this->onAnswerBegun();
+            this->onAnswerBegun(upstream.id);
         }
         if (streamed && result.body.empty()) {
-            this->finishStream();
+            this->finishStream(streamHead);
         } else {
             this->deliverResponse(result);
         }
@@ -240,7 +244,7 @@
                                  {"upstream", upstream.id},
                                  {"startedAtMs", upstream.startedAtMs},
                                  {"promptParts", partNames(this->call.sharedPromptParts)}});
-        this->chargePromptParts(upstream);
+        this->chargePromptParts(upstream, started);
     }
     if (this->retryPolicy.mayRetry(result.outcome, this->context.attempts.loop.now()) && !this->retryWouldRiskUpstreams(result.outcome)) {
         this->startNextAttempt();
@@ -273,9 +277,11 @@
         this->startTrial(admission);
         return true;
     }
-    this->context.log.write(
-        "prompt_part_refused",
-        {{"request", this->call.id}, {"promptParts", partNames(admission.quarantined)}, {"attempts", this->attempts}, {"retryAfterMs", admission.retryAfter}});
+    this->context.log.write("prompt_part_refused",
+                            {{"request", this->call.id},
+                             {"promptParts", partNames(admission.quarantined)},
+                             {"attempts", this->attempts.count()},
+                             {"retryAfterMs", admission.retryAfter}});
     if (this->retryPolicy.state() == CallState::NotRun && !this->exchange->started()) {
         this->answer(notRunResponse("crashing_request", "a part of the prompt has crashed the upstreams that ran it", admission.retryAfter),
                      "prompt_part_quarantined");
@@ -292,12 +298,11 @@
     this->context.announcePromptParts(this->trialParts);
 }
 
-void OnlineCall::chargePromptParts(const UpstreamInfo &upstream)
+void OnlineCall::chargePromptParts(const UpstreamInfo &upstream, absl::Time started)
 {
     ++this->lostAttempts;
     const absl::Time now = this->context.attempts.loop.now();
-    const PartCrash crash{
-        .lost = now, .sent = this->attemptStarted, .upstreamStart = stableHash(stableHash(upstream.id), std::to_string(upstream.startedAtMs))};
+    const PartCrash crash{.lost = now, .sent = started, .upstreamStart = stableHash(stableHash(upstream.id), std::to_string(upstream.startedAtMs))};
     std::vector<std::pair<std::uint64_t, PartChange>> changes;
     // The cause of a failed trial is one of the parts that were on trial.
     for (const std::uint64_t part : this->trialParts.empty() ? this->call.sharedPromptParts : this->trialParts) {
@@ -307,7 +312,7 @@
 }
 
 // Upstreams crash on a part when they begin the answer, so the first content of an answer already shows that none of the parts did it.
-void OnlineCall::onAnswerBegun()
+void OnlineCall::onAnswerBegun(const std::string &upstream)
 {
     if (std::exchange(this->answerBegun, true)) {
         return;
@@ -317,7 +322,7 @@
     for (const std::uint64_t part : this->call.sharedPromptParts) {
         changes.emplace_back(part, this->context.promptParts.recordAnswer(part, now));
     }
-    this->reportPartChanges(changes, this->attempt ? std::string_view(this->attempt->upstream().id) : std::string_view());
+    this->reportPartChanges(changes, upstream);
 }
 
 void OnlineCall::reportPartChanges(const std::vector<std::pair<std::uint64_t, PartChange>> &changes, std::string_view upstream)
@@ -354,11 +359,11 @@
     return !this->trialParts.empty() || (this->lostAttempts >= maxLostAttemptsOfSuspects && std::ranges::any_of(this->call.sharedPromptParts, isSuspect));
 }
 
-void OnlineCall::updateCrashRecord(const AttemptResult &result, const std::string &upstream)
+void OnlineCall::updateCrashRecord(const AttemptResult &result, const std::string &upstream, absl::Time started)
 {
     const absl::Time now = this->context.attempts.loop.now();
     if (result.outcome == AttemptOutcome::MayHaveRun && result.connectionLost) {
-        if (const auto crashes = this->context.suspects.recordCrash(this->fingerprint, upstream, this->attemptStarted, now)) {
+        if (const auto crashes = this->context.suspects.recordCrash(this->fingerprint, upstream, started, now)) {
             this->context.log.write("request_suspected",
                                     {{"request", this->call.id}, {"upstream", upstream}, {"crashes", static_cast<std::uint64_t>(*crashes)}});
             this->context.announceCrashes({this->context.suspects.count(this->fingerprint)});
@@ -368,10 +373,10 @@
     }
 }
 
-void OnlineCall::finishStream()
+void OnlineCall::finishStream(const HttpHead &streamHead)
 {
     if (!this->exchange->started()) {
-        this->exchange->startBody(this->streamHead);
+        this->exchange->startBody(streamHead);
     }
     this->exchange->finishBody();
     this->end(200, "completed");
@@ -390,12 +395,13 @@
 
 void OnlineCall::checkProgress(absl::Time now)
 {
-    if (this->finished || !this->attempt || !this->trialParts.empty() || !this->retryPolicy.mayReplace(now)) {
+    if (this->finished || this->attempts.empty() || !this->trialParts.empty() || !this->retryPolicy.mayReplace(now)) {
         return;
     }
-    const std::string upstream = this->attempt->upstream().id;
-    const absl::Duration silent = now - this->attempt->lastActivity();
-    if (silent < this->silenceLimit(now)) {
+    const RunningAttempt &running = this->attempts.running().front();
+    const std::string upstream = running.attempt->upstream().id;
+    const absl::Duration silent = now - running.attempt->lastActivity();
+    if (silent < this->silenceLimit(upstream, now)) {
         return;
     }
     const UpstreamInfo *replacement = this->context.choice.chooseForOnline(this->service, this->triedUpstreams, now, this->requiredVersion());
@@ -412,16 +418,16 @@
     }
     this->retryPolicy.recordReplacement();
     this->failedUpstreams.insert(upstream);
-    UpstreamAttempt::stopAndDestroyLater(this->context.attempts.loop, std::move(this->attempt));
+    this->attempts.stop(running.number);
     this->startAttempt(*replacement);
 }
 
-absl::Duration OnlineCall::silenceLimit(absl::Time now) const
+absl::Duration OnlineCall::silenceLimit(const std::string &upstream, absl::Time now) const
 {
     if (this->exchange->started() && this->route.eventGapObjective > absl::ZeroDuration()) {
         return std::max(minSilenceLimit, this->route.eventGapObjective * eventGapShareOfObjective);
     }
-    const bool recentlyActive = now - this->context.attempts.health.lastActivity(this->attempt->upstream().id) < recentActivityPeriod;
+    const bool recentlyActive = now - this->context.attempts.health.lastActivity(upstream) < recentActivityPeriod;
     return std::max(minSilenceLimit, this->route.latencyObjective * (recentlyActive ? activeUpstreamShareOfObjective : silentUpstreamShareOfObjective));
 }
 
@@ -456,8 +462,8 @@
 
 void OnlineCall::cutShort(const std::string &reason, const std::string &message)
 {
-    const bool mayHaveRun = this->attempt != nullptr || this->retryPolicy.state() == CallState::MayHaveRun;
-    UpstreamAttempt::stopAndDestroyLater(this->context.attempts.loop, std::move(this->attempt));
+    const bool mayHaveRun = !this->attempts.empty() || this->retryPolicy.state() == CallState::MayHaveRun;
+    this->attempts.stopAll();
     if (this->exchange->started()) {
         this->exchange->abort();
         this->end(0, reason);
@@ -470,7 +476,7 @@
 
 void OnlineCall::onCallerDisconnected()
 {
-    UpstreamAttempt::stopAndDestroyLater(this->context.attempts.loop, std::move(this->attempt));
+    this->attempts.stopAll();
     this->end(0, "caller_left");
 }
 
@@ -492,7 +498,7 @@
                              {"service", this->service},
                              {"status", status},
                              {"reason", reason},
-                             {"attempts", this->attempts},
+                             {"attempts", this->attempts.count()},
                              {"latencyMs", latency}});
     const auto self = this->shared_from_this();
     this->onEnded();
--- a/src/OnlineCall.h
+++ b/src/OnlineCall.h
@@ -6,6 +6,7 @@
 #include <set>
 #include <string>
 
+#include "CallAttempts.h"
 #include "CrashQuarantine.h"
 #include "EntryMetrics.h"
 #include "HttpServer.h"
@@ -14,7 +15,6 @@
 #include "RetryPolicy.h"
 #include "ServingProtocol.h"
 #include "StreamOrigins.h"
-#include "UpstreamAttempt.h"
 #include "UpstreamSelector.h"
 
 namespace Bergamotramp {
@@ -64,23 +64,23 @@
     [[nodiscard]] std::string noUpstreamReason() const;
     [[nodiscard]] UpstreamSelector::VersionFilter requiredVersion() const;
     void startAttempt(const UpstreamInfo &upstream);
-    void onStreamStarted(const HttpHead &head);
-    void onEvent(const StreamEvent &event);
-    void onAttemptEnded(const AttemptResult &result);
+    void onStreamStarted(int number, const HttpHead &head);
+    void onEvent(int number, const StreamEvent &event);
+    void onAttemptEnded(int number, const AttemptResult &result);
     /** Whether the upstream may have crashed before it began the answer. */
     [[nodiscard]] bool lostBeforeAnswer(const AttemptResult &result) const;
-    void updateCrashRecord(const AttemptResult &result, const std::string &upstream);
+    void updateCrashRecord(const AttemptResult &result, const std::string &upstream, absl::Time started);
     /** Whether the parts of the prompt allow an attempt. Ends the call if they don't. */
     bool admitPromptParts();
     void startTrial(const PartAdmission &admission);
-    void chargePromptParts(const UpstreamInfo &upstream);
+    void chargePromptParts(const UpstreamInfo &upstream, absl::Time started);
     /** Records that an upstream has begun the answer: it did not crash on the parts of the prompt. */
-    void onAnswerBegun();
+    void onAnswerBegun(const std::string &upstream);
     /** Logs and announces the parts that changed. */
     void reportPartChanges(const std::vector<std::pair<std::uint64_t, PartChange>> &changes, std::string_view upstream);
     /** Whether another attempt would risk too many upstreams. */
     [[nodiscard]] bool retryWouldRiskUpstreams(AttemptOutcome outcome) const;
-    void finishStream();
+    void finishStream(const HttpHead &streamHead);
     void deliverResponse(const AttemptResult &result);
     /** Ends the call without an upstream's response: aborts a started response, else answers with an error of this host. */
     void giveUp(const std::string &reason);
@@ -90,8 +90,8 @@
     void onCallerDisconnected();
     void answer(const HttpResponse &response, const std::string &reason);
     void end(int status, const std::string &reason);
-    /** How long the current upstream may be silent before it is replaced. */
-    [[nodiscard]] absl::Duration silenceLimit(absl::Time now) const;
+    /** How long an upstream may be silent before it is replaced. */
+    [[nodiscard]] absl::Duration silenceLimit(const std::string &upstream, absl::Time now) const;
     [[nodiscard]] absl::Duration retryAfter();
 
     OnlineContext context;
@@ -107,14 +107,10 @@
     std::set<std::string> triedUpstreams;
     /** Those of them that did not refuse the request but failed, or were too slow. */
     std::set<std::string> failedUpstreams;
-    std::unique_ptr<UpstreamAttempt> attempt;
-    absl::Time attemptStarted = absl::InfinitePast();
+    CallAttempts attempts;
     std::optional<std::uint64_t> lastEventId;
     /** What wrote the events that the caller has. */
     std::optional<StreamOrigin> origin;
-    /** Response head of the stream, kept until its first event. */
-    HttpHead streamHead;
-    int attempts = 0;
     /** Attempts whose upstream was lost before it began the answer. */
     int lostAttempts = 0;
     /** Whether an upstream has begun the answer. */
