Let two hedging tests fail without their mechanisms

failedAttemptLeavesTheOther passed when a third attempt started while the hedge still ran, and no test of streams had a loser that sends events after the winner. Both are checked now; the two tests pass.

--- a/test/site/HedgeTest.cpp
+++ b/test/site/HedgeTest.cpp
@@ -312,6 +312,7 @@
     this->pair[0]->writeTo(0, response("id-1", "failed", "500 Internal Server Error"));
     runFor(this->loop, absl::Milliseconds(50));
     EXPECT_FALSE(answer->ended());
+    EXPECT_EQ(this->pair[0]->requests + this->pair[1]->requests, 2) << "no third attempt";
     this->pair[1]->writeTo(0, response("id-1", "good"));
     EXPECT_EQ(this->wait(answer).body, "good");
     EXPECT_EQ(this->hedges("won"), 1);
@@ -368,7 +369,8 @@
     answer->call.cancel();
 }
 
-// Guards against a stream with the head of one upstream and the events of another: comments of the slower attempt are not forwarded.
+// Guards against a stream with the head of one upstream and events of another: comments of the slower attempt are not forwarded, and its
+// events are not added to those of the winner.
 TEST_F(HedgedPairTest, commentsDoNotDecideWhichAttemptWins)
 {
     this->startPair("model", "/resumable/x");
@@ -386,7 +388,12 @@
     const std::string whole = stream("first", comment);
     this->pair[0]->writeTo(0, whole.substr(0, whole.size() - 5));
     runFor(this->loop, absl::Milliseconds(50));
-    this->pair[1]->writeTo(0, stream("hedge", "id: 1\ndata: token-1\n\n"));
+    const std::string won = stream("hedge", "id: 1\ndata: token-1\n\n");
+    this->pair[1]->writeTo(0, won.substr(0, won.size() - 5));
+    ASSERT_TRUE(runUntil(this->loop, [&answer] { return !answer->body.empty(); }));
+    this->pair[0]->writeTo(0, "14\r\nid: 2\ndata: late-2\n\n\r\n");
+    runFor(this->loop, absl::Milliseconds(50));
+    this->pair[1]->writeTo(0, "0\r\n\r\n");
     const Answer &ended = this->wait(answer);
     EXPECT_EQ(ended.head.fields.find("x-response-signature"), "hedge");
     EXPECT_EQ(ended.body, "id: 1\ndata: token-1\n\n");
