--- a/src/EntryMetrics.cpp
+++ b/src/EntryMetrics.cpp
@@ -46,6 +46,10 @@
     prometheus::Family<prometheus::Counter> &refusals =
         prometheus::BuildCounter().Name("bergamotramp_refusals_total").Help("Requests refused before an attempt, by code and organisation.").Register(registry);
     std::set<std::string> labelledOrganisations;
+    prometheus::Family<prometheus::Counter> &hedges =
+        prometheus::BuildCounter().Name("bergamotramp_hedges_total").Help("Second attempts beside a running one, by service and event.").Register(registry);
+    prometheus::Family<prometheus::Counter> &hedgeRefusals =
+        prometheus::BuildCounter().Name("bergamotramp_hedges_refused_total").Help("Slow requests that were not hedged, by cause.").Register(registry);
     prometheus::Family<prometheus::Gauge> &gauges = prometheus::BuildGauge().Name("bergamotramp_state").Help("State of this host by name.").Register(registry);
 };
 
@@ -106,6 +110,16 @@
     this->families->refusals.Add({{"code", code}, {"organisation", hasLabel ? organisation : "other"}}).Increment();
 }
 
+void EntryMetrics::recordHedge(const std::string &service, const std::string &event)
+{
+    this->families->hedges.Add({{"service", service}, {"event", event}}).Increment();
+}
+
+void EntryMetrics::recordHedgeRefusal(const std::string &service, const std::string &cause)
+{
+    this->families->hedgeRefusals.Add({{"service", service}, {"cause", cause}}).Increment();
+}
+
 void EntryMetrics::setGauge(const std::string &name, double value)
 {
     this->families->gauges.Add({{"name", name}}).Set(value);
--- a/src/EntryMetrics.h
+++ b/src/EntryMetrics.h
@@ -38,6 +38,9 @@
      * maxLabelledOrganisations share one value.
      */
     void recordRefusal(const std::string &code, const std::string &organisation);
+    /** Counts what became of a hedge: started, then won, cancelled or failed. */
+    void recordHedge(const std::string &service, const std::string &event);
+    void recordHedgeRefusal(const std::string &service, const std::string &cause);
     void setGauge(const std::string &name, double value);
 
     [[nodiscard]] std::string text() const;
--- a/test/site/SiteFleet.cpp
+++ b/test/site/SiteFleet.cpp
@@ -94,6 +94,9 @@
         }
         return decode(request);
     };
+    if (this->adjustSettings) {
+        this->adjustSettings(settings);
+    }
     running->host = std::make_unique<EntryHost>(
         this->loop, settings, std::move(platform), *running->log, *running->metrics, [raw = running.get()] { raw->stopped = true; });
     this->hosts.push_back(std::move(running));
--- a/test/site/SiteFleet.h
+++ b/test/site/SiteFleet.h
@@ -77,6 +77,8 @@
     HttpFields callerFields;
     /** The calls that hosts have got from other hosts. */
     std::vector<HttpRequest> forwardedCalls;
+    /** Changes the settings of each host that is started from then on. May be empty. */
+    std::function<void(EntrySettings &)> adjustSettings;
     EventLoop loop;
     int nullDevice;
     StandinObjectStore store{this->loop};
