--- a/src/RendezvousHash.cpp
+++ b/src/RendezvousHash.cpp
@@ -1,6 +1,7 @@
 #include "RendezvousHash.h"
 
 #include <algorithm>
+#include <utility>
 
 namespace Bergamotramp {
 
@@ -74,4 +75,24 @@
     return members;
 }
 
+std::vector<std::string> rendezvousFirst(std::string_view key, const std::vector<std::string> &members, std::size_t count)
+{
+    const std::uint64_t seed = stableHash(key);
+    std::vector<std::pair<std::uint64_t, const std::string *>> scores;
+    scores.reserve(members.size());
+    for (const std::string &member : members) {
+        scores.emplace_back(stableHash(seed, member), &member);
+    }
+    const auto precedesScore = [](const auto &left, const auto &right) {
+        return left.first != right.first ? left.first > right.first : *left.second < *right.second;
+    };
+    const std::size_t wanted = std::min(count, scores.size());
+    std::ranges::partial_sort(scores, scores.begin() + static_cast<std::ptrdiff_t>(wanted), precedesScore);
+    std::vector<std::string> result;
+    for (std::size_t position = 0; position < wanted; ++position) {
+        result.push_back(*scores[position].second);
+    }
+    return result;
+}
+
 } // namespace Bergamotramp
