--- a/src/EntryMetrics.cpp
+++ b/src/EntryMetrics.cpp
@@ -37,6 +37,8 @@
                                                                     .Name("bergamotramp_upstreams_leaving_total")
                                                                     .Help("Upstreams that stated that they leave, by source of the statement.")
                                                                     .Register(registry);
+    prometheus::Family<prometheus::Counter> &quotaRefusals =
+        prometheus::BuildCounter().Name("bergamotramp_quota_refusals_total").Help("Requests beyond the quotas of organisations.").Register(registry);
     prometheus::Family<prometheus::Gauge> &gauges = prometheus::BuildGauge().Name("bergamotramp_state").Help("State of this host by name.").Register(registry);
 };
 
@@ -82,6 +84,11 @@
     this->families->leavingUpstreams.Add({{"source", source}}).Increment();
 }
 
+void EntryMetrics::recordQuotaRefusal(const std::string &organisation)
+{
+    this->families->quotaRefusals.Add({{"organisation", organisation}}).Increment();
+}
+
 void EntryMetrics::setGauge(const std::string &name, double value)
 {
     this->families->gauges.Add({{"name", name}}).Set(value);
--- a/src/EntryMetrics.h
+++ b/src/EntryMetrics.h
@@ -27,6 +27,8 @@
     void recordStoreCall(const std::string &call, const std::string &result);
     /** Counts an upstream that has stated that it leaves, by what this host learned it from. */
     void recordLeavingUpstream(const std::string &source);
+    /** Counts a request that was refused because its organisation has used up its quota. */
+    void recordQuotaRefusal(const std::string &organisation);
     void setGauge(const std::string &name, double value);
 
     [[nodiscard]] std::string text() const;
--- a/src/PeerExchange.cpp
+++ b/src/PeerExchange.cpp
@@ -120,6 +120,16 @@
     return this->schedule.tickPeriod();
 }
 
+absl::Duration PeerExchange::receiveDelay() const
+{
+    return this->schedule.isSmallFleet() ? absl::ZeroDuration() : this->schedule.tickPeriod() / receivesPerTick;
+}
+
+bool PeerExchange::knowsAddresses() const
+{
+    return !this->knownAddresses.empty();
+}
+
 absl::Time PeerExchange::lastPeerFoundAt() const
 {
     return this->peerFoundAt;
--- a/src/PeerExchange.h
+++ b/src/PeerExchange.h
@@ -74,6 +74,10 @@
     [[nodiscard]] absl::Duration nearLoadAge() const;
     /** Age that the known loads of other data centres may have in addition to the age of the near hosts' loads; 0 in a small fleet. */
     [[nodiscard]] absl::Duration farLoadAge() const;
+    /** Longest time for which a datagram waits before it is read; 0 in a small fleet. */
+    [[nodiscard]] absl::Duration receiveDelay() const;
+    /** Whether the addresses of other hosts are known, whether or not these have answered. */
+    [[nodiscard]] bool knowsAddresses() const;
     /** Sends the identity of this host to @p peerAddress with the next tick, unless the address is known already. */
     void introduceTo(const std::string &peerAddress);
     /** The same, and asks for the addresses of all hosts that it knows. */
