Refuse requests beyond the quota of their organisation

Cause: the decisions on quotas were not wired, and jobs that a host was accepting did not count as waiting tokens there. Change: CallerRequestHandler asks for a token between authentication and the online call or submission; a refusal is 429, not run, with Retry-After. Jobs that this host is accepting count; limits by organisation and the jobs that other hosts are accepting are not built.

--- a/src/CallerRequestHandler.cpp
+++ b/src/CallerRequestHandler.cpp
@@ -7,6 +7,12 @@
 
 namespace Bergamotramp {
 
+namespace {
+
+constexpr int tooManyRequests = 429;
+
+} // namespace
+
 CallerRequestHandler::CallerRequestHandler(CallerRequestContext context) : context(std::move(context))
 {
 }
@@ -51,36 +57,84 @@
     exchange->respond(failureResponse(refusal.status, refusal.code, refusal.message, "not_run"));
 }
 
-void CallerRequestHandler::admit(const AuthenticatedRequest &request)
+bool CallerRequestHandler::takes(const AuthenticatedRequest &request) const
 {
     const absl::Time deadline = request.exchange->received() + std::min(request.call.timeBudget, request.route->timeout);
-    if (!this->context.takesUntil(deadline)) {
-        request.exchange->respond(notRunResponse("stopping", "this host is stopping", absl::ZeroDuration()));
+    if (this->context.takesUntil(deadline)) {
+        return true;
+    }
+    request.exchange->respond(notRunResponse("stopping", "this host is stopping", absl::ZeroDuration()));
+    return false;
+}
+
+void CallerRequestHandler::admit(const AuthenticatedRequest &request)
+{
+    if (!this->takes(request)) {
+        return;
+    }
+    if (!request.authentication.organisation || request.authentication.organisation->requestsPerSecond <= 0) {
+        this->serve(request, {.admitted = true, .retryAfter = absl::ZeroDuration()});
         return;
     }
-    this->serve(request);
+    const std::uint64_t number = this->nextAwaiting++;
+    this->awaitingQuota.emplace(number, request);
+    this->context.admitToQuota(request.authentication.organisation->name, [this, number](const QuotaDecision &decision) {
+        // A request that waits when the host ends has been answered, and is no longer here.
+        if (const auto waiting = this->awaitingQuota.extract(number)) {
+            this->onQuotaDecision(waiting.mapped(), decision);
+        }
+    });
 }
 
-void CallerRequestHandler::serve(const AuthenticatedRequest &request)
+void CallerRequestHandler::onQuotaDecision(const AuthenticatedRequest &request, const QuotaDecision &decision)
+{
+    if (request.exchange->ended() || (decision.admitted && !this->takes(request))) {
+        this->context.giveBackToken(request.authentication.organisation->name, decision);
+    } else if (decision.admitted) {
+        this->serve(request, decision);
+    } else {
+        this->refuseBeyondQuota(request, decision.retryAfter);
+    }
+}
+
+void CallerRequestHandler::refuseBeyondQuota(const AuthenticatedRequest &request, absl::Duration retryAfter)
+{
+    HttpResponse refusal = notRunResponse("quota", "the organisation has used up its quota", retryAfter);
+    refusal.head.status = tooManyRequests;
+    request.exchange->respond(refusal);
+    const absl::Duration latency = this->context.online.attempts.loop.now() - request.exchange->received();
+    this->context.online.metrics.recordResponse(request.route->name, tooManyRequests, latency);
+}
+
+void CallerRequestHandler::serve(const AuthenticatedRequest &request, const QuotaDecision &decision)
 {
     if (request.route->kind == RouteKind::Batch) {
         this->context.jobCalls.submit(request.exchange, request.call, *request.route);
     } else {
-        this->startOnline(request);
+        this->startOnline(request, decision);
     }
 }
 
-void CallerRequestHandler::startOnline(const AuthenticatedRequest &request)
+void CallerRequestHandler::startOnline(const AuthenticatedRequest &request, const QuotaDecision &decision)
 {
     const Route &route = *request.route;
     const std::string service = chooseTarget(route, this->context.randomFraction());
     const CallerOrganisation organisation = request.authentication.callerOrganisation(*request.config);
     const auto weakCall = std::make_shared<std::weak_ptr<OnlineCall>>();
-    const auto online = std::make_shared<OnlineCall>(this->context.online, request.exchange, request.call, route, organisation, service, [this, weakCall] {
-        if (const auto ended = weakCall->lock()) {
-            this->calls.erase(ended);
-        }
-    });
+    const auto online = std::make_shared<OnlineCall>(this->context.online,
+                                                     request.exchange,
+                                                     request.call,
+                                                     route,
+                                                     organisation,
+                                                     service,
+                                                     [this, weakCall, decision, owner = request.authentication.organisation] {
+                                                         if (const auto ended = weakCall->lock()) {
+                                                             if (owner && ended->hasCertainlyNotRun()) {
+                                                                 this->context.giveBackToken(owner->name, decision);
+                                                             }
+                                                             this->calls.erase(ended);
+                                                         }
+                                                     });
     *weakCall = online;
     this->calls.insert(online);
     online->start();
@@ -96,6 +150,11 @@
 
 void CallerRequestHandler::answerBeforeStop()
 {
+    for (const auto &[number, request] : std::exchange(this->awaitingQuota, {})) {
+        if (!request.exchange->ended()) {
+            request.exchange->respond(notRunResponse("stopping", "this host is stopping", absl::ZeroDuration()));
+        }
+    }
     const std::set<std::shared_ptr<OnlineCall>> current = this->calls;
     for (const auto &call : current) {
         call->answerBeforeStop();
--- a/src/CallerRequestHandler.h
+++ b/src/CallerRequestHandler.h
@@ -1,12 +1,16 @@
 #pragma once
 
+#include <cstdint>
 #include <functional>
+#include <map>
 #include <memory>
 #include <set>
+#include <string>
 
 #include "CallerAuthentication.h"
 #include "JobCallHandler.h"
 #include "OnlineCall.h"
+#include "OrganisationQuotas.h"
 #include "RoutingConfig.h"
 
 namespace Bergamotramp {
@@ -33,6 +37,10 @@
     std::function<std::shared_ptr<const RoutingConfig>()> config;
     /** Whether a request that may last until the deadline is taken now; false for most requests while the host stops. */
     std::function<bool(absl::Time deadline)> takesUntil;
+    /** Decides whether a request is within the quota of its organisation, at once or some tens of milliseconds later. */
+    std::function<void(const std::string &organisation, std::function<void(const QuotaDecision &)> done)> admitToQuota;
+    /** Takes back the token of a request that has certainly not run. */
+    std::function<void(const std::string &organisation, const QuotaDecision &)> giveBackToken;
     /** A uniformly distributed number from 0 to 1. */
     std::function<double()> randomFraction;
 };
@@ -58,11 +66,18 @@
     void refuse(const std::shared_ptr<HttpExchange> &exchange, const CallerCall &call, const KeyRefusal &refusal);
     /** Decides whether an authenticated request is served now. Checks of its configuration's age and of quotas belong here. */
     void admit(const AuthenticatedRequest &request);
-    void serve(const AuthenticatedRequest &request);
-    void startOnline(const AuthenticatedRequest &request);
+    void onQuotaDecision(const AuthenticatedRequest &request, const QuotaDecision &decision);
+    void refuseBeyondQuota(const AuthenticatedRequest &request, absl::Duration retryAfter);
+    /** Whether the host may still take the request although it stops. Refuses it otherwise. */
+    [[nodiscard]] bool takes(const AuthenticatedRequest &request) const;
+    void serve(const AuthenticatedRequest &request, const QuotaDecision &decision);
+    void startOnline(const AuthenticatedRequest &request, const QuotaDecision &decision);
 
     CallerRequestContext context;
     std::set<std::shared_ptr<OnlineCall>> calls;
+    /** Requests that wait for the decision on their organisation's quota. */
+    std::map<std::uint64_t, AuthenticatedRequest> awaitingQuota;
+    std::uint64_t nextAwaiting = 0;
 };
 
 } // namespace Bergamotramp
--- a/src/EntryHost.cpp
+++ b/src/EntryHost.cpp
@@ -123,7 +123,11 @@
                                                     {{"promptPart", absl::StrCat(absl::Hex(part))}, {"reported", true}});
                                 },
                             .leavingUpstreamAnnounced = [this](const UpstreamRun &run) { this->recordStatedLeaving(run, "host"); },
-                            .messageReceived = [this](const Peer &sender, const peer::HostState &message) { this->streamOrigins->receive(sender, message); },
+                            .messageReceived =
+                                [this](const Peer &sender, const peer::HostState &message) {
+                                    this->streamOrigins->receive(sender, message);
+                                    this->quotas->receive(sender, message);
+                                },
                             .limitReports = [this](bool recentOnly) { return this->limiter.reports(recentOnly, this->loop.now()); },
                             .limitReported = [this](const LimitReport &report) { this->limiter.merge(report); }});
     this->jobs = std::make_unique<JobService>(
@@ -148,13 +152,16 @@
                                                                      .metrics = this->metrics,
                                                                      .host = this->settings.name,
                                                                      .stopping = [this] { return this->stopping(); }});
-    this->callerRequests = std::make_unique<CallerRequestHandler>(
-        CallerRequestContext{.protocol = this->platform.serving,
-                             .jobCalls = *this->jobCalls,
-                             .online = this->onlineContext(),
-                             .config = [this] { return this->config; },
-                             .takesUntil = [this](absl::Time deadline) { return !this->stopPlan || this->stopPlan->mayTake(this->loop.now(), deadline); },
-                             .randomFraction = [this] { return this->randomFraction(); }});
+    this->callerRequests = std::make_unique<CallerRequestHandler>(CallerRequestContext{
+        .protocol = this->platform.serving,
+        .jobCalls = *this->jobCalls,
+        .online = this->onlineContext(),
+        .config = [this] { return this->config; },
+        .takesUntil = [this](absl::Time deadline) { return !this->stopPlan || this->stopPlan->mayTake(this->loop.now(), deadline); },
+        .admitToQuota = [this](const std::string &organisation, auto done) { this->quotas->admit(organisation, std::move(done)); },
+        .giveBackToken = [this](const std::string &organisation, const QuotaDecision &decision) { this->quotas->giveBack(organisation, decision); },
+        .randomFraction = [this] { return this->randomFraction(); }});
+    this->createQuotas();
     this->streamOrigins = std::make_unique<StreamOriginExchange>(
         loop,
         this->settings.name,
@@ -219,6 +226,21 @@
             .storeRecovered = [this] { this->onStoreRecovered(); }};
 }
 
+void EntryHost::createQuotas()
+{
+    const LimitMember self{.name = this->settings.name, .dataCentre = this->settings.dataCentre, .region = this->settings.region};
+    this->quotas =
+        std::make_unique<QuotaExchange>(this->loop,
+                                        self,
+                                        this->peers,
+                                        this->log,
+                                        this->metrics,
+                                        this->random(),
+                                        QuotaExchange::Hooks{.send = [this](const Peer &peer, const auto &fill) { this->peerExchange->sendTo(peer, fill); },
+                                                             .expectsOthers = [this] { return this->peerExchange->knowsAddresses(); },
+                                                             .receiveDelay = [this] { return this->peerExchange->receiveDelay(); }});
+}
+
 void EntryHost::createWatchers()
 {
     KindWatcher::Hooks hooks = this->failureHooks(this->platform.configKind);
@@ -317,6 +339,7 @@
     this->configVersions.recordInForce(object.revision);
     this->configBehindSince = absl::InfiniteFuture();
     this->configObject = object.toJson();
+    this->quotas->setOrganisations(this->config->organisations ? this->config->organisations->organisations() : std::vector<Organisation>());
     this->entryServer->setBounds(this->config->callerBounds);
     this->log.write("config_in_force",
                     {{"revision", object.revision},
@@ -583,6 +606,7 @@
                            static_cast<double>(this->promptParts.quarantinedParts(PromptPartQuarantine::maxParts, this->loop.now()).size()));
     this->metrics.setGauge("upstreams_limited", static_cast<double>(this->limiter.currentShares().limitedUpstreams()));
     this->metrics.setGauge("upstream_limits_held", static_cast<double>(this->limiter.currentShares().heldUpstreams()));
+    this->quotas->updateMetrics();
     this->metrics.setGauge("calls", static_cast<double>(this->callerRequests->onlineCalls()));
     this->metrics.setGauge("items_running", static_cast<double>(this->jobs->runningItems()));
     this->metrics.setGauge("peers_live", static_cast<double>(this->peers.liveHosts(this->loop.now()).size()));
@@ -706,6 +730,7 @@
     this->upstreams.expire(now);
     this->load.expire(now);
     this->limiter.tick(now);
+    this->quotas->tick();
     if (now >= this->watchTimingsAdjustedAt + watchTimingPeriod) {
         this->watchTimingsAdjustedAt = now;
         this->adjustWatchTimings();
@@ -741,6 +766,7 @@
         {{"calls", static_cast<std::uint64_t>(this->callerRequests->onlineCalls())}, {"items", static_cast<std::uint64_t>(this->jobs->runningItems())}});
     this->jobs->stop();
     this->limiter.leave(this->loop.now());
+    this->quotas->leave();
     this->relayedStore.stopServingFollowers();
     this->peerExchange->announceNow();
     this->entryServer->closeAfterResponses();
--- a/src/EntryHost.h
+++ b/src/EntryHost.h
@@ -26,6 +26,7 @@
 #include "PeerTable.h"
 #include "PlatformAdapter.h"
 #include "PromptPartQuarantine.h"
+#include "QuotaExchange.h"
 #include "RelayedStore.h"
 #include "RevisionLag.h"
 #include "StopPlan.h"
@@ -65,6 +66,7 @@
 
 private:
     void startServers();
+    void createQuotas();
     void createWatchers();
     /** Starts the watchers when this host knows other hosts, or when it has waited long enough for them since @p waitingSince. */
     void startWatchers(absl::Time waitingSince);
@@ -164,6 +166,7 @@
     std::unique_ptr<PeerExchange> peerExchange;
     std::unique_ptr<PeerDiscovery> peerDiscovery;
     std::unique_ptr<StreamOriginExchange> streamOrigins;
+    std::unique_ptr<QuotaExchange> quotas;
     WatchRelaySelector relaySelector;
     RelayedStore relayedStore;
     std::unique_ptr<JobService> jobs;
--- a/src/JobService.cpp
+++ b/src/JobService.cpp
@@ -149,6 +149,11 @@
             sum += entry.header.tokens - std::max(finished, entry.progress.tokensFinished);
         }
     }
+    for (const auto &[id, job] : this->accepting) {
+        if (!this->entries.contains(id) && job.virtualHost == host && job.pathPrefix == pathPrefix) {
+            sum += job.tokens;
+        }
+    }
     return sum;
 }
 
@@ -160,7 +165,9 @@
         return;
     }
     const std::int64_t waiting = this->waitingTokens(host, route.pathPrefix);
-    if (route.maxWaitingTokens > 0 && waiting + submission.tokens() > route.maxWaitingTokens) {
+    // A repeated submission of a job that is being accepted is not refused, because it would be told that the job never runs.
+    const bool repeated = this->accepting.contains(submission.id);
+    if (!repeated && route.maxWaitingTokens > 0 && waiting + submission.tokens() > route.maxWaitingTokens) {
         // Another host may have accepted the job a moment ago. The submission is then a duplicate and is not refused.
         this->archive.readHeader(submission.id, [this, waiting, id = submission.id, done = std::move(done)](const ObjectReply &reply) {
             const bool accepted = reply.result == StoreResult::Done && this->applyHeader(*reply.object) != nullptr;
@@ -180,7 +187,13 @@
                            .submitted = this->context.attempts.loop.now(),
                            .tokens = submission.tokens(),
                            .items = submission.items.size()};
-    this->writeItems(submission, header, retryUntil, std::move(done));
+    this->accepting.try_emplace(submission.id, AcceptingJob{.virtualHost = host, .pathPrefix = route.pathPrefix, .tokens = header.tokens});
+    this->writeItems(submission, header, retryUntil, [this, repeated, id = submission.id, done = std::move(done)](SubmitResult result) {
+        if (!repeated) {
+            this->accepting.erase(id);
+        }
+        done(result);
+    });
 }
 
 void JobService::writeItems(const SubmittedJob &submission, JobRecord header, absl::Time retryUntil, std::function<void(SubmitResult)> done)
--- a/src/JobService.h
+++ b/src/JobService.h
@@ -177,6 +177,12 @@
         std::vector<std::function<void(StoreResult)>> loadCallbacks;
         std::list<std::shared_ptr<ResultRead>> pendingReads;
     };
+    /** A job that this host is writing to the store. */
+    struct AcceptingJob {
+        std::string virtualHost;
+        std::string pathPrefix;
+        std::int64_t tokens = 0;
+    };
     using LookupHandler = std::function<void(JobLookup, JobEntry *)>;
 
     /** Applies a stored header unless a newer one is known. Returns null when it is malformed. */
@@ -265,6 +271,8 @@
     JobContext context;
     JobArchive archive;
     std::map<std::string, JobEntry> entries;
+    /** The tokens of these count as waiting, because the store may hold the jobs before this host knows it. */
+    std::map<std::string, AcceptingJob> accepting;
     std::list<std::shared_ptr<ItemRun>> runs;
     absl::Time startedAt;
     /** Number of loads that have begun. */
--- a/src/OnlineCall.cpp
+++ b/src/OnlineCall.cpp
@@ -220,6 +220,8 @@
     this->context.metrics.recordAttempt(this->service, std::string(nameOf(result.outcome)));
     if (result.outcome != AttemptOutcome::NotRun) {
         this->failedUpstreams.insert(upstream.id);
+    } else {
+        ++this->refusedAttempts;
     }
     this->updateCrashRecord(result, upstream.id);
     const bool streamed = this->route.kind == RouteKind::Stream && result.head.status / 100 == 2;
@@ -460,6 +462,11 @@
     }
 }
 
+bool OnlineCall::hasCertainlyNotRun() const
+{
+    return this->attempts == this->refusedAttempts;
+}
+
 void OnlineCall::cutShort(const std::string &reason, const std::string &message)
 {
     const bool mayHaveRun = this->attempt != nullptr || this->retryPolicy.state() == CallState::MayHaveRun;
--- a/src/OnlineCall.h
+++ b/src/OnlineCall.h
@@ -60,6 +60,8 @@
     void checkProgress(absl::Time now);
     /** Answers a call whose response has not begun, because the host ends. */
     void answerBeforeStop();
+    /** Whether no upstream can have the request or have had it. */
+    [[nodiscard]] bool hasCertainlyNotRun() const;
 
 private:
     /** Continues a stream that the caller takes up, or refuses it if that could join two software versions. */
@@ -121,6 +123,8 @@
     /** Response head of the stream, kept until its first event. */
     HttpHead streamHead;
     int attempts = 0;
+    /** Those of them that their upstreams have certainly not run. */
+    int refusedAttempts = 0;
     /** Attempts whose upstream was lost before it began the answer. */
     int lostAttempts = 0;
     /** Whether an upstream has begun the answer. */
--- a/src/OrganisationQuotas.cpp
+++ b/src/OrganisationQuotas.cpp
@@ -79,30 +79,20 @@
     return found == this->accounts.end() ? nullptr : found->second.get();
 }
 
-std::uint64_t OrganisationQuotas::admit(const std::string &organisation, absl::Time now, Handler done)
+void OrganisationQuotas::admit(const std::string &organisation, absl::Time now, Handler done)
 {
     Account *account = this->find(organisation);
     if (account == nullptr) {
         done({.admitted = true, .retryAfter = absl::ZeroDuration()});
-        return 0;
+        return;
     }
     account->lease.recordRequest(now);
     if (account->waiting.size() >= maxWaiting) {
         done(this->refusal(*account, now));
-        return 0;
+        return;
     }
-    const std::uint64_t number = this->nextWaiting++;
-    account->waiting.push_back({.number = number, .deadline = now + maxWait, .done = std::move(done)});
+    account->waiting.push_back({.deadline = now + maxWait, .done = std::move(done)});
     this->serve(*account, now);
-    const auto waits = std::ranges::find(account->waiting, number, &Waiting::number);
-    return waits == account->waiting.end() ? 0 : number;
-}
-
-void OrganisationQuotas::cancel(std::uint64_t waiting)
-{
-    for (const std::uint64_t key : this->pending) {
-        std::erase_if(this->accounts.at(key)->waiting, [waiting](const Waiting &entry) { return entry.number == waiting; });
-    }
 }
 
 void OrganisationQuotas::giveBack(const std::string &organisation, const QuotaDecision &decision, absl::Time now)
--- a/src/OrganisationQuotas.h
+++ b/src/OrganisationQuotas.h
@@ -109,12 +109,9 @@
     /** A holder that has not answered after @p timeout is passed over; 50 ms unless it is set. */
     void setAnswerTimeout(absl::Duration timeout);
     /**
-     * Decides on a request, with @p done called at once or within maxWait. An organisation without a quota is not limited. Returns a
-     * number for cancel(), or 0 when the decision has been made.
+     * Decides on a request, with @p done called at once or within maxWait. An organisation without a quota is not limited.
      */
-    std::uint64_t admit(const std::string &organisation, absl::Time now, Handler done);
-    /** The caller of a request that waits has left. */
-    void cancel(std::uint64_t waiting);
+    void admit(const std::string &organisation, absl::Time now, Handler done);
     /** Takes back the token of a request that has certainly not run. */
     void giveBack(const std::string &organisation, const QuotaDecision &decision, absl::Time now);
     void receive(const std::string &host, const QuotaQuery &query, absl::Time now);
@@ -128,7 +125,6 @@
 
 private:
     struct Waiting {
-        std::uint64_t number = 0;
         absl::Time deadline;
         Handler done;
     };
@@ -200,7 +196,6 @@
     /** Holders that have not answered, each with the time until which it is passed over. */
     std::map<std::string, absl::Time> silentHolders;
     std::uint64_t nextQuery;
-    std::uint64_t nextWaiting = 1;
     Counts counted;
 };
 
--- a/src/QuotaExchange.cpp
+++ b/src/QuotaExchange.cpp
@@ -61,11 +61,11 @@
     this->tick();
 }
 
-std::uint64_t QuotaExchange::admit(const std::string &organisation, Handler done)
+void QuotaExchange::admit(const std::string &organisation, Handler done)
 {
     if (!this->quotas.hasQuotas()) {
         done({.admitted = true, .retryAfter = absl::ZeroDuration()});
-        return 0;
+        return;
     }
     const auto decided = [this, organisation, done = std::move(done)](const QuotaDecision &decision) {
         if (!decision.admitted) {
@@ -73,14 +73,13 @@
         }
         done(decision);
     };
-    const std::uint64_t waiting = this->quotas.admit(organisation, this->loop.nowIncludingSuspend(), decided);
+    this->quotas.admit(organisation, this->loop.nowIncludingSuspend(), decided);
     this->schedule();
-    return waiting;
 }
 
 void QuotaExchange::recordRefusal(const std::string &organisation, absl::Duration retryAfter)
 {
-    this->metrics.recordQuotaRefusal(organisation);
+    this->metrics.recordRefusal("quota", organisation);
     absl::Time &loggedAt = this->refusalLoggedAt.try_emplace(organisation, absl::InfinitePast()).first->second;
     if (this->loop.now() >= loggedAt + refusalLogInterval) {
         loggedAt = this->loop.now();
@@ -88,11 +87,6 @@
     }
 }
 
-void QuotaExchange::cancel(std::uint64_t waiting)
-{
-    this->quotas.cancel(waiting);
-}
-
 void QuotaExchange::giveBack(const std::string &organisation, const QuotaDecision &decision)
 {
     this->quotas.giveBack(organisation, decision, this->loop.nowIncludingSuspend());
--- a/src/QuotaExchange.h
+++ b/src/QuotaExchange.h
@@ -42,8 +42,7 @@
     /** Puts the quotas of the configuration in force. */
     void setOrganisations(const std::vector<Organisation> &organisations);
     /** Decides on a request of an organisation; see OrganisationQuotas::admit(). */
-    std::uint64_t admit(const std::string &organisation, Handler done);
-    void cancel(std::uint64_t waiting);
+    void admit(const std::string &organisation, Handler done);
     void giveBack(const std::string &organisation, const QuotaDecision &decision);
     /** Applies what another host has sent. */
     void receive(const Peer &sender, const peer::HostState &message);
--- a/test/site/JobServiceTest.cpp
+++ b/test/site/JobServiceTest.cpp
@@ -1,6 +1,7 @@
 #include "SiteFleet.h"
 
 #include <algorithm>
+#include <map>
 
 namespace Bergamotramp {
 
@@ -232,6 +233,21 @@
     expectAllCompleted(this->readWholeJob(*this->hosts[0], "job-1", 6), 6);
 }
 
+// Guards against exceeding the limit on waiting tokens by jobs that one host accepts at the same time, and against refusing a job as
+// not run that the host is accepting.
+TEST_F(JobServiceTest, limitOnWaitingTokensCountsJobsThatAreBeingAccepted)
+{
+    this->start(1, absl::Milliseconds(20));
+    const auto first = this->sendSubmission(*this->hosts[0], "job-1", 60);
+    const auto second = this->sendSubmission(*this->hosts[0], "job-2", 60);
+    const auto repeated = this->sendSubmission(*this->hosts[0], "job-1", 60);
+    std::map<int, int> statuses;
+    ++statuses[this->wait(first).head.status];
+    ++statuses[this->wait(second).head.status];
+    EXPECT_EQ(statuses, (std::map<int, int>{{202, 1}, {429, 1}}));
+    EXPECT_EQ(this->wait(repeated).head.status, first->head.status);
+}
+
 // Guards against exceeding the limit on waiting tokens by submitting to several hosts, and against refusing jobs after the
 // waiting ones have finished.
 TEST_F(JobServiceTest, limitOnWaitingTokensCountsJobsOfAllHosts)
--- a/test/site/SiteFleet.cpp
+++ b/test/site/SiteFleet.cpp
@@ -45,12 +45,14 @@
                                 routeJson("stream", "/stream/", "streaming", "model", timeoutMs),
                                 routeJson("plain", "/plain/", "safe", "plain", timeoutMs),
                                 routeJson("once", "/once/", "unsafe", "plain", timeoutMs)};
-    this->store.write("config",
-                      "main",
-                      {{"version", version},
-                       {"routes", routes},
-                       {"services", {{{"name", "model"}}, {{"name", "plain"}}}},
-                       {"limits", {{"maxHeaderBytes", 16384}, {"maxBodyBytes", 4194304}, {"headerTimeoutMs", 3000}, {"idleTimeoutMs", 15000}}}});
+    nlohmann::json config{{"version", version},
+                          {"routes", routes},
+                          {"services", {{{"name", "model"}}, {{"name", "plain"}}}},
+                          {"limits", {{"maxHeaderBytes", 16384}, {"maxBodyBytes", 4194304}, {"headerTimeoutMs", 3000}, {"idleTimeoutMs", 15000}}}};
+    if (!this->tenants.is_null()) {
+        config["tenants"] = this->tenants;
+    }
+    this->store.write("config", "main", config);
 }
 
 void SiteFleet::registerUpstream(const StandinUpstream &upstream, const std::string &service, const std::string &state, std::optional<std::int64_t> startedAtMs)
@@ -149,7 +151,7 @@
     return this->wait(this->send(host, "POST", path, {{"X-Request-Id", id}, {"X-Deadline-Ms", "5000"}}, "prompt"));
 }
 
-int SiteFleet::submit(const RunningHost &host, const std::string &id, int items)
+std::shared_ptr<SiteFleet::Answer> SiteFleet::sendSubmission(const RunningHost &host, const std::string &id, int items)
 {
     nlohmann::json list = nlohmann::json::array();
     for (int number = 0; number < items; ++number) {
@@ -159,8 +161,12 @@
                         {"body", absl::Base64Escape(absl::StrCat("body-", number))},
                         {"tokens", itemTokens}});
     }
-    const auto answer = this->send(host, "POST", "/batch/submit", {{"X-Request-Id", id}}, nlohmann::json{{"items", list}}.dump());
-    return this->wait(answer).head.status;
+    return this->send(host, "POST", "/batch/submit", {{"X-Request-Id", id}}, nlohmann::json{{"items", list}}.dump());
+}
+
+int SiteFleet::submit(const RunningHost &host, const std::string &id, int items)
+{
+    return this->wait(this->sendSubmission(host, id, items)).head.status;
 }
 
 nlohmann::json SiteFleet::readJob(const RunningHost &host, const std::string &id, std::size_t after)
--- a/test/site/SiteFleet.h
+++ b/test/site/SiteFleet.h
@@ -62,6 +62,7 @@
     /** Sends a request and waits for the whole response. */
     Answer &request(const RunningHost &host, const std::string &path, const std::string &id);
     Answer &wait(const std::shared_ptr<Answer> &answer);
+    std::shared_ptr<Answer> sendSubmission(const RunningHost &host, const std::string &id, int items);
     /** Submits a job of @p items items and returns the status. */
     int submit(const RunningHost &host, const std::string &id, int items);
     /** Reads one page of results from position @p after on; an object with only the status when it is not 200. */
@@ -74,6 +75,8 @@
     EventLoop loop;
     int nullDevice;
     StandinObjectStore store{this->loop};
+    /** The organisations that writeConfig() writes; none when it is null. */
+    nlohmann::json tenants;
     std::vector<std::unique_ptr<StandinUpstream>> upstreams;
     HttpClient client{this->loop, {}};
     std::vector<std::unique_ptr<RunningHost>> hosts;
