--- a/src/EntryHost.h
+++ b/src/EntryHost.h
@@ -26,6 +26,7 @@
 #include "PeerTable.h"
 #include "PlatformAdapter.h"
 #include "PromptPartQuarantine.h"
+#include "QuotaExchange.h"
 #include "RelayedStore.h"
 #include "RevisionLag.h"
 #include "StartPlan.h"
@@ -68,6 +69,7 @@
     void startServers();
     /** One budget for the callers of all servers. */
     void limitCallers();
+    void createQuotas();
     void createWatchers();
     /** Starts each watcher when the plan for the start allows it. */
     void startWatchersWhenDue();
@@ -171,6 +173,7 @@
     std::unique_ptr<PeerExchange> peerExchange;
     std::unique_ptr<PeerDiscovery> peerDiscovery;
     std::unique_ptr<StreamOriginExchange> streamOrigins;
+    std::unique_ptr<QuotaExchange> quotas;
     WatchRelaySelector relaySelector;
     RelayedStore relayedStore;
     std::unique_ptr<JobService> jobs;
--- a/src/JobService.cpp
+++ b/src/JobService.cpp
@@ -140,15 +140,23 @@
     });
 }
 
-std::int64_t JobService::waitingTokens(const std::string &host, const std::string &pathPrefix) const
+std::int64_t JobService::waitingTokens(const std::string &host, const std::string &pathPrefix, const std::string &organisation) const
 {
+    const auto counts = [&host, &pathPrefix, &organisation](const auto &job) {
+        return job.virtualHost == host && job.pathPrefix == pathPrefix && job.organisation == organisation;
+    };
     std::int64_t sum = 0;
     for (const auto &[id, entry] : this->entries) {
-        if (entry.progress.isOpen() && entry.header.virtualHost == host && entry.header.pathPrefix == pathPrefix) {
+        if (entry.progress.isOpen() && counts(entry.header)) {
             const std::int64_t finished = entry.job ? entry.job->tokensFinished() : 0;
             sum += entry.header.tokens - std::max(finished, entry.progress.tokensFinished);
         }
     }
+    for (const auto &[id, job] : this->accepting) {
+        if (!this->entries.contains(id) && counts(job)) {
+            sum += job.tokens;
+        }
+    }
     return sum;
 }
 
@@ -175,8 +183,10 @@
         done(resubmit(known->second, submitter.organisation));
         return;
     }
-    const std::int64_t waiting = this->waitingTokens(submitter.virtualHost, route.pathPrefix);
-    if (route.maxWaitingTokens > 0 && waiting + submission.tokens() > route.maxWaitingTokens) {
+    const std::int64_t waiting = this->waitingTokens(submitter.virtualHost, route.pathPrefix, submitter.organisation.value_or(""));
+    // A repeated submission of a job that is being accepted is not refused, because it would be told that the job never runs.
+    const bool repeated = this->accepting.contains(submission.id);
+    if (!repeated && route.maxWaitingTokens > 0 && waiting + submission.tokens() > route.maxWaitingTokens) {
         // Another host may have accepted the job a moment ago. The submission is then a duplicate and is not refused.
         this->archive.readHeader(submission.id,
                                  [this, waiting, id = submission.id, organisation = submitter.organisation, done = std::move(done)](const ObjectReply &reply) {
@@ -198,7 +208,15 @@
                            .tokens = submission.tokens(),
                            .items = submission.items.size(),
                            .organisation = submitter.organisation.value_or("")};
-    this->writeItems(submission, header, retryUntil, std::move(done));
+    this->accepting.try_emplace(
+        submission.id,
+        AcceptingJob{.virtualHost = header.virtualHost, .pathPrefix = header.pathPrefix, .organisation = header.organisation, .tokens = header.tokens});
+    this->writeItems(submission, header, retryUntil, [this, repeated, id = submission.id, done = std::move(done)](SubmitResult result) {
+        if (!repeated) {
+            this->accepting.erase(id);
+        }
+        done(result);
+    });
 }
 
 void JobService::writeItems(const SubmittedJob &submission, JobRecord header, absl::Time retryUntil, std::function<void(SubmitResult)> done)
@@ -755,7 +773,7 @@
     if (route == nullptr || route->maxWaitingTokens == 0) {
         return false;
     }
-    const auto waiting = static_cast<double>(this->waitingTokens(entry.header.virtualHost, entry.header.pathPrefix));
+    const auto waiting = static_cast<double>(this->waitingTokens(entry.header.virtualHost, entry.header.pathPrefix, entry.header.organisation));
     return waiting > progressShareOfLimit * static_cast<double>(route->maxWaitingTokens);
 }
 
--- a/src/JobService.h
+++ b/src/JobService.h
@@ -199,6 +199,13 @@
         std::vector<std::function<void(StoreResult)>> loadCallbacks;
         std::list<std::shared_ptr<ResultRead>> pendingReads;
     };
+    /** A job that this host is writing to the store. */
+    struct AcceptingJob {
+        std::string virtualHost;
+        std::string pathPrefix;
+        std::string organisation;
+        std::int64_t tokens = 0;
+    };
     using LookupHandler = std::function<void(JobLookup, JobEntry *)>;
 
     /** Applies a stored header unless a newer one is known. Returns null when it is malformed. */
@@ -209,7 +216,8 @@
     [[nodiscard]] JobEntry *findLoading(const std::string &jobId, std::uint64_t loadNumber);
     /** Finds a job in memory, or else reads its header from the store. */
     void lookUp(const std::string &jobId, LookupHandler done);
-    [[nodiscard]] std::int64_t waitingTokens(const std::string &host, const std::string &pathPrefix) const;
+    /** Tokens of unfinished items on a route of the jobs of one organisation, or of those without one if it is empty. */
+    [[nodiscard]] std::int64_t waitingTokens(const std::string &host, const std::string &pathPrefix, const std::string &organisation) const;
     /** Answers the submission of a job that this host knows. */
     static SubmitResult resubmit(const JobEntry &entry, const CallerOrganisation &organisation);
     /** Answers a submission whose id another host has accepted before. */
@@ -291,6 +299,8 @@
     JobContext context;
     JobArchive archive;
     std::map<std::string, JobEntry> entries;
+    /** The tokens of these count as waiting, because the store may hold the jobs before this host knows it. */
+    std::map<std::string, AcceptingJob> accepting;
     std::list<std::shared_ptr<ItemRun>> runs;
     absl::Time startedAt;
     /** Number of loads that have begun. */
--- a/src/OnlineCall.cpp
+++ b/src/OnlineCall.cpp
@@ -324,6 +324,8 @@
     this->context.metrics.recordAttempt(this->service, std::string(nameOf(result.outcome)));
     if (result.outcome != AttemptOutcome::NotRun) {
         this->failedUpstreams.insert(upstream.id);
+    } else {
+        ++this->refusedAttempts;
     }
     this->updateCrashRecord(result, upstream.id, started);
     const bool streamed = this->route.kind == RouteKind::Stream && result.head.status / 100 == 2;
@@ -583,6 +585,11 @@
     }
 }
 
+bool OnlineCall::hasCertainlyNotRun() const
+{
+    return this->attempts.count() == this->refusedAttempts;
+}
+
 void OnlineCall::cutShort(const std::string &reason, const std::string &message)
 {
     const bool mayHaveRun = !this->attempts.empty() || this->retryPolicy.state() == CallState::MayHaveRun;
--- a/src/OnlineCall.h
+++ b/src/OnlineCall.h
@@ -64,6 +64,8 @@
     void checkProgress(absl::Time now);
     /** Answers a call whose response has not begun, because the host ends. */
     void answerBeforeStop();
+    /** Whether no upstream can have the request or have had it. */
+    [[nodiscard]] bool hasCertainlyNotRun() const;
 
 private:
     /** Continues a stream that the caller takes up, or refuses it if that could join two software versions. */
@@ -133,6 +135,8 @@
     std::optional<std::uint64_t> lastEventId;
     /** What wrote the events that the caller has. */
     std::optional<StreamOrigin> origin;
+    /** Attempts that their upstreams have certainly not run. */
+    int refusedAttempts = 0;
     /** Attempts whose upstream was lost before it began the answer. */
     int lostAttempts = 0;
     /** Whether an upstream has begun the answer. */
--- a/test/site/SiteFleet.cpp
+++ b/test/site/SiteFleet.cpp
@@ -164,7 +164,7 @@
     return this->wait(this->send(host, "POST", path, {{"X-Request-Id", id}, {"X-Deadline-Ms", "5000"}}, "prompt"));
 }
 
-int SiteFleet::submit(const RunningHost &host, const std::string &id, int items)
+std::shared_ptr<SiteFleet::Answer> SiteFleet::sendSubmission(const RunningHost &host, const std::string &id, int items)
 {
     nlohmann::json list = nlohmann::json::array();
     for (int number = 0; number < items; ++number) {
@@ -174,8 +174,12 @@
                         {"body", absl::Base64Escape(absl::StrCat("body-", number))},
                         {"tokens", itemTokens}});
     }
-    const auto answer = this->send(host, "POST", "/batch/submit", {{"X-Request-Id", id}}, nlohmann::json{{"items", list}}.dump());
-    return this->wait(answer).head.status;
+    return this->send(host, "POST", "/batch/submit", {{"X-Request-Id", id}}, nlohmann::json{{"items", list}}.dump());
+}
+
+int SiteFleet::submit(const RunningHost &host, const std::string &id, int items)
+{
+    return this->wait(this->sendSubmission(host, id, items)).head.status;
 }
 
 nlohmann::json SiteFleet::readJob(const RunningHost &host, const std::string &id, std::size_t after)
--- a/test/site/SiteFleet.h
+++ b/test/site/SiteFleet.h
@@ -62,6 +62,7 @@
     /** Sends a request and waits for the whole response. */
     Answer &request(const RunningHost &host, const std::string &path, const std::string &id);
     Answer &wait(const std::shared_ptr<Answer> &answer);
+    std::shared_ptr<Answer> sendSubmission(const RunningHost &host, const std::string &id, int items);
     /** Submits a job of @p items items and returns the status. */
     int submit(const RunningHost &host, const std::string &id, int items);
     /** Reads one page of results from position @p after on; an object with only the status when it is not 200. */
