Track the age of the view of the configuration

Cause: nothing bounds how long a host that is cut off from the store or frozen admits requests with a key that has been revoked. Change: ConfigFreshness counts the age of the newest confirmed view from the beginning of the query that confirmed it and decides whom to query next; ConfigConfirmation sends the queries to other hosts and the store. Answers to the watches and lists of the configuration that went to the store confirm the view, too. Without revocationBoundMs nothing is sent or checked.

--- a/src/EntryHost.cpp
+++ b/src/EntryHost.cpp
@@ -123,7 +123,13 @@
                                                     {{"promptPart", absl::StrCat(absl::Hex(part))}, {"reported", true}});
                                 },
                             .leavingUpstreamAnnounced = [this](const UpstreamRun &run) { this->recordStatedLeaving(run, "host"); },
-                            .messageReceived = [this](const Peer &sender, const peer::HostState &message) { this->streamOrigins->receive(sender, message); },
+                            .messageReceived =
+                                [this](const Peer &sender, const peer::HostState &message) {
+                                    this->streamOrigins->receive(sender, message);
+                                    if (this->configConfirmation) {
+                                        this->configConfirmation->receive(sender, message);
+                                    }
+                                },
                             .limitReports = [this](bool recentOnly) { return this->limiter.reports(recentOnly, this->loop.now()); },
                             .limitReported = [this](const LimitReport &report) { this->limiter.merge(report); }});
     this->jobs = std::make_unique<JobService>(
@@ -165,6 +171,7 @@
             .hasSeveralVersions = [this](const std::string &service) { return this->hasSeveralVersions(service); },
             .hasOtherVersions = [this](const std::string &service, const std::string &version) { return this->versions.hasOther(service, version); }});
     this->settings.peerAddress = this->peerExchange->address();
+    this->createConfigConfirmation();
     this->createWatchers();
     this->peerDiscovery = std::make_unique<PeerDiscovery>(PeerDiscovery::Context{.loop = this->loop,
                                                                                  .store = *this->platform.store,
@@ -219,9 +226,37 @@
             .storeRecovered = [this] { this->onStoreRecovered(); }};
 }
 
+void EntryHost::createConfigConfirmation()
+{
+    if (this->settings.revocationBound == absl::ZeroDuration()) {
+        return;
+    }
+    this->configConfirmation = std::make_unique<ConfigConfirmation>(
+        ConfigConfirmation::Context{.loop = this->loop,
+                                    .store = *this->platform.store,
+                                    .peers = this->peers,
+                                    .log = this->log,
+                                    .metrics = this->metrics,
+                                    .kind = this->platform.configKind,
+                                    .name = this->platform.configName,
+                                    .host = this->settings.name,
+                                    .dataCentre = this->settings.dataCentre,
+                                    .region = this->settings.region,
+                                    .send = [this](const Peer &peer, const auto &fill) { this->peerExchange->sendTo(peer, fill); },
+                                    .appliedRevision = [this] { return this->configWatcher->reportedRevision(); },
+                                    .apply = [this](const ObjectRecord &object) { this->applyConfig(object); },
+                                    .fetch = [this](const Peer &peer) { this->fetchConfig(peer); },
+                                    .watchesStore = [this] { return this->relayedStore.watchesStore(); },
+                                    .randomFraction = [this] { return this->randomFraction(); }},
+        this->settings.revocationBound);
+}
+
 void EntryHost::createWatchers()
 {
     KindWatcher::Hooks hooks = this->failureHooks(this->platform.configKind);
+    if (this->configConfirmation) {
+        hooks.confirmed = [this](absl::Time includesUntil) { this->configConfirmation->confirmByStore(includesUntil); };
+    }
     hooks.listed = [this](const std::vector<ObjectRecord> &objects) {
         for (const ObjectRecord &object : objects) {
             this->applyConfig(object);
@@ -311,6 +346,7 @@
     auto decoded = this->platform.decodeConfig(object);
     if (!decoded) {
         this->log.write("config_unreadable", {{"revision", object.revision}});
+        this->recordConfigSeen(object.revision);
         return;
     }
     this->config = std::make_shared<const RoutingConfig>(std::move(*decoded));
@@ -319,6 +355,14 @@
     this->entryServer->setBounds(this->config->callerBounds);
     this->log.write("config_in_force",
                     {{"revision", object.revision}, {"version", this->config->version}, {"routes", static_cast<std::uint64_t>(this->config->routes.size())}});
+    this->recordConfigSeen(object.revision);
+}
+
+void EntryHost::recordConfigSeen(std::uint64_t revision)
+{
+    if (this->configConfirmation) {
+        this->configConfirmation->recordVersion(revision);
+    }
 }
 
 void EntryHost::applyUpstreams(const std::vector<ObjectRecord> &objects)
@@ -511,7 +555,14 @@
 {
     const absl::Time now = this->loop.now();
     this->configBehindSince = std::min(this->configBehindSince, now);
-    if (this->configRequestPending || now < this->configBehindSince + this->configRequestDelay(peer)) {
+    if (now >= this->configBehindSince + this->configRequestDelay(peer)) {
+        this->fetchConfig(peer);
+    }
+}
+
+void EntryHost::fetchConfig(const Peer &peer)
+{
+    if (this->configRequestPending) {
         return;
     }
     this->configRequestPending = true;
@@ -566,6 +617,9 @@
                            static_cast<double>(this->promptParts.quarantinedParts(PromptPartQuarantine::maxParts, this->loop.now()).size()));
     this->metrics.setGauge("upstreams_limited", static_cast<double>(this->limiter.currentShares().limitedUpstreams()));
     this->metrics.setGauge("upstream_limits_held", static_cast<double>(this->limiter.currentShares().heldUpstreams()));
+    if (this->configConfirmation) {
+        this->configConfirmation->reportMetrics();
+    }
     this->metrics.setGauge("calls", static_cast<double>(this->callerRequests->onlineCalls()));
     this->metrics.setGauge("items_running", static_cast<double>(this->jobs->runningItems()));
     this->metrics.setGauge("peers_live", static_cast<double>(this->peers.liveHosts(this->loop.now()).size()));
@@ -672,7 +726,8 @@
 
 bool EntryHost::ready() const
 {
-    return this->config != nullptr && this->upstreamsKnown && !this->stopping();
+    const bool mayServeKeyed = !this->configConfirmation || this->configConfirmation->mayServeKeyed();
+    return this->config != nullptr && this->upstreamsKnown && mayServeKeyed && !this->stopping();
 }
 
 void EntryHost::tick()
@@ -696,6 +751,9 @@
     }
     this->relayedStore.tick();
     this->relistUpstreamsIfBehind(now);
+    if (this->configConfirmation) {
+        this->configConfirmation->tick();
+    }
     this->callerRequests->checkProgress(now);
     this->jobs->tick();
 }
--- a/src/EntryHost.h
+++ b/src/EntryHost.h
@@ -8,6 +8,7 @@
 
 #include "CallerRequestHandler.h"
 #include "CollectedBytes.h"
+#include "ConfigConfirmation.h"
 #include "CrashQuarantine.h"
 #include "EntryMetrics.h"
 #include "EntrySettings.h"
@@ -54,7 +55,8 @@
     void stop();
     /** The current settings, with the ports that were bound. */
     [[nodiscard]] const EntrySettings &currentSettings() const;
-    /** Whether this host accepts requests from callers: it knows the configuration and the upstreams, and is not stopping. */
+    /** Whether this host accepts requests from callers: it knows the configuration and the upstreams, its view of
+     *  the configuration is not too old, and it is not stopping. */
     [[nodiscard]] bool ready() const;
     /**
      * Takes the address time to live, the stop grace period and the seeds from @p changed. The seeds are only contacted at start, and a stop
@@ -64,6 +66,7 @@
 
 private:
     void startServers();
+    void createConfigConfirmation();
     void createWatchers();
     /** Starts the watchers when this host knows other hosts, or when it has waited long enough for them since @p waitingSince. */
     void startWatchers(absl::Time waitingSince);
@@ -76,6 +79,8 @@
     /** Repeats failed calls at once, without the rest of their retry delay. */
     void retryWatches();
     void applyConfig(const ObjectRecord &object);
+    /** Records that this host has seen a version of the configuration, whether it is in force or was rejected. */
+    void recordConfigSeen(std::uint64_t revision);
     void applyUpstreams(const std::vector<ObjectRecord> &objects);
     void applyUpstreamChange(const ObjectChange &change);
     void onStatedLeaving(const LeavingStatement &statement);
@@ -92,6 +97,8 @@
     [[nodiscard]] OnlineContext onlineContext();
     void onPeerAnnouncement(const Peer &peer);
     void adjustWatchTimings();
+    /** Fetches the configuration from @p peer now, unless such a request is pending. */
+    void fetchConfig(const Peer &peer);
     /** Fetches a newer configuration from @p peer when this host has lacked it for at least configRequestDelay(). */
     void requestConfigFromPeer(const Peer &peer);
     /** How long this host lacks a newer configuration before it requests it from @p peer. */
@@ -160,6 +167,8 @@
     std::unique_ptr<PeerExchange> peerExchange;
     std::unique_ptr<PeerDiscovery> peerDiscovery;
     std::unique_ptr<StreamOriginExchange> streamOrigins;
+    /** Null without a bound on the time that a revocation takes. */
+    std::unique_ptr<ConfigConfirmation> configConfirmation;
     WatchRelaySelector relaySelector;
     RelayedStore relayedStore;
     std::unique_ptr<JobService> jobs;
--- a/src/EntryMetrics.cpp
+++ b/src/EntryMetrics.cpp
@@ -37,6 +37,14 @@
                                                                     .Name("bergamotramp_upstreams_leaving_total")
                                                                     .Help("Upstreams that stated that they leave, by source of the statement.")
                                                                     .Register(registry);
+    prometheus::Family<prometheus::Counter> &configQueries = prometheus::BuildCounter()
+                                                                 .Name("bergamotramp_config_queries_total")
+                                                                 .Help("Queries for the age of the view of the configuration, by whom they went to and result.")
+                                                                 .Register(registry);
+    prometheus::Family<prometheus::Counter> &configViewRefusals = prometheus::BuildCounter()
+                                                                      .Name("bergamotramp_config_view_refusals_total")
+                                                                      .Help("Requests refused because the view of the configuration was too old.")
+                                                                      .Register(registry);
     prometheus::Family<prometheus::Gauge> &gauges = prometheus::BuildGauge().Name("bergamotramp_state").Help("State of this host by name.").Register(registry);
 };
 
@@ -82,6 +90,16 @@
     this->families->leavingUpstreams.Add({{"source", source}}).Increment();
 }
 
+void EntryMetrics::recordConfigQuery(const std::string &queried, const std::string &result)
+{
+    this->families->configQueries.Add({{"queried", queried}, {"result", result}}).Increment();
+}
+
+void EntryMetrics::recordConfigViewRefusal()
+{
+    this->families->configViewRefusals.Add({}).Increment();
+}
+
 void EntryMetrics::setGauge(const std::string &name, double value)
 {
     this->families->gauges.Add({{"name", name}}).Set(value);
--- a/src/EntryMetrics.h
+++ b/src/EntryMetrics.h
@@ -27,6 +27,10 @@
     void recordStoreCall(const std::string &call, const std::string &result);
     /** Counts an upstream that has stated that it leaves, by what this host learned it from. */
     void recordLeavingUpstream(const std::string &source);
+    /** Counts an answer, or its absence, to a query for the age of the view of the configuration. @p queried is "store" or "host". */
+    void recordConfigQuery(const std::string &queried, const std::string &result);
+    /** Counts a request that was refused because the view of the configuration was too old. */
+    void recordConfigViewRefusal();
     void setGauge(const std::string &name, double value);
 
     [[nodiscard]] std::string text() const;
--- a/src/EntrySettings.cpp
+++ b/src/EntrySettings.cpp
@@ -13,6 +13,9 @@
 constexpr IntegerRange connectionRange{1, 100'000};
 constexpr IntegerRange timeRangeMs{100, 600'000};
 constexpr double maxLinkMbps = 1e6;
+constexpr IntegerRange revocationBoundRangeMs{0, 600'000};
+// A query of the store takes up to some hundred milliseconds when the store is slow.
+constexpr std::int64_t minRevocationBoundMs = 500;
 
 std::string validatedAddress(std::string address, const std::string &path)
 {
@@ -58,6 +61,15 @@
     });
 }
 
+absl::Duration readRevocationBound(JsonReader &reader)
+{
+    const std::int64_t boundMs = reader.optionalInteger("revocationBoundMs", 0, revocationBoundRangeMs);
+    if (boundMs != 0 && boundMs < minRevocationBoundMs) {
+        throw JsonError(reader.pathOf("revocationBoundMs"), "must be 0 or at least " + std::to_string(minRevocationBoundMs));
+    }
+    return absl::Milliseconds(boundMs);
+}
+
 EntrySettings readSettings(JsonReader &reader)
 {
     EntrySettings settings;
@@ -72,6 +84,7 @@
     settings.addressTimeToLive =
         absl::Milliseconds(reader.optionalInteger("addressTimeToLiveMs", absl::ToInt64Milliseconds(settings.addressTimeToLive), timeRangeMs));
     settings.stopGrace = absl::Seconds(reader.optionalNumber("stopGraceS", absl::ToDoubleSeconds(settings.stopGrace), 0.1, 600.0));
+    settings.revocationBound = readRevocationBound(reader);
     reader.rejectUnreadKeys();
     return settings;
 }
--- a/src/EntrySettings.h
+++ b/src/EntrySettings.h
@@ -51,6 +51,8 @@
     absl::Duration addressTimeToLive = absl::Seconds(2);
     /** Time between the signal to stop and the kill of the process. */
     absl::Duration stopGrace = absl::Seconds(8);
+    /** Longest time from the acknowledgement of a revoked key by the store to the last request with it that runs; 0 for no bound. */
+    absl::Duration revocationBound = absl::ZeroDuration();
 
     bool operator==(const EntrySettings &) const = default;
 
--- a/src/KindWatcher.cpp
+++ b/src/KindWatcher.cpp
@@ -30,8 +30,9 @@
             return;
         }
         this->handleAnswer();
-        this->revision = reply.revision;
         this->hooks.listed(reply.objects);
+        this->revision = reply.revision;
+        this->confirm(reply.includesUntil);
         this->watch();
     });
 }
@@ -53,10 +54,11 @@
             return;
         }
         this->handleAnswer();
-        this->revision = reply.revision;
         for (const ObjectChange &change : reply.changes) {
             this->hooks.changed(change);
         }
+        this->revision = reply.revision;
+        this->confirm(reply.includesUntil);
         if (reply.changes.empty() || this->timing.coalesce == absl::ZeroDuration()) {
             this->watch();
         } else {
@@ -94,6 +96,18 @@
     this->timer = this->loop.after(this->timing.retry, [this] { this->retryNow(); });
 }
 
+std::uint64_t KindWatcher::reportedRevision() const
+{
+    return this->revision;
+}
+
+void KindWatcher::confirm(absl::Time includesUntil)
+{
+    if (this->hooks.confirmed && includesUntil != absl::InfinitePast()) {
+        this->hooks.confirmed(includesUntil);
+    }
+}
+
 void KindWatcher::handleAnswer()
 {
     if (!this->storeAvailable) {
--- a/src/KindWatcher.h
+++ b/src/KindWatcher.h
@@ -26,6 +26,11 @@
         std::function<void(StoreResult)> storeFailed;
         /** The store answers again after a failure or a restart. Called before the objects or changes are reported. */
         std::function<void()> storeRecovered;
+        /**
+         * An answer of the store itself has been reported: it includes every write that was acknowledged before this time
+         * (EventLoop::nowIncludingSuspend()). May be empty.
+         */
+        std::function<void(absl::Time)> confirmed{};
     };
 
     /** Durations of watches and delays between calls. */
@@ -49,12 +54,15 @@
     void retryNow();
     /** Abandons the call in progress and schedules a retry, because the store became unavailable and may have lost a pending watch. */
     void restart();
+    /** The store revision up to which everything has been reported; 0 before the first list. */
+    [[nodiscard]] std::uint64_t reportedRevision() const;
 
 private:
     void list();
     void watch();
     void handleFailure(StoreResult result);
     void handleAnswer();
+    void confirm(absl::Time includesUntil);
 
     EventLoop &loop;
     ObjectStore &store;
--- a/src/ObjectStore.h
+++ b/src/ObjectStore.h
@@ -56,6 +56,8 @@
     StoreResult result = StoreResult::Unavailable;
     std::vector<ObjectRecord> objects;
     std::uint64_t revision = 0;
+    /** When the call to the store began (EventLoop::nowIncludingSuspend()): every write acknowledged before is included. Infinite past if not known. */
+    absl::Time includesUntil = absl::InfinitePast();
 
     bool operator==(const ListReply &) const = default;
 };
@@ -73,6 +75,8 @@
     StoreResult result = StoreResult::Unavailable;
     std::vector<ObjectChange> changes;
     std::uint64_t revision = 0;
+    /** As in ListReply. */
+    absl::Time includesUntil = absl::InfinitePast();
 
     bool operator==(const WatchReply &) const = default;
 };
--- a/src/RelayedStore.cpp
+++ b/src/RelayedStore.cpp
@@ -179,8 +179,11 @@
             stopWatchingStore(kind, true);
         }
     };
+    // The time of sending, because a change that is acknowledged while the call runs may be missing from its answer.
+    const absl::Time sentAt = this->loop.nowIncludingSuspend();
     if (call->isList) {
-        this->store.list(call->kind, [this, call, handleResult](const ListReply &reply) {
+        this->store.list(call->kind, [this, call, handleResult, sentAt](ListReply reply) {
+            reply.includesUntil = sentAt;
             handleResult(reply.result == StoreResult::Done);
             this->finish(call, reply);
         });
@@ -188,7 +191,8 @@
     }
     kind.watchesStore = true;
     const absl::Duration wait = std::max(absl::ZeroDuration(), call->deadline - this->loop.now());
-    this->store.watch(call->kind, call->revision, wait, [this, call, handleResult](const WatchReply &reply) {
+    this->store.watch(call->kind, call->revision, wait, [this, call, handleResult, sentAt](WatchReply reply) {
+        reply.includesUntil = sentAt;
         handleResult(reply.result == StoreResult::Done || reply.result == StoreResult::HistoryExpired);
         this->finish(call, reply);
     });
