--- a/src/CallerAuthentication.cpp
+++ b/src/CallerAuthentication.cpp
@@ -32,14 +32,24 @@
     return this->organisation ? this->organisation->name : std::string();
 }
 
+bool needsKey(const RoutingConfig &config, const Route &route)
+{
+    return config.organisations != nullptr && !route.isPublic;
+}
+
+bool needsKey(const RoutingConfig &config, const CallerCall &jobCall)
+{
+    return config.organisations != nullptr && !jobCall.apiKeys.empty();
+}
+
 Authentication authenticate(const RoutingConfig &config, const Route &route, const CallerCall &call)
 {
-    return !config.organisations || route.isPublic ? Authentication{} : authenticateKey(config, call);
+    return needsKey(config, route) ? authenticateKey(config, call) : Authentication{};
 }
 
 Authentication authenticateJobCall(const RoutingConfig &config, const CallerCall &call)
 {
-    return !config.organisations || call.apiKeys.empty() ? Authentication{} : authenticateKey(config, call);
+    return needsKey(config, call) ? authenticateKey(config, call) : Authentication{};
 }
 
 } // namespace Bergamotramp
--- a/src/CallerAuthentication.h
+++ b/src/CallerAuthentication.h
@@ -33,6 +33,10 @@
     bool operator==(const Authentication &) const = default;
 };
 
+/** Whether a request on @p route needs a key. */
+bool needsKey(const RoutingConfig &config, const Route &route);
+/** Whether the answer to a call about a job depends on the key that it has. */
+bool needsKey(const RoutingConfig &config, const CallerCall &jobCall);
 /** Authenticates a request on @p route by its key. A public route, or a configuration without organisations, needs no key. */
 Authentication authenticate(const RoutingConfig &config, const Route &route, const CallerCall &call);
 /** Authenticates a call about a job. A call without a key is not refused here, because the job may belong to no organisation. */
--- a/src/CallerRequestHandler.cpp
+++ b/src/CallerRequestHandler.cpp
@@ -71,6 +71,11 @@
         exchange->respond(failureResponse(404, "no_route", "no route begins this path", "not_run"));
         return;
     }
+    // Before the key is looked up, because an old configuration may lack a new key as well as the revocation of an old one.
+    if (const auto refusal = needsKey(*config, *route) ? this->context.unconfirmedRefusal(call.id) : std::nullopt) {
+        exchange->respond(*refusal);
+        return;
+    }
     const Authentication authentication = authenticate(*config, *route, call);
     if (authentication.refusal) {
         this->refuse(exchange, call, *authentication.refusal);
@@ -85,6 +90,10 @@
 
 void CallerRequestHandler::handleJobCall(const std::shared_ptr<HttpExchange> &exchange, const CallerCall &call, const RoutingConfig &config)
 {
+    if (const auto refusal = needsKey(config, call) ? this->context.unconfirmedRefusal(call.id) : std::nullopt) {
+        exchange->respond(*refusal);
+        return;
+    }
     const Authentication authentication = authenticateJobCall(config, call);
     if (authentication.refusal) {
         this->refuse(exchange, call, *authentication.refusal);
--- a/src/CallerRequestHandler.h
+++ b/src/CallerRequestHandler.h
@@ -5,6 +5,7 @@
 #include <list>
 #include <map>
 #include <memory>
+#include <optional>
 #include <set>
 #include <string>
 
@@ -40,6 +41,8 @@
     std::function<bool()> routingKnown;
     /** Whether it will know them within a moment, because it is starting and the store answers. */
     std::function<bool()> routingExpected;
+    /** The refusal of a request that needs a key, if this host can't confirm now that the key has not been revoked. */
+    std::function<std::optional<HttpResponse>(const std::string &requestId)> unconfirmedRefusal;
     /** Whether a request that may last until the deadline is taken now; false for most requests while the host stops. */
     std::function<bool(absl::Time deadline)> takesUntil;
     /** Decides whether a request is within the quota of its organisation, at once or some tens of milliseconds later. */
@@ -85,7 +88,7 @@
     void handleRequest(const std::shared_ptr<HttpExchange> &exchange, const CallerCall &call);
     void handleJobCall(const std::shared_ptr<HttpExchange> &exchange, const CallerCall &call, const RoutingConfig &config);
     void refuse(const std::shared_ptr<HttpExchange> &exchange, const CallerCall &call, const KeyRefusal &refusal);
-    /** Decides whether an authenticated request is served now. Checks of its configuration's age and of quotas belong here. */
+    /** Decides whether an authenticated request is served now. Checks of quotas belong here. */
     void admit(const AuthenticatedRequest &request);
     void onQuotaDecision(const AuthenticatedRequest &request, const QuotaDecision &decision);
     void refuseBeyondQuota(const AuthenticatedRequest &request, absl::Duration retryAfter);
--- a/src/EntryHost.cpp
+++ b/src/EntryHost.cpp
@@ -124,6 +124,9 @@
                                 [this](const Peer &sender, const peer::HostState &message) {
                                     this->streamOrigins->receive(sender, message);
                                     this->quotas->receive(sender, message);
+                                    if (this->configConfirmation) {
+                                        this->configConfirmation->receive(sender, message);
+                                    }
                                 },
                             .limitReports = [this](bool recentOnly) { return this->limiter.reports(recentOnly, this->loop.now()); },
                             .limitReported = [this](const LimitReport &report) { this->limiter.merge(report); }});
@@ -160,6 +163,7 @@
         .config = [this] { return this->config; },
         .routingKnown = [this] { return this->routingKnown(); },
         .routingExpected = [this] { return this->routingExpected(); },
+        .unconfirmedRefusal = [this](const std::string &id) { return this->unconfirmedRefusal(id); },
         .takesUntil = [this](absl::Time deadline) { return !this->stopPlan || this->stopPlan->mayTake(this->loop.now(), deadline); },
         .admitToQuota = [this](const std::string &organisation, auto done) { this->quotas->admit(organisation, std::move(done)); },
         .giveBackToken = [this](const std::string &organisation, const QuotaDecision &decision) { this->quotas->giveBack(organisation, decision); },
@@ -175,6 +179,7 @@
             .hasSeveralVersions = [this](const std::string &service) { return this->hasSeveralVersions(service); },
             .hasOtherVersions = [this](const std::string &service, const std::string &version) { return this->versions.hasOther(service, version); }});
     this->settings.peerAddress = this->peerExchange->address();
+    this->createConfigConfirmation();
     this->createWatchers();
     this->peerDiscovery = std::make_unique<PeerDiscovery>(PeerDiscovery::Context{.loop = this->loop,
                                                                                  .store = *this->platform.store,
@@ -263,9 +268,37 @@
                                                              .receiveDelay = [this] { return this->peerExchange->receiveDelay(); }});
 }
 
+void EntryHost::createConfigConfirmation()
+{
+    if (this->settings.revocationBound == absl::ZeroDuration()) {
+        return;
+    }
+    this->configConfirmation = std::make_unique<ConfigConfirmation>(
+        ConfigConfirmation::Context{.loop = this->loop,
+                                    .store = *this->platform.store,
+                                    .peers = this->peers,
+                                    .log = this->log,
+                                    .metrics = this->metrics,
+                                    .kind = this->platform.configKind,
+                                    .name = this->platform.configName,
+                                    .host = this->settings.name,
+                                    .dataCentre = this->settings.dataCentre,
+                                    .region = this->settings.region,
+                                    .send = [this](const Peer &peer, const auto &fill) { this->peerExchange->sendTo(peer, fill); },
+                                    .appliedRevision = [this] { return this->configWatcher->reportedRevision(); },
+                                    .apply = [this](const ObjectRecord &object) { this->applyConfig(object); },
+                                    .fetch = [this](const Peer &peer) { this->fetchConfig(peer); },
+                                    .watchesStore = [this] { return this->relayedStore.watchesStore(); },
+                                    .randomFraction = [this] { return this->randomFraction(); }},
+        this->settings.revocationBound);
+}
+
 void EntryHost::createWatchers()
 {
     KindWatcher::Hooks hooks = this->failureHooks(this->platform.configKind);
+    if (this->configConfirmation) {
+        hooks.confirmed = [this](absl::Time includesUntil) { this->configConfirmation->confirmByStore(includesUntil); };
+    }
     hooks.listed = [this](const std::vector<ObjectRecord> &objects) {
         for (const ObjectRecord &object : objects) {
             this->applyConfig(object);
@@ -384,6 +417,9 @@
                      {"routes", static_cast<std::uint64_t>(this->config->routes.size())},
                      {"organisations", static_cast<std::uint64_t>(this->config->organisations ? this->config->organisations->organisations().size() : 0)},
                      {"keys", static_cast<std::uint64_t>(this->config->organisations ? this->config->organisations->keys() : 0)}});
+    if (this->configConfirmation) {
+        this->configConfirmation->recordVersion(object.revision);
+    }
 }
 
 void EntryHost::rejectConfig(std::uint64_t revision, const ConfigRejection &rejection)
@@ -589,7 +625,14 @@
 {
     const absl::Time now = this->loop.now();
     this->configBehindSince = std::min(this->configBehindSince, now);
-    if (this->configRequestPending || now < this->configBehindSince + this->configRequestDelay(peer)) {
+    if (now >= this->configBehindSince + this->configRequestDelay(peer)) {
+        this->fetchConfig(peer);
+    }
+}
+
+void EntryHost::fetchConfig(const Peer &peer)
+{
+    if (this->configRequestPending) {
         return;
     }
     this->configRequestPending = true;
@@ -645,6 +688,9 @@
     this->metrics.setGauge("upstreams_limited", static_cast<double>(this->limiter.currentShares().limitedUpstreams()));
     this->metrics.setGauge("upstream_limits_held", static_cast<double>(this->limiter.currentShares().heldUpstreams()));
     this->quotas->updateMetrics();
+    if (this->configConfirmation) {
+        this->configConfirmation->reportMetrics();
+    }
     this->metrics.setGauge("calls", static_cast<double>(this->callerRequests->onlineCalls()));
     this->metrics.setGauge("items_running", static_cast<double>(this->jobs->runningItems()));
     this->metrics.setGauge("peers_live", static_cast<double>(this->peers.liveHosts(this->loop.now()).size()));
@@ -759,9 +805,15 @@
     return trialDelayPerHost * static_cast<double>(std::ranges::find(order, this->settings.name) - order.begin());
 }
 
+std::optional<HttpResponse> EntryHost::unconfirmedRefusal(const std::string &requestId) const
+{
+    return this->configConfirmation ? this->configConfirmation->refusal(requestId) : std::nullopt;
+}
+
 bool EntryHost::ready() const
 {
-    return this->routingKnown() && !this->stopping();
+    const bool mayServeKeyed = !this->configConfirmation || this->configConfirmation->mayServeKeyed();
+    return this->routingKnown() && mayServeKeyed && !this->stopping();
 }
 
 void EntryHost::tick()
@@ -786,6 +838,9 @@
     }
     this->relayedStore.tick();
     this->relistUpstreamsIfBehind(now);
+    if (this->configConfirmation) {
+        this->configConfirmation->tick();
+    }
     this->callerRequests->checkProgress(now);
     this->jobs->tick();
 }
--- a/src/EntryHost.h
+++ b/src/EntryHost.h
@@ -8,6 +8,7 @@
 
 #include "CallerRequestHandler.h"
 #include "CollectedBytes.h"
+#include "ConfigConfirmation.h"
 #include "ConfigVersions.h"
 #include "CrashQuarantine.h"
 #include "EntryMetrics.h"
@@ -57,7 +58,8 @@
     void stop();
     /** The current settings, with the ports that were bound. */
     [[nodiscard]] const EntrySettings &currentSettings() const;
-    /** Whether this host accepts requests from callers: it knows the configuration and the upstreams, and is not stopping. */
+    /** Whether this host accepts requests from callers: it knows the configuration and the upstreams, its view of
+     *  the configuration is not too old, and it is not stopping. */
     [[nodiscard]] bool ready() const;
     /**
      * Takes the address time to live, the stop grace period and the seeds from @p changed. The seeds are only contacted at start, and a stop
@@ -70,6 +72,9 @@
     /** One budget for the callers of all servers. */
     void limitCallers();
     void createQuotas();
+    void createConfigConfirmation();
+    /** The refusal of a request that needs a key, if the view of the configuration is too old. */
+    [[nodiscard]] std::optional<HttpResponse> unconfirmedRefusal(const std::string &requestId) const;
     void createWatchers();
     /** Starts each watcher when the plan for the start allows it. */
     void startWatchersWhenDue();
@@ -104,6 +109,8 @@
     [[nodiscard]] OnlineContext onlineContext();
     void onPeerAnnouncement(const Peer &peer);
     void adjustWatchTimings();
+    /** Fetches the configuration from @p peer now, unless such a request is pending. */
+    void fetchConfig(const Peer &peer);
     /** Fetches a newer configuration from @p peer when this host has lacked it for at least configRequestDelay(). */
     void requestConfigFromPeer(const Peer &peer);
     /** How long this host lacks a newer configuration before it requests it from @p peer. */
@@ -174,6 +181,8 @@
     std::unique_ptr<PeerDiscovery> peerDiscovery;
     std::unique_ptr<StreamOriginExchange> streamOrigins;
     std::unique_ptr<QuotaExchange> quotas;
+    /** Null without a bound on the time that a revocation takes. */
+    std::unique_ptr<ConfigConfirmation> configConfirmation;
     WatchRelaySelector relaySelector;
     RelayedStore relayedStore;
     std::unique_ptr<JobService> jobs;
--- a/src/EntryMetrics.cpp
+++ b/src/EntryMetrics.cpp
@@ -39,6 +39,10 @@
                                                                     .Name("bergamotramp_upstreams_leaving_total")
                                                                     .Help("Upstreams that stated that they leave, by source of the statement.")
                                                                     .Register(registry);
+    prometheus::Family<prometheus::Counter> &configQueries = prometheus::BuildCounter()
+                                                                 .Name("bergamotramp_config_queries_total")
+                                                                 .Help("Queries for the age of the view of the configuration, by whom they went to and result.")
+                                                                 .Register(registry);
     prometheus::Family<prometheus::Counter> &rejectedConfigs = prometheus::BuildCounter()
                                                                    .Name("bergamotramp_configs_rejected_total")
                                                                    .Help("Versions of the configuration that were not put in force, by cause.")
@@ -95,6 +99,11 @@
     this->families->leavingUpstreams.Add({{"source", source}}).Increment();
 }
 
+void EntryMetrics::recordConfigQuery(const std::string &queried, const std::string &result)
+{
+    this->families->configQueries.Add({{"queried", queried}, {"result", result}}).Increment();
+}
+
 void EntryMetrics::recordRejectedConfig(const std::string &cause)
 {
     this->families->rejectedConfigs.Add({{"cause", cause}}).Increment();
--- a/src/EntryMetrics.h
+++ b/src/EntryMetrics.h
@@ -31,6 +31,8 @@
     void recordStoreCall(const std::string &call, const std::string &result);
     /** Counts an upstream that has stated that it leaves, by what this host learned it from. */
     void recordLeavingUpstream(const std::string &source);
+    /** Counts an answer, or its absence, to a query for the age of the view of the configuration. @p queried is "store" or "host". */
+    void recordConfigQuery(const std::string &queried, const std::string &result);
     /** Counts a version of the configuration that was not put in force, by cause. */
     void recordRejectedConfig(const std::string &cause);
     /**
--- a/src/EntrySettings.cpp
+++ b/src/EntrySettings.cpp
@@ -18,6 +18,9 @@
 constexpr double maxHedgeShare = 0.2;
 constexpr double minHedgePercentile = 0.5;
 constexpr double maxHedgePercentile = 0.999;
+constexpr IntegerRange revocationBoundRangeMs{0, 600'000};
+// A query of the store takes up to some hundred milliseconds when the store is slow.
+constexpr std::int64_t minRevocationBoundMs = 500;
 
 std::string validatedAddress(std::string address, const std::string &path)
 {
@@ -63,6 +66,15 @@
     });
 }
 
+absl::Duration readRevocationBound(JsonReader &reader)
+{
+    const std::int64_t boundMs = reader.optionalInteger("revocationBoundMs", 0, revocationBoundRangeMs);
+    if (boundMs != 0 && boundMs < minRevocationBoundMs) {
+        throw JsonError(reader.pathOf("revocationBoundMs"), "must be 0 or at least " + std::to_string(minRevocationBoundMs));
+    }
+    return absl::Milliseconds(boundMs);
+}
+
 EntrySettings readSettings(JsonReader &reader)
 {
     EntrySettings settings;
@@ -81,6 +93,7 @@
     settings.stopGrace = absl::Seconds(reader.optionalNumber("stopGraceS", absl::ToDoubleSeconds(settings.stopGrace), 0.1, 600.0));
     settings.hedgeShare = reader.optionalNumber("hedgeShare", settings.hedgeShare, 0.0, maxHedgeShare);
     settings.hedgePercentile = reader.optionalNumber("hedgePercentile", settings.hedgePercentile, minHedgePercentile, maxHedgePercentile);
+    settings.revocationBound = readRevocationBound(reader);
     reader.rejectUnreadKeys();
     return settings;
 }
--- a/src/JobCallHandler.h
+++ b/src/JobCallHandler.h
@@ -2,6 +2,7 @@
 
 #include <functional>
 #include <memory>
+#include <optional>
 #include <string>
 #include <vector>
 
--- a/test/site/SiteFleet.cpp
+++ b/test/site/SiteFleet.cpp
@@ -87,6 +87,7 @@
     settings.entryAddress = settings.readyAddress = settings.directoryAddress = settings.controlAddress = "127.0.0.1:0";
     settings.peerAddress = settings.metricsAddress = "127.0.0.1:0";
     settings.storeAddress = storeAddress.empty() ? this->store.address() : storeAddress;
+    settings.revocationBound = this->revocationBound;
     PlatformAdapter platform = connectPlatform(this->loop, settings.storeAddress, *running->metrics);
     platform.serving.decodeCall = [this, decode = platform.serving.decodeCall](const HttpRequest &request) {
         if (request.fields.find(callIdField)) {
--- a/test/site/SiteFleet.h
+++ b/test/site/SiteFleet.h
@@ -81,6 +81,8 @@
     /** Changes the settings of each host that is started from then on. May be empty. */
     std::function<void(EntrySettings &)> adjustSettings;
     EventLoop loop;
+    /** Of the hosts that are started from now on. */
+    absl::Duration revocationBound = absl::ZeroDuration();
     int nullDevice;
     StandinObjectStore store{this->loop};
     std::vector<std::unique_ptr<StandinUpstream>> upstreams;
