--- a/src/CallerBudget.cpp
+++ b/src/CallerBudget.cpp
@@ -203,7 +203,7 @@
     found->second.bytes = held;
     found->second.closable = closable;
     while (part.bytes > part.limits.bytes) {
-        const Id victim = this->mostForLeast(callerClass, now, false);
+        const Id victim = this->highestBytesPerProgress(callerClass, now, false);
         if (victim == 0) {
             return;
         }
@@ -229,7 +229,7 @@
     const Part &part = this->part(callerClass);
     const std::size_t limit = bytes <= smallBodyBytes ? part.limits.bytes : part.limits.bytes / 4 * 3;
     while (part.bytes + bytes > limit) {
-        const Id victim = this->mostForLeast(callerClass, now, true);
+        const Id victim = this->highestBytesPerProgress(callerClass, now, true);
         if (victim == 0 || victim == id) {
             this->reportLimit(CallerLimit::BodyRefused, found->second.address, now);
             return false;
@@ -246,7 +246,7 @@
     }
 }
 
-CallerBudget::Id CallerBudget::mostForLeast(CallerClass callerClass, absl::Time now, bool stalledOnly) const
+CallerBudget::Id CallerBudget::highestBytesPerProgress(CallerClass callerClass, absl::Time now, bool stalledOnly) const
 {
     Id worst = 0;
     double worstScore = 0;
--- a/src/CallerBudget.h
+++ b/src/CallerBudget.h
@@ -12,7 +12,7 @@
 
 namespace Bergamotramp {
 
-/** For whom an address of the host is. Each class has its own part of the budget, so that no crowd at one takes that of another. */
+/** Who connects to an address of the host. Each class has its own part of the budget, so that one class can't use up another's. */
 enum class CallerClass {
     /** Entry, directory and metrics. */
     Caller,
@@ -111,7 +111,7 @@
     bool closeIdlest(CallerClass callerClass, absl::Time now);
 
     /**
-     * Sets what is held for the connection. @p closable is whether the host may close it without a loss to a caller who does his part:
+     * Sets what is held for the connection. @p closable is whether the host may close it without a loss to a caller that sends and reads at the least rate:
      * the request has not been received completely, or its answer waits for the caller. Closes connections while the class is over
      * its bytes.
      */
@@ -148,7 +148,7 @@
     Part &part(CallerClass callerClass);
     [[nodiscard]] const Part &part(CallerClass callerClass) const;
     /** The connection that holds most for the least progress; 0 if none may be closed. */
-    [[nodiscard]] Id mostForLeast(CallerClass callerClass, absl::Time now, bool stalledOnly) const;
+    [[nodiscard]] Id highestBytesPerProgress(CallerClass callerClass, absl::Time now, bool stalledOnly) const;
     void close(Id id, CallerLimit limit, absl::Time now);
     void reportLimit(CallerLimit limit, const std::string &address, absl::Time now);
 
--- a/src/CallerRequestHandler.h
+++ b/src/CallerRequestHandler.h
@@ -88,7 +88,7 @@
     void handleRequest(const std::shared_ptr<HttpExchange> &exchange, const CallerCall &call);
     void handleJobCall(const std::shared_ptr<HttpExchange> &exchange, const CallerCall &call, const RoutingConfig &config);
     void refuse(const std::shared_ptr<HttpExchange> &exchange, const CallerCall &call, const KeyRefusal &refusal);
-    /** Decides whether an authenticated request is served now. Checks of quotas belong here. */
+    /** Admits an authenticated request, after the decision on its organisation's quota if it has one. */
     void admit(const AuthenticatedRequest &request);
     void onQuotaDecision(const AuthenticatedRequest &request, const QuotaDecision &decision);
     void refuseBeyondQuota(const AuthenticatedRequest &request, absl::Duration retryAfter);
--- a/src/ConfigFreshness.cpp
+++ b/src/ConfigFreshness.cpp
@@ -40,7 +40,7 @@
 // Time from the end of a query of the store to the next one; doubles with each failure.
 constexpr double storeIntervalShare = 0.1;
 constexpr int maxStoreDoublings = 3;
-// More revisions than this are not written within one bound by any operator.
+// Bounds the memory. An operator writes fewer versions than this while a host fetches one.
 constexpr std::size_t maxAwaitedRevisions = 8;
 
 } // namespace
@@ -83,6 +83,11 @@
         this->advance(time);
         return;
     }
+    const auto known = std::ranges::find(this->awaited, revision, &AwaitedRevision::revision);
+    if (known != this->awaited.end()) {
+        known->viewTime = std::max(known->viewTime, time);
+        return;
+    }
     this->awaited.push_back({.viewTime = time, .revision = revision});
     if (this->awaited.size() > maxAwaitedRevisions) {
         this->awaited.erase(this->awaited.begin());
--- a/src/EntryHost.cpp
+++ b/src/EntryHost.cpp
@@ -345,6 +345,12 @@
     this->startTimer = this->loop.after(startCheckPeriod, [this] { this->startWatchersWhenDue(); });
 }
 
+// The answer that brought the routing data also confirms the view of the configuration, after they have been applied.
+void EntryHost::releaseWaitingRequests()
+{
+    this->releaseTimer = this->loop.after(absl::ZeroDuration(), [this] { this->callerRequests->handleWaiting(); });
+}
+
 bool EntryHost::routingKnown() const
 {
     return this->config != nullptr && this->upstreamsKnown;
@@ -410,7 +416,7 @@
     this->configObject = object.toJson();
     this->quotas->setOrganisations(this->config->organisations ? this->config->organisations->organisations() : std::vector<Organisation>());
     this->entryServer->setBounds(this->config->callerBounds);
-    this->callerRequests->handleWaiting();
+    this->releaseWaitingRequests();
     this->log.write("config_in_force",
                     {{"revision", object.revision},
                      {"version", this->config->version},
@@ -451,7 +457,7 @@
     this->upstreams.replaceAll(decoded, this->loop.now());
     this->upstreamsCurrent = true;
     this->observeVersions();
-    this->callerRequests->handleWaiting();
+    this->releaseWaitingRequests();
     this->log.write("upstreams_listed", {{"upstreams", static_cast<std::uint64_t>(decoded.size())}});
 }
 
--- a/src/EntryHost.h
+++ b/src/EntryHost.h
@@ -78,6 +78,8 @@
     void createWatchers();
     /** Starts each watcher when the plan for the start allows it. */
     void startWatchersWhenDue();
+    /** Handles the requests that wait for the routing data, once the current callback has returned. */
+    void releaseWaitingRequests();
     /** Whether the configuration and the upstreams are known. */
     [[nodiscard]] bool routingKnown() const;
     /** Whether requests may wait for the configuration and the upstreams, which are expected within a moment. */
@@ -209,6 +211,7 @@
     absl::Time lastTickAt = absl::InfiniteFuture();
     absl::Time watchTimingsAdjustedAt = absl::InfinitePast();
     LoopTimer startTimer;
+    LoopTimer releaseTimer;
     LoopTimer tickTimer;
     LoopTimer stopTimer;
 };
--- a/src/EntrySettings.h
+++ b/src/EntrySettings.h
@@ -55,10 +55,10 @@
     absl::Duration addressTimeToLive = absl::Seconds(2);
     /** Time between the signal to stop and the kill of the process. */
     absl::Duration stopGrace = absl::Seconds(8);
-    /** Longest time from the acknowledgement of a revoked key by the store to the last request with it that runs; 0 for no bound. */
+    /** Longest time from the store's acknowledgement of a revocation to the last admission of a request with the key; 0 for no bound. */
     absl::Duration revocationBound = absl::ZeroDuration();
 
-    /** Second attempts of slow requests as a share of the requests, 0 to 0.2; 0: none. */
+    /** Hedges and retries together as a share of the requests that may run more than once, 0 to 0.2; 0 for no hedges. */
     double hedgeShare = 0.0;
     /** Latency percentile, 0 to 1, of comparable requests after which a request is slow. */
     double hedgePercentile = 0.95;
--- a/src/HttpServer.cpp
+++ b/src/HttpServer.cpp
@@ -505,7 +505,7 @@
                 return;
             }
             if (error) {
-                // A descriptor of an idle connection serves the next caller better.
+                // Frees the descriptor of an idle connection for the next caller.
                 if (this->budget != nullptr) {
                     this->budget->closeIdlest(this->callerClass, this->loop.now());
                 }
--- a/src/JobCallHandler.cpp
+++ b/src/JobCallHandler.cpp
@@ -29,6 +29,23 @@
     }
 }
 
+int statusOf(SubmitResult result)
+{
+    switch (result) {
+    case SubmitResult::Accepted:
+        return 202;
+    case SubmitResult::WaitingTokenLimitReached:
+        return 429;
+    case SubmitResult::Hidden:
+        return 404;
+    case SubmitResult::Unknown:
+        return 504;
+    case SubmitResult::Unavailable:
+        break;
+    }
+    return 503;
+}
+
 bool hasEnded(const std::shared_ptr<HttpExchange> &exchange)
 {
     return exchange == nullptr || exchange->ended();
@@ -93,7 +110,7 @@
             respondLookupFailure(request, JobLookup::NotFound);
             break;
         }
-        this->context.metrics.recordResponse(name, result == SubmitResult::Accepted ? 202 : 503, this->context.loop.now() - request->received());
+        this->context.metrics.recordResponse(name, statusOf(result), this->context.loop.now() - request->received());
     });
 }
 
--- a/src/Organisation.h
+++ b/src/Organisation.h
@@ -8,7 +8,7 @@
 /** One organisation of the operator's configuration: the unit of access rights and quotas. */
 struct Organisation {
     std::string name;
-    /** 0 is the most urgent; takes precedence over the priority of a route. */
+    /** 0 is the most urgent. Checked and kept; the choice of upstreams does not use priorities yet. */
     std::optional<int> priority{};
     /** Quota of requests per second over all hosts; 0 means no quota. */
     double requestsPerSecond = 0;
--- a/src/QuotaExchange.h
+++ b/src/QuotaExchange.h
@@ -72,8 +72,9 @@
     EntryMetrics &metrics;
     Hooks hooks;
     OrganisationQuotas quotas;
-    /** Hosts that the table of peers has forgotten. */
+    /** The hosts of the last check that were in the table of peers and not leaving. */
     std::map<std::string, LimitMember> lastMembers;
+    /** Hosts that the table of peers has forgotten. */
     std::map<std::string, Silent> silentHosts;
     std::map<std::string, absl::Time> refusalLoggedAt;
     absl::Time membersCheckedAt = absl::InfinitePast();
--- a/test/core/ConfigFreshnessTest.cpp
+++ b/test/core/ConfigFreshnessTest.cpp
@@ -252,6 +252,21 @@
     EXPECT_EQ(freshness.age(start + absl::Seconds(2)), absl::Seconds(1));
 }
 
+// Guards against repeated answers about a version that is still being fetched, which push out the confirmation of the version before it.
+TEST(ConfigFreshnessTest, repeatedAnswersAboutOneRevisionCountOnce)
+{
+    ConfigFreshness freshness(bound, 1, start, [] { return 0.5; });
+    freshness.recordVersion(1);
+    freshness.confirm(start, absl::ZeroDuration(), 2);
+    for (int answer = 1; answer <= 20; ++answer) {
+        freshness.confirm(start + answer * absl::Milliseconds(10), absl::ZeroDuration(), 3);
+    }
+    freshness.recordVersion(2);
+    EXPECT_EQ(freshness.age(start + absl::Seconds(1)), absl::Seconds(1));
+    freshness.recordVersion(3);
+    EXPECT_EQ(freshness.age(start + absl::Seconds(1)), absl::Milliseconds(800));
+}
+
 // Guards against answers that arrive twice, from another host, too late or after a restart, and confirm a later query.
 TEST(ConfigFreshnessTest, answerMatchesOneQuery)
 {
--- a/test/site/RevocationTest.cpp
+++ b/test/site/RevocationTest.cpp
@@ -62,6 +62,12 @@
     std::shared_ptr<Answer> last;
 };
 
+// Guards against the refusal of a request that waited for the first configuration and is handled before the same answer has confirmed it.
+TEST_F(RevocationTest, requestOfTheFirstMomentIsServed)
+{
+    EXPECT_EQ(this->statusOf(this->startHost("host-0"), "/plain/x", keptKey), 200);
+}
+
 // Guards against a host that the store refuses while it serves the others, and that goes on with a key that was revoked meanwhile.
 TEST_F(RevocationTest, hostThatTheStoreRefusesLearnsFromOthers)
 {
