Give reasons for constants that do not depend on one deployment

Cause: a few comments derived constants of CallerBudget, StartPlan and QuotaTerms from the sizes of particular deployments or from the tolerance of their operators, which a reader cannot check and which are not the reason. Change: the reasons are those of the design; the values stay.

--- a/src/CallerBudget.cpp
+++ b/src/CallerBudget.cpp
@@ -8,14 +8,14 @@
 namespace {
 
 constexpr std::size_t megabyte = 1024 * 1024;
-// Generous values for settings that are not known; the smallest hosts have 110 MB and 3,075 descriptors.
+// Assumed for settings that are not known. They leave room for more callers than one host serves.
 constexpr std::int64_t defaultMemoryMb = 512;
 constexpr std::int64_t defaultDescriptors = 8192;
-// An idle host uses 13 MB.
+// For the host itself, without any caller.
 constexpr std::int64_t idleMemoryMb = 16;
 // Upstreams' answers, jobs and copies of requests on their way to upstreams need the rest of the memory.
 constexpr std::int64_t callersMemoryDivisor = 3;
-// The largest body of 4 MB is held twice while its request is in progress, and has to fit into the part for large bodies.
+// A body of the usual limit, 4 MB, is held twice while its request is in progress, and has to fit into the part for large bodies.
 constexpr std::size_t minBytes = 16 * megabyte;
 // Larger bodies are read only while a quarter of the budget is free for the others.
 constexpr std::size_t smallBodyBytes = 64 * 1024;
--- a/src/QuotaTerms.cpp
+++ b/src/QuotaTerms.cpp
@@ -17,8 +17,8 @@
 constexpr absl::Duration lifetimeOfSingleTokens = absl::Milliseconds(150);
 // A bucket that holds less than this never grants a token.
 constexpr double minCapacity = 1;
-// A burst below three tenths of a second of the rate is exceeded by what is missing, so that the buckets don't overflow between two
-// queries. The tolerance of a tenth of a window of 5 s covers it.
+// Buckets that are full sooner overflow between two queries, and the tokens are lost. If the burst is below three tenths of a second of the
+// rate, this exceeds the quota in a window, once, by what is missing.
 constexpr absl::Duration minFillTime = absl::Milliseconds(100);
 // With less than this, a bucket is full before the hosts ask again, and the tokens that it could have had are lost.
 constexpr double minCapacityOfHolder = 2;
--- a/src/StartPlan.cpp
+++ b/src/StartPlan.cpp
@@ -9,8 +9,8 @@
 // How long it waits at most, when it has found some hosts and when it has found none.
 constexpr absl::Duration maxPeerDiscoveryWait = absl::Milliseconds(1500);
 constexpr absl::Duration maxFirstPeerWait = absl::Milliseconds(600);
-// Up to this many hosts may list the routing data from the store at the same moment: about 30 KB each, which a link of 60 Mbit/s between
-// two regions carries for half of them in a fifth of a second.
+// Up to this many hosts may list the routing data from the store at the same moment. A list takes some tens of kilobytes, so that together
+// they are a few megabytes on the links between regions.
 constexpr std::size_t maxHostsListingDirectly = 100;
 // Without routing data the jobs are listed after this time: callers read the results of jobs also while the configuration is unreadable.
 constexpr absl::Duration maxWaitForRouting = absl::Seconds(3);
