--- a/src/EntryHost.cpp
+++ b/src/EntryHost.cpp
@@ -358,7 +358,7 @@
 
 bool EntryHost::routingExpected() const
 {
-    return this->storeAvailable && !this->stopping() && this->startPlan.routingExpected(this->loop.now());
+    return !this->stopping() && this->startPlan.routingExpected(this->storeAvailable, this->loop.now());
 }
 
 void EntryHost::onStoreFailed(const std::string &kind, StoreResult result)
--- a/src/StartPlan.cpp
+++ b/src/StartPlan.cpp
@@ -47,9 +47,9 @@
     return this->peersFound(peers, now) && (routingKnown || now >= this->started + maxWaitForRouting);
 }
 
-bool StartPlan::routingExpected(absl::Time now) const
+bool StartPlan::routingExpected(bool storeAnswers, absl::Time now) const
 {
-    return now < this->started + routingExpectedFor;
+    return storeAnswers && now < this->started + routingExpectedFor;
 }
 
 } // namespace Bergamotramp
--- a/src/StartPlan.h
+++ b/src/StartPlan.h
@@ -29,8 +29,8 @@
     void recordRegisteredHosts(std::size_t hosts, bool includesThisHost);
     [[nodiscard]] bool mayListRouting(const KnownPeers &peers, absl::Time now) const;
     [[nodiscard]] bool mayListJobs(const KnownPeers &peers, bool routingKnown, absl::Time now) const;
-    /** Whether the routing data are still expected within a moment, so that callers' requests may wait for them. */
-    [[nodiscard]] bool routingExpected(absl::Time now) const;
+    /** Whether the routing data are expected within a moment, so that callers' requests may wait for them. */
+    [[nodiscard]] bool routingExpected(bool storeAnswers, absl::Time now) const;
 
     bool operator==(const StartPlan &) const = default;
 
--- a/test/core/StartPlanTest.cpp
+++ b/test/core/StartPlanTest.cpp
@@ -75,11 +75,12 @@
 }
 
 // Guards against requests that wait although nothing suggests that the configuration will come.
-TEST(StartPlanTest, requestsWaitOnlyShortlyAfterTheStart)
+TEST(StartPlanTest, requestsWaitOnlyWhileTheRoutingDataMayCome)
 {
     const StartPlan plan(startTime, true);
-    EXPECT_TRUE(plan.routingExpected(at(900)));
-    EXPECT_FALSE(plan.routingExpected(at(1000)));
+    EXPECT_TRUE(plan.routingExpected(true, at(900)));
+    EXPECT_FALSE(plan.routingExpected(true, at(1000)));
+    EXPECT_FALSE(plan.routingExpected(false, at(100)));
 }
 
 } // namespace
--- a/test/site/StartTest.cpp
+++ b/test/site/StartTest.cpp
@@ -46,7 +46,7 @@
     EXPECT_EQ(answer.head.status, 200);
 }
 
-// Guards against requests that wait without a prospect: a host whose store fails refuses them at once, as not run.
+// Guards against requests that a host whose store fails leaves without an answer, or answers as if they might have run.
 TEST_F(StartTest, requestsAreRefusedWhileTheStoreFails)
 {
     this->store.setMode(ObjectApiMode::Busy);
@@ -55,6 +55,7 @@
     runFor(this->loop, absl::Milliseconds(20));
     const Answer &answer = this->request(host, "/plain/x", "refused");
     EXPECT_EQ(answer.head.status, 503);
+    EXPECT_EQ(nlohmann::json::parse(answer.body).at("error").at("state"), "not_run");
 }
 
 } // namespace
