Let the test of early requests fail without the later release

Cause: requestOfTheFirstMomentIsServed passed although requests were released before the view was confirmed, because the configuration was listed before the upstreams. Change: the stand-in store can hold the lists of one kind, and the test releases the configuration last.

--- a/test/site/RevocationTest.cpp
+++ b/test/site/RevocationTest.cpp
@@ -1,3 +1,5 @@
+#include <algorithm>
+
 #include <absl/strings/str_cat.h>
 
 #include "FaultProxy.h"
@@ -63,9 +65,17 @@
 };
 
 // Guards against the refusal of a request that waited for the first configuration and is handled before the same answer has confirmed it.
-TEST_F(RevocationTest, requestOfTheFirstMomentIsServed)
+TEST_F(RevocationTest, requestThatWaitsForTheFirstConfigurationIsServed)
 {
-    EXPECT_EQ(this->statusOf(this->startHost("host-0"), "/plain/x", keptKey), 200);
+    this->store.holdLists("config");
+    RunningHost &host = this->startHost("host-0");
+    const auto upstreamsAreKnown = [this] { return std::ranges::count(this->store.readCalls(), "watch servers") > 0; };
+    ASSERT_TRUE(runUntil(this->loop, upstreamsAreKnown));
+    const auto answer = this->send(host, "POST", "/plain/x", {{"X-Request-Id", "early"}, {"X-Deadline-Ms", "5000"}, {"Api-Key", keptKey}}, "prompt");
+    runFor(this->loop, absl::Milliseconds(10));
+    ASSERT_FALSE(answer->ended());
+    this->store.releaseLists();
+    EXPECT_EQ(this->wait(answer).head.status, 200);
 }
 
 // Guards against a host that the store refuses while it serves the others, and that goes on with a key that was revoked meanwhile.
--- a/test/standin/StandinObjectStore.cpp
+++ b/test/standin/StandinObjectStore.cpp
@@ -111,6 +111,19 @@
     return this->callCount;
 }
 
+void StandinObjectStore::holdLists(const std::string &kind)
+{
+    this->heldKind = kind;
+}
+
+void StandinObjectStore::releaseLists()
+{
+    this->heldKind.clear();
+    for (const auto &exchange : std::exchange(this->heldLists, {})) {
+        this->get(exchange, pathParts(exchange->request())[0], "");
+    }
+}
+
 const std::vector<std::string> &StandinObjectStore::readCalls() const
 {
     return this->readCallLog;
@@ -150,6 +163,11 @@
         if (parts.size() == 1) {
             this->readCallLog.push_back((request.query("watch").empty() ? "list " : "watch ") + parts[0]);
         }
+        const bool isList = parts.size() == 1 && request.query("watch").empty();
+        if (isList && parts[0] == this->heldKind) {
+            this->heldLists.push_back(exchange);
+            return;
+        }
         this->get(exchange, parts[0], parts.size() > 1 ? parts[1] : "");
     } else {
         this->write(exchange, parts[0], parts);
--- a/test/standin/StandinObjectStore.h
+++ b/test/standin/StandinObjectStore.h
@@ -48,6 +48,9 @@
     [[nodiscard]] nlohmann::json read(const std::string &kind, const std::string &name) const;
     [[nodiscard]] std::vector<std::string> names(const std::string &kind) const;
     [[nodiscard]] std::uint64_t calls() const;
+    /** Answers lists of this kind only once releaseLists() is called. */
+    void holdLists(const std::string &kind);
+    void releaseLists();
     /** The lists and watches in the order in which they arrived, as "list KIND" or "watch KIND". */
     [[nodiscard]] const std::vector<std::string> &readCalls() const;
 
@@ -87,6 +90,9 @@
     std::uint64_t compactedRevision = 0;
     std::uint64_t callCount = 0;
     std::vector<std::string> readCallLog;
+    /** Kind whose lists are held; empty if none is. */
+    std::string heldKind;
+    std::vector<std::shared_ptr<HttpExchange>> heldLists;
     std::vector<std::pair<std::string, std::string>> substitutions;
     HttpServer server;
 };
