Split the constructor of EntryHost and share the distance of hosts

Change: one function for each part that is created, and distanceBetween() for all three. Result: no change in behaviour.

--- a/src/AnnouncementSchedule.h
+++ b/src/AnnouncementSchedule.h
@@ -17,6 +17,16 @@
     OtherRegion,
 };
 
+/** Distance between two hosts or locations, each with the members dataCentre and region. */
+template <typename First, typename Second>
+PeerDistance distanceBetween(const First &first, const Second &second)
+{
+    if (first.dataCentre == second.dataCentre) {
+        return PeerDistance::Near;
+    }
+    return first.region == second.region ? PeerDistance::SameRegion : PeerDistance::OtherRegion;
+}
+
 /**
  * Decides when a host announces its state to which other hosts. The rate at which one host sends datagrams does not grow with the
  * fleet: near hosts get each change, the others get complete announcements whose interval grows with the number of hosts.
--- a/src/ConfigConfirmation.cpp
+++ b/src/ConfigConfirmation.cpp
@@ -65,9 +65,7 @@
 {
     std::vector<ConfigViewHost> result;
     for (const Peer &peer : this->context.peers.liveHosts(this->context.loop.now())) {
-        const PeerDistance remote = peer.region == this->context.region ? PeerDistance::SameRegion : PeerDistance::OtherRegion;
-        result.push_back(
-            {.name = peer.name, .distance = peer.dataCentre == this->context.dataCentre ? PeerDistance::Near : remote, .watchesStore = peer.watchesStore});
+        result.push_back({.name = peer.name, .distance = distanceBetween(this->context, peer), .watchesStore = peer.watchesStore});
     }
     return result;
 }
--- a/src/EntryHost.cpp
+++ b/src/EntryHost.cpp
@@ -89,6 +89,23 @@
     });
     this->startServers();
     const std::uint64_t incarnation = startTimeMicros();
+    this->createPeerExchange(incarnation);
+    this->createJobs(incarnation);
+    this->createCallerRequests();
+    this->createQuotas();
+    this->createStreamOrigins();
+    this->createConfigConfirmation();
+    this->createWatchers();
+    this->createPeerDiscovery();
+    this->peerDiscovery->start(this->settings.seeds);
+    this->startWatchersWhenDue();
+    this->tickTimer = this->loop.after(tickPeriod, [this] { this->tick(); });
+}
+
+EntryHost::~EntryHost() = default;
+
+void EntryHost::createPeerExchange(std::uint64_t incarnation)
+{
     const Peer self{.name = this->settings.name,
                     .region = this->settings.region,
                     .dataCentre = this->settings.dataCentre,
@@ -98,7 +115,7 @@
                     .incarnation = incarnation,
                     .linkMbps = static_cast<std::uint32_t>(this->settings.linkMbps)};
     this->peerExchange = std::make_unique<PeerExchange>(
-        loop,
+        this->loop,
         self,
         this->peers,
         this->load,
@@ -130,6 +147,11 @@
                                 },
                             .limitReports = [this](bool recentOnly) { return this->limiter.reports(recentOnly, this->loop.now()); },
                             .limitReported = [this](const LimitReport &report) { this->limiter.merge(report); }});
+    this->settings.peerAddress = this->peerExchange->address();
+}
+
+void EntryHost::createJobs(std::uint64_t incarnation)
+{
     this->jobs = std::make_unique<JobService>(
         JobContext{.attempts = this->attemptContext(),
                    .store = *this->platform.store,
@@ -153,6 +175,10 @@
                                                                      .metrics = this->metrics,
                                                                      .host = this->settings.name,
                                                                      .stopping = [this] { return this->stopping(); }});
+}
+
+void EntryHost::createCallerRequests()
+{
     if (this->settings.hedgeShare > 0.0) {
         this->hedges = std::make_unique<HedgePlanner>(HedgeLimits{.share = this->settings.hedgeShare, .percentile = this->settings.hedgePercentile});
     }
@@ -168,9 +194,12 @@
         .admitToQuota = [this](const std::string &organisation, auto done) { this->quotas->admit(organisation, std::move(done)); },
         .giveBackToken = [this](const std::string &organisation, const QuotaDecision &decision) { this->quotas->giveBack(organisation, decision); },
         .randomFraction = [this] { return this->randomFraction(); }});
-    this->createQuotas();
+}
+
+void EntryHost::createStreamOrigins()
+{
     this->streamOrigins = std::make_unique<StreamOriginExchange>(
-        loop,
+        this->loop,
         this->settings.name,
         this->peers,
         StreamOriginExchange::Hooks{
@@ -178,9 +207,10 @@
             .soleVersion = [this](const std::string &service) { return this->soleVersion(service); },
             .hasSeveralVersions = [this](const std::string &service) { return this->hasSeveralVersions(service); },
             .hasOtherVersions = [this](const std::string &service, const std::string &version) { return this->versions.hasOther(service, version); }});
-    this->settings.peerAddress = this->peerExchange->address();
-    this->createConfigConfirmation();
-    this->createWatchers();
+}
+
+void EntryHost::createPeerDiscovery()
+{
     this->peerDiscovery = std::make_unique<PeerDiscovery>(PeerDiscovery::Context{.loop = this->loop,
                                                                                  .store = *this->platform.store,
                                                                                  .exchange = *this->peerExchange,
@@ -194,13 +224,8 @@
                                                                                      }},
                                                           this->settings.name,
                                                           this->settings.peerAddress);
-    this->peerDiscovery->start(this->settings.seeds);
-    this->startWatchersWhenDue();
-    this->tickTimer = this->loop.after(tickPeriod, [this] { this->tick(); });
 }
 
-EntryHost::~EntryHost() = default;
-
 void EntryHost::startServers()
 {
     const auto connections = static_cast<std::size_t>(this->settings.maxConnections);
--- a/src/EntryHost.h
+++ b/src/EntryHost.h
@@ -71,7 +71,13 @@
     void startServers();
     /** One budget for the callers of all servers. */
     void limitCallers();
+    /** @p incarnation is the start time of this process in microseconds since the epoch. */
+    void createPeerExchange(std::uint64_t incarnation);
+    void createJobs(std::uint64_t incarnation);
+    void createCallerRequests();
     void createQuotas();
+    void createStreamOrigins();
+    void createPeerDiscovery();
     void createConfigConfirmation();
     /** The refusal of a request that needs a key, if the view of the configuration is too old. */
     [[nodiscard]] std::optional<HttpResponse> unconfirmedRefusal(const std::string &requestId) const;
--- a/src/PeerExchange.cpp
+++ b/src/PeerExchange.cpp
@@ -175,10 +175,7 @@
 
 PeerDistance PeerExchange::distanceOf(const Peer &peer) const
 {
-    if (this->schedule.isSmallFleet() || peer.dataCentre == this->self.dataCentre) {
-        return PeerDistance::Near;
-    }
-    return peer.region == this->self.region ? PeerDistance::SameRegion : PeerDistance::OtherRegion;
+    return this->schedule.isSmallFleet() ? PeerDistance::Near : distanceBetween(this->self, peer);
 }
 
 bool PeerExchange::announcesUrgentCrash(absl::Time now) const
--- a/src/QuotaHolders.cpp
+++ b/src/QuotaHolders.cpp
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <utility>
 
+#include "AnnouncementSchedule.h"
 #include "RendezvousHash.h"
 
 namespace Bergamotramp {
@@ -88,17 +89,12 @@
 {
     const Version &newest = this->versions.back();
     std::vector<std::string> result = rendezvousFirst(organisation, newest.live, terms.holders);
-    const auto distance = [this, &newest](const std::string &name) {
+    // This host itself comes before all others.
+    const auto order = [this, &newest](const std::string &name) {
         const auto member = std::ranges::find(newest.members, name, &LimitMember::name);
-        if (name == this->self.name) {
-            return 0;
-        }
-        if (member->dataCentre == this->self.dataCentre) {
-            return 1;
-        }
-        return member->region == this->self.region ? 2 : 3;
+        return std::pair(name != this->self.name, distanceBetween(this->self, *member));
     };
-    std::ranges::stable_sort(result, {}, distance);
+    std::ranges::stable_sort(result, {}, order);
     return result;
 }
 
