Split the end of an attempt in OnlineCall and count refusals by their code

Cause: onAttemptEnded and onEvent had 58 and 45 lines, and answer() took each 503 for a refusal of this host, also one that an upstream had sent, under the reason of the log instead of the code that the caller gets. Change: one function for each step; refuse() creates the response and counts its code.

--- a/src/OnlineCall.cpp
+++ b/src/OnlineCall.cpp
@@ -26,7 +26,6 @@
 // A request with a part that may crash upstreams is sent to at most this many that do.
 constexpr int maxLostAttemptsOfSuspects = 2;
 constexpr int gatewayError = 502;
-constexpr int refusalStatus = 503;
 
 std::string_view nameOf(AttemptOutcome outcome)
 {
@@ -87,7 +86,7 @@
     this->deadlineTimer = this->context.attempts.loop.after(this->deadline - now, makeWeakCallback(this->weak_from_this(), &OnlineCall::onDeadline));
     this->exchange->onCallerDisconnected(makeWeakCallback(this->weak_from_this(), &OnlineCall::onCallerDisconnected));
     if (this->context.suspects.isQuarantined(this->fingerprint, now)) {
-        this->answer(notRunResponse("crashing_request", "this request has crashed each upstream that ran it", absl::Seconds(5)), "convicted");
+        this->refuse("crashing_request", "this request has crashed each upstream that ran it", absl::Seconds(5), "convicted");
         return;
     }
     if (this->route.kind == RouteKind::Stream && this->lastEventId) {
@@ -110,8 +109,7 @@
                              {"known", found.has_value()},
                              {"version", found ? found->softwareVersion : std::string()}});
     if (!continues) {
-        this->answer(notRunResponse("stream_unknown", "it is not known what wrote the events before; the request may be sent anew", absl::ZeroDuration()),
-                     "stream_unknown");
+        this->refuse("stream_unknown", "it is not known what wrote the events before; the request may be sent anew", absl::ZeroDuration(), "stream_unknown");
         return;
     }
     this->origin = found;
@@ -283,29 +281,44 @@
         // The first event that is forwarded decides which attempt answers, and an event without content does not begin the answer.
         return;
     }
-    if (event.id) {
-        if (this->lastEventId && *event.id <= *this->lastEventId) {
-            return;
-        }
-        if (this->lastEventId && *event.id != *this->lastEventId + 1) {
-            this->onAttemptEnded(number, {.outcome = AttemptOutcome::MayHaveRun});
-            return;
-        }
-        this->lastEventId = event.id;
+    if (event.id && !this->acceptEventId(number, *event.id)) {
+        return;
     }
     if (hasContent) {
         this->settle(number, upstream.id, running->started, true);
-        running = this->attempts.find(number);
+        this->recordOrigin(upstream);
     }
-    if (!this->origin && hasContent) {
-        this->origin = StreamOrigin{.service = this->service, .softwareVersion = upstream.softwareVersion};
-        if (this->route.resumable) {
-            this->context.recordBegin(this->call.id, *this->origin);
-        }
+    this->forwardEvent(number, event);
+}
+
+bool OnlineCall::acceptEventId(int number, std::uint64_t id)
+{
+    if (this->lastEventId && id <= *this->lastEventId) {
+        return false;
+    }
+    if (this->lastEventId && id != *this->lastEventId + 1) {
+        this->onAttemptEnded(number, {.outcome = AttemptOutcome::MayHaveRun});
+        return false;
     }
+    this->lastEventId = id;
+    return true;
+}
+
+void OnlineCall::recordOrigin(const UpstreamInfo &upstream)
+{
+    if (this->origin) {
+        return;
+    }
+    this->origin = StreamOrigin{.service = this->service, .softwareVersion = upstream.softwareVersion};
+    if (this->route.resumable) {
+        this->context.recordBegin(this->call.id, *this->origin);
+    }
+}
+
+void OnlineCall::forwardEvent(int number, const StreamEvent &event)
+{
     if (!this->exchange->started()) {
-        const HttpHead streamHead = running->streamHead;
-        this->exchange->startBody(streamHead);
+        this->exchange->startBody(this->attempts.find(number)->streamHead);
         this->context.metrics.recordFirstEvent(this->route.name, this->context.attempts.loop.now() - this->exchange->received());
     }
     this->exchange->sendBody(event.frame);
@@ -328,19 +341,25 @@
         ++this->refusedAttempts;
     }
     this->updateCrashRecord(result, upstream.id, started);
-    const bool streamed = this->route.kind == RouteKind::Stream && result.head.status / 100 == 2;
-    if (result.outcome == AttemptOutcome::Completed) {
-        if (result.answerBegun && result.head.status / 100 == 2) {
-            this->onAnswerBegun(upstream.id);
-        }
-        this->settle(number, upstream.id, started, result.head.status / 100 == 2);
-        if (streamed && result.body.empty()) {
-            this->finishStream(streamHead);
-        } else {
-            this->deliverResponse(result);
-        }
+    if (result.outcome != AttemptOutcome::Completed) {
+        this->recordUnfinished(number, result, upstream, started);
+        this->continueAfter(result);
         return;
     }
+    const bool succeeded = result.head.status / 100 == 2;
+    if (result.answerBegun && succeeded) {
+        this->onAnswerBegun(upstream.id);
+    }
+    this->settle(number, upstream.id, started, succeeded);
+    if (this->route.kind == RouteKind::Stream && succeeded && result.body.empty()) {
+        this->finishStream(streamHead);
+    } else {
+        this->deliverResponse(result);
+    }
+}
+
+void OnlineCall::recordUnfinished(int number, const AttemptResult &result, const UpstreamInfo &upstream, absl::Time started)
+{
     this->context.log.write("attempt_ended",
                             {{"request", this->call.id},
                              {"upstream", upstream.id},
@@ -358,9 +377,13 @@
     if (this->hedge) {
         this->hedge->onFailed(number);
     }
+}
+
+void OnlineCall::continueAfter(const AttemptResult &result)
+{
+    // Asked also while the other one of two attempts may still answer, because the policy keeps whether any attempt may have run.
     const bool mayRetry = this->retryPolicy.mayRetry(result.outcome, this->context.attempts.loop.now());
     if (!this->attempts.empty()) {
-        // The other one of two attempts may still answer.
         return;
     }
     if (mayRetry && !this->retryWouldRiskUpstreams(result.outcome)) {
@@ -400,8 +423,7 @@
                              {"attempts", this->attempts.count()},
                              {"retryAfterMs", admission.retryAfter}});
     if (this->retryPolicy.state() == CallState::NotRun && !this->exchange->started()) {
-        this->answer(notRunResponse("crashing_request", "a part of the prompt has crashed the upstreams that ran it", admission.retryAfter),
-                     "prompt_part_quarantined");
+        this->refuse("crashing_request", "a part of the prompt has crashed the upstreams that ran it", admission.retryAfter, "prompt_part_quarantined");
     } else {
         this->giveUp("prompt_part_quarantined");
     }
@@ -567,7 +589,7 @@
         this->exchange->abort();
         this->end(0, reason);
     } else if (this->retryPolicy.state() == CallState::NotRun) {
-        this->answer(notRunResponse(reason, "no upstream could take the request", this->retryAfter()), reason);
+        this->refuse(reason, "no upstream could take the request", this->retryAfter(), reason);
     } else {
         this->answer(failureResponse(gatewayError, reason, "the upstream ended without an answer", "unknown"), reason);
     }
@@ -600,7 +622,7 @@
     } else if (mayHaveRun) {
         this->answer(unknownOutcomeResponse(reason, message), reason);
     } else {
-        this->answer(notRunResponse(reason, message, this->retryAfter()), reason);
+        this->refuse(reason, message, this->retryAfter(), reason);
     }
 }
 
@@ -610,11 +632,14 @@
     this->end(0, "caller_left");
 }
 
+void OnlineCall::refuse(const std::string &code, const std::string &message, absl::Duration after, const std::string &reason)
+{
+    this->context.metrics.recordRefusal(code, this->organisation.value_or(""));
+    this->answer(notRunResponse(code, message, after), reason);
+}
+
 void OnlineCall::answer(const HttpResponse &response, const std::string &reason)
 {
-    if (response.head.status == refusalStatus) {
-        this->context.metrics.recordRefusal(reason, this->organisation.value_or(""));
-    }
     this->exchange->respond(response);
     this->end(response.head.status, reason);
 }
--- a/src/OnlineCall.h
+++ b/src/OnlineCall.h
@@ -87,7 +87,16 @@
     void recordIfSilent(const RunningAttempt &running);
     void onStreamStarted(int number, const HttpHead &head);
     void onEvent(int number, const StreamEvent &event);
+    /** Whether the event is the next one for the caller. Ends an attempt that has left out events. */
+    bool acceptEventId(int number, std::uint64_t id);
+    /** Remembers what began the stream, with its first event. */
+    void recordOrigin(const UpstreamInfo &upstream);
+    void forwardEvent(int number, const StreamEvent &event);
     void onAttemptEnded(int number, const AttemptResult &result);
+    /** Logs and counts an attempt that has ended without an answer for the caller. */
+    void recordUnfinished(int number, const AttemptResult &result, const UpstreamInfo &upstream, absl::Time started);
+    /** Starts the next attempt after one without an answer, or ends the call, unless another attempt still runs. */
+    void continueAfter(const AttemptResult &result);
     /** Whether the upstream may have crashed before it began the answer. */
     [[nodiscard]] bool lostBeforeAnswer(const AttemptResult &result) const;
     void updateCrashRecord(const AttemptResult &result, const std::string &upstream, absl::Time started);
@@ -109,6 +118,8 @@
     /** Ends the call now. The answer says "not run" only if no upstream can have the request. */
     void cutShort(const std::string &reason, const std::string &message);
     void onCallerDisconnected();
+    /** Answers that the request has not run; @p reason is for the log. */
+    void refuse(const std::string &code, const std::string &message, absl::Duration after, const std::string &reason);
     void answer(const HttpResponse &response, const std::string &reason);
     void end(int status, const std::string &reason);
     /** How long an upstream may be silent before it is replaced. */
