Write jobs to the store in JobWriter

Cause: JobService passed the same five values through three functions, copied the whole submission for each call, and rebuilt the submitter's organisation from the configuration in force when the store answered, so that a submission could turn into 404 if organisations were added meanwhile. Change: JobWriter stores the items and the header and reports one typed result; the submitter is kept as it was authenticated. The race itself has no test.

--- a/src/JobService.cpp
+++ b/src/JobService.cpp
@@ -43,7 +43,8 @@
 
 } // namespace
 
-JobService::JobService(const JobContext &context) : context(context), archive(context.store), startedAt(context.attempts.loop.now())
+JobService::JobService(const JobContext &context)
+    : context(context), archive(context.store), writer(context.attempts.loop, this->archive), startedAt(context.attempts.loop.now())
 {
 }
 
@@ -188,17 +189,7 @@
     // A repeated submission of a job that is being accepted is not refused, because it would be told that the job never runs.
     const bool repeated = this->accepting.contains(submission.id);
     if (!repeated && route.maxWaitingTokens > 0 && waiting + submission.tokens() > route.maxWaitingTokens) {
-        // Another host may have accepted the job a moment ago. The submission is then a duplicate and is not refused.
-        this->archive.readHeader(submission.id,
-                                 [this, waiting, id = submission.id, organisation = submitter.organisation, done = std::move(done)](const ObjectReply &reply) {
-                                     const JobEntry *accepted = reply.result == StoreResult::Done ? this->applyHeader(*reply.object) : nullptr;
-                                     this->context.log.write("job_limit", {{"job", id}, {"waitingTokens", waiting}, {"accepted", accepted != nullptr}});
-                                     if (accepted != nullptr) {
-                                         done(answerRepeated(*accepted, organisation));
-                                     } else {
-                                         done(reply.result == StoreResult::NotFound ? SubmitResult::WaitingTokenLimitReached : SubmitResult::Unknown);
-                                     }
-                                 });
+        this->refuseUnlessStored(submission.id, submitter.organisation, waiting, std::move(done));
         return;
     }
     const JobRecord header{.id = submission.id,
@@ -209,77 +200,80 @@
                            .tokens = submission.tokens(),
                            .items = submission.items.size(),
                            .organisation = submitter.organisation.value_or("")};
-    this->accepting.try_emplace(
-        submission.id,
-        AcceptingJob{.virtualHost = header.virtualHost, .pathPrefix = header.pathPrefix, .organisation = header.organisation, .tokens = header.tokens});
-    this->writeItems(submission, header, retryUntil, [this, repeated, id = submission.id, done = std::move(done)](SubmitResult result) {
-        if (!repeated) {
-            this->accepting.erase(id);
-        }
-        done(result);
-    });
+    this->accepting.try_emplace(submission.id, header);
+    const auto job = std::make_shared<const SubmittedJob>(submission);
+    this->writer.write(
+        job, header, retryUntil, [this, job, repeated, organisation = submitter.organisation, done = std::move(done)](const JobWriteResult &result) {
+            if (!repeated) {
+                this->accepting.erase(job->id);
+            }
+            this->finishSubmission(*job, organisation, result, done);
+        });
 }
 
-void JobService::writeItems(const SubmittedJob &submission, JobRecord header, absl::Time retryUntil, std::function<void(SubmitResult)> done)
+void JobService::finishSubmission(const SubmittedJob &submission,
+                                  const CallerOrganisation &organisation,
+                                  const JobWriteResult &result,
+                                  const std::function<void(SubmitResult)> &done)
 {
-    this->archive.writeItems(submission, [this, submission, header, retryUntil, done = std::move(done)](StoreResult result, std::size_t parts) mutable {
-        if (result == StoreResult::Done) {
-            header.inputParts = parts;
-            this->writeHeader(submission, header, false, retryUntil, std::move(done));
-            return;
-        }
-        if (result == StoreResult::Unanswered && this->context.attempts.loop.now() < retryUntil) {
-            this->writeItems(submission, header, retryUntil, std::move(done));
-            return;
-        }
-        // Without a header, stored items do not make a job, so the submission is certainly not accepted.
+    switch (result.outcome) {
+    case JobWriteResult::Outcome::Written:
+        this->addAcceptedJob(submission, result);
+        done(SubmitResult::Accepted);
+        this->tick();
+        break;
+    case JobWriteResult::Outcome::Exists:
+        this->answerRepeatedStored(submission.id, organisation, done);
+        break;
+    case JobWriteResult::Outcome::NotWritten:
         this->context.log.write("job_refused", {{"job", submission.id}, {"reason", "store_unavailable"}});
         done(SubmitResult::Unavailable);
-    });
+        break;
+    case JobWriteResult::Outcome::Unknown:
+        this->context.log.write("job_refused", {{"job", submission.id}, {"reason", "store_unanswered"}});
+        done(SubmitResult::Unknown);
+        break;
+    }
 }
 
-void JobService::writeHeader(
-    const SubmittedJob &submission, const JobRecord &header, bool earlierUnanswered, absl::Time retryUntil, std::function<void(SubmitResult)> done)
+// Another host may have accepted the job a moment ago. The submission is then a repeated one and is not refused.
+void JobService::refuseUnlessStored(const std::string &jobId,
+                                    const CallerOrganisation &organisation,
+                                    std::int64_t waiting,
+                                    std::function<void(SubmitResult)> done)
 {
-    const absl::Time sent = this->context.attempts.loop.nowIncludingSuspend();
-    this->archive.writeHeader(header, [this, submission, header, earlierUnanswered, retryUntil, sent, done = std::move(done)](const ObjectReply &reply) {
-        if (reply.result == StoreResult::Done) {
-            JobEntry &entry = this->entries[header.id];
-            entry.header = header;
-            entry.revision = std::max(entry.revision, reply.object ? reply.object->revision : 0);
-            if (!entry.job) {
-                entry.job = std::make_unique<Job>(header, submission.items);
-                entry.itemsLoaded = true;
-                // Another host may have taken the job over while the answer was on its way.
-                entry.fenced = this->runsHere(entry);
-                entry.lease.renew(sent);
-            }
-            this->context.log.write("job_accepted",
-                                    {{"job", header.id},
-                                     {"items", static_cast<std::uint64_t>(header.items)},
-                                     {"tokens", header.tokens},
-                                     {"organisation", header.organisation},
-                                     {"revision", entry.revision}});
-            done(SubmitResult::Accepted);
-            this->tick();
-            return;
-        }
-        if (reply.result == StoreResult::Conflict) {
-            const auto config = this->context.config();
-            this->answerRepeatedStored(header.id, itemOrganisation(header.organisation, config && config->organisations), done);
-            return;
-        }
-        const bool mayBeWritten = earlierUnanswered || reply.result == StoreResult::Unanswered;
-        if (mayBeWritten && this->context.attempts.loop.now() < retryUntil) {
-            // Only an answer tells whether the job is accepted, so the create call is repeated until there is one.
-            this->writeHeader(submission, header, true, retryUntil, done);
-            return;
+    this->archive.readHeader(jobId, [this, waiting, jobId, organisation, done = std::move(done)](const ObjectReply &reply) {
+        const JobEntry *accepted = reply.result == StoreResult::Done ? this->applyHeader(*reply.object) : nullptr;
+        this->context.log.write("job_limit", {{"job", jobId}, {"waitingTokens", waiting}, {"accepted", accepted != nullptr}});
+        if (accepted != nullptr) {
+            done(answerRepeated(*accepted, organisation));
+        } else {
+            done(reply.result == StoreResult::NotFound ? SubmitResult::WaitingTokenLimitReached : SubmitResult::Unknown);
         }
-        this->context.log.write("job_refused", {{"job", header.id}, {"reason", mayBeWritten ? "store_unanswered" : "store_unavailable"}});
-        done(mayBeWritten ? SubmitResult::Unknown : SubmitResult::Unavailable);
     });
 }
 
+void JobService::addAcceptedJob(const SubmittedJob &submission, const JobWriteResult &written)
+{
+    const JobRecord &header = written.header;
+    JobEntry &entry = this->entries[header.id];
+    entry.header = header;
+    entry.revision = std::max(entry.revision, written.revision);
+    if (!entry.job) {
+        entry.job = std::make_unique<Job>(header, submission.items);
+        entry.itemsLoaded = true;
+        // Another host may have taken the job over while the answer was on its way.
+        entry.fenced = this->runsHere(entry);
+        entry.lease.renew(written.sent);
+    }
+    this->context.log.write("job_accepted",
+                            {{"job", header.id},
+                             {"items", static_cast<std::uint64_t>(header.items)},
+                             {"tokens", header.tokens},
+                             {"organisation", header.organisation},
+                             {"revision", entry.revision}});
+}
+
 void JobService::locate(const std::string &jobId, std::function<void(JobLookup, const JobLocation &)> done)
 {
     this->lookUp(jobId, [this, done = std::move(done)](JobLookup result, JobEntry *entry) {
@@ -955,6 +949,37 @@
     }
 }
 
+std::shared_ptr<JobService::ItemRun> JobService::createRun(
+    const JobEntry &entry, std::size_t index, const std::string &service, const UpstreamInfo &upstream, int maxFailures, absl::Time now)
+{
+    const auto run = std::make_shared<ItemRun>();
+    run->jobId = entry.header.id;
+    run->item = index;
+    run->service = service;
+    run->started = now;
+    run->maxFailures = maxFailures;
+    run->resumed = entry.job->lastEvent(index).has_value();
+    const auto weak = std::weak_ptr<ItemRun>(run);
+    run->attempt = std::make_unique<UpstreamAttempt>(this->context.attempts,
+                                                     upstream,
+                                                     true,
+                                                     true,
+                                                     UpstreamAttempt::Hooks{.streamStarted = {},
+                                                                            .event =
+                                                                                [this, weak](const StreamEvent &event) {
+                                                                                    if (const auto target = weak.lock()) {
+                                                                                        this->onItemEvent(target, event);
+                                                                                    }
+                                                                                },
+                                                                            .ended =
+                                                                                [this, weak](const AttemptResult &result) {
+                                                                                    if (const auto target = weak.lock()) {
+                                                                                        this->onItemEnded(target, result);
+                                                                                    }
+                                                                                }});
+    return run;
+}
+
 bool JobService::startItem(JobEntry &entry, const RoutingConfig &config, absl::Time now)
 {
     const Route *route = config.match(entry.header.virtualHost, entry.header.pathPrefix);
@@ -979,31 +1004,7 @@
     if (upstream == nullptr) {
         return false;
     }
-    const auto run = std::make_shared<ItemRun>();
-    run->jobId = entry.header.id;
-    run->item = *index;
-    run->service = service;
-    run->started = now;
-    run->maxFailures = route->maxAttempts;
-    run->resumed = resumed;
-    const auto weak = std::weak_ptr<ItemRun>(run);
-    run->attempt = std::make_unique<UpstreamAttempt>(this->context.attempts,
-                                                     *upstream,
-                                                     true,
-                                                     true,
-                                                     UpstreamAttempt::Hooks{.streamStarted = {},
-                                                                            .event =
-                                                                                [this, weak](const StreamEvent &event) {
-                                                                                    if (const auto target = weak.lock()) {
-                                                                                        this->onItemEvent(target, event);
-                                                                                    }
-                                                                                },
-                                                                            .ended =
-                                                                                [this, weak](const AttemptResult &result) {
-                                                                                    if (const auto target = weak.lock()) {
-                                                                                        this->onItemEnded(target, result);
-                                                                                    }
-                                                                                }});
+    const auto run = this->createRun(entry, *index, service, *upstream, route->maxAttempts, now);
     entry.job->markStarted(*index, {.service = service, .softwareVersion = upstream->softwareVersion});
     this->runs.push_back(run);
     const BatchItem &item = entry.job->item(*index);
--- a/src/JobService.h
+++ b/src/JobService.h
@@ -14,6 +14,7 @@
 #include "Job.h"
 #include "JobAccess.h"
 #include "JobArchive.h"
+#include "JobWriter.h"
 #include "JsonLog.h"
 #include "ResultLease.h"
 #include "RoutingConfig.h"
@@ -199,13 +200,6 @@
         std::vector<std::function<void(StoreResult)>> loadCallbacks;
         std::list<std::shared_ptr<ResultRead>> pendingReads;
     };
-    /** A job that this host is writing to the store. */
-    struct AcceptingJob {
-        std::string virtualHost;
-        std::string pathPrefix;
-        std::string organisation;
-        std::int64_t tokens = 0;
-    };
     using LookupHandler = std::function<void(JobLookup, JobEntry *)>;
 
     /** Applies a stored header unless a newer one is known. Returns null when it is malformed. */
@@ -222,9 +216,13 @@
     static SubmitResult answerRepeated(const JobEntry &entry, const CallerOrganisation &organisation);
     /** Answers a submission whose id another host has accepted before. */
     void answerRepeatedStored(const std::string &jobId, const CallerOrganisation &organisation, const std::function<void(SubmitResult)> &done);
-    void writeItems(const SubmittedJob &submission, JobRecord header, absl::Time retryUntil, std::function<void(SubmitResult)> done);
-    void writeHeader(
-        const SubmittedJob &submission, const JobRecord &header, bool earlierUnanswered, absl::Time retryUntil, std::function<void(SubmitResult)> done);
+    /** Refuses a submission for the limit on waiting tokens, unless another host has accepted the job. */
+    void refuseUnlessStored(const std::string &jobId, const CallerOrganisation &organisation, std::int64_t waiting, std::function<void(SubmitResult)> done);
+    void finishSubmission(const SubmittedJob &submission,
+                          const CallerOrganisation &organisation,
+                          const JobWriteResult &result,
+                          const std::function<void(SubmitResult)> &done);
+    void addAcceptedJob(const SubmittedJob &submission, const JobWriteResult &written);
     /** Reads the results that this host does not have yet; with @p withItems also the items. */
     void load(JobEntry &entry, bool withItems, std::function<void(StoreResult)> done);
     /** Reads the result objects one after another until the next number does not exist. */
@@ -287,6 +285,9 @@
     /** Lets items begin anew whose partial output no upstream can continue, because all of its software version have left. */
     void discardLostOutputs(JobEntry &entry, const Route &route);
     bool startItem(JobEntry &entry, const RoutingConfig &config, absl::Time now);
+    /** A run of an item at the upstream whose request has not been sent yet. */
+    std::shared_ptr<ItemRun> createRun(
+        const JobEntry &entry, std::size_t index, const std::string &service, const UpstreamInfo &upstream, int maxFailures, absl::Time now);
     void onItemEvent(const std::shared_ptr<ItemRun> &run, const StreamEvent &event);
     void onItemEnded(const std::shared_ptr<ItemRun> &run, const AttemptResult &result);
     void endRun(const std::shared_ptr<ItemRun> &run, RunOutcome outcome);
@@ -298,9 +299,10 @@
 
     JobContext context;
     JobArchive archive;
+    JobWriter writer;
     std::map<std::string, JobEntry> entries;
     /** The tokens of these count as waiting, because the store may hold the jobs before this host knows it. */
-    std::map<std::string, AcceptingJob> accepting;
+    std::map<std::string, JobRecord> accepting;
     std::list<std::shared_ptr<ItemRun>> runs;
     absl::Time startedAt;
     /** Number of loads that have begun. */
