Stop the items of an ended job without an answer of the store

Cause: two lost answers, each left to the other. The answer to the runner's watch of the job headers was lost, which it notices after the wait of the watch only. The notice of the other host led to a single read of the header; when that got no answer it was logged and left to the watch. The notice itself was sent once too, and to a live runner only.

Change: the notice carries the changed header, so the runner applies it without the store.

Ruled out: repeating the read until it is answered (a call for each end, and the items run until the store answers); watches of 5 s (five times the calls in calm, and items still run for up to 6.5 s).

--- a/src/EntryHost.cpp
+++ b/src/EntryHost.cpp
@@ -174,7 +174,8 @@
                                                                      .log = this->log,
                                                                      .metrics = this->metrics,
                                                                      .host = this->settings.name,
-                                                                     .stopping = [this] { return this->stopping(); }});
+                                                                     .stopping = [this] { return this->stopping(); },
+                                                                     .renewJobWatch = [this] { this->jobWatcher->renewWatch(); }});
 }
 
 void EntryHost::createCallerRequests()
@@ -773,7 +774,7 @@
         this->relayedStore.serve(request);
         return;
     }
-    if (JobCallHandler::isChangeNotice(request->request())) {
+    if (JobChangeNotice::matches(request->request())) {
         this->jobCalls->handleChangeNotice(request);
         return;
     }
--- a/src/JobCallHandler.cpp
+++ b/src/JobCallHandler.cpp
@@ -3,8 +3,6 @@
 #include <algorithm>
 #include <utility>
 
-#include <absl/strings/str_cat.h>
-
 #include "CallRefusal.h"
 
 namespace Bergamotramp {
@@ -18,7 +16,6 @@
 // A submission is answered at least this long before its caller's time budget ends.
 constexpr absl::Duration responseMargin = absl::Milliseconds(300);
 constexpr absl::Duration maxStoreRetryTime = absl::Seconds(3);
-constexpr const char *jobChangedPath = "/peer/job-changed";
 
 void respondLookupFailure(const std::shared_ptr<HttpExchange> &request, JobLookup lookup)
 {
@@ -53,18 +50,25 @@
 
 } // namespace
 
-JobCallHandler::JobCallHandler(JobCallContext context) : context(std::move(context))
+JobCallHandler::JobCallHandler(JobCallContext callContext)
+    : context(std::move(callContext))
+    , notifier(this->context.loop,
+               this->context.peers,
+               this->context.log,
+               [&client = this->context.peerClient](const std::string &address, const HttpRequest &request, absl::Duration timeout, auto done) {
+                   client.send(address, request, timeout, std::move(done));
+               })
 {
 }
 
-bool JobCallHandler::isChangeNotice(const HttpRequest &request)
-{
-    return request.path() == jobChangedPath;
-}
-
 void JobCallHandler::handleChangeNotice(const std::shared_ptr<HttpExchange> &request)
 {
-    this->context.jobs.refresh(request->request().query("job"));
+    const JobChangeNotice notice = JobChangeNotice::fromRequest(request->request());
+    if (notice.header) {
+        this->context.jobs.changeHeader({.removed = false, .object = *notice.header});
+    } else {
+        this->context.renewJobWatch();
+    }
     request->respond(jsonResponse(200, "{}"));
 }
 
@@ -237,22 +241,19 @@
     this->context.jobs.cancel(call.id, giveUpAt, [this, request, id = call.id](JobLookup result) {
         if (result == JobLookup::Found) {
             request->respond(jsonResponse(200, "{}"));
-            this->notifyRunningHost(id);
+            this->notifyRunner(id);
         } else {
             respondLookupFailure(request, result);
         }
     });
 }
 
-void JobCallHandler::notifyRunningHost(const std::string &jobId)
+void JobCallHandler::notifyRunner(const std::string &jobId)
 {
-    this->context.jobs.locate(jobId, [this, jobId](JobLookup result, const JobLocation &location) {
-        const Peer *runner = result == JobLookup::Found ? this->context.peers.find(location.host) : nullptr;
-        if (runner != nullptr && this->context.peers.isLive(location.host, this->context.loop.now())) {
-            const HttpRequest notice{.method = "POST", .target = absl::StrCat(jobChangedPath, "?job=", percentEncode(jobId)), .fields = {}, .body = {}};
-            this->context.peerClient.send(runner->controlAddress, notice, peerResponseTimeout, [](const std::optional<HttpResponse> &) {});
-        }
-    });
+    const std::optional<std::string> runner = this->context.jobs.runner(jobId);
+    if (runner && *runner != this->context.host) {
+        this->notifier.notify(*runner, {.jobId = jobId, .header = this->context.jobs.closedHeader(jobId)});
+    }
 }
 
 } // namespace Bergamotramp
--- a/src/JobCallHandler.h
+++ b/src/JobCallHandler.h
@@ -10,6 +10,7 @@
 #include "EventLoop.h"
 #include "HttpServer.h"
 #include "JobAccess.h"
+#include "JobChangeNotifier.h"
 #include "JobService.h"
 #include "JsonLog.h"
 #include "PeerClient.h"
@@ -32,6 +33,8 @@
     std::string host;
     /** Whether this host is stopping and accepts no more jobs. */
     std::function<bool()> stopping;
+    /** Asks the store again for the changes to jobs since the last one that it has reported. */
+    std::function<void()> renewJobWatch;
 };
 
 /** Answers the calls of callers and of other hosts about jobs. Reads go to the host that runs the job. */
@@ -46,9 +49,7 @@
     void handle(const std::shared_ptr<HttpExchange> &exchange, const CallerCall &call, const CallerOrganisation &organisation);
     /** Answers a call that another host has forwarded after it has checked the caller's access. */
     void handleForwarded(const std::shared_ptr<HttpExchange> &exchange, const CallerCall &call);
-    /** Whether another host sends @p request to report a changed job. */
-    [[nodiscard]] static bool isChangeNotice(const HttpRequest &request);
-    /** Handles such a report. */
+    /** Applies a request that JobChangeNotice::matches(). */
     void handleChangeNotice(const std::shared_ptr<HttpExchange> &exchange);
 
     /** Answers the reads that wait for results with the results that there are. */
@@ -70,9 +71,10 @@
     void forward(const std::shared_ptr<HttpExchange> &exchange, const CallerCall &call, const Peer &owner);
     void cancel(const std::shared_ptr<HttpExchange> &exchange, const CallerCall &call);
     /** Notifies the host that runs a cancelled job, so that its items stop before that host's watch reports the change. */
-    void notifyRunningHost(const std::string &jobId);
+    void notifyRunner(const std::string &jobId);
 
     JobCallContext context;
+    JobChangeNotifier notifier;
     std::vector<WaitingRead> waitingReads;
 };
 
--- a/src/JobService.cpp
+++ b/src/JobService.cpp
@@ -65,6 +65,7 @@
         return nullptr;
     }
     entry.revision = object.revision;
+    this->newestHeaderRevision = std::max(this->newestHeaderRevision, object.revision);
     const bool ranHere = this->runsHere(entry);
     const bool wasOpen = entry.progress.isOpen();
     const std::string formerRunner = runnerOf(entry);
@@ -259,6 +260,7 @@
     JobEntry &entry = this->entries[header.id];
     entry.header = header;
     entry.revision = std::max(entry.revision, written.revision);
+    this->newestHeaderRevision = std::max(this->newestHeaderRevision, written.revision);
     if (!entry.job) {
         entry.job = std::make_unique<Job>(header, submission.items);
         entry.itemsLoaded = true;
@@ -624,16 +626,25 @@
     });
 }
 
-void JobService::refresh(const std::string &jobId)
+std::optional<std::string> JobService::runner(const std::string &jobId) const
 {
-    this->archive.readHeader(jobId, [this, jobId](const ObjectReply &reply) {
-        if (reply.result == StoreResult::Done) {
-            this->applyHeader(*reply.object);
-        } else {
-            // The watch of the job headers reports the change later.
-            this->context.log.write("job_not_refreshed", {{"job", jobId}});
-        }
-    });
+    const auto found = this->entries.find(jobId);
+    return found == this->entries.end() ? std::nullopt : std::optional(runnerOf(found->second));
+}
+
+std::optional<ObjectRecord> JobService::closedHeader(const std::string &jobId) const
+{
+    const auto found = this->entries.find(jobId);
+    if (found == this->entries.end() || found->second.progress.isOpen()) {
+        return std::nullopt;
+    }
+    const JobEntry &entry = found->second;
+    return ObjectRecord{.name = jobId, .revision = entry.revision, .content = entry.header.toJson(), .status = entry.progress.toJson()};
+}
+
+std::uint64_t JobService::newestRevision() const
+{
+    return this->newestHeaderRevision;
 }
 
 void JobService::writeCancel(const std::string &jobId, std::uint64_t revision, JobProgress progress, absl::Time retryUntil, std::function<void(JobLookup)> done)
--- a/src/JobService.h
+++ b/src/JobService.h
@@ -106,8 +106,12 @@
     void itemBody(const std::string &jobId, const std::string &itemId, std::function<void(JobLookup, const std::string &body)> done);
     /** Cancels a job. Repeats a failed store call until @p retryUntil. */
     void cancel(const std::string &jobId, absl::Time retryUntil, std::function<void(JobLookup)> done);
-    /** Reads a job's header again after another host has changed it. */
-    void refresh(const std::string &jobId);
+    /** The host that runs a job, live or not; std::nullopt if this host does not know the job. */
+    [[nodiscard]] std::optional<std::string> runner(const std::string &jobId) const;
+    /** The header of a job that this host knows to be closed, as it is stored. */
+    [[nodiscard]] std::optional<ObjectRecord> closedHeader(const std::string &jobId) const;
+    /** Store revision of the newest header that this host knows. */
+    [[nodiscard]] std::uint64_t newestRevision() const;
 
     /** Applies the headers of all stored jobs. */
     void setHeaders(const std::vector<ObjectRecord> &objects);
@@ -305,6 +309,7 @@
     std::map<std::string, JobRecord> accepting;
     std::list<std::shared_ptr<ItemRun>> runs;
     absl::Time startedAt;
+    std::uint64_t newestHeaderRevision = 0;
     /** Number of loads that have begun. */
     std::uint64_t loads = 0;
     absl::Time nextStartRound = absl::InfinitePast();
--- a/src/KindWatcher.cpp
+++ b/src/KindWatcher.cpp
@@ -96,6 +96,16 @@
     this->timer = this->loop.after(this->timing.retry, [this] { this->retryNow(); });
 }
 
+void KindWatcher::renewWatch()
+{
+    if (this->retryPending || this->revision == 0) {
+        return;
+    }
+    ++this->restartCount;
+    this->timer.cancel();
+    this->watch();
+}
+
 std::uint64_t KindWatcher::reportedRevision() const
 {
     return this->revision;
--- a/src/KindWatcher.h
+++ b/src/KindWatcher.h
@@ -52,6 +52,8 @@
     void setTiming(const Timing &newTiming);
     /** Lists now if a retry is pending. */
     void retryNow();
+    /** Sends the watch anew from the reported revision, because the answer to the pending one may have been lost. */
+    void renewWatch();
     /** Abandons the call in progress and schedules a retry, because the store became unavailable and may have lost a pending watch. */
     void restart();
     /** The store revision up to which everything has been reported; 0 before the first list. */
--- a/test/site/JobServiceTest.cpp
+++ b/test/site/JobServiceTest.cpp
@@ -1,3 +1,4 @@
+#include "FaultProxy.h"
 #include "SiteFleet.h"
 
 #include <algorithm>
@@ -175,6 +176,23 @@
     EXPECT_EQ(this->upstreams[0]->running() + this->upstreams[1]->running(), 0U);
 }
 
+// Guards against an ended job that runs on for as long as its runner gets no answer from the store: the notice of the end then led to a
+// read that was not repeated.
+TEST_F(JobServiceTest, cancelledJobStopsAtARunnerThatTheStoreDoesNotAnswer)
+{
+    this->start(1, absl::Milliseconds(900));
+    FaultProxy link;
+    const std::string route = link.addRoute("store", this->store.address());
+    RunningHost &runner = this->startHost("runner", route);
+    this->waitUntilHostsKnowEachOther();
+    EXPECT_EQ(this->submit(runner, "job-1", 8), 202);
+    ASSERT_TRUE(runUntil(this->loop, [this] { return this->upstreams[0]->running() > 0; }));
+    link.freeze("store", RouteFreeze::All);
+    EXPECT_EQ(this->wait(this->send(*this->hosts[0], "DELETE", "/bergamotramp/lots/job-1", {})).head.status, 200);
+    runFor(this->loop, absl::Seconds(2));
+    EXPECT_EQ(this->upstreams[0]->running() + this->upstreams[1]->running(), 0U);
+}
+
 // Guards against an item that is retried without end although the upstreams report it as impossible or fail each time.
 TEST_F(JobServiceTest, itemsThatAlwaysFailBecomeDeadLetters)
 {
