Renew the watch of job headers when other hosts know more

Cause: a host whose watch of the job headers lost its answer learned nothing of jobs until the wait of the watch was over (25 s and 1.5 s): not that a job had ended whose end was taken by a host that crashed before its notice, and not that a job of its own had been taken over. Nothing but the watch told it.

Change: hosts announce the revision of the newest job header that they know. A host whose watch has not reached an announced revision for 2.7 s (the longest delay that collects changes, and the 1.2 s of RevisionLag) renews its watch from where it stands, which the store answers at once with what was missed. On the way: - RevisionLag awaits each announced revision by itself. Where headers change all the time a host never has the newest one, which counted as a lag after 1.2 s. - The failure of an abandoned call no longer makes a relay refuse its followers while a later call of the same kind is pending.

Ruled out: listing all headers again as for upstreams (their number grows with the jobs of the last ten minutes); a shorter wait of the watch (calls in calm).

The case of the abandoned call has no test of its own. RelayTest and JobServiceTest pass.

--- a/src/EntryHost.cpp
+++ b/src/EntryHost.cpp
@@ -29,6 +29,8 @@
 // therefore collect more changes into one call.
 constexpr absl::Duration baseJobCoalesce = absl::Milliseconds(500);
 constexpr absl::Duration maxJobCoalesce = absl::Milliseconds(1500);
+// A change of a job header reaches all hosts within this time: the longest delay of a watch that collects changes, and RevisionLag::maxLag.
+constexpr absl::Duration maxJobLag = absl::Milliseconds(2700);
 constexpr absl::Duration watchWait = absl::Seconds(25);
 // A store that stops answering loses the watches that are pending. The configuration watch is renewed more often than the
 // others to detect this early; its failure restarts all watches, on this host and on the other hosts.
@@ -71,6 +73,7 @@
     , random(stableHash(this->settings.name) ^ startTimeMicros())
     , upstreamSelector(this->upstreams, this->load, this->health, locationOf(this->settings), [this] { return this->randomFraction(); })
     , limiter({.name = this->settings.name, .dataCentre = this->settings.dataCentre, .region = this->settings.region}, this->upstreams, this->peers, loop.now())
+    , jobLag(maxJobLag)
     , upstreamClient(loop, {.connectTimeout = upstreamConnectTimeout})
     , peerClient(loop)
     , relaySelector(this->peers, this->settings.name, this->settings.dataCentre, static_cast<std::uint32_t>(this->settings.linkMbps))
@@ -127,6 +130,7 @@
                                                           .leaving = this->stopping(),
                                                           .configRevision = this->config ? this->config->revision : 0,
                                                           .upstreamRevision = this->upstreamRevision,
+                                                          .jobRevision = this->jobs->newestRevision(),
                                                           .storeSilent = this->loop.now() < this->storeUnansweredAt + storeSilenceAnnounceDuration,
                                                           .watchesStore = this->relayedStore.watchesStore()};
                                 },
@@ -604,6 +608,7 @@
     if (peer.upstreamRevision > this->relayedStore.revision(this->platform.upstreamKind)) {
         this->upstreamLag.recordAnnounced(peer.upstreamRevision);
     }
+    this->jobLag.recordAnnounced(peer.jobRevision);
     if (peer.storeSilent && this->storeAvailable && this->loop.now() > this->peerStoreNoticeAt + storeNoticeInterval) {
         this->peerStoreNoticeAt = this->loop.now();
         this->log.write("store_silent_elsewhere", {{"peer", peer.name}});
@@ -640,6 +645,16 @@
     }
 }
 
+// The store may have lost the answer to the watch alone, while other calls are answered.
+void EntryHost::renewJobWatchIfBehind(absl::Time now)
+{
+    const std::uint64_t revision = this->jobWatcher->reportedRevision();
+    if (this->jobLag.fetchDue(revision, now)) {
+        this->log.write("jobs_behind", {{"revision", revision}, {"newest", this->jobLag.newest()}});
+        this->jobWatcher->renewWatch();
+    }
+}
+
 absl::Duration EntryHost::configRequestDelay(const Peer &peer) const
 {
     if (this->peers.size() <= PeerTable::maxFullMeshPeers) {
@@ -870,6 +885,7 @@
     }
     this->relayedStore.tick();
     this->relistUpstreamsIfBehind(now);
+    this->renewJobWatchIfBehind(now);
     if (this->configConfirmation) {
         this->configConfirmation->tick();
     }
--- a/src/EntryHost.h
+++ b/src/EntryHost.h
@@ -125,6 +125,8 @@
     [[nodiscard]] absl::Duration configRequestDelay(const Peer &peer) const;
     /** Lists the upstreams again when this host has lacked a change that other hosts know for too long. */
     void relistUpstreamsIfBehind(absl::Time now);
+    /** Renews the watch of the job headers when this host has lacked a change that other hosts know for too long. */
+    void renewJobWatchIfBehind(absl::Time now);
     void applySnapshot(const std::string &body);
 
     void onControlRequest(const std::shared_ptr<HttpExchange> &exchange);
@@ -174,6 +176,7 @@
     /** Store revision of the newest upstream change that this host knows. */
     std::uint64_t upstreamRevision = 0;
     RevisionLag upstreamLag;
+    RevisionLag jobLag;
     /** Since when another host has known a newer revision; infinite future when none does. */
     absl::Time configBehindSince = absl::InfiniteFuture();
     bool storeAvailable = true;
--- a/src/PeerExchange.cpp
+++ b/src/PeerExchange.cpp
@@ -370,6 +370,7 @@
     message.set_config_revision(state.configRevision);
     message.set_store_silent(state.storeSilent);
     message.set_upstream_revision(state.upstreamRevision);
+    message.set_job_revision(state.jobRevision);
     message.set_watches_store(state.watchesStore);
     if (this->loop.now() <= this->announceCrashesUntil) {
         for (const CrashCount &count : this->crashCounts) {
@@ -506,6 +507,7 @@
     sender.configRevision = message.config_revision();
     sender.storeSilent = message.store_silent();
     sender.upstreamRevision = message.upstream_revision();
+    sender.jobRevision = message.job_revision();
     sender.watchesStore = message.watches_store();
     sender.lastHeard = this->loop.now();
     const absl::Duration period = message.next_within_ms() == 0 ? defaultAnnouncementPeriod : absl::Milliseconds(message.next_within_ms());
--- a/src/PeerExchange.h
+++ b/src/PeerExchange.h
@@ -31,6 +31,7 @@
     bool leaving = false;
     std::uint64_t configRevision = 0;
     std::uint64_t upstreamRevision = 0;
+    std::uint64_t jobRevision = 0;
     bool storeSilent = false;
     bool watchesStore = false;
 
--- a/src/PeerTable.h
+++ b/src/PeerTable.h
@@ -33,6 +33,8 @@
     std::uint64_t configRevision = 0;
     /** Store revision of the newest upstream change that the host knows. */
     std::uint64_t upstreamRevision = 0;
+    /** Store revision of the newest job header that the host knows. */
+    std::uint64_t jobRevision = 0;
     /** A recent store call of the host got no answer. */
     bool storeSilent = false;
     /** Bandwidth of the host's network link in Mbit/s; 0 when it is unknown. */
--- a/src/RelayedStore.cpp
+++ b/src/RelayedStore.cpp
@@ -171,11 +171,11 @@
 void RelayedStore::callStore(const std::shared_ptr<Call> &call)
 {
     FollowedKind &kind = this->kinds.at(call->kind);
-    const auto handleResult = [&kind](bool succeeded) {
+    const auto handleResult = [&kind, number = ++kind.storeCalls](bool succeeded) {
         if (succeeded) {
             kind.watchesStore = true;
             kind.storeFailed = false;
-        } else {
+        } else if (number == kind.storeCalls) {
             stopWatchingStore(kind, true);
         }
     };
--- a/src/RelayedStore.h
+++ b/src/RelayedStore.h
@@ -86,6 +86,8 @@
         std::vector<std::shared_ptr<HttpExchange>> pendingListRequests;
         /** Whether the last call to the store has failed. */
         bool storeFailed = false;
+        /** Number of calls to the store; tells the failure of an abandoned call from that of the latest one. */
+        std::uint64_t storeCalls = 0;
         /** The last encoded answer to a watch and the revisions that it covers; it is reused for followers at the same revision. */
         std::uint64_t cachedAnswerFrom = 0;
         std::uint64_t cachedAnswerTo = 0;
--- a/src/RevisionLag.h
+++ b/src/RevisionLag.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <cstdint>
+#include <deque>
 
 #include <absl/time/time.h>
 
@@ -17,6 +18,9 @@
     static constexpr absl::Duration maxLag = absl::Milliseconds(1200);
     static constexpr absl::Duration maxRetryInterval = absl::Seconds(10);
 
+    /** @p allowedLag is how long a host may lack a change that others know. */
+    explicit RevisionLag(absl::Duration allowedLag = maxLag);
+
     /** Another host has announced that it knows this revision. */
     void recordAnnounced(std::uint64_t revision);
     /** Whether a host that knows @p ownRevision has lagged for so long that it has to fetch the change now. */
@@ -24,9 +28,22 @@
     [[nodiscard]] std::uint64_t newest() const;
 
 private:
+    /** A revision that this host has not reached yet. */
+    struct Awaited {
+        std::uint64_t revision;
+        absl::Time since;
+    };
+
+    /** Removes the revisions that this host has reached, and adds the newest one. */
+    void updateAwaited(std::uint64_t ownRevision, absl::Time now);
+
+    absl::Duration allowedLag;
     std::uint64_t newestRevision = 0;
-    absl::Time behindSince = absl::InfiniteFuture();
-    absl::Duration allowed = maxLag;
+    /** In ascending order. */
+    std::deque<Awaited> awaited;
+    absl::Time lastFetch = absl::InfinitePast();
+    /** Grows with each fetch until this host has caught up. */
+    absl::Duration allowed;
 };
 
 } // namespace Bergamotramp
--- a/test/core/RevisionLagTest.cpp
+++ b/test/core/RevisionLagTest.cpp
@@ -1,5 +1,7 @@
 #include "RevisionLag.h"
 
+#include <algorithm>
+
 #include <gtest/gtest.h>
 
 namespace Bergamotramp {
@@ -37,6 +39,29 @@
     EXPECT_TRUE(lag.fetchDue(7, start + absl::Seconds(3) + RevisionLag::maxLag + step));
 }
 
+// Guards against fetches by a host that gets each change in time but never all of them, because new ones are announced without a pause.
+TEST(RevisionLagTest, steadyChangesAreNoLag)
+{
+    RevisionLag lag;
+    constexpr std::uint64_t changesUnderWay = 10;
+    for (std::uint64_t change = 1; change < 1000; ++change) {
+        lag.recordAnnounced(change);
+        EXPECT_FALSE(lag.fetchDue(change - std::min(change, changesUnderWay), start + step * static_cast<double>(change)));
+    }
+}
+
+// Guards against a lag that is noticed later because the lagging host gets no change at all while more are announced.
+TEST(RevisionLagTest, lagIsNoticedWhileChangesGoOn)
+{
+    RevisionLag lag;
+    absl::Time now = start;
+    for (std::uint64_t change = 4; !lag.fetchDue(3, now); ++change) {
+        lag.recordAnnounced(change);
+        now += step;
+    }
+    EXPECT_LE(now, start + RevisionLag::maxLag + 3 * step);
+}
+
 } // namespace
 
 } // namespace Bergamotramp
--- a/test/site/JobServiceTest.cpp
+++ b/test/site/JobServiceTest.cpp
@@ -1,4 +1,5 @@
 #include "FaultProxy.h"
+#include "JobTypes.h"
 #include "SiteFleet.h"
 
 #include <algorithm>
@@ -193,6 +194,29 @@
     EXPECT_EQ(this->upstreams[0]->running() + this->upstreams[1]->running(), 0U);
 }
 
+// Guards against an ended job that runs on until the watch of its runner is over, if the store's answer to that watch was lost and the
+// host that took the end has crashed before it notified the runner.
+TEST_F(JobServiceTest, cancelledJobStopsAfterALostWatchWithoutANotice)
+{
+    this->start(1, absl::Milliseconds(900));
+    EXPECT_EQ(this->submit(*this->hosts[0], "job-1", 36), 202);
+    ASSERT_TRUE(runUntil(this->loop, [this] { return this->upstreams[0]->running() > 0; }));
+    runFor(this->loop, absl::Seconds(1));
+    this->startHost("witness");
+    this->store.loseWatches("jobs");
+    this->waitUntilHostsKnowEachOther();
+    ASSERT_GT(this->upstreams[0]->running() + this->upstreams[1]->running(), 0U);
+    const HttpRequest end{.method = "PUT",
+                          .target = "/bergamotramp/objects/jobs/job-1/status",
+                          .fields = {},
+                          .body = nlohmann::json{{"status", JobProgress{.cancelled = true}.toJson()}}.dump()};
+    const HttpCall call =
+        this->client.send(this->store.address(), end, {.matchesRequest = {}, .head = [](const HttpHead &) {}, .body = {}, .completed = [] {}, .failed = {}});
+    // The users' requirements count an item as late from four seconds after the lost answer on.
+    runFor(this->loop, absl::Seconds(4));
+    EXPECT_EQ(this->upstreams[0]->running() + this->upstreams[1]->running(), 0U);
+}
+
 // Guards against an item that is retried without end although the upstreams report it as impossible or fail each time.
 TEST_F(JobServiceTest, itemsThatAlwaysFailBecomeDeadLetters)
 {
--- a/test/standin/StandinObjectStore.cpp
+++ b/test/standin/StandinObjectStore.cpp
@@ -51,15 +51,27 @@
 {
     this->mode = newMode;
     if (newMode == ObjectApiMode::Silent) {
-        // Waiting watches are removed and never get a response.
-        for (const auto &watch : this->watches) {
-            watch->timer.cancel();
-            this->unanswered.push_back(watch->exchange);
-        }
-        this->watches.clear();
+        this->loseWatchesIf([](const Watch &) { return true; });
     }
 }
 
+void StandinObjectStore::loseWatches(const std::string &kind)
+{
+    this->loseWatchesIf([&kind](const Watch &watch) { return watch.kind == kind; });
+}
+
+void StandinObjectStore::loseWatchesIf(const std::function<bool(const Watch &)> &lost)
+{
+    std::erase_if(this->watches, [this, &lost](const auto &watch) {
+        if (!lost(*watch)) {
+            return false;
+        }
+        watch->timer.cancel();
+        this->unanswered.push_back(watch->exchange);
+        return true;
+    });
+}
+
 void StandinObjectStore::compact()
 {
     this->history.clear();
--- a/test/standin/StandinObjectStore.h
+++ b/test/standin/StandinObjectStore.h
@@ -2,6 +2,7 @@
 
 #include <cstdint>
 #include <deque>
+#include <functional>
 #include <list>
 #include <map>
 #include <memory>
@@ -37,6 +38,8 @@
 
     [[nodiscard]] std::string address() const;
     void setMode(ObjectApiMode mode);
+    /** The waiting watches of this kind never get a response; later ones do. */
+    void loseWatches(const std::string &kind);
     /** Discards the history of changes, so that watches from earlier revisions get 410. */
     void compact();
     /** Writes an object directly, as the platform or its operator does. */
@@ -68,6 +71,7 @@
         LoopTimer timer;
     };
 
+    void loseWatchesIf(const std::function<bool(const Watch &)> &lost);
     void handle(const std::shared_ptr<HttpExchange> &exchange);
     void get(const std::shared_ptr<HttpExchange> &exchange, const std::string &kind, const std::string &name);
     void write(const std::shared_ptr<HttpExchange> &exchange, const std::string &kind, const std::vector<std::string> &parts);
