Report a connection as lost after a failed write, also when a read shows its end

Cause: the kernel reports a reset to one call only. While a part of the request is unsent, the event loop calls the write first; its failure was left to the read path, where the next read shows a regular end, and that completes an answer without a length.

Change: TcpStream, which owns the fact, keeps that a write has failed and reports each later end as ConnectionLost, after the bytes that arrived before. A process that is killed when it has read all that has arrived ends its connection in order; so an answer that ends with its connection is complete only if the whole request was written. The price: an early answer without a length from an upstream that then closes without reading the request is a 502. Answers with a length or chunks are not affected.

Looked at and left: StreamEnd is read at one other place, the connections of callers, where no end completes a request. The store and other hosts are called by the same client.

--- a/src/HttpClient.cpp
+++ b/src/HttpClient.cpp
@@ -227,13 +227,21 @@
     if (!this->checkResponseExpected()) {
         return;
     }
-    if (how == StreamEnd::EndOfStream && this->headProcessed && !this->skippingResponse && this->unparsed.empty() && this->parser->endOfStream().complete) {
+    if (how == StreamEnd::EndOfStream && this->endCompletesResponse()) {
         this->complete();
         return;
     }
     this->fail(HttpCallError::ConnectionLost);
 }
 
+// A peer whose process ends closes its connection in order as well. If it has not taken the whole request, nothing tells that from the end
+// of a response without a length.
+bool HttpClientConnection::endCompletesResponse()
+{
+    const bool readingResponse = this->headProcessed && !this->skippingResponse && this->unparsed.empty();
+    return readingResponse && this->stream->unsentBytes() == 0 && this->parser->endOfStream().complete;
+}
+
 void HttpClientConnection::fail(HttpCallError error)
 {
     const auto self = this->shared_from_this();
--- a/src/HttpClientConnection.h
+++ b/src/HttpClientConnection.h
@@ -36,6 +36,8 @@
     bool checkResponseExpected();
     void onData(std::string_view bytes);
     void onEnded(StreamEnd how);
+    /** Whether the orderly end of the connection completes the response. */
+    bool endCompletesResponse();
     /** Returns whether the call is still in progress; its head callback may have cancelled it. */
     bool processHead();
     void complete();
--- a/src/TcpStream.cpp
+++ b/src/TcpStream.cpp
@@ -154,7 +154,7 @@
         return;
     }
     if (error) {
-        this->handleEnd(error == asio::error::eof ? StreamEnd::EndOfStream : StreamEnd::ConnectionLost);
+        this->handleEnd(error == asio::error::eof && !this->writeFailed ? StreamEnd::EndOfStream : StreamEnd::ConnectionLost);
         return;
     }
     if (this->handlers.data) {
@@ -202,6 +202,7 @@
     }
     if (error != asio::error::would_block && error != asio::error::try_again) {
         // While the stream is read, the read path reports the end, after it has delivered the bytes that the peer sent before.
+        this->writeFailed = true;
         this->unsent.clear();
         if (this->closing || !this->reading) {
             this->handleEnd(StreamEnd::ConnectionLost);
--- a/src/TcpStream.h
+++ b/src/TcpStream.h
@@ -14,7 +14,7 @@
 
 /** How a connection ended. */
 enum class StreamEnd {
-    /** The peer closed its sending side. */
+    /** The peer closed its sending side in order, and no write has failed before. */
     EndOfStream,
     /** The connection was reset, the peer is unreachable, or it did not respond to TCP for too long. */
     ConnectionLost,
@@ -86,6 +86,8 @@
     bool waitingReadable = false;
     bool waitingWritable = false;
     bool closing = false;
+    /** Whether a write has failed. The socket reports a lost connection to one call only; a later read shows a regular end. */
+    bool writeFailed = false;
     LoopTimer closeTimer;
 };
 
--- a/test/entry/HttpTest.cpp
+++ b/test/entry/HttpTest.cpp
@@ -1,6 +1,8 @@
 #include <gtest/gtest.h>
 #include <rapidcheck.h>
 
+#include <absl/strings/str_cat.h>
+
 #include "FixedResponseServer.h"
 #include "HttpClient.h"
 #include "HttpServer.h"
@@ -185,6 +187,15 @@
         ASSERT_TRUE(runUntil(this->loop, [&record] { return record.ended(); }));
     }
 
+    /** Sends a request that the buffers of a connection do not hold. */
+    void upload(const std::string &address, CallRecord &record)
+    {
+        const HttpRequest request{.method = "POST", .target = "/", .fields = {}, .body = std::string(uploadBytes, 'x')};
+        const HttpCall call = this->client.send(address, request, record.events());
+        ASSERT_TRUE(runUntil(this->loop, [&record] { return record.ended(); }));
+    }
+
+    static constexpr std::size_t uploadBytes = 16 * 1024 * 1024;
     EventLoop loop;
     HttpClient client{this->loop, {}};
 };
@@ -242,6 +253,36 @@
     EXPECT_EQ(record.error, HttpCallError::ConnectionLost);
 }
 
+// Guards against a part of a response that counts as a whole one, because the reset of its connection was reported to the write of the
+// request and a read after it shows a regular end.
+TEST_F(HttpClientTest, resetDuringAnUploadDoesNotCompleteAResponseWithoutALength)
+{
+    FixedResponseServer server(this->loop, "HTTP/1.1 200 OK\r\n\r\nunframed", ConnectionEnd::Reset);
+    server.readsOn = false;
+    CallRecord record;
+    this->upload(server.address(), record);
+    EXPECT_EQ(record.body, "unframed");
+    EXPECT_FALSE(record.completed);
+    EXPECT_EQ(record.error, HttpCallError::ConnectionLost);
+}
+
+// Guards against the same when the process of the peer ends while it has read all that has arrived, so that its connection is closed in
+// order.
+TEST_F(HttpClientTest, endOfConnectionDuringAnUploadDoesNotCompleteAResponseWithoutALength)
+{
+    asio::ip::tcp::acceptor acceptor(this->loop.context(), parseEndpoint("127.0.0.1:0"));
+    asio::ip::tcp::socket accepted(this->loop.context());
+    acceptor.async_accept(accepted, [&accepted](const boost::system::error_code &) {
+        accepted.write_some(asio::buffer(std::string("HTTP/1.1 200 OK\r\n\r\nunframed")));
+        accepted.shutdown(asio::ip::tcp::socket::shutdown_send);
+    });
+    CallRecord record;
+    this->upload("127.0.0.1:" + std::to_string(acceptor.local_endpoint().port()), record);
+    EXPECT_EQ(record.body, "unframed");
+    EXPECT_FALSE(record.completed);
+    EXPECT_EQ(record.error, HttpCallError::ConnectionLost);
+}
+
 // Guards against memory that grows with a response head that never ends, in one field or in many.
 TEST_F(HttpClientTest, endlessHeadIsABadResponse)
 {
--- a/test/entry/UpstreamAttemptTest.cpp
+++ b/test/entry/UpstreamAttemptTest.cpp
@@ -36,6 +36,7 @@
     AttemptResult run(const std::string &response, ConnectionEnd connectionEnd, bool stream = true)
     {
         FixedResponseServer server(this->loop, response, connectionEnd);
+        server.readsOn = !this->uploads;
         std::optional<AttemptResult> result;
         this->events = 0;
         UpstreamAttempt attempt(
@@ -46,11 +47,14 @@
             {.streamStarted = {},
              .event = [this](const StreamEvent &) { ++this->events; },
              .ended = [&result](const AttemptResult &ended) { result = ended; }});
-        attempt.send({.method = "POST", .target = "/", .fields = {}, .body = "prompt"}, "id-1", true);
+        attempt.send({.method = "POST", .target = "/", .fields = {}, .body = std::string(this->uploads ? uploadBytes : 1, 'x')}, "id-1", true);
         EXPECT_TRUE(runUntil(this->loop, [&result] { return result.has_value(); }));
         return result.value_or(AttemptResult());
     }
 
+    static constexpr std::size_t uploadBytes = 16 * 1024 * 1024;
+    /** Whether the requests are larger than the buffers of a connection, and the upstream does not read them. */
+    bool uploads = false;
     EventLoop loop;
     HttpClient client{this->loop, {}};
     FleetLoad load;
@@ -91,6 +95,16 @@
     EXPECT_EQ(this->events, 1);
 }
 
+// Guards against a stream that ends as complete between two events, because its reset was reported to the write of the request.
+TEST_F(UpstreamAttemptTest, resetDuringAnUploadDoesNotCompleteAStream)
+{
+    this->uploads = true;
+    const AttemptResult reset = this->run(untilTheEnd(wholeEvent), ConnectionEnd::Reset);
+    EXPECT_EQ(reset.outcome, AttemptOutcome::MayHaveRun);
+    EXPECT_TRUE(reset.connectionLost);
+    EXPECT_EQ(this->events, 1);
+}
+
 // The same for an answer that is no stream.
 TEST_F(UpstreamAttemptTest, endOfTheConnectionCompletesAPlainAnswerOnlyInOrder)
 {
--- a/test/standin/FixedResponseServer.cpp
+++ b/test/standin/FixedResponseServer.cpp
@@ -50,6 +50,9 @@
 void FixedResponseServer::respond(TcpStream &stream)
 {
     ++this->requests;
+    if (!this->readsOn) {
+        stream.pauseReading();
+    }
     stream.write(this->response);
     if (this->connectionEnd == ConnectionEnd::Close) {
         stream.close();
--- a/test/standin/FixedResponseServer.h
+++ b/test/standin/FixedResponseServer.h
@@ -34,6 +34,8 @@
     EventLoop &loop;
     std::string response;
     ConnectionEnd connectionEnd;
+    /** Whether it reads on after the first bytes of a connection. */
+    bool readsOn = true;
     int accepted = 0;
     int requests = 0;
     /** How the peer ended the connection that ended last. */
