Take an answer with a status that HTTP does not have for no answer

Reported of other systems: a status of 000 reached the client as an answer. Here 000 to 099 were skipped like an informational (1xx) response, so that the attempt waited for another answer until the upstream closed or the time was over; 600 to 999 were passed on to the caller as they came.

Cause: the client only compared the status with the first final one.

Change: a status outside 100 to 599 ends the call as a bad response, at once. The attempt may have run; the caller gets 502, or another upstream's answer where that is allowed.

--- a/src/HttpClient.cpp
+++ b/src/HttpClient.cpp
@@ -16,6 +16,9 @@
 // A peer may send an informational response or a late copy of an earlier one now and then; one that sends more of them is faulty.
 constexpr int maxSkippedResponses = 64;
 constexpr int firstFinalStatus = 200;
+// Statuses outside this range are not defined by HTTP, so the bytes are no response.
+constexpr int minStatus = 100;
+constexpr int maxStatus = 599;
 
 } // namespace
 
@@ -174,6 +177,10 @@
 {
     this->headProcessed = true;
     const HttpHead &head = this->parser->head();
+    if (head.status < minStatus || head.status > maxStatus) {
+        this->fail(HttpCallError::BadResponse);
+        return false;
+    }
     this->skippingResponse = head.status < firstFinalStatus || (this->events.matchesRequest && !this->events.matchesRequest(head));
     if (!this->skippingResponse) {
         this->applyKeepAliveTimeout();
--- a/test/entry/HttpTest.cpp
+++ b/test/entry/HttpTest.cpp
@@ -283,6 +283,20 @@
     EXPECT_EQ(record.error, HttpCallError::ConnectionLost);
 }
 
+// Guards against bytes with a status that HTTP does not have: they were skipped like an informational response, or passed on.
+TEST_F(HttpClientTest, statusOutsideHttpIsABadResponse)
+{
+    for (const char *status : {"000", "001", "099", "600", "999"}) {
+        FixedResponseServer server(this->loop, absl::StrCat("HTTP/1.1 ", status, " Odd\r\nContent-Length: 3\r\n\r\nodd"));
+        CallRecord record;
+        record.head.status = 0;
+        this->call(server.address(), record, record.events());
+        EXPECT_EQ(record.error, HttpCallError::BadResponse) << status;
+        EXPECT_EQ(record.head.status, 0) << status;
+        EXPECT_EQ(record.body, "") << status;
+    }
+}
+
 // Guards against memory that grows with a response head that never ends, in one field or in many.
 TEST_F(HttpClientTest, endlessHeadIsABadResponse)
 {
