--- a/test/entry/HttpTest.cpp
+++ b/test/entry/HttpTest.cpp
@@ -297,6 +297,22 @@
     }
 }
 
+// Guards against a response that stops inside its head and is passed on with an empty body.
+TEST_F(HttpClientTest, responseThatStopsInsideItsHeadIsLost)
+{
+    const std::string head = "HTTP/1.1 200 OK\r\nX-A: b\r\n\r\n";
+    for (const ConnectionEnd connectionEnd : {ConnectionEnd::Close, ConnectionEnd::Reset}) {
+        for (const std::size_t length : {std::size_t{1}, std::size_t{8}, std::size_t{12}, std::size_t{17}, std::size_t{20}, head.size() - 2, head.size() - 1}) {
+            FixedResponseServer server(this->loop, head.substr(0, length), connectionEnd);
+            CallRecord record;
+            record.head.status = 0;
+            this->call(server.address(), record, record.events());
+            EXPECT_EQ(record.error, HttpCallError::ConnectionLost) << length;
+            EXPECT_EQ(record.head.status, 0) << length;
+        }
+    }
+}
+
 // Guards against memory that grows with a response head that never ends, in one field or in many.
 TEST_F(HttpClientTest, endlessHeadIsABadResponse)
 {
