Report a lost connection after the write that found it, not inside it

Cause: a connection with more than 64 KB ahead is not read, so its end is found by the write of the response. TcpStream reported that end to its owner inside write(); the owner took the connection from the exchange that was still writing.

Change: write() calls no handler. A failed write is kept, and the end is reported by the read path, or by the loop after the current callback while the stream is not read. A stream whose write has failed is not open, so requests sent ahead on it are not run.

Ruled out: a check after each write in HttpExchange, which each owner would need.

--- a/src/TcpStream.cpp
+++ b/src/TcpStream.cpp
@@ -171,7 +171,7 @@
 
 void TcpStream::write(std::string_view bytes)
 {
-    if (!this->socket->socket.is_open() || this->closing) {
+    if (!this->open()) {
         return;
     }
     const bool idle = this->unsent.empty();
@@ -201,12 +201,7 @@
         return;
     }
     if (error != asio::error::would_block && error != asio::error::try_again) {
-        // While the stream is read, the read path reports the end, after it has delivered the bytes that the peer sent before.
-        this->writeFailed = true;
-        this->unsent.clear();
-        if (this->closing || !this->reading) {
-            this->handleEnd(StreamEnd::ConnectionLost);
-        }
+        this->handleWriteFailure();
         return;
     }
     if (this->waitingWritable) {
@@ -221,11 +216,26 @@
     });
 }
 
+// The owner may be in the middle of its call of write(), so its handlers are called later: by the read path, after the bytes that the peer
+// sent before, or by the loop while the stream is not read.
+void TcpStream::handleWriteFailure()
+{
+    this->writeFailed = true;
+    this->unsent.clear();
+    if (this->closing) {
+        this->closeSocket();
+    } else if (!this->reading) {
+        this->loop.post([self = this->shared_from_this()] { self->handleEnd(StreamEnd::ConnectionLost); });
+    }
+}
+
 void TcpStream::onWritable()
 {
     const std::size_t waiting = this->unsent.size();
-    // A failed write clears the buffer and ends the stream, which removes the handler.
     this->flush();
+    if (this->writeFailed) {
+        return;
+    }
     const std::size_t accepted = waiting - std::min(waiting, this->unsent.size());
     if (accepted > 0 && this->handlers.sent) {
         // Copied because the handler may destroy this->handlers while it runs.
@@ -305,7 +315,7 @@
 
 bool TcpStream::open() const
 {
-    return this->socket->socket.is_open() && !this->closing;
+    return this->socket->socket.is_open() && !this->closing && !this->writeFailed;
 }
 
 std::size_t TcpStream::unsentBytes() const
--- a/src/TcpStream.h
+++ b/src/TcpStream.h
@@ -51,7 +51,7 @@
 
     /** Starts to read and reports to @p handlers. */
     void start(Handlers handlers);
-    /** Sends @p bytes; buffers what the socket does not accept yet. */
+    /** Sends @p bytes; buffers what the socket does not accept yet. Calls no handler, also when the connection turns out to be lost. */
     void write(std::string_view bytes);
     void pauseReading();
     void resumeReading();
@@ -59,6 +59,7 @@
     void close();
     /** Closes the connection at once with a TCP reset, so that the peer does not take a partial message for a complete one. */
     void reset();
+    /** Whether bytes can be sent. */
     [[nodiscard]] bool open() const;
     [[nodiscard]] std::size_t unsentBytes() const;
     /** Memory of the buffer for unsent bytes. */
@@ -73,6 +74,7 @@
     void waitReadable();
     void onReadable();
     void flush();
+    void handleWriteFailure();
     void onWritable();
     void handleEnd(StreamEnd how);
     void closeSocket();
--- a/test/entry/HttpTest.cpp
+++ b/test/entry/HttpTest.cpp
@@ -119,6 +119,37 @@
     EXPECT_EQ(client.received.find("0\r\n\r\n"), std::string::npos);
 }
 
+// Guards against the end of the process by a caller that sends more requests ahead than are read and leaves: the write of the response
+// found the connection lost and ended the exchange that was writing.
+TEST_F(HttpServerTest, callerThatSendsAheadAndLeavesEndsOnlyItsConnection)
+{
+    const std::string request = "GET / HTTP/1.1\r\nHost: a\r\nX-Long: " + std::string(6000, 'x') + "\r\n\r\n";
+    constexpr int requestsAhead = 20;
+    for (const bool inPieces : {false, true}) {
+        this->exchanges.clear();
+        RawClient client(this->loop, this->server.address());
+        for (int number = 0; number < requestsAhead; ++number) {
+            client.stream->write(request);
+        }
+        ASSERT_TRUE(runUntil(this->loop, [this] { return this->exchanges.size() == 1; }));
+        runFor(this->loop, absl::Milliseconds(50));
+        client.stream->reset();
+        runFor(this->loop, absl::Milliseconds(50));
+        const auto exchange = this->exchanges[0];
+        if (inPieces) {
+            exchange->startBody({});
+            exchange->sendBody("part");
+            exchange->finishBody();
+        } else {
+            exchange->respond({.head = {}, .body = "whole"});
+        }
+        EXPECT_TRUE(runUntil(this->loop, [this] { return this->server.connections() == 0; }));
+    }
+    RawClient other(this->loop, this->server.address());
+    other.stream->write("GET /other HTTP/1.1\r\nHost: a\r\n\r\n");
+    EXPECT_TRUE(runUntil(this->loop, [this] { return this->exchanges.back()->request().target == "/other"; }));
+}
+
 // Guards against a response that is sent for another request of the same connection.
 TEST_F(HttpServerTest, pipelinedRequestsAreAnsweredInOrder)
 {
--- a/test/hostile/HostileTest.cpp
+++ b/test/hostile/HostileTest.cpp
@@ -1,4 +1,5 @@
 #include <csignal>
+#include <optional>
 
 #include <gtest/gtest.h>
 
@@ -19,6 +20,7 @@
 constexpr std::size_t wholeText = 16 * 1024 * 1024;
 constexpr std::size_t connections = 400;
 constexpr std::size_t pipelinedBytes = 512 * 1024;
+constexpr std::size_t aheadBytes = 128 * 1024;
 // Time for the daemon to do what the crowd has asked for.
 constexpr absl::Duration settleTime = absl::Milliseconds(1500);
 constexpr int smallReceiveBytes = 4 * 1024;
@@ -34,6 +36,8 @@
     CallerText text;
     std::size_t pieceBytes = wholeText;
     int receiveBytes = 0;
+    /** Whether the callers close their connections, with answers that they have not read. */
+    bool leaves = false;
 };
 
 /** A head up to its last line, with the paths of a route, of no route and of jobs in turn. */
@@ -83,6 +87,14 @@
     return text;
 }
 
+/** Streams that are asked for ahead, in more bytes than the daemon reads beside a request in progress. */
+std::string streamsAhead(std::size_t)
+{
+    const std::string request =
+        absl::StrCat("POST /stream/x HTTP/1.1\r\nHost: site\r\nX-Request-Id: crowd\r\nX-Long: ", std::string(6000, 'x'), "\r\nContent-Length: 2\r\n\r\n{}");
+    return repeated(request, aheadBytes);
+}
+
 CallerText unreadAnswer(const std::string &path)
 {
     return [path](std::size_t) { return absl::StrCat("POST ", path, " HTTP/1.1\r\nHost: site\r\nX-Request-Id: crowd\r\nContent-Length: 2\r\n\r\n{}"); };
@@ -118,6 +130,7 @@
         return declared(3 * number + 2, body.size(), body);
     };
     return {{.name = "jsonFields", .callers = 10, .text = fields},
+            {.name = "aheadAndGone", .callers = bodyCallers, .text = streamsAhead, .receiveBytes = smallReceiveBytes, .leaves = true},
             {.name = "unreadAnswers", .callers = bodyCallers, .text = unreadAnswer("/large/x"), .receiveBytes = smallReceiveBytes},
             {.name = "unreadStreams", .callers = bodyCallers, .text = unreadAnswer("/stream/x"), .receiveBytes = smallReceiveBytes}};
 }
@@ -133,12 +146,16 @@
     void TestBody() override
     {
         const std::size_t memoryBefore = this->site.peakMemory();
-        HostileCrowd crowd([this] { runFor(this->site.loop, absl::Milliseconds(2)); });
+        std::optional<HostileCrowd> crowd([this] { runFor(this->site.loop, absl::Milliseconds(2)); });
         for (std::size_t number = 0; number < this->kind.callers; ++number) {
-            crowd.add((this->site.*address).address(), this->kind.text(number), this->kind.receiveBytes);
+            crowd->add((this->site.*address).address(), this->kind.text(number), this->kind.receiveBytes);
         }
-        crowd.sendAll(this->kind.pieceBytes);
+        crowd->sendAll(this->kind.pieceBytes);
         runFor(this->site.loop, settleTime);
+        if (this->kind.leaves) {
+            crowd.reset();
+            runFor(this->site.loop, settleTime);
+        }
         EXPECT_LT(this->site.descriptors(), HostileLimits::descriptors);
         EXPECT_TRUE(this->site.ordinaryRequestIsAnswered());
         ASSERT_TRUE(this->site.alive());
