--- a/review/standin-3/Replica.cpp
+++ b/review/standin-3/Replica.cpp
@@ -6,7 +6,7 @@
 
 namespace {
 
-constexpr std::size_t threads = 32;
+constexpr std::size_t threads = 48;
 constexpr int misdirected = 421;
 constexpr int full = 503;
 
