Add review case 13: a host that is cut off joins streams of two software versions

Cause: a host to which no holder of a stream's origin answers goes on at the version that it takes for the only one, although its view of the registrations may be from before the stream began. Entry of KNOWN-RED.txt (HostOutOfStepTest), not shown with processes before.

Nothing of the product is changed.

--- a/review/standin-3/Hosts.cpp
+++ b/review/standin-3/Hosts.cpp
@@ -3,6 +3,7 @@
 #include <chrono>
 #include <csignal>
 #include <fstream>
+#include <set>
 #include <stdexcept>
 #include <thread>
 #include <utility>
@@ -40,6 +41,8 @@
 
 int freePort()
 {
+    // The system may name a port again that no process has bound yet.
+    static std::set<int> named;
     for (;;) {
         const int tcp = ::socket(AF_INET, SOCK_STREAM, 0);
         const int udp = ::socket(AF_INET, SOCK_DGRAM, 0);
@@ -52,7 +55,7 @@
         found = found && ::bind(udp, reinterpret_cast<sockaddr *>(&address), length) == 0;
         ::close(tcp);
         ::close(udp);
-        if (found) {
+        if (found && named.insert(ntohs(address.sin_port)).second) {
             return ntohs(address.sin_port);
         }
     }
--- a/review/standin-3/Replica.cpp
+++ b/review/standin-3/Replica.cpp
@@ -96,6 +96,11 @@
         this->options.began(id);
     }
     response.set_header("X-Response-Signature", "by-" + this->options.id);
+    if (this->options.answerBytes > 0) {
+        std::this_thread::sleep_for(this->options.work);
+        response.set_content(std::string(this->options.answerBytes, 'a'), "text/plain");
+        return;
+    }
     response.set_chunked_content_provider("text/event-stream", [this, run](std::size_t, httplib::DataSink &sink) { return this->sendEvent(*run, sink); });
 }
 
@@ -112,7 +117,7 @@
     if (this->crashed) {
         return false;
     }
-    const std::string event = "id: " + std::to_string(run.next) + "\ndata: " + eventData(run.requestId, run.next) + "\n\n";
+    const std::string event = "id: " + std::to_string(run.next) + "\ndata: " + this->options.version + " " + eventData(run.requestId, run.next) + "\n\n";
     ++run.next;
     return sink.write(event.data(), event.size());
 }
--- a/review/standin-3/Replica.h
+++ b/review/standin-3/Replica.h
@@ -18,10 +18,15 @@
 public:
     struct Options {
         std::string id;
+        std::string version = "v1";
         int slots = 8;
         /** Events of each answer. */
         int events = 20;
         std::chrono::milliseconds interval{10};
+        /** Bytes of an answer with a length, which takes the place of the events; 0 for events. */
+        std::size_t answerBytes = 0;
+        /** Work before an answer with a length. */
+        std::chrono::milliseconds work{300};
         /** Called when a request begins to run, and when its last event has been sent. */
         std::function<void(const std::string &requestId)> began{};
         std::function<void(const std::string &requestId)> finished{};
