Ask the store before a stream without a record goes on at the only version of its service

Cause: without a record of a stream, a host concluded its version from the changes that its watch of the store had brought. A watch that is lost looks like one without changes, and the loss shows when the configuration's watch fails, 1.5 to 6.5 s after the cut. So the phase of the watch at the cut decided; that is why the case held at times. Another host that was cut off too gave the same conclusion from the same old registrations, and that counted as evidence.

Change: a conclusion names the store revision up to which its host knows all changes (SoleVersion), also between hosts. The host that decides takes the newest one and reads from the store itself what was registered since (RegistrationReader); the read begins after the take-up came, so it includes the upstream that began the stream. Each list of the upstreams begins the history anew: a list after a lost watch, an expired history or a lag hid a version that had come and gone. This takes the place of upstreamsCurrent, which relied on the loss being noticed.

Ruled out: the second claim of the case, a wait of the watch that is too long, alone: CutDuringWatchTest fails at each phase, also 0.3 s before the end of the wait.

--- a/src/EntryHost.cpp
+++ b/src/EntryHost.cpp
@@ -203,6 +203,13 @@
 
 void EntryHost::createStreamOrigins()
 {
+    this->registrationReader = std::make_unique<RegistrationReader>(
+        RegistrationReader::Context{.loop = this->loop,
+                                    .store = *this->platform.store,
+                                    .log = this->log,
+                                    .kind = this->platform.upstreamKind,
+                                    .decode = this->platform.decodeUpstream,
+                                    .reportUnansweredCall = [this] { this->onStoreFailed("registration read", StoreResult::Unanswered); }});
     this->streamOrigins = std::make_unique<StreamOriginExchange>(
         this->loop,
         this->settings.name,
@@ -210,6 +217,8 @@
         StreamOriginExchange::Hooks{
             .send = [this](const Peer &peer, const auto &fill) { this->peerExchange->sendTo(peer, fill); },
             .soleVersion = [this](const std::string &service) { return this->soleVersion(service); },
+            .confirmSoleVersion =
+                [this](const std::string &service, const SoleVersion &sole, auto done) { this->confirmSoleVersion(service, sole, std::move(done)); },
             .hasSeveralVersions = [this](const std::string &service) { return this->hasSeveralVersions(service); },
             .hasOtherVersions = [this](const std::string &service, const std::string &version) { return this->versions.hasOther(service, version); }});
 }
@@ -396,8 +405,6 @@
     if (result == StoreResult::Unanswered) {
         this->storeUnansweredAt = this->loop.now();
     }
-    this->upstreamsCurrent = false;
-    this->versions.interrupt();
     if (this->storeAvailable) {
         this->storeAvailable = false;
         this->upstreams.registryLost(this->loop.now());
@@ -485,7 +492,8 @@
     }
     this->upstreamsKnown = true;
     this->upstreams.replaceAll(decoded, this->loop.now());
-    this->upstreamsCurrent = true;
+    // A list does not tell which upstreams have come and gone since the last change that this host knew.
+    this->versions.interrupt();
     this->observeVersions();
     this->releaseWaitingRequests();
     this->log.write("upstreams_listed", {{"upstreams", static_cast<std::uint64_t>(decoded.size())}});
@@ -561,14 +569,33 @@
 
 void EntryHost::observeVersions()
 {
-    if (this->upstreamsCurrent) {
+    if (this->upstreamsKnown) {
         this->versions.observe(this->upstreams.all(), this->loop.now());
     }
 }
 
-std::optional<std::string> EntryHost::soleVersion(const std::string &service) const
+std::optional<SoleVersion> EntryHost::soleVersion(const std::string &service) const
 {
-    return this->config ? this->versions.soleVersion(service, this->takeUpPeriod(service), this->loop.now()) : std::nullopt;
+    if (!this->config) {
+        return std::nullopt;
+    }
+    const auto version = this->versions.soleVersion(service, this->takeUpPeriod(service), this->loop.now());
+    if (!version) {
+        return std::nullopt;
+    }
+    return SoleVersion{.version = *version, .knownUntilRevision = this->upstreamWatcher->reportedRevision()};
+}
+
+void EntryHost::confirmSoleVersion(const std::string &service, const SoleVersion &sole, std::function<void(bool)> done)
+{
+    if (!this->storeAvailable) {
+        done(false);
+        return;
+    }
+    this->registrationReader->readSince(sole.knownUntilRevision, [service, version = sole.version, done = std::move(done)](const auto &registered) {
+        const auto isOther = [&](const UpstreamInfo &upstream) { return upstream.service == service && upstream.softwareVersion != version; };
+        done(registered && std::ranges::none_of(*registered, isOther));
+    });
 }
 
 bool EntryHost::hasSeveralVersions(const std::string &service) const
--- a/src/EntryHost.h
+++ b/src/EntryHost.h
@@ -28,8 +28,10 @@
 #include "PlatformAdapter.h"
 #include "PromptPartQuarantine.h"
 #include "QuotaExchange.h"
+#include "RegistrationReader.h"
 #include "RelayedStore.h"
 #include "RevisionLag.h"
+#include "SoleVersion.h"
 #include "StartPlan.h"
 #include "StopPlan.h"
 #include "StreamOriginExchange.h"
@@ -101,14 +103,17 @@
     void applyConfig(const ObjectRecord &object);
     /** Keeps the version in force. */
     void rejectConfig(std::uint64_t revision, const ConfigRejection &rejection);
+    /** Takes over a complete list of the upstreams. */
     void applyUpstreams(const std::vector<ObjectRecord> &objects);
     void applyUpstreamChange(const ObjectChange &change);
     void onStatedLeaving(const LeavingStatement &statement);
     /** Takes the run of an upstream out of the choice for new requests; @p source is what this host learned it from. Returns whether it was new. */
     bool recordStatedLeaving(const UpstreamRun &run, const std::string &source);
     void observeVersions();
-    /** The only software version that can have begun a stream of the service which callers may still take up, if that is certain. */
-    [[nodiscard]] std::optional<std::string> soleVersion(const std::string &service) const;
+    /** The only software version that can have begun a stream of the service which callers may still take up, as far as this host knows. */
+    [[nodiscard]] std::optional<SoleVersion> soleVersion(const std::string &service) const;
+    /** Asks the store whether the service has had no other version since then; @p done gets false if that is not certain. */
+    void confirmSoleVersion(const std::string &service, const SoleVersion &sole, std::function<void(bool)> done);
     [[nodiscard]] bool hasSeveralVersions(const std::string &service) const;
     /** How long after its first event callers may take up a stream of the service. Requires a configuration. */
     [[nodiscard]] absl::Duration takeUpPeriod(const std::string &service) const;
@@ -166,8 +171,6 @@
     PeerTable peers;
     UpstreamLimiter limiter;
     VersionHistory versions;
-    /** Whether the upstreams have been listed since the store was last lost. */
-    bool upstreamsCurrent = false;
     std::shared_ptr<const RoutingConfig> config;
     ConfigVersions configVersions;
     nlohmann::json configObject;
@@ -190,6 +193,7 @@
     PeerClient peerClient;
     std::unique_ptr<PeerExchange> peerExchange;
     std::unique_ptr<PeerDiscovery> peerDiscovery;
+    std::unique_ptr<RegistrationReader> registrationReader;
     std::unique_ptr<StreamOriginExchange> streamOrigins;
     std::unique_ptr<QuotaExchange> quotas;
     /** Null without a bound on the time that a revocation takes. */
--- a/src/StreamOriginExchange.cpp
+++ b/src/StreamOriginExchange.cpp
@@ -72,8 +72,8 @@
         return;
     }
     lookUp.service = service;
-    if (const auto version = this->hooks.soleVersion(service)) {
-        lookUp.soleVersions.insert(*version);
+    if (const auto sole = this->hooks.soleVersion(service)) {
+        lookUp.conclusions.push_back(*sole);
     }
     const std::vector<Peer> holders = this->otherHolders(stream);
     if (holders.empty()) {
@@ -117,10 +117,11 @@
     if (const auto origin = this->origins.find(query.stream(), this->loop.now())) {
         answer.set_service(origin->service);
         answer.set_software_version(origin->softwareVersion);
-    } else if (const auto version = this->hooks.soleVersion(query.service())) {
+    } else if (const auto sole = this->hooks.soleVersion(query.service())) {
         answer.set_service(query.service());
-        answer.set_software_version(*version);
+        answer.set_software_version(sole->version);
         answer.set_inferred(true);
+        answer.set_known_until_revision(sole->knownUntilRevision);
     } else if (this->hooks.hasSeveralVersions(query.service())) {
         // Without a version, this contradicts a host that has missed a version and takes another for the only one.
         answer.set_service(query.service());
@@ -147,7 +148,7 @@
         return;
     }
     if (origin.isKnown()) {
-        found->second.soleVersions.insert(origin.softwareVersion);
+        found->second.conclusions.push_back({.version = origin.softwareVersion, .knownUntilRevision = entry.known_until_revision()});
     } else if (entry.inferred()) {
         found->second.severalVersions = true;
     }
@@ -156,17 +157,46 @@
     }
 }
 
+std::optional<SoleVersion> StreamOriginExchange::concludedVersion(const LookUp &lookUp) const
+{
+    const std::optional<SoleVersion> sole = lookUp.severalVersions ? std::nullopt : combine(lookUp.conclusions);
+    // What other hosts conclude may not contradict what this host has seen, if it has not been running for long enough itself.
+    const bool contradicted = sole && !this->hooks.soleVersion(lookUp.service) && this->hooks.hasOtherVersions(lookUp.service, sole->version);
+    return contradicted ? std::nullopt : sole;
+}
+
 void StreamOriginExchange::finishWithoutRecord(std::uint64_t stream)
 {
-    const LookUp &lookUp = this->lookUps.at(stream);
-    if (lookUp.severalVersions || lookUp.soleVersions.size() != 1) {
+    LookUp &lookUp = this->lookUps.at(stream);
+    if (lookUp.confirming) {
+        return;
+    }
+    const std::optional<SoleVersion> sole = this->concludedVersion(lookUp);
+    if (!sole) {
         this->finishLookUp(stream, std::nullopt);
         return;
     }
-    const StreamOrigin origin{.service = lookUp.service, .softwareVersion = *lookUp.soleVersions.begin()};
-    // What other hosts conclude may not contradict what this host has seen, if it has not been running for long enough itself.
-    const bool certain = this->hooks.soleVersion(origin.service) || !this->hooks.hasOtherVersions(origin.service, origin.softwareVersion);
-    this->finishLookUp(stream, certain ? std::optional<StreamOrigin>(origin) : std::nullopt);
+    // The stream may have begun after the last change that the hosts have heard of, and hosts that are cut off from the store together
+    // conclude the same. A read that begins now includes every upstream that was registered when the caller lost the stream.
+    lookUp.confirming = true;
+    lookUp.timer.cancel();
+    this->hooks.confirmSoleVersion(lookUp.service, *sole, [this, stream](bool confirmed) { this->onConfirmation(stream, confirmed); });
+}
+
+void StreamOriginExchange::onConfirmation(std::uint64_t stream, bool confirmed)
+{
+    const auto found = this->lookUps.find(stream);
+    if (found == this->lookUps.end()) {
+        // A record of the stream has come meanwhile.
+        return;
+    }
+    // Another host may have contradicted meanwhile.
+    const std::optional<SoleVersion> sole = this->concludedVersion(found->second);
+    if (!confirmed || !sole) {
+        this->finishLookUp(stream, std::nullopt);
+        return;
+    }
+    this->finishLookUp(stream, StreamOrigin{.service = found->second.service, .softwareVersion = sole->version});
 }
 
 void StreamOriginExchange::finishLookUp(std::uint64_t stream, const std::optional<StreamOrigin> &origin)
--- a/src/StreamOriginExchange.h
+++ b/src/StreamOriginExchange.h
@@ -4,12 +4,12 @@
 #include <functional>
 #include <map>
 #include <optional>
-#include <set>
 #include <string>
 #include <vector>
 
 #include "EventLoop.h"
 #include "PeerTable.h"
+#include "SoleVersion.h"
 #include "StreamOrigins.h"
 #include "peer.pb.h"
 
@@ -34,7 +34,12 @@
         /** Sends a message to one host. */
         std::function<void(const Peer &, const std::function<void(peer::HostState &)> &fill)> send;
         /** The only version that can have begun a stream of the service, if the service has had no other one for long enough. */
-        std::function<std::optional<std::string>(const std::string &service)> soleVersion;
+        std::function<std::optional<SoleVersion>(const std::string &service)> soleVersion;
+        /**
+         * Asks the store whether the service has had no other version since the revision of @p sole either, up to some time after this call.
+         * @p done gets false if there is no answer in time.
+         */
+        std::function<void(const std::string &service, const SoleVersion &sole, std::function<void(bool)> done)> confirmSoleVersion;
         /** Whether the service has had several versions, any of which can have begun a stream. */
         std::function<bool(const std::string &service)> hasSeveralVersions;
         /** Whether this host knows another version of the service, current or earlier. */
@@ -58,10 +63,12 @@
     struct LookUp {
         std::string service;
         std::size_t unanswered = 0;
-        /** The versions that this host and others take for the only one that the service has had. */
-        std::set<std::string> soleVersions;
+        /** What this host and others take for the only version that the service has had. */
+        std::vector<SoleVersion> conclusions;
         /** Whether another host knows of several versions, which this host may have missed. */
         bool severalVersions = false;
+        /** Whether the store has been asked to confirm what the hosts conclude. */
+        bool confirming = false;
         std::vector<LookUpHandler> handlers;
         LoopTimer timer;
     };
@@ -70,8 +77,11 @@
     void answerQueries(const Peer &sender, const peer::HostState &message);
     void answerQuery(const peer::StreamOriginQuery &query, peer::StreamOrigin &answer) const;
     void receiveOrigin(const peer::StreamOrigin &entry);
+    /** What the hosts together take for the only version of the service, unless this host or another one has seen a further version. */
+    [[nodiscard]] std::optional<SoleVersion> concludedVersion(const LookUp &lookUp) const;
     /** Ends a look-up that got no record of the stream: the origin is known only if the service has had one version. */
     void finishWithoutRecord(std::uint64_t stream);
+    void onConfirmation(std::uint64_t stream, bool confirmed);
     void finishLookUp(std::uint64_t stream, const std::optional<StreamOrigin> &origin);
 
     EventLoop &loop;
--- a/test/site/StreamVersionTest.cpp
+++ b/test/site/StreamVersionTest.cpp
@@ -215,26 +215,35 @@
     EXPECT_EQ(this->wait(this->takeUp(started, "take-up-2", "forgotten-2")).head.status, 200);
 }
 
-/** A service with one version for long, and a host with a store of its own, which can be cut off from the one that the others use. */
+/** A service with one version for long, and hosts with a store of their own, which can be cut off from the one that the others use. */
 class HostOutOfStepTest : public StreamVersionTest
 {
 protected:
     void startWithCutHost(int otherHosts)
+    {
+        this->startWithHostsAtCutStore(otherHosts, 1);
+        this->cutHost = this->hosts.back().get();
+        this->cutStore.setMode(ObjectApiMode::Silent);
+    }
+
+    /** Starts hosts at the common store and @p cutHosts more at the one that will be cut off. */
+    void startWithHostsAtCutStore(int otherHosts, int cutHosts)
     {
         this->start({"v1"}, otherHosts);
-        // The host finds the others in its own store.
+        // The hosts find the others in their own store.
         for (const char *kind : {"config", "servers", "hosts"}) {
             for (const std::string &name : this->store.names(kind)) {
                 this->cutStore.write(kind, name, this->store.read(kind, name).at("spec"));
             }
         }
-        this->cutHost = &this->startHost("cut", this->cutStore.address());
+        for (int number = 0; number < cutHosts; ++number) {
+            this->startHost(absl::StrCat("cut-", number), this->cutStore.address());
+        }
         this->waitUntilHostsKnowEachOther();
         runFor(this->loop, absl::Milliseconds(3 * routeTimeoutMs + 500));
-        this->cutStore.setMode(ObjectApiMode::Silent);
     }
 
-    /** Registers an upstream of another version, of which the host that is cut off does not learn. */
+    /** Registers an upstream of another version, of which the hosts that are cut off do not learn. */
     void addNewVersion()
     {
         UpstreamOptions options;
@@ -268,6 +277,84 @@
     this->expectRefusal(this->wait(this->takeUp(*this->cutHost, "take-up-1", "forgotten")), runs);
 }
 
+/** Hosts that are cut off at some time after their watch of the configuration was answered last, whose loss they would notice first. */
+class CutDuringWatchTest : public HostOutOfStepTest, public testing::WithParamInterface<absl::Duration>
+{
+protected:
+    /** Has the watch answered, and cuts the store and the other host off later. */
+    void cutOffAfterAnswer(absl::Duration elapsed)
+    {
+        this->cutStore.write("config", "main", this->store.read("config", "main").at("spec"));
+        runFor(this->loop, elapsed);
+        this->cutStore.setMode(ObjectApiMode::Silent);
+        this->addNewVersion();
+        this->crashHost(*this->hosts[0]);
+    }
+};
+
+// Guards against a host that is cut off from the store and the other hosts, has not noticed it yet, and takes the version that it knows for
+// the only one.
+TEST_P(CutDuringWatchTest, hostThatIsCutOffAloneRefusesAStreamThatItDoesNotKnow)
+{
+    this->startWithHostsAtCutStore(1, 1);
+    this->cutOffAfterAnswer(this->GetParam());
+    const std::size_t runs = this->runsOfAll();
+    this->expectRefusal(this->wait(this->takeUp(*this->hosts[1], "take-up-1", "forgotten")), runs);
+}
+
+// Guards against two hosts that are cut off together and confirm to each other what both concluded from the same old registrations.
+TEST_P(CutDuringWatchTest, hostsThatAreCutOffTogetherRefuseAStreamThatTheyDoNotKnow)
+{
+    this->startWithHostsAtCutStore(1, 2);
+    this->cutOffAfterAnswer(this->GetParam());
+    const std::size_t runs = this->runsOfAll();
+    this->expectRefusal(this->wait(this->takeUp(*this->hosts[1], "take-up-1", "forgotten-1")), runs);
+    this->expectRefusal(this->wait(this->takeUp(*this->hosts[2], "take-up-2", "forgotten-2")), runs);
+}
+
+// The watch of the configuration waits for 5 s.
+INSTANTIATE_TEST_SUITE_P(AtAllPhases, CutDuringWatchTest, testing::Values(absl::Milliseconds(50), absl::Milliseconds(2500), absl::Milliseconds(4700)));
+
+// Guards against a host whose watch of the upstreams is lost, although the store answers it, and that goes on with a stream of a version
+// which it has missed.
+TEST_F(StreamVersionTest, versionThatTheWatchMissedMakesAStreamUnknown)
+{
+    this->start({"v1"});
+    runFor(this->loop, absl::Milliseconds(3 * routeTimeoutMs + 500));
+    this->store.loseWatches("servers");
+    UpstreamOptions options;
+    options.softwareVersion = "v2";
+    options.tagsVersion = true;
+    this->addUpstream("model", eventCount, eventInterval, options);
+    // The upstream of the version may have left again, too.
+    this->store.erase("servers", this->upstreams.back()->id());
+    const std::size_t runs = this->runsOfAll();
+    this->expectRefusal(this->wait(this->takeUp(*this->hosts[0], "take-up-1", "forgotten")), runs);
+}
+
+// Guards against a call to the store for each stream that callers take up at once, and for those of which another host has a record.
+TEST_F(StreamVersionTest, takeUpsShareOneReadOfTheRegistrations)
+{
+    constexpr int streams = 10;
+    this->start({"v1", "v1"}, 2);
+    runFor(this->loop, absl::Milliseconds(3 * routeTimeoutMs + 500));
+    const auto reads = [this] { return std::ranges::count(this->store.readCalls(), "watch servers"); };
+    const auto readsBefore = reads();
+    this->begin(*this->hosts[0], "recorded", 0);
+    EXPECT_EQ(this->wait(this->takeUp(*this->hosts[1], "take-up", "recorded")).head.status, 200);
+    EXPECT_EQ(reads(), readsBefore);
+    this->crashHost(*this->hosts[0]);
+    std::vector<std::shared_ptr<Answer>> rests;
+    for (int number = 0; number < streams; ++number) {
+        rests.push_back(this->takeUp(*this->hosts[1], absl::StrCat("take-up-", number), absl::StrCat("forgotten-", number)));
+    }
+    for (const auto &rest : rests) {
+        EXPECT_EQ(this->wait(rest).head.status, 200);
+    }
+    // One that was on its way when the others came, and one for all of them.
+    EXPECT_LE(reads() - readsBefore, 2);
+}
+
 } // namespace
 
 } // namespace Bergamotramp
