Give a job up whose route is gone although its host starts no items

Cause: jobs whose route was removed, or whose retention was over, were given up in startItem, which runs only for a host that may start an item now. The number of those is counted from the slots of the services that the host's jobs can use, so a host whose only job has lost its route has none, and the job was never finished: no item ran and none became a dead letter.

Change: giveUpIfExpired checks each job that is ready to start items, before slots are counted. A route that is missing gives a job up only after 10 s, because a host whose configuration is older than the route must not do it; until then the job waits. A route that is no batch route any more counts as missing, as before, in one place (routeOf).

Ruled out: the take-over of such a job, which does not look at its route; reads of its results, which don't either.

--- a/src/JobService.cpp
+++ b/src/JobService.cpp
@@ -17,6 +17,8 @@
 // An answer of the store that took longer, or that was read late because the host was paused, no longer shows that there are no results.
 constexpr absl::Duration maxAgeOfNoResults = absl::Milliseconds(800);
 constexpr absl::Duration storeRetryDelay = absl::Milliseconds(300);
+// A host whose configuration is older than the job's route must not give the job up.
+constexpr absl::Duration minRouteAbsence = absl::Seconds(10);
 // A malformed object is read again after this time, because an operator may repair it.
 constexpr absl::Duration malformedRetryDelay = absl::Seconds(10);
 // The progress of an open job is stored only for the limit on waiting tokens. Far below the limit it is enough to store the
@@ -897,7 +899,8 @@
     std::vector<JobEntry *> candidates;
     std::vector<WaitingJob> waiting;
     for (auto &[id, entry] : this->entries) {
-        if (entry.progress.isOpen() && entry.itemsLoaded && (entry.fenced || !entry.loading) && this->runsHere(entry)) {
+        const bool startsItems = entry.progress.isOpen() && entry.itemsLoaded && (entry.fenced || !entry.loading) && this->runsHere(entry);
+        if (startsItems && !this->giveUpIfExpired(entry, *config, now)) {
             candidates.push_back(&entry);
             waiting.push_back({.submitted = entry.header.submitted, .due = dueTime(entry, *config), .waitingItems = entry.job->waitingItems()});
         }
@@ -923,9 +926,32 @@
     return std::max(minLoadPropagationTime, this->context.loadAge());
 }
 
-absl::Time JobService::dueTime(const JobEntry &entry, const RoutingConfig &config)
+const Route *JobService::routeOf(const JobEntry &entry, const RoutingConfig &config)
 {
     const Route *route = config.match(entry.header.virtualHost, entry.header.pathPrefix);
+    return route != nullptr && route->kind == RouteKind::Batch ? route : nullptr;
+}
+
+// Does not depend on free slots: a job without a route has no upstreams that could get any.
+bool JobService::giveUpIfExpired(JobEntry &entry, const RoutingConfig &config, absl::Time now)
+{
+    if (entry.job->allItemsHaveResult()) {
+        return true;
+    }
+    const Route *route = routeOf(entry, config);
+    entry.routeMissingSince = route == nullptr ? std::min(entry.routeMissingSince, now) : absl::InfiniteFuture();
+    const bool routeGone = now >= entry.routeMissingSince + minRouteAbsence;
+    if (!routeGone && (route == nullptr || now <= entry.header.submitted + route->jobRetention)) {
+        return false;
+    }
+    this->context.log.write("job_given_up", {{"job", entry.header.id}, {"reason", routeGone ? "no_route" : "retention"}});
+    entry.job->failRemainingItems();
+    return true;
+}
+
+absl::Time JobService::dueTime(const JobEntry &entry, const RoutingConfig &config)
+{
+    const Route *route = routeOf(entry, config);
     return route == nullptr ? entry.header.submitted : entry.header.submitted + route->jobDue;
 }
 
@@ -933,7 +959,7 @@
 {
     std::set<std::string> services;
     for (const JobEntry *entry : candidates) {
-        if (const Route *route = config.match(entry->header.virtualHost, entry->header.pathPrefix)) {
+        if (const Route *route = routeOf(*entry, config)) {
             for (const RouteTarget &target : route->targets) {
                 services.insert(target.service);
             }
@@ -993,10 +1019,8 @@
 
 bool JobService::startItem(JobEntry &entry, const RoutingConfig &config, absl::Time now)
 {
-    const Route *route = config.match(entry.header.virtualHost, entry.header.pathPrefix);
-    if (route == nullptr || route->kind != RouteKind::Batch || now > entry.header.submitted + route->jobRetention) {
-        this->context.log.write("job_given_up", {{"job", entry.header.id}, {"reason", route == nullptr ? "no_route" : "retention"}});
-        entry.job->failRemainingItems();
+    const Route *route = routeOf(entry, config);
+    if (route == nullptr) {
         return false;
     }
     this->discardLostOutputs(entry, *route);
--- a/src/JobService.h
+++ b/src/JobService.h
@@ -194,6 +194,8 @@
         absl::Time retryAt = absl::InfinitePast();
         /** Since when this host has known that the runner is lost; infinite future while it is live. */
         absl::Time runnerLostSince = absl::InfiniteFuture();
+        /** Since when the configuration has had no route for the job; infinite future while it has one. */
+        absl::Time routeMissingSince = absl::InfiniteFuture();
         /** After a fence no results are stored before this time: another host may have a lease. */
         absl::Time appendNotBefore = absl::InfinitePast();
         absl::Time progressWrittenAt = absl::InfinitePast();
@@ -284,6 +286,10 @@
     void writeProgress(JobEntry &entry);
     void startItems(absl::Time now);
     [[nodiscard]] absl::Duration loadPropagationTime() const;
+    /** The batch route of a job, or null if the configuration has none. */
+    [[nodiscard]] static const Route *routeOf(const JobEntry &entry, const RoutingConfig &config);
+    /** Gives the unfinished items of a job up whose retention is over or whose route is gone. Returns whether none is left to run. */
+    bool giveUpIfExpired(JobEntry &entry, const RoutingConfig &config, absl::Time now);
     [[nodiscard]] static absl::Time dueTime(const JobEntry &entry, const RoutingConfig &config);
     [[nodiscard]] static std::set<std::string> servicesOf(const std::vector<JobEntry *> &candidates, const RoutingConfig &config);
     /** Lets items begin anew whose partial output no upstream can continue, because all of its software version have left. */
--- a/test/site/JobServiceTest.cpp
+++ b/test/site/JobServiceTest.cpp
@@ -231,6 +231,23 @@
     }
 }
 
+// Guards against a job that is neither run nor given up after its route is gone, because its host starts no other items.
+TEST_F(JobServiceTest, jobWithoutARouteIsGivenUp)
+{
+    constexpr int items = 3;
+    this->start(1);
+    for (const auto &upstream : this->upstreams) {
+        upstream->setMode(UpstreamMode::Full);
+    }
+    EXPECT_EQ(this->submit(*this->hosts[0], "job-1", items), 202);
+    this->writeConfigWithout("batch", 2);
+    const nlohmann::json results = this->readWholeJob(*this->hosts[0], "job-1", items);
+    ASSERT_EQ(results.size(), static_cast<std::size_t>(items));
+    for (const nlohmann::json &result : results) {
+        EXPECT_EQ(result["state"], "dead_letter");
+    }
+}
+
 // Guards against an item that is never run again, or becomes a dead letter, because all upstreams lost the connections of its runs many
 // times, although they serve again. The job changes hands in between.
 TEST_F(JobServiceTest, itemsCompleteAfterABurstOfCrashes)
--- a/test/site/SiteFleet.cpp
+++ b/test/site/SiteFleet.cpp
@@ -45,8 +45,19 @@
                           routeJson("stream", "/stream/", "streaming", "model", timeoutMs),
                           routeJson("plain", "/plain/", "safe", "plain", timeoutMs),
                           routeJson("once", "/once/", "unsafe", "plain", timeoutMs)};
+    nlohmann::json services{{{"name", "model"}}, {{"name", "plain"}}};
+    if (!this->split.is_null()) {
+        for (nlohmann::json &route : routes) {
+            if (route["name"] != "stream" && route["name"] != "once") {
+                route["split"] = this->split;
+            }
+        }
+        for (const nlohmann::json &share : this->split) {
+            services.push_back({{"name", share["service"]}});
+        }
+    }
     nlohmann::json config{{"version", version},
-                          {"services", {{{"name", "model"}}, {{"name", "plain"}}}},
+                          {"services", services},
                           {"limits", {{"maxHeaderBytes", 16384}, {"maxBodyBytes", 4194304}, {"headerTimeoutMs", 3000}, {"idleTimeoutMs", 15000}}}};
     if (!this->organisations.is_null()) {
         config["tenants"] = this->organisations;
@@ -57,6 +68,20 @@
     this->store.write("config", "main", config);
 }
 
+void SiteFleet::writeConfigWithout(const std::string &route, int version)
+{
+    nlohmann::json config = this->store.read("config", "main").at("spec");
+    nlohmann::json kept = nlohmann::json::array();
+    for (const nlohmann::json &each : config["routes"]) {
+        if (each["name"] != route) {
+            kept.push_back(each);
+        }
+    }
+    config["version"] = version;
+    config["routes"] = kept;
+    this->store.write("config", "main", config);
+}
+
 void SiteFleet::registerUpstream(const StandinUpstream &upstream, const std::string &service, const std::string &state, std::optional<std::int64_t> startedAtMs)
 {
     nlohmann::json entry{
--- a/test/site/SiteFleet.h
+++ b/test/site/SiteFleet.h
@@ -57,6 +57,8 @@
     /** @p startedAtMs distinguishes the runs of an upstream under one id: its number of starts by default; 0 leaves it out. */
     void registerUpstream(const StandinUpstream &upstream, const std::string &service, const std::string &state, std::optional<std::int64_t> startedAtMs = {});
     void writeConfig(int version, int timeoutMs = 5000);
+    /** Writes a configuration without the route of this name. */
+    void writeConfigWithout(const std::string &route, int version);
     std::shared_ptr<Answer> send(
         const RunningHost &host, const std::string &method, const std::string &target, const HttpFields &fields, const std::string &body = "");
     /** Sends a request and waits for the whole response. */
@@ -72,6 +74,8 @@
     /** The body of a stream with the events from @p first to @p events. */
     [[nodiscard]] static std::string wholeStream(int events, int first = 1);
 
+    /** Shares of the services in the batch, plain and resumable routes of the next configuration; null for a single service. */
+    nlohmann::json split;
     /** Organisations of the next configuration; null for a configuration without any. It then has no public routes either. */
     nlohmann::json organisations;
     /** Added to each request of a caller. */
