Run the items and requests of a split route at another target if their own has no upstream

Cause: JobService::startItem took the next item of a job before it knew the target that the item belongs to. The target was fixed by the item's index, so jobs with few items sent nothing to a small target. Online requests had the same fault: their target was drawn once, and its share was refused with 503 while other targets had room.

Change: targetOrder puts the targets of a route in an order for each request, drawn by the weights. ItemPlacement finds the upstream of an item, and Job::nextItem passes items that find none. An item leaves a target without any upstream at once, and a busy one when half of the time to its due time has passed. An online attempt goes to the first target with room. What has begun stays with its service. The number of items that a host starts is counted by service, and items that no upstream could run don't compete for slots. Targets with weight 0 are left out unless all have it.

Ruled out: partial outputs and take-ups, which go on at their origin only; hedges, which go to the service of the first attempt.

--- a/src/CallHedge.cpp
+++ b/src/CallHedge.cpp
@@ -30,6 +30,11 @@
 {
 }
 
+void CallHedge::setService(const std::string &service)
+{
+    this->subject.service = service;
+}
+
 void CallHedge::onAttempt(bool isRetry)
 {
     const absl::Time now = this->context.loop.now();
--- a/src/CallHedge.h
+++ b/src/CallHedge.h
@@ -43,6 +43,8 @@
 public:
     CallHedge(const HedgeContext &context, std::string requestId, HedgeSubject subject);
 
+    /** Sets the service that the next attempts are sent to. */
+    void setService(const std::string &service);
     /** Records that an attempt starts that is no hedge; @p isRetry tells whether an earlier one may have run. */
     void onAttempt(bool isRetry);
     /** Calls @p due when an attempt that has just started has waited so long that a hedge is useful; never after a hedge was started. */
--- a/src/CallerRequestHandler.cpp
+++ b/src/CallerRequestHandler.cpp
@@ -178,7 +178,6 @@
 void CallerRequestHandler::startOnline(const AuthenticatedRequest &request, const QuotaDecision &decision)
 {
     const Route &route = *request.route;
-    const std::string service = chooseTarget(route, this->context.randomFraction());
     const CallerOrganisation organisation = request.authentication.callerOrganisation(*request.config);
     const auto weakCall = std::make_shared<std::weak_ptr<OnlineCall>>();
     const auto online = std::make_shared<OnlineCall>(this->context.online,
@@ -186,7 +185,7 @@
                                                      request.call,
                                                      route,
                                                      organisation,
-                                                     service,
+                                                     targetOrder(route, this->context.randomFraction()),
                                                      [this, weakCall, decision, owner = request.authentication.organisation] {
                                                          if (const auto ended = weakCall->lock()) {
                                                              if (owner && ended->hasCertainlyNotRun()) {
--- a/src/Job.cpp
+++ b/src/Job.cpp
@@ -43,7 +43,7 @@
     return found == this->indexById.end() ? nullptr : &this->items[found->second];
 }
 
-std::optional<std::size_t> Job::nextItem(absl::Time now, const OriginFilter &mayContinue) const
+std::optional<std::size_t> Job::nextItem(absl::Time now, const ItemFilter &mayStart) const
 {
     std::optional<std::size_t> newItem;
     for (std::size_t index = 0; index < this->states.size(); ++index) {
@@ -51,10 +51,11 @@
         if (state.running || state.hasResult || now < state.notBefore) {
             continue;
         }
-        if (state.lastEvent && mayContinue(state.origin)) {
+        if (state.lastEvent && mayStart(index)) {
             return index;
         }
-        if (!state.lastEvent && !newItem) {
+        // A new item that can't start must not hold up those after it.
+        if (!state.lastEvent && !newItem && mayStart(index)) {
             newItem = index;
         }
     }
--- a/src/Job.h
+++ b/src/Job.h
@@ -42,13 +42,10 @@
     [[nodiscard]] const BatchItem &item(std::size_t index) const;
     [[nodiscard]] const BatchItem *findItem(std::string_view id) const;
 
-    using OriginFilter = std::function<bool(const StreamOrigin &)>;
-    /**
-     * Index of an item that may be started now, or nothing. Items with a partial output come before new ones, but only those whose
-     * output @p mayContinue accepts by its origin.
-     */
+    using ItemFilter = std::function<bool(std::size_t index)>;
+    /** Index of an item to start now among those that @p mayStart accepts, or nothing. Items with a partial output come before new ones. */
     [[nodiscard]] std::optional<std::size_t> nextItem(
-        absl::Time now, const OriginFilter &mayContinue = [](const StreamOrigin &) { return true; }) const;
+        absl::Time now, const ItemFilter &mayStart = [](std::size_t) { return true; }) const;
     /** @p origin is what writes the output, if the item has none yet. */
     void markStarted(std::size_t index, const StreamOrigin &origin = {});
     /** What wrote the partial output of an item. */
--- a/src/JobService.cpp
+++ b/src/JobService.cpp
@@ -43,6 +43,11 @@
 constexpr int maxInterruptionsOfOutput = 3;
 constexpr int permanentFailureStatus = 422;
 
+bool hasFreeSlot(const std::map<std::string, std::int64_t> &freeSlots)
+{
+    return std::ranges::any_of(freeSlots, [](const auto &each) { return each.second > 0; });
+}
+
 } // namespace
 
 JobService::JobService(const JobContext &context)
@@ -902,7 +907,7 @@
         const bool startsItems = entry.progress.isOpen() && entry.itemsLoaded && (entry.fenced || !entry.loading) && this->runsHere(entry);
         if (startsItems && !this->giveUpIfExpired(entry, *config, now)) {
             candidates.push_back(&entry);
-            waiting.push_back({.submitted = entry.header.submitted, .due = dueTime(entry, *config), .waitingItems = entry.job->waitingItems()});
+            waiting.push_back(this->waitingJob(entry, *config));
         }
     }
     const absl::Duration runTime = this->itemRunTime.expected();
@@ -913,10 +918,9 @@
         return;
     }
     this->nextStartRound = now + this->loadPropagationTime();
-    std::int64_t remaining = this->context.choice.batchToStart(servicesOf(candidates, *config), now);
+    FreeSlots freeSlots = this->countFreeSlots(candidates, *config, now);
     for (const std::size_t index : BatchOrder::order(waiting, runTime, now)) {
-        while (remaining > 0 && this->startItem(*candidates[index], *config, now)) {
-            --remaining;
+        while (hasFreeSlot(freeSlots) && this->startItem(*candidates[index], *config, freeSlots, now)) {
         }
     }
 }
@@ -955,17 +959,34 @@
     return route == nullptr ? entry.header.submitted : entry.header.submitted + route->jobDue;
 }
 
-std::set<std::string> JobService::servicesOf(const std::vector<JobEntry *> &candidates, const RoutingConfig &config)
+WaitingJob JobService::waitingJob(const JobEntry &entry, const RoutingConfig &config) const
+{
+    const Route *route = routeOf(entry, config);
+    const bool canRun =
+        route != nullptr && std::ranges::any_of(route->targets, [this](const RouteTarget &target) { return this->hasUpstream(target.service); });
+    return {.submitted = entry.header.submitted, .due = dueTime(entry, config), .waitingItems = canRun ? entry.job->waitingItems() : 0};
+}
+
+bool JobService::hasUpstream(const std::string &service) const
+{
+    return !this->context.upstreams.available(service).empty();
+}
+
+JobService::FreeSlots JobService::countFreeSlots(const std::vector<JobEntry *> &candidates, const RoutingConfig &config, absl::Time now) const
 {
-    std::set<std::string> services;
+    FreeSlots freeSlots;
     for (const JobEntry *entry : candidates) {
-        if (const Route *route = routeOf(*entry, config)) {
-            for (const RouteTarget &target : route->targets) {
-                services.insert(target.service);
+        const Route *route = routeOf(*entry, config);
+        if (route == nullptr) {
+            continue;
+        }
+        for (const RouteTarget &target : route->targets) {
+            if (!freeSlots.contains(target.service)) {
+                freeSlots.emplace(target.service, this->context.choice.batchToStart(target.service, now));
             }
         }
     }
-    return services;
+    return freeSlots;
 }
 
 void JobService::discardLostOutputs(JobEntry &entry, const Route &route)
@@ -987,12 +1008,12 @@
 }
 
 std::shared_ptr<JobService::ItemRun> JobService::createRun(
-    const JobEntry &entry, std::size_t index, const std::string &service, const UpstreamInfo &upstream, int maxFailures, absl::Time now)
+    const JobEntry &entry, std::size_t index, const UpstreamInfo &upstream, int maxFailures, absl::Time now)
 {
     const auto run = std::make_shared<ItemRun>();
     run->jobId = entry.header.id;
     run->item = index;
-    run->service = service;
+    run->service = upstream.service;
     run->started = now;
     run->maxFailures = maxFailures;
     run->resumed = entry.job->lastEvent(index).has_value();
@@ -1017,30 +1038,39 @@
     return run;
 }
 
-bool JobService::startItem(JobEntry &entry, const RoutingConfig &config, absl::Time now)
+ItemPlacement JobService::placementOf(const JobEntry &entry, const Route &route, const FreeSlots &freeSlots, absl::Time now) const
+{
+    const bool urgent = now > entry.header.submitted + route.jobDue * urgentShareOfDueTime;
+    const BatchScope scope = urgent ? BatchScope::All : BatchScope::Near;
+    const auto freeUpstream = [this, &freeSlots, scope, now](const std::string &service,
+                                                             const UpstreamSelector::VersionFilter &version) -> const UpstreamInfo * {
+        const auto slots = freeSlots.find(service);
+        const bool mayStart = slots != freeSlots.end() && slots->second > 0;
+        return mayStart ? this->context.choice.chooseForBatch(service, scope, now, version) : nullptr;
+    };
+    return {route, urgent, {.any = [this](const std::string &service) { return this->hasUpstream(service); }, .free = freeUpstream}};
+}
+
+bool JobService::startItem(JobEntry &entry, const RoutingConfig &config, FreeSlots &freeSlots, absl::Time now)
 {
     const Route *route = routeOf(entry, config);
     if (route == nullptr) {
         return false;
     }
     this->discardLostOutputs(entry, *route);
-    const bool urgent = now > entry.header.submitted + route->jobDue * urgentShareOfDueTime;
-    const BatchScope scope = urgent ? BatchScope::All : BatchScope::Near;
-    const auto upstreamFor = [&](const StreamOrigin &origin) {
-        return this->context.choice.chooseForBatch(origin.service, scope, now, origin.softwareVersion);
+    ItemPlacement placement = this->placementOf(entry, *route, freeSlots, now);
+    const auto upstreamFor = [&entry, &placement](std::size_t index) {
+        const bool partial = entry.job->lastEvent(index).has_value();
+        return partial ? placement.findForPartial(entry.job->outputOrigin(index)) : placement.findForNew(entry.job->item(index).id);
     };
-    const auto index = entry.job->nextItem(now, [&](const StreamOrigin &origin) { return upstreamFor(origin) != nullptr; });
+    const auto index = entry.job->nextItem(now, [&upstreamFor](std::size_t candidate) { return upstreamFor(candidate) != nullptr; });
     if (!index) {
         return false;
     }
-    const bool resumed = entry.job->lastEvent(*index).has_value();
-    const std::string service = resumed ? entry.job->outputOrigin(*index).service : chooseTarget(*route, static_cast<double>(*index % 100) / 100.0);
-    const UpstreamInfo *upstream = resumed ? upstreamFor(entry.job->outputOrigin(*index)) : this->context.choice.chooseForBatch(service, scope, now);
-    if (upstream == nullptr) {
-        return false;
-    }
-    const auto run = this->createRun(entry, *index, service, *upstream, route->maxAttempts, now);
-    entry.job->markStarted(*index, {.service = service, .softwareVersion = upstream->softwareVersion});
+    const UpstreamInfo *upstream = upstreamFor(*index);
+    --freeSlots.at(upstream->service);
+    const auto run = this->createRun(entry, *index, *upstream, route->maxAttempts, now);
+    entry.job->markStarted(*index, {.service = upstream->service, .softwareVersion = upstream->softwareVersion});
     this->runs.push_back(run);
     const BatchItem &item = entry.job->item(*index);
     this->context.log.write("item_started",
--- a/src/JobService.h
+++ b/src/JobService.h
@@ -5,12 +5,12 @@
 #include <map>
 #include <memory>
 #include <optional>
-#include <set>
 #include <string>
 #include <vector>
 
 #include "BatchOrder.h"
 #include "EntryMetrics.h"
+#include "ItemPlacement.h"
 #include "Job.h"
 #include "JobAccess.h"
 #include "JobArchive.h"
@@ -291,13 +291,20 @@
     /** Gives the unfinished items of a job up whose retention is over or whose route is gone. Returns whether none is left to run. */
     bool giveUpIfExpired(JobEntry &entry, const RoutingConfig &config, absl::Time now);
     [[nodiscard]] static absl::Time dueTime(const JobEntry &entry, const RoutingConfig &config);
-    [[nodiscard]] static std::set<std::string> servicesOf(const std::vector<JobEntry *> &candidates, const RoutingConfig &config);
+    /** What BatchOrder needs to know of a job. Items that no upstream of the route could run don't count as waiting. */
+    [[nodiscard]] WaitingJob waitingJob(const JobEntry &entry, const RoutingConfig &config) const;
+    [[nodiscard]] bool hasUpstream(const std::string &service) const;
+    /** Number of items that this host may start now, by service. */
+    using FreeSlots = std::map<std::string, std::int64_t>;
+    [[nodiscard]] FreeSlots countFreeSlots(const std::vector<JobEntry *> &candidates, const RoutingConfig &config, absl::Time now) const;
     /** Lets items begin anew whose partial output no upstream can continue, because all of its software version have left. */
     void discardLostOutputs(JobEntry &entry, const Route &route);
-    bool startItem(JobEntry &entry, const RoutingConfig &config, absl::Time now);
+    /** Starts one item of the job and takes its slot from @p freeSlots. Returns whether an item could be started. */
+    bool startItem(JobEntry &entry, const RoutingConfig &config, FreeSlots &freeSlots, absl::Time now);
+    /** Where items of the job can start at upstreams of services with @p freeSlots. */
+    [[nodiscard]] ItemPlacement placementOf(const JobEntry &entry, const Route &route, const FreeSlots &freeSlots, absl::Time now) const;
     /** A run of an item at the upstream whose request has not been sent yet. */
-    std::shared_ptr<ItemRun> createRun(
-        const JobEntry &entry, std::size_t index, const std::string &service, const UpstreamInfo &upstream, int maxFailures, absl::Time now);
+    std::shared_ptr<ItemRun> createRun(const JobEntry &entry, std::size_t index, const UpstreamInfo &upstream, int maxFailures, absl::Time now);
     void onItemEvent(const std::shared_ptr<ItemRun> &run, const StreamEvent &event);
     void onItemEnded(const std::shared_ptr<ItemRun> &run, const AttemptResult &result);
     void endRun(const std::shared_ptr<ItemRun> &run, RunOutcome outcome);
--- a/src/OnlineCall.cpp
+++ b/src/OnlineCall.cpp
@@ -1,6 +1,7 @@
 #include "OnlineCall.h"
 
 #include <algorithm>
+#include <iterator>
 #include <map>
 #include <utility>
 
@@ -54,14 +55,15 @@
                        CallerCall call,
                        Route route,
                        CallerOrganisation organisation,
-                       std::string service,
+                       std::vector<std::string> services,
                        std::function<void()> onEnded)
     : context(context)
     , exchange(std::move(exchange))
     , call(std::move(call))
     , route(std::move(route))
     , organisation(std::move(organisation))
-    , service(std::move(service))
+    , services(std::move(services))
+    , service(chooseTarget(this->services, [this](const std::string &candidate) { return !this->context.upstreams.available(candidate).empty(); }))
     , onEnded(std::move(onEnded))
     , deadline(this->exchange->received() + std::min(this->call.timeBudget, this->route.timeout))
     , retryPolicy(this->route.repeatable(), this->route.maxAttempts, this->deadline)
@@ -112,8 +114,7 @@
         this->refuse("stream_unknown", "it is not known what wrote the events before; the request may be sent anew", absl::ZeroDuration(), "stream_unknown");
         return;
     }
-    this->origin = found;
-    this->service = found->service;
+    this->setOrigin(*found);
     this->startNextAttempt();
 }
 
@@ -124,7 +125,10 @@
 
 std::string OnlineCall::noUpstreamReason() const
 {
-    const std::vector<const UpstreamInfo *> available = this->context.upstreams.available(this->service);
+    std::vector<const UpstreamInfo *> available;
+    for (const std::string &candidate : this->services) {
+        std::ranges::copy(this->context.upstreams.available(candidate), std::back_inserter(available));
+    }
     if (available.empty()) {
         return "no_upstream";
     }
@@ -132,16 +136,27 @@
     return std::ranges::any_of(available, fits) ? "no_room" : "version_gone";
 }
 
+// A request can't wait for room as an item of a job can, so it goes to another target of its route also when its own is full.
+const UpstreamInfo *OnlineCall::chooseUpstream(const std::set<std::string> &excluded, absl::Time now) const
+{
+    for (const std::string &candidate : this->services) {
+        if (const UpstreamInfo *upstream = this->context.choice.chooseForOnline(candidate, excluded, now, this->requiredVersion())) {
+            return upstream;
+        }
+    }
+    return nullptr;
+}
+
 void OnlineCall::startNextAttempt()
 {
     const absl::Time now = this->context.attempts.loop.now();
-    const UpstreamInfo *upstream = this->context.choice.chooseForOnline(this->service, this->triedUpstreams, now, this->requiredVersion());
+    const UpstreamInfo *upstream = this->chooseUpstream(this->triedUpstreams, now);
     if (upstream == nullptr) {
         // All upstreams have been tried; one that refused the request may have a free slot by now.
-        upstream = this->context.choice.chooseForOnline(this->service, this->failedUpstreams, now, this->requiredVersion());
+        upstream = this->chooseUpstream(this->failedUpstreams, now);
     }
     if (upstream == nullptr) {
-        upstream = this->context.choice.chooseForOnline(this->service, {}, now, this->requiredVersion());
+        upstream = this->chooseUpstream({}, now);
     }
     if (upstream == nullptr) {
         this->giveUp(this->noUpstreamReason());
@@ -155,6 +170,7 @@
 
 void OnlineCall::startFurtherAttempt(const UpstreamInfo &upstream)
 {
+    this->useService(upstream.service);
     if (this->hedge) {
         this->hedge->onAttempt(this->retryPolicy.state() == CallState::MayHaveRun);
     }
@@ -309,12 +325,27 @@
     if (this->origin) {
         return;
     }
-    this->origin = StreamOrigin{.service = this->service, .softwareVersion = upstream.softwareVersion};
+    this->setOrigin({.service = upstream.service, .softwareVersion = upstream.softwareVersion});
     if (this->route.resumable) {
         this->context.recordBegin(this->call.id, *this->origin);
     }
 }
 
+void OnlineCall::setOrigin(const StreamOrigin &writer)
+{
+    this->origin = writer;
+    this->services = {writer.service};
+    this->useService(writer.service);
+}
+
+void OnlineCall::useService(const std::string &used)
+{
+    this->service = used;
+    if (this->hedge) {
+        this->hedge->setService(used);
+    }
+}
+
 void OnlineCall::forwardEvent(int number, const StreamEvent &event)
 {
     if (!this->exchange->started()) {
@@ -334,7 +365,7 @@
     const absl::Time started = running->started;
     const HttpHead streamHead = running->streamHead;
     this->attempts.stop(number);
-    this->context.metrics.recordAttempt(this->service, std::string(nameOf(result.outcome)));
+    this->context.metrics.recordAttempt(upstream.service, std::string(nameOf(result.outcome)));
     if (result.outcome != AttemptOutcome::NotRun) {
         this->failedUpstreams.insert(upstream.id);
     } else {
@@ -548,7 +579,7 @@
     const RunningAttempt &running = this->attempts.running().front();
     const std::string upstream = running.attempt->upstream().id;
     const absl::Duration silent = now - running.attempt->lastActivity();
-    const UpstreamInfo *replacement = this->context.choice.chooseForOnline(this->service, this->triedUpstreams, now, this->requiredVersion());
+    const UpstreamInfo *replacement = this->chooseUpstream(this->triedUpstreams, now);
     if (replacement == nullptr) {
         return;
     }
--- a/src/OnlineCall.h
+++ b/src/OnlineCall.h
@@ -5,6 +5,7 @@
 #include <optional>
 #include <set>
 #include <string>
+#include <vector>
 
 #include "CallAttempts.h"
 #include "CallHedge.h"
@@ -50,13 +51,13 @@
 class OnlineCall : public std::enable_shared_from_this<OnlineCall>
 {
 public:
-    /** @p service is the route's target chosen for this call. @p onEnded is called once, when the call has ended. */
+    /** @p services are the route's targets in the order in which this call uses them (targetOrder()). @p onEnded is called once, when the call has ended. */
     OnlineCall(const OnlineContext &context,
                std::shared_ptr<HttpExchange> exchange,
                CallerCall call,
                Route route,
                CallerOrganisation organisation,
-               std::string service,
+               std::vector<std::string> services,
                std::function<void()> onEnded);
 
     void start();
@@ -71,6 +72,8 @@
     /** Continues a stream that the caller takes up, or refuses it if that could join two software versions. */
     void takeUp(const std::optional<StreamOrigin> &found);
     void startNextAttempt();
+    /** An upstream for an attempt: of the first of the call's services that has one with room besides those in @p excluded; or null. */
+    [[nodiscard]] const UpstreamInfo *chooseUpstream(const std::set<std::string> &excluded, absl::Time now) const;
     /** Why there is no upstream for the next attempt. */
     [[nodiscard]] std::string noUpstreamReason() const;
     [[nodiscard]] UpstreamSelector::VersionFilter requiredVersion() const;
@@ -91,6 +94,10 @@
     bool acceptEventId(int number, std::uint64_t id);
     /** Remembers what began the stream, with its first event. */
     void recordOrigin(const UpstreamInfo &upstream);
+    /** Records what writes the stream; only upstreams of its service can continue it. */
+    void setOrigin(const StreamOrigin &writer);
+    /** Sets the service that the next attempts are sent to. */
+    void useService(const std::string &used);
     void forwardEvent(int number, const StreamEvent &event);
     void onAttemptEnded(int number, const AttemptResult &result);
     /** Logs and counts an attempt that has ended without an answer for the caller. */
@@ -131,6 +138,9 @@
     CallerCall call;
     Route route;
     CallerOrganisation organisation;
+    /** The services that may run the request, in order of preference; never empty. */
+    std::vector<std::string> services;
+    /** The one that the request was last sent to, or goes to first. */
     std::string service;
     std::function<void()> onEnded;
     absl::Time deadline;
--- a/src/Route.h
+++ b/src/Route.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <cstdint>
+#include <functional>
 #include <string>
 #include <vector>
 
@@ -62,7 +63,14 @@
     bool operator==(const Route &) const = default;
 };
 
-/** Selects a service in proportion to the weights; @p fraction is a uniformly distributed number from 0 to 1. */
-const std::string &chooseTarget(const Route &route, double fraction);
+/**
+ * The services of a route in the order in which a request or item uses them. The first is drawn in proportion to the weights, and each
+ * further one likewise from those that are left. Services without a weight are left out if others have one. @p fraction is a uniformly
+ * distributed number from 0 to 1.
+ */
+std::vector<std::string> targetOrder(const Route &route, double fraction);
+
+/** The first service of @p order that has an upstream, or the first one if none has. */
+const std::string &chooseTarget(const std::vector<std::string> &order, const std::function<bool(const std::string &service)> &hasUpstream);
 
 } // namespace Bergamotramp
--- a/src/UpstreamSelector.cpp
+++ b/src/UpstreamSelector.cpp
@@ -232,13 +232,11 @@
     return static_cast<std::int64_t>(whole) + (this->randomFraction() < share - whole ? 1 : 0);
 }
 
-std::int64_t UpstreamSelector::batchToStart(const std::set<std::string> &services, absl::Time now) const
+std::int64_t UpstreamSelector::batchToStart(std::string_view service, absl::Time now) const
 {
     std::int64_t freeSlots = 0;
-    for (const std::string &service : services) {
-        for (const UpstreamInfo *upstream : this->batchUpstreams(service, BatchScope::Near)) {
-            freeSlots += std::max<std::int64_t>(0, this->freeBatchSlots(*upstream, this->load.total(upstream->id, now), now));
-        }
+    for (const UpstreamInfo *upstream : this->batchUpstreams(service, BatchScope::Near)) {
+        freeSlots += std::max<std::int64_t>(0, this->freeBatchSlots(*upstream, this->load.total(upstream->id, now), now));
     }
     const std::int64_t waiting = std::max<std::int64_t>(1, this->load.sharedBatchWaiting(now));
     const double share = static_cast<double>(freeSlots) * static_cast<double>(this->load.ownBatchWaiting()) / static_cast<double>(waiting);
--- a/src/UpstreamSelector.h
+++ b/src/UpstreamSelector.h
@@ -67,10 +67,10 @@
     /** An upstream with a free slot besides those reserved for online requests, or null. */
     [[nodiscard]] const UpstreamInfo *chooseForBatch(std::string_view service, BatchScope scope, absl::Time now, const VersionFilter &version = {}) const;
     /**
-     * Number of batch requests that this host may start now. Its share of the free batch slots of @p services is its share of
+     * Number of batch requests that this host may start now. Its share of the free batch slots of a service is its share of
      * the batch requests that wait at the hosts which share these upstreams.
      */
-    [[nodiscard]] std::int64_t batchToStart(const std::set<std::string> &services, absl::Time now) const;
+    [[nodiscard]] std::int64_t batchToStart(std::string_view service, absl::Time now) const;
     /** Number of this host's batch requests to cancel at an upstream with more requests than slots: its share of the excess. */
     [[nodiscard]] std::int64_t batchToPreempt(const UpstreamInfo &upstream, absl::Time now) const;
 
--- a/test/core/JobTest.cpp
+++ b/test/core/JobTest.cpp
@@ -226,8 +226,11 @@
     job.appendEvent(0, 1, "one");
     job.finishRun(0, RunOutcome::Interrupted, maxFailures, start);
     const absl::Time later = start + absl::Hours(1);
-    EXPECT_EQ(job.nextItem(later, [&](const StreamOrigin &origin) { return origin == first; }), 0U);
-    EXPECT_EQ(job.nextItem(later, [&](const StreamOrigin &origin) { return origin == second; }), 1U);
+    const auto nextAt = [&job, later](const StreamOrigin &origin) {
+        return job.nextItem(later, [&](std::size_t index) { return !job.lastEvent(index) || job.outputOrigin(index) == origin; });
+    };
+    EXPECT_EQ(nextAt(first), 0U);
+    EXPECT_EQ(nextAt(second), 1U);
     job.markStarted(0, second);
     EXPECT_EQ(job.outputOrigin(0), first);
     job.finishRun(0, RunOutcome::Interrupted, maxFailures, start);
@@ -240,6 +243,17 @@
     EXPECT_EQ(job.unstoredState(unlimitedBytes).results.at(0).output, "anew");
 }
 
+// Guards against items that are never run because an earlier one of the job can't start.
+TEST(JobTest, itemThatCannotStartDoesNotHoldUpOthers)
+{
+    Job job(header(3), items(3));
+    EXPECT_EQ(job.nextItem(start, [](std::size_t index) { return index != 0; }), 1U);
+    job.markStarted(1);
+    EXPECT_EQ(job.nextItem(start, [](std::size_t index) { return index != 0; }), 2U);
+    EXPECT_EQ(job.nextItem(start), 0U);
+    EXPECT_EQ(job.nextItem(start, [](std::size_t) { return false; }), std::nullopt);
+}
+
 // Guards against memory that grows with the output of an item whose upstream never ends it. The item begins anew.
 TEST(JobTest, outputWithoutEndIsDiscarded)
 {
@@ -253,7 +267,7 @@
     EXPECT_LT(event * data.size(), Job::maxOutputBytes);
     EXPECT_EQ(job.lastEvent(0), std::nullopt);
     job.finishRun(0, RunOutcome::Interrupted, maxFailures, start);
-    EXPECT_EQ(job.nextItem(start + absl::Seconds(10), [](const StreamOrigin &) { return true; }), 0U) << "the item is run again";
+    EXPECT_EQ(job.nextItem(start + absl::Seconds(10)), 0U) << "the item is run again";
 }
 
 } // namespace
--- a/test/core/UpstreamSelectorTest.cpp
+++ b/test/core/UpstreamSelectorTest.cpp
@@ -251,7 +251,7 @@
                 continue;
             }
             this->preemptBatch(host);
-            const std::int64_t starts = this->hosts[host]->selector.batchToStart({"modelo"}, this->now);
+            const std::int64_t starts = this->hosts[host]->selector.batchToStart("modelo", this->now);
             for (std::int64_t start = 0; start < starts; ++start) {
                 if (const UpstreamInfo *target = this->hosts[host]->selector.chooseForBatch("modelo", BatchScope::All, this->now)) {
                     this->hosts[host]->load.addRequest(target->id, true);
