Refuse a stream without a record if several targets of its route can have begun it

Cause: a take-up of which no host has a record goes on if the service has had only one version. On a split route the service was the target drawn for the take-up, though the stream may have begun at another one, so its events could be joined from two services.

Change: the question names a service only if the route has a single target. Otherwise only a record continues the stream; without one the take-up is refused as not run.

Ruled out: to conclude it when all targets have had one and the same version, because versions of different services are not comparable.

--- a/src/OnlineCall.cpp
+++ b/src/OnlineCall.cpp
@@ -92,7 +92,9 @@
         return;
     }
     if (this->route.kind == RouteKind::Stream && this->lastEventId) {
-        this->context.findOrigin(this->call.resumedId, this->service, makeWeakCallback(this->weak_from_this(), &OnlineCall::takeUp));
+        // Without a record of the stream, any target of the route may have begun it, so the versions of one of them tell nothing.
+        const std::string presumedService = this->route.targets.size() == 1 ? this->service : "";
+        this->context.findOrigin(this->call.resumedId, presumedService, makeWeakCallback(this->weak_from_this(), &OnlineCall::takeUp));
         return;
     }
     this->startNextAttempt();
--- a/src/OnlineCall.h
+++ b/src/OnlineCall.h
@@ -38,7 +38,10 @@
     std::function<absl::Duration(std::uint64_t part)> trialDelay;
     /** Remembers what began the stream of a caller's attempt, here and at other hosts. */
     std::function<void(const std::string &requestId, const StreamOrigin &origin)> recordBegin;
-    /** Finds what began the stream of a caller's attempt; nothing if no host knows it. */
+    /**
+     * Finds what began the stream of a caller's attempt. Without a record, that is concluded from the versions of @p service, unless it is
+     * empty because several services can have begun it. Gives nothing if it is not known.
+     */
     std::function<void(const std::string &requestId, const std::string &service, std::function<void(const std::optional<StreamOrigin> &)>)> findOrigin;
     /** When a refused caller should come back, if the limits of all upstreams of the service are the reason for the refusal. */
     std::function<std::optional<absl::Duration>(const std::string &service)> reserveReturn;
--- a/src/StreamOriginExchange.h
+++ b/src/StreamOriginExchange.h
@@ -52,8 +52,8 @@
     /** Records that this host passes on the first event of a stream, and tells the holders. */
     void recordBegin(const std::string &requestId, const StreamOrigin &origin);
     /**
-     * Finds the origin of a stream by the id of the caller's attempt that brought its first event; @p service is where the stream
-     * would be continued. @p done may be called before this function returns, and gets nothing when the origin is not known.
+     * Finds the origin of a stream by the id of the caller's attempt that brought its first event; @p service is the only one that can have
+     * begun it, or empty if several can. @p done may be called before this function returns, and gets nothing when the origin is not known.
      */
     void lookUp(const std::string &requestId, const std::string &service, LookUpHandler done);
     /** Applies what another host has sent. */
--- a/test/site/SplitRouteTest.cpp
+++ b/test/site/SplitRouteTest.cpp
@@ -17,10 +17,10 @@
 {
 protected:
     /** Splits the routes over "next" and "model", 50 to 50; "model" has three upstreams. */
-    void start(int upstreamsOfNext, int eventsOfEach = eventCount)
+    void start(int upstreamsOfNext, int eventsOfEach = eventCount, int routeTimeoutMs = 5000)
     {
         this->split = {{{"service", "next"}, {"weight", 50}}, {{"service", "model"}, {"weight", 50}}};
-        this->writeConfig(1);
+        this->writeConfig(1, routeTimeoutMs);
         for (int number = 0; number < 3; ++number) {
             this->addUpstream("model", eventsOfEach, eventInterval);
         }
@@ -102,6 +102,23 @@
     }
 }
 
+// Guards against a stream of one target that goes on at another one, because no host has a record of it and the target that is drawn for the
+// caller has had only one software version.
+TEST_F(SplitRouteTest, streamWithoutARecordIsRefused)
+{
+    constexpr int timeoutMs = 1000;
+    this->start(1, eventCount, timeoutMs);
+    // The hosts know all versions of the time in which a stream can have begun.
+    runFor(this->loop, absl::Milliseconds(3 * timeoutMs + 500));
+    for (int number = 0; number < 10; ++number) {
+        const HttpFields fields{{"X-Request-Id", absl::StrCat("take-up-", number)}, {"Last-Event-Id", "2"}, {"Resumes", absl::StrCat("forgotten-", number)}};
+        EXPECT_EQ(this->wait(this->send(*this->hosts[0], "POST", "/resumable/x", fields, "prompt")).head.status, 503);
+    }
+    for (const auto &upstream : this->upstreams) {
+        EXPECT_TRUE(upstream->runs().empty());
+    }
+}
+
 } // namespace
 
 } // namespace Bergamotramp
