Move the reads of job results out of JobService

How a read is answered, from memory, under the runner's lease or from the store, is a task of its own: JobReads has it now, and JobEntry is what both know of one job. The code is moved as it was; JobReads reaches the jobs through four hooks.

Ruled out: to give JobReads the map of all jobs, because only JobService may change it.

Measured: the tests of jobs, takeovers, planned stops, split routes and the store pass (132 of test_core, test_entry, test_host, test_platform, test_cli and test_site).

--- a/src/JobService.cpp
+++ b/src/JobService.cpp
@@ -9,13 +9,10 @@
 
 namespace {
 
-constexpr std::size_t maxPageBytes = 600 * 1024;
 // A host that has just started knows no other hosts yet, so it takes over no jobs within this time.
 constexpr absl::Duration takeoverDelay = absl::Seconds(3);
 // Every host checks all open jobs of the fleet, so it does not do so with each tick.
 constexpr absl::Duration takeoverCheckPeriod = absl::Milliseconds(400);
-// An answer of the store that took longer, or that was read late because the host was paused, no longer shows that there are no results.
-constexpr absl::Duration maxAgeOfNoResults = absl::Milliseconds(800);
 constexpr absl::Duration storeRetryDelay = absl::Milliseconds(300);
 // A host whose configuration is older than the job's route must not give the job up.
 constexpr absl::Duration minRouteAbsence = absl::Seconds(10);
@@ -27,7 +24,6 @@
 constexpr double progressShareOfLimit = 0.4;
 // Results that become ready within this time are stored in one call.
 constexpr absl::Duration appendDelay = absl::Seconds(1);
-constexpr absl::Duration resultPollDelay = absl::Milliseconds(400);
 // Least time until this host knows which batch requests other hosts have started or preempted at the same upstreams. It covers
 // the transfer of their next announcement between regions and the wait for the next decision here.
 constexpr absl::Duration minLoadPropagationTime = absl::Milliseconds(120);
@@ -51,13 +47,26 @@
 } // namespace
 
 JobService::JobService(const JobContext &context)
-    : context(context), archive(context.store), writer(context.attempts.loop, this->archive), startedAt(context.attempts.loop.now())
+    : context(context)
+    , archive(context.store)
+    , writer(context.attempts.loop, this->archive)
+    , reads(context.attempts.loop,
+            context.log,
+            {.lookUp = [this](const std::string &jobId, LookupHandler done) { this->lookUp(jobId, std::move(done)); },
+             .find =
+                 [this](const std::string &jobId) {
+                     const auto found = this->entries.find(jobId);
+                     return found == this->entries.end() ? nullptr : &found->second;
+                 },
+             .loadResults = [this](JobEntry &entry, std::function<void(StoreResult)> done) { this->load(entry, false, std::move(done)); },
+             .runsHere = [this](const JobEntry &entry) { return this->runsHere(entry); }})
+    , startedAt(context.attempts.loop.now())
 {
 }
 
 JobService::~JobService() = default;
 
-JobService::JobEntry *JobService::applyHeader(const ObjectRecord &object)
+JobEntry *JobService::applyHeader(const ObjectRecord &object)
 {
     JobEntry &entry = this->entries[object.name];
     if (object.revision < entry.revision) {
@@ -75,22 +84,22 @@
     this->newestHeaderRevision = std::max(this->newestHeaderRevision, object.revision);
     const bool ranHere = this->runsHere(entry);
     const bool wasOpen = entry.progress.isOpen();
-    const std::string formerRunner = runnerOf(entry);
+    const std::string formerRunner = entry.runner();
     entry.progress = JobProgress::fromJson(object.status);
-    if (runnerOf(entry) != formerRunner) {
+    if (entry.runner() != formerRunner) {
         entry.runnerLostSince = absl::InfiniteFuture();
     }
     if (ranHere && !this->runsHere(entry)) {
-        this->context.log.write("job_handed_over", {{"job", object.name}, {"to", runnerOf(entry)}, {"revision", object.revision}});
+        this->context.log.write("job_handed_over", {{"job", object.name}, {"to", entry.runner()}, {"revision", object.revision}});
         entry.fenced = false;
         entry.lease.revoke();
         this->stopRuns(object.name);
-        this->resumeReads(entry);
+        this->reads.resume(entry);
     }
     if (wasOpen && entry.progress.cancelled) {
         this->context.log.write("job_cancelled", {{"job", object.name}, {"revision", object.revision}});
         this->stopRuns(object.name);
-        this->resumeReads(entry);
+        this->reads.resume(entry);
     }
     return &entry;
 }
@@ -126,7 +135,7 @@
     }
 }
 
-JobService::JobEntry *JobService::findLoading(const std::string &jobId, std::uint64_t loadNumber)
+JobEntry *JobService::findLoading(const std::string &jobId, std::uint64_t loadNumber)
 {
     const auto found = this->entries.find(jobId);
     return found != this->entries.end() && found->second.loading && found->second.loadNumber == loadNumber ? &found->second : nullptr;
@@ -289,24 +298,19 @@
         if (entry == nullptr) {
             done(result, {});
         } else {
-            done(result, {.host = this->context.selectRunningHost(entry->header.id, runnerOf(*entry)), .organisation = entry->header.organisation});
+            done(result, {.host = this->context.selectRunningHost(entry->header.id, entry->runner()), .organisation = entry->header.organisation});
         }
     });
 }
 
-const std::string &JobService::runnerOf(const JobEntry &entry)
-{
-    return entry.progress.runner.empty() ? entry.header.owner : entry.progress.runner;
-}
-
 bool JobService::runsHere(const JobEntry &entry) const
 {
-    return !this->stopping && runnerOf(entry) == this->context.host;
+    return !this->stopping && entry.runner() == this->context.host;
 }
 
 bool JobService::takeoverIsDue(JobEntry &entry, absl::Time now) const
 {
-    const std::optional<std::size_t> rank = this->context.takeoverRank(entry.header.id, runnerOf(entry));
+    const std::optional<std::size_t> rank = this->context.takeoverRank(entry.header.id, entry.runner());
     if (!rank) {
         entry.runnerLostSince = absl::InfiniteFuture();
         return false;
@@ -324,7 +328,7 @@
     entry.writingProgress = true;
     JobProgress progress = entry.progress;
     progress.runner = this->context.host;
-    this->context.log.write("job_takeover", {{"job", entry.header.id}, {"from", runnerOf(entry)}, {"revision", entry.revision}});
+    this->context.log.write("job_takeover", {{"job", entry.header.id}, {"from", entry.runner()}, {"revision", entry.revision}});
     this->archive.writeProgress(entry.header.id, entry.revision, progress, [this, jobId = entry.header.id](const ObjectReply &reply) {
         const auto found = this->entries.find(jobId);
         if (found == this->entries.end()) {
@@ -437,163 +441,7 @@
 
 void JobService::read(const std::string &jobId, std::size_t position, absl::Duration wait, std::function<void(JobLookup, const JobPage &)> done)
 {
-    const absl::Time now = this->context.attempts.loop.now();
-    this->serveRead(jobId, std::make_shared<ResultRead>(ResultRead{.position = position, .received = now, .waitUntil = now + wait, .done = std::move(done)}));
-}
-
-// A stored result never changes, so an answer with results is right whoever gives it. An answer without results is given only by a host
-// that knows that no other host has shown more: from the store, or under the runner's lease.
-void JobService::serveRead(const std::string &jobId, const std::shared_ptr<ResultRead> &read)
-{
-    this->lookUp(jobId, [this, read](JobLookup result, JobEntry *entry) {
-        if (entry == nullptr) {
-            read->done(result, {});
-            return;
-        }
-        entry->lastReadAt = this->context.attempts.loop.now();
-        if (hasResultsFor(*entry, *read)) {
-            this->sendPage(*entry, read->position, ReadSource::Memory, read->done);
-        } else if (this->runsWithResults(*entry)) {
-            this->serveReadAsRunner(*entry, read);
-        } else {
-            this->loadForRead(*entry, read);
-        }
-    });
-}
-
-void JobService::serveReadAsRunner(JobEntry &entry, const std::shared_ptr<ResultRead> &read)
-{
-    // The answer to a call in progress tells whether there are more results.
-    if (this->mayWait(entry, *read) || entry.appending) {
-        this->holdRead(entry, read);
-    } else if (this->knowsAllResults(entry)) {
-        this->sendPage(entry, read->position, ReadSource::Memory, read->done);
-    } else {
-        this->loadForRead(entry, read);
-    }
-}
-
-void JobService::loadForRead(JobEntry &entry, const std::shared_ptr<ResultRead> &read)
-{
-    const absl::Time loadStartedAt = entry.loading ? entry.loadStartedAt : this->context.attempts.loop.now();
-    this->load(entry, false, [this, jobId = entry.header.id, read, loadStartedAt](StoreResult result) {
-        const auto found = this->entries.find(jobId);
-        if (result != StoreResult::Done || found == this->entries.end()) {
-            read->done(JobLookup::Unknown, {});
-        } else if (loadStartedAt < read->received && !hasResultsFor(found->second, *read)) {
-            // Results may have been stored and shown after this load looked for them and before the read arrived.
-            this->serveRead(jobId, read);
-        } else {
-            this->serveLoadedRead(found->second, read);
-        }
-    });
-}
-
-void JobService::serveLoadedRead(JobEntry &entry, const std::shared_ptr<ResultRead> &read)
-{
-    if (hasResultsFor(entry, *read)) {
-        this->sendPage(entry, read->position, ReadSource::Store, read->done);
-    } else if (!this->mayWait(entry, *read)) {
-        this->denyLoadedResults(entry, *read);
-    } else if (this->runsWithResults(entry)) {
-        this->holdRead(entry, read);
-    } else {
-        // Another host stores the results, so this host polls the store for them.
-        const absl::Duration pause = std::min(read->waitUntil - this->context.attempts.loop.now(), resultPollDelay);
-        read->timer = this->context.attempts.loop.after(pause, [this, jobId = entry.header.id, read] { this->serveRead(jobId, read); });
-    }
-}
-
-void JobService::denyLoadedResults(JobEntry &entry, const ResultRead &read)
-{
-    if (this->context.attempts.loop.nowIncludingSuspend() - entry.endSeenAt > maxAgeOfNoResults) {
-        read.done(JobLookup::Unknown, {});
-    } else {
-        this->sendPage(entry, read.position, ReadSource::Store, read.done);
-    }
-}
-
-void JobService::holdRead(JobEntry &entry, const std::shared_ptr<ResultRead> &read)
-{
-    entry.pendingReads.push_back(read);
-    const absl::Duration wait = read->waitUntil - this->context.attempts.loop.now();
-    read->timer = this->context.attempts.loop.after(wait, [this, jobId = entry.header.id] {
-        const auto found = this->entries.find(jobId);
-        if (found != this->entries.end() && !found->second.appending) {
-            this->resumeReads(found->second);
-        }
-    });
-}
-
-bool JobService::hasResultsFor(const JobEntry &entry, const ResultRead &read)
-{
-    return entry.job && (entry.job->storedResultCount() > read.position || entry.job->allResultsStored());
-}
-
-bool JobService::mayWait(const JobEntry &entry, const ResultRead &read) const
-{
-    return this->context.attempts.loop.now() < read.waitUntil && !entry.progress.cancelled;
-}
-
-bool JobService::runsWithResults(const JobEntry &entry) const
-{
-    return entry.job && entry.itemsLoaded && entry.fenced && this->runsHere(entry);
-}
-
-bool JobService::knowsAllResults(const JobEntry &entry) const
-{
-    const bool mayHaveStoredMore = entry.appending || entry.unansweredObject == entry.job->nextResultObject();
-    return !mayHaveStoredMore && entry.lease.isValid(this->context.attempts.loop.nowIncludingSuspend());
-}
-
-void JobService::resumeReads(JobEntry &entry)
-{
-    std::vector<std::shared_ptr<ResultRead>> ready;
-    for (const auto &read : entry.pendingReads) {
-        if (hasResultsFor(entry, *read) || !this->mayWait(entry, *read) || !this->runsWithResults(entry)) {
-            ready.push_back(read);
-        }
-    }
-    for (const auto &read : ready) {
-        entry.pendingReads.remove(read);
-    }
-    const std::string jobId = entry.header.id;
-    for (const auto &read : ready) {
-        this->serveRead(jobId, read);
-    }
-}
-
-void JobService::sendPage(JobEntry &entry, std::size_t position, ReadSource source, const std::function<void(JobLookup, const JobPage &)> &done)
-{
-    const JobPage page = entry.job->page(position, maxPageBytes);
-    this->logRead(entry, position, page, source);
-    done(JobLookup::Found, page);
-}
-
-void JobService::logRead(JobEntry &entry, std::size_t position, const JobPage &page, ReadSource source)
-{
-    const ReadTrace trace{.source = source,
-                          .empty = page.results.empty(),
-                          .knownResults = entry.job->storedResultCount(),
-                          .knownObjects = entry.job->nextResultObject(),
-                          .revision = entry.revision,
-                          .runsHere = this->runsHere(entry),
-                          .fenced = entry.fenced};
-    if (entry.loggedRead == trace) {
-        return;
-    }
-    entry.loggedRead = trace;
-    this->context.log.write("job_read",
-                            {{"job", entry.header.id},
-                             {"position", static_cast<std::uint64_t>(position)},
-                             {"results", static_cast<std::uint64_t>(page.results.size())},
-                             {"known", static_cast<std::uint64_t>(trace.knownResults)},
-                             {"objects", trace.knownObjects},
-                             {"source", source == ReadSource::Memory ? "memory" : "store"},
-                             {"runsHere", trace.runsHere},
-                             {"fenced", trace.fenced},
-                             {"runner", runnerOf(entry)},
-                             {"revision", entry.revision}});
+    this->reads.read(jobId, position, wait, std::move(done));
 }
 
 void JobService::itemBody(const std::string &jobId, const std::string &itemId, std::function<void(JobLookup, const std::string &)> done)
@@ -636,7 +484,7 @@
 std::optional<std::string> JobService::runner(const std::string &jobId) const
 {
     const auto found = this->entries.find(jobId);
-    return found == this->entries.end() ? std::nullopt : std::optional(runnerOf(found->second));
+    return found == this->entries.end() ? std::nullopt : std::optional(found->second.runner());
 }
 
 std::optional<ObjectRecord> JobService::closedHeader(const std::string &jobId) const
@@ -855,7 +703,7 @@
                 target.unansweredObject = result == StoreResult::Unanswered ? number : target.unansweredObject;
                 this->handleStoreFailure(target, result);
             }
-            this->resumeReads(target);
+            this->reads.resume(target);
             this->tickEntry(target, this->context.attempts.loop.now());
         });
 }
--- a/src/JobService.h
+++ b/src/JobService.h
@@ -11,12 +11,12 @@
 #include "BatchOrder.h"
 #include "EntryMetrics.h"
 #include "ItemPlacement.h"
-#include "Job.h"
 #include "JobAccess.h"
 #include "JobArchive.h"
+#include "JobEntry.h"
+#include "JobReads.h"
 #include "JobWriter.h"
 #include "JsonLog.h"
-#include "ResultLease.h"
 #include "RoutingConfig.h"
 #include "UpstreamAttempt.h"
 #include "UpstreamSelector.h"
@@ -54,14 +54,6 @@
     bool operator==(const JobLocation &) const = default;
 };
 
-/** Outcome of looking up a job or one of its items. */
-enum class JobLookup {
-    Found,
-    NotFound,
-    /** The store did not answer, or the stored objects are malformed; the job may exist. */
-    Unknown,
-};
-
 /** Services of the entry host that JobService uses. */
 struct JobContext {
     AttemptContext attempts;
@@ -135,78 +127,7 @@
         bool resumed = false;
         std::unique_ptr<UpstreamAttempt> attempt;
     };
-    /** A read of the results from a position on. */
-    struct ResultRead {
-        std::size_t position = 0;
-        absl::Time received;
-        /** Until then the read waits if there is no result. */
-        absl::Time waitUntil;
-        std::function<void(JobLookup, const JobPage &)> done;
-        LoopTimer timer{};
-    };
-    /** Where the answer to a read comes from. */
-    enum class ReadSource {
-        /** Results that this host had in memory. */
-        Memory,
-        /** The store was read for the answer. */
-        Store,
-    };
-    /** What an answered read shows of the answering host's copy of a job. */
-    struct ReadTrace {
-        ReadSource source = ReadSource::Memory;
-        /** Whether the answer had no result. */
-        bool empty = false;
-        std::size_t knownResults = 0;
-        std::uint64_t knownObjects = 0;
-        std::uint64_t revision = 0;
-        bool runsHere = false;
-        bool fenced = false;
-
-        bool operator==(const ReadTrace &) const = default;
-    };
-    /** What this host knows of one job. */
-    struct JobEntry {
-        JobRecord header;
-        JobProgress progress;
-        std::uint64_t revision = 0;
-        std::unique_ptr<Job> job;
-        bool itemsLoaded = false;
-        /**
-         * Whether the known result objects are all, except for those that another host adds after it has taken the job over. A runner
-         * that has loaded the job from the store first creates an empty result object, so that a delayed write of the former runner fails
-         * with a conflict.
-         */
-        bool fenced = false;
-        /** For a fenced runner: whether no other host has added results. */
-        ResultLease lease;
-        /** A result object of another host has turned up, so the header is read before the next fence. */
-        bool runnerDoubtful = false;
-        bool checkingRunner = false;
-        /** Number of the result object whose create call got no answer. While it is the next number, the object may exist. */
-        std::optional<std::uint64_t> unansweredObject;
-        bool loading = false;
-        std::uint64_t loadNumber = 0;
-        absl::Time loadStartedAt = absl::InfinitePast();
-        /** When the call was sent that last found the end of the results; includes the time for which the host was suspended. */
-        absl::Time endSeenAt = absl::InfinitePast();
-        bool appending = false;
-        bool writingProgress = false;
-        absl::Time retryAt = absl::InfinitePast();
-        /** Since when this host has known that the runner is lost; infinite future while it is live. */
-        absl::Time runnerLostSince = absl::InfiniteFuture();
-        /** Since when the configuration has had no route for the job; infinite future while it has one. */
-        absl::Time routeMissingSince = absl::InfiniteFuture();
-        /** After a fence no results are stored before this time: another host may have a lease. */
-        absl::Time appendNotBefore = absl::InfinitePast();
-        absl::Time progressWrittenAt = absl::InfinitePast();
-        absl::Time unstoredSince = absl::InfiniteFuture();
-        absl::Time lastReadAt = absl::InfinitePast();
-        /** The last read in the log. */
-        std::optional<ReadTrace> loggedRead;
-        std::vector<std::function<void(StoreResult)>> loadCallbacks;
-        std::list<std::shared_ptr<ResultRead>> pendingReads;
-    };
-    using LookupHandler = std::function<void(JobLookup, JobEntry *)>;
+    using LookupHandler = JobReads::LookUpHandler;
 
     /** Applies a stored header unless a newer one is known. Returns null when it is malformed. */
     JobEntry *applyHeader(const ObjectRecord &object);
@@ -234,28 +155,7 @@
     /** Reads the result objects one after another until the next number does not exist. */
     void loadResults(const std::string &jobId);
     void finishLoading(const std::string &jobId, StoreResult result);
-    void serveRead(const std::string &jobId, const std::shared_ptr<ResultRead> &read);
-    void serveReadAsRunner(JobEntry &entry, const std::shared_ptr<ResultRead> &read);
-    void loadForRead(JobEntry &entry, const std::shared_ptr<ResultRead> &read);
-    void serveLoadedRead(JobEntry &entry, const std::shared_ptr<ResultRead> &read);
-    /** Answers that there are no results, unless the look at the store that showed it has become old. */
-    void denyLoadedResults(JobEntry &entry, const ResultRead &read);
-    /** Keeps a read of a job that runs here until there are results or its wait is over. */
-    void holdRead(JobEntry &entry, const std::shared_ptr<ResultRead> &read);
-    [[nodiscard]] static bool hasResultsFor(const JobEntry &entry, const ResultRead &read);
-    [[nodiscard]] bool mayWait(const JobEntry &entry, const ResultRead &read) const;
-    /** Whether the job runs here and its results are in memory. */
-    [[nodiscard]] bool runsWithResults(const JobEntry &entry) const;
-    /** Whether the results in memory are all that any host may have shown. */
-    [[nodiscard]] bool knowsAllResults(const JobEntry &entry) const;
-    /** Answers a read with the results that this host has, and logs it. */
-    void sendPage(JobEntry &entry, std::size_t position, ReadSource source, const std::function<void(JobLookup, const JobPage &)> &done);
-    /** Logs an answered read unless it shows the same as the last logged one of the job. */
-    void logRead(JobEntry &entry, std::size_t position, const JobPage &page, ReadSource source);
-    /** Serves the waiting reads whose wait is over, that have results now, or that this host can not answer alone. */
-    void resumeReads(JobEntry &entry);
     void writeCancel(const std::string &jobId, std::uint64_t revision, JobProgress progress, absl::Time retryUntil, std::function<void(JobLookup)> done);
-    [[nodiscard]] static const std::string &runnerOf(const JobEntry &entry);
     [[nodiscard]] bool runsHere(const JobEntry &entry) const;
     /**
      * Whether the runner is lost and the hosts that come before this one as its successors have had time to take the job over. Records when
@@ -317,6 +217,7 @@
     JobContext context;
     JobArchive archive;
     JobWriter writer;
+    JobReads reads;
     std::map<std::string, JobEntry> entries;
     /** The tokens of these count as waiting, because the store may hold the jobs before this host knows it. */
     std::map<std::string, JobRecord> accepting;
