--- a/src/ItemPlacement.h
+++ b/src/ItemPlacement.h
@@ -13,8 +13,8 @@
 
 /**
  * Where the items of one job can start now. An item belongs to the target of the route that its id selects. It goes to another one if its
- * own has no upstream at all, and if it is urgent also when its own has no free slot. Keeps what it has found; one round of starts uses it
- * until the first start.
+ * own has no upstream at all, and if it is urgent also when its own has no free slot. Keeps what it has found, so it is valid only until an
+ * item starts.
  */
 class ItemPlacement
 {
